--- /dev/null
+++ b/apps/pepperturn_edge.cpp
@@ -0,0 +1,26 @@
+// SPDX-License-Identifier: BSL-1.0
+/// \file
+/// Edge VM: takes callers' requests and forwards them to runners.
+#include "platform/conventions.hpp"
+#include "platform/daemon.hpp"
+#include "platform/decode.hpp"
+
+#include "pepperturn/fleet/edge_node.hpp"
+
+int main(int argc, char** argv)
+{
+    using namespace pepperturn;
+    return platform::run_daemon(
+        argc, argv, "pepperturn-edge",
+        [](asio::io_context& io, const pepperturn::clock& time,
+           const fleet_settings& settings, platform::cluster_source& source) {
+            const auto node = std::make_shared<edge_node>(
+                io, time, settings, platform::header_names(),
+                state_decoders{platform::decode_config,
+                               platform::decode_runner},
+                source);
+            return platform::daemon_hooks{
+                [node](std::string& reason) { return node->start(reason); },
+                [node] { node->stop(); }, [node] { node->tick(); }};
+        });
+}
--- /dev/null
+++ b/include/pepperturn/cluster/frame_link.hpp
@@ -0,0 +1,51 @@
+// SPDX-License-Identifier: BSL-1.0
+/// \file
+/// One connection that carries frames both ways.
+#pragma once
+
+#include "pepperturn/base/async.hpp"
+#include "pepperturn/turns/messages.hpp"
+
+#include <functional>
+#include <memory>
+
+namespace pepperturn {
+
+/// A peer that acknowledges nothing for this long is taken as gone: well
+/// under the time that a caller waits, far above a pause of its scheduler.
+constexpr milliseconds frame_peer_silence{1500};
+
+class frame_link : public std::enable_shared_from_this<frame_link>
+{
+public:
+    frame_link(asio::io_context& io, tcp::socket socket);
+
+    /// Reads until the connection ends. \p on_closed comes exactly once.
+    void start(std::function<void(frame)> on_frame,
+               std::function<void(const std::string& reason)> on_closed);
+    void send(const frame& value);
+    void close(const std::string& reason);
+    [[nodiscard]] bool open() const
+    {
+        return m_open;
+    }
+
+private:
+    task<> read_frames();
+    task<> write_queued();
+
+    asio::io_context& m_io;
+    tcp::socket m_socket;
+    std::function<void(frame)> m_on_frame;
+    std::function<void(const std::string&)> m_on_closed;
+    std::string m_queue;
+    bool m_writing = false;
+    bool m_open = true;
+};
+
+/// Connects within \p patience; null with \p reason set if that fails.
+[[nodiscard]] task<std::shared_ptr<frame_link>>
+connect_frames(asio::io_context& io, std::string address, milliseconds patience,
+               std::string& reason);
+
+} // namespace pepperturn
--- /dev/null
+++ b/include/pepperturn/cluster/member_links.hpp
@@ -0,0 +1,70 @@
+// SPDX-License-Identifier: BSL-1.0
+/// \file
+/// Connections of one process to the storage VMs of the current view, and
+/// calls over them.
+#pragma once
+
+#include "pepperturn/cluster/frame_link.hpp"
+
+#include <map>
+
+namespace pepperturn {
+
+/// Empty: the connection ended before an answer came.
+using frame_done = std::function<void(std::optional<frame>)>;
+
+class member_links
+{
+public:
+    /// \param self_name sent as the first frame; a member of this name is not
+    /// connected to
+    member_links(asio::io_context& io, const clock& time,
+                 std::string self_name);
+
+    /// Called for each state that a storage VM tells.
+    void on_state(std::function<void(const cluster_state&)> handler);
+
+    /// Connects to the members of \p state's view and lets go of others.
+    void follow(const cluster_state& state);
+    void stop();
+
+    /// Asks one member; \p done may come at once if it is not connected.
+    void call(const std::string& name, frame_body body, frame_done done);
+    /// Tells a member what it seems not to know.
+    void tell_state(const std::string& name);
+
+    [[nodiscard]] bool connected(const std::string& name) const;
+    /// When the member last sent anything; the epoch of the clock: never.
+    [[nodiscard]] instant last_heard(const std::string& name) const;
+    /// When a member that itself hears the platform's store last said so.
+    [[nodiscard]] instant store_heard() const
+    {
+        return m_store_heard;
+    }
+
+private:
+    struct link_row
+    {
+        std::string m_address;
+        std::shared_ptr<frame_link> m_link;
+        std::map<std::uint64_t, frame_done> m_calls;
+        instant m_heard{};
+        bool m_dropped = false;
+    };
+
+    task<> keep_connected(std::string name, std::shared_ptr<link_row> row);
+    void take_frame(link_row& row, frame value);
+    void end_calls(link_row& row);
+
+    asio::io_context& m_io;
+    const clock& m_time;
+    std::string m_self_name;
+    std::function<void(const cluster_state&)> m_on_state;
+    std::map<std::string, std::shared_ptr<link_row>> m_rows;
+    cluster_state m_state;
+    std::uint64_t m_next_call = 1;
+    instant m_store_heard{};
+    bool m_stopped = false;
+};
+
+} // namespace pepperturn
--- /dev/null
+++ b/include/pepperturn/cluster/view.hpp
@@ -0,0 +1,79 @@
+// SPDX-License-Identifier: BSL-1.0
+/// \file
+/// The set of storage VMs that keep turns and budgets, and the quorums that
+/// follow from it. A view is one value in the platform's store, changed by
+/// compare-and-swap; its revision there is the epoch of every request.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace pepperturn {
+
+enum class member_state : std::uint8_t
+{
+    /// Takes writes, but does not hold all earlier ones yet.
+    joining,
+    full,
+    /// Takes no new writes; others copy what it holds.
+    leaving
+};
+
+struct member
+{
+    std::string m_name;
+    /// IP:PORT of its frame listener.
+    std::string m_address;
+    std::string m_availability_zone;
+    /// Drawn when the disk was first used; another one is an empty disk.
+    std::uint64_t m_disk = 0;
+    member_state m_state = member_state::joining;
+
+    friend bool operator==(const member&, const member&) = default;
+};
+
+struct cluster_view
+{
+    /// Revision of the key in the platform's store; 0: none known.
+    std::uint64_t m_epoch = 0;
+    std::vector<member> m_members;
+
+    friend bool operator==(const cluster_view&, const cluster_view&) = default;
+};
+
+[[nodiscard]] const member* find_member(const cluster_view& view,
+                                        const std::string& name);
+
+/// How many members must answer, counted in one view.
+struct quorum_sizes
+{
+    /// Members that must have synced a write (joining ones count).
+    std::uint32_t m_write = 0;
+    /// Full members that together know of every acknowledged write, even if
+    /// the disks of all joining members were lost.
+    std::uint32_t m_read = 0;
+
+    friend bool operator==(const quorum_sizes&, const quorum_sizes&) = default;
+};
+
+/// \param disk_losses disks that may be lost at once without losing a write
+[[nodiscard]] quorum_sizes quorums_of(const cluster_view& view,
+                                      std::uint32_t disk_losses);
+
+/// The view with \p self added or put back as a joining member; the first
+/// member of all is full at once, since there is nothing to copy.
+[[nodiscard]] cluster_view with_joining(cluster_view view, member self);
+
+/// The view with one member's state changed.
+[[nodiscard]] cluster_view
+with_state(cluster_view view, const std::string& name, member_state state);
+
+[[nodiscard]] cluster_view without(cluster_view view, const std::string& name);
+
+/// True if \p name may be dropped without copying anything first: enough
+/// full members stay, and their read quorums still meet every write.
+[[nodiscard]] bool may_evict(const cluster_view& view, const std::string& name,
+                             std::uint32_t disk_losses);
+
+} // namespace pepperturn
--- /dev/null
+++ b/include/pepperturn/config/fleet_settings.hpp
@@ -0,0 +1,45 @@
+// SPDX-License-Identifier: BSL-1.0
+/// \file
+/// Settings of an edge VM's or a storage VM's process, from its INI file.
+#pragma once
+
+#include "pepperturn/config/ini.hpp"
+
+namespace pepperturn {
+
+struct fleet_settings
+{
+    std::string m_name;
+    std::string m_host;
+    std::string m_availability_zone;
+    /// The whole fleet starts for the first time, with empty disks.
+    bool m_bootstrap = false;
+    /// IP:PORT for callers; edge VMs only.
+    std::string m_callers_address;
+    /// IP:PORT for the readiness question; edge VMs only.
+    std::string m_ready_address;
+    /// Port for frames; storage VMs listen there.
+    std::uint32_t m_frames_port = 0;
+    /// Where turns are kept; storage VMs only.
+    std::string m_data_folder;
+    /// Disks that may be lost at once without losing anything.
+    std::uint32_t m_disk_losses = 1;
+    /// IP:PORT of the platform's store.
+    std::string m_store_address;
+    /// From the order to stop until the process is killed.
+    std::uint32_t m_grace_s = 8;
+
+    friend bool operator==(const fleet_settings&,
+                           const fleet_settings&) = default;
+};
+
+/// Reads and checks \p text; every error is added to \p errors.
+[[nodiscard]] std::optional<fleet_settings>
+parse_fleet_settings(const std::string& text, const std::string& source,
+                     std::vector<std::string>& errors);
+
+/// The same from a file.
+[[nodiscard]] std::optional<fleet_settings>
+load_fleet_settings(const std::string& file, std::vector<std::string>& errors);
+
+} // namespace pepperturn
--- /dev/null
+++ b/include/pepperturn/fleet/edge_node.hpp
@@ -0,0 +1,46 @@
+// SPDX-License-Identifier: BSL-1.0
+/// \file
+/// An edge VM's process: forwarding, with what it needs to know kept current.
+#pragma once
+
+#include "pepperturn/config/fleet_settings.hpp"
+#include "pepperturn/fleet/status_server.hpp"
+#include "pepperturn/fleet/world_source.hpp"
+#include "pepperturn/forward/proxy.hpp"
+
+namespace pepperturn {
+
+class edge_node
+{
+public:
+    edge_node(asio::io_context& io, const clock& time,
+              const fleet_settings& settings, wire_names names,
+              state_decoders decoders, world_source& source);
+
+    [[nodiscard]] bool start(std::string& reason);
+    /// Planned stop: serves what still comes, then ends the loop.
+    void stop();
+    /// Periodic work.
+    void tick();
+
+private:
+    void take_state(const cluster_state& news);
+    void take_runners();
+    void choose_source();
+    task<> drain();
+
+    asio::io_context& m_io;
+    const clock& m_time;
+    fleet_settings m_settings;
+    state_decoders m_decoders;
+    world_source& m_source;
+    member_links m_links;
+    turn_client m_turns;
+    proxy m_proxy;
+    status_server m_status;
+    cluster_state m_state;
+    bool m_stopping = false;
+    bool m_own_source = false;
+};
+
+} // namespace pepperturn
--- /dev/null
+++ b/include/pepperturn/fleet/storage_node.hpp
@@ -0,0 +1,66 @@
+// SPDX-License-Identifier: BSL-1.0
+/// \file
+/// A storage VM's process: keeps turns and budgets, follows the platform's
+/// store for the fleet, and takes part in the view.
+#pragma once
+
+#include "pepperturn/cluster/member_links.hpp"
+#include "pepperturn/cluster/membership.hpp"
+#include "pepperturn/config/fleet_settings.hpp"
+#include "pepperturn/fleet/world_source.hpp"
+#include "pepperturn/turns/turn_server.hpp"
+
+namespace pepperturn {
+
+class storage_node
+{
+public:
+    storage_node(asio::io_context& io, const clock& time,
+                 const fleet_settings& settings, world_source& source);
+
+    [[nodiscard]] bool start(std::string& reason);
+    void stop();
+    /// Periodic work.
+    void tick();
+
+private:
+    /// How far another member's log has been copied.
+    struct copy_progress
+    {
+        std::uint64_t m_disk = 0;
+        /// Packed position to go on from.
+        std::uint64_t m_next = 0;
+        /// Epoch in which all of it was copied; 0: none.
+        std::uint64_t m_done_at = 0;
+    };
+
+    [[nodiscard]] bool open_disk(std::string& reason);
+    void take_state(const cluster_state& news);
+    [[nodiscard]] membership_facts gather_facts() const;
+    task<> look_after_membership();
+    task<> change_view();
+    task<> copy_all();
+    task<> copy_from(member source, std::uint64_t epoch);
+    task<std::optional<frame>> ask(std::string name, frame_body body);
+
+    asio::io_context& m_io;
+    const clock& m_time;
+    fleet_settings m_settings;
+    world_source& m_source;
+    member_links m_links;
+    std::unique_ptr<turn_log> m_log;
+    std::unique_ptr<turn_store> m_store;
+    std::unique_ptr<turn_server> m_server;
+    std::uint64_t m_disk = 0;
+    std::uint64_t m_caught_up_at = 0;
+    std::map<std::string, copy_progress> m_copied_from;
+    bool m_copying = false;
+    bool m_stopping = false;
+    bool m_emptied_reported = false;
+    bool m_emptying_reported = false;
+    instant m_started{};
+    instant m_next_beat{};
+    instant m_next_expiry{};
+};
+
+} // namespace pepperturn
--- /dev/null
+++ b/include/pepperturn/fleet/world_source.hpp
@@ -0,0 +1,72 @@
+// SPDX-License-Identifier: BSL-1.0
+/// \file
+/// Where a process learns of the world outside the fleet: the platform's
+/// store, behind an interface.
+#pragma once
+
+#include "pepperturn/base/async.hpp"
+#include "pepperturn/cluster/state.hpp"
+#include "pepperturn/forward/routing_config.hpp"
+
+#include <functional>
+
+namespace pepperturn {
+
+/// How a change of the view went.
+enum class swap_outcome : std::uint8_t
+{
+    written,
+    /// Another view stands there by now.
+    conflict,
+    /// Not done, or nobody knows; the source tells what stands there later.
+    failed
+};
+
+struct swap_result
+{
+    swap_outcome m_outcome = swap_outcome::failed;
+    /// Epoch of the view that was written.
+    std::uint64_t m_epoch = 0;
+    std::string m_reason;
+};
+
+class world_source
+{
+public:
+    virtual ~world_source() = default;
+
+    /// Called with everything known whenever something changed.
+    virtual void
+    on_state(std::function<void(const cluster_state&)> handler) = 0;
+    /// Begins to follow, or goes on.
+    virtual void start() = 0;
+    /// Ends after the call that is under way.
+    virtual void pause() = 0;
+
+    /// Asks for \p next in place of the view at \p expected.
+    [[nodiscard]] virtual task<swap_result>
+    swap_view(cluster_view next, std::uint64_t expected) = 0;
+    /// Tells the operator how far the emptying of \p vm is.
+    [[nodiscard]] virtual task<bool> report_emptying(std::string vm,
+                                                     bool completed) = 0;
+
+    /// The operator wants \p vm emptied.
+    [[nodiscard]] virtual bool retire_asked(const std::string& vm) const = 0;
+    /// The store has been read whole at least once.
+    [[nodiscard]] virtual bool synced() const = 0;
+    /// When the store last answered.
+    [[nodiscard]] virtual instant last_heard() const = 0;
+};
+
+/// Decodes the texts of a cluster_state; empty with a reason if unusable.
+struct state_decoders
+{
+    std::function<std::optional<routing_config>(const std::string& text,
+                                                std::string& reason)>
+        m_config;
+    std::function<std::optional<runner_info>(
+        const std::string& id, const std::string& text, std::string& reason)>
+        m_runner;
+};
+
+} // namespace pepperturn
--- /dev/null
+++ b/include/pepperturn/forward/event_reader.hpp
@@ -0,0 +1,49 @@
+// SPDX-License-Identifier: BSL-1.0
+/// \file
+/// Reads a stream of server-sent events as it passes: how many there were and
+/// what their data said.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace pepperturn {
+
+class event_reader
+{
+public:
+    /// \param keep_data collect the data for \ref data
+    explicit event_reader(bool keep_data) : m_keep_data(keep_data) {}
+
+    void take(std::string_view bytes);
+
+    /// Events that were ended by an empty line.
+    [[nodiscard]] std::uint32_t whole_events() const
+    {
+        return m_events;
+    }
+    /// Events of which anything was passed on.
+    [[nodiscard]] std::uint32_t begun_events() const
+    {
+        return m_events + (m_in_event || !m_line.empty() ? 1 : 0);
+    }
+    /// Data of each whole event with a line feed behind it.
+    [[nodiscard]] const std::string& data() const
+    {
+        return m_data;
+    }
+
+private:
+    void end_line();
+
+    bool m_keep_data;
+    bool m_in_event = false;
+    bool m_has_data = false;
+    std::string m_line;
+    std::string m_event_data;
+    std::string m_data;
+    std::uint32_t m_events = 0;
+};
+
+} // namespace pepperturn
--- /dev/null
+++ b/include/pepperturn/forward/proxy.hpp
@@ -0,0 +1,116 @@
+// SPDX-License-Identifier: BSL-1.0
+/// \file
+/// An edge VM's work: takes callers' requests, chooses runners, retries where
+/// the evidence allows it, and answers honestly.
+#pragma once
+
+#include "pepperturn/forward/caller_connection.hpp"
+#include "pepperturn/forward/event_reader.hpp"
+#include "pepperturn/forward/traffic_metrics.hpp"
+#include "pepperturn/turns/turn_client.hpp"
+
+#include <set>
+
+namespace pepperturn {
+
+class proxy
+{
+public:
+    proxy(asio::io_context& io, const clock& time, wire_names names,
+          std::string availability_zone, turn_client& turns);
+
+    [[nodiscard]] bool listen(const tcp::endpoint& at, std::string& reason);
+
+    /// Takes a newer configuration; an older one is refused.
+    bool take_config(routing_config config);
+    void take_runners(const std::vector<runner_info>& runners);
+    [[nodiscard]] bool has_config() const
+    {
+        return m_config != nullptr;
+    }
+
+    /// Answers close their connections from now on.
+    void begin_drain();
+    void close_idle();
+    [[nodiscard]] std::size_t active() const
+    {
+        return m_active;
+    }
+    [[nodiscard]] const traffic_metrics& metrics() const
+    {
+        return m_metrics;
+    }
+    [[nodiscard]] std::uint64_t upstream_connections() const
+    {
+        return m_pool.opened();
+    }
+
+private:
+    /// One request while it is worked on.
+    struct call
+    {
+        caller_request m_request;
+        request_fields m_fields;
+        std::shared_ptr<const routing_config> m_config;
+        const route* m_route = nullptr;
+        instant m_arrived{};
+        instant m_deadline{};
+        std::shared_ptr<abort_switch> m_aborter;
+        bool m_keep_alive = true;
+        /// What goes to the runner.
+        std::string m_body;
+        std::string m_preferred;
+        begin_request m_begin;
+        bool m_reserved = false;
+        std::uint32_t m_tokens_per_event = 1;
+        unsigned m_attempts = 0;
+        std::string m_runner;
+        std::string m_why;
+    };
+    struct verdict
+    {
+        /// Empty: a stream that was answered or cut already.
+        std::optional<upstream_answer> m_answer;
+        /// The connection cannot go on.
+        bool m_cut = false;
+    };
+
+    task<> accept_callers();
+    task<> serve(std::shared_ptr<caller_connection> caller);
+    task<bool> serve_one(std::shared_ptr<caller_connection> caller,
+                         caller_request request);
+    task<verdict> handle(std::shared_ptr<caller_connection> caller,
+                         std::shared_ptr<call> work);
+    task<std::optional<upstream_answer>> begin_turn(std::shared_ptr<call> work);
+    task<verdict> forward(std::shared_ptr<caller_connection> caller,
+                          std::shared_ptr<call> work);
+    task<verdict> finish_stream(std::shared_ptr<caller_connection> caller,
+                                std::shared_ptr<call> work,
+                                const attempt_result& result,
+                                const event_reader& events);
+    task<> watch_deadline(std::shared_ptr<call> work);
+    void settle(call& work, std::uint32_t tokens);
+    [[nodiscard]] std::string pick_service(const call& work);
+    [[nodiscard]] upstream_answer refuse(call& work, const std::string& why,
+                                         milliseconds come_back);
+    [[nodiscard]] upstream_answer fail(call& work, unsigned status,
+                                       const std::string& why);
+    void log_end(const call& work, unsigned status);
+
+    asio::io_context& m_io;
+    const clock& m_time;
+    wire_names m_names;
+    std::string m_availability_zone;
+    turn_client& m_turns;
+    tcp::acceptor m_acceptor;
+    upstream_pool m_pool;
+    runner_table m_runners;
+    std::shared_ptr<const routing_config> m_config;
+    std::set<std::shared_ptr<caller_connection>> m_callers;
+    traffic_metrics m_metrics;
+    std::size_t m_active = 0;
+    std::uint64_t m_draw = 0;
+    bool m_draining = false;
+};
+
+} // namespace pepperturn
--- /dev/null
+++ b/include/pepperturn/forward/routing_config.hpp
@@ -0,0 +1,127 @@
+// SPDX-License-Identifier: BSL-1.0
+/// \file
+/// The operator's configuration for forwarding: which requests go to which
+/// services, and the runners that serve them.
+#pragma once
+
+#include "pepperturn/base/time.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace pepperturn {
+
+enum class route_kind : std::uint8_t
+{
+    idempotent,
+    /// May run at most once.
+    unrepeatable,
+    /// Answers with events; may run at most once as well.
+    stream
+};
+
+[[nodiscard]] std::string_view to_string(route_kind kind);
+
+struct weighted_service
+{
+    std::string m_service;
+    double m_weight = 1;
+
+    friend bool operator==(const weighted_service&,
+                           const weighted_service&) = default;
+};
+
+struct route
+{
+    std::string m_name;
+    std::string m_host;
+    /// Begins and ends with a slash.
+    std::string m_path_prefix;
+    route_kind m_kind = route_kind::unrepeatable;
+    /// Longest time that a request is held.
+    milliseconds m_timeout{30000};
+    milliseconds m_target_latency{1000};
+    /// 0 is the most urgent.
+    std::uint32_t m_priority = 0;
+    std::vector<weighted_service> m_services;
+    /// Runners that one request may go to.
+    std::uint32_t m_max_attempts = 1;
+    /// Turns are kept here and name the turn they go on from.
+    bool m_stateful = false;
+    milliseconds m_retention{60000};
+
+    friend bool operator==(const route&, const route&) = default;
+};
+
+/// What is known of the engines of a service.
+struct engine_profile
+{
+    /// Requests that run at once.
+    std::uint32_t m_slots = 1;
+    /// Tokens that fit into memory.
+    std::uint64_t m_token_capacity = 0;
+    /// Most tokens in one event.
+    std::uint32_t m_tokens_per_event = 1;
+
+    friend bool operator==(const engine_profile&,
+                           const engine_profile&) = default;
+};
+
+struct service
+{
+    std::string m_name;
+    std::string m_health_path;
+    /// Connections that one runner takes from all callers together.
+    std::uint32_t m_max_connections = 64;
+    std::optional<engine_profile> m_engine;
+
+    friend bool operator==(const service&, const service&) = default;
+};
+
+/// What a caller may send.
+struct caller_limits
+{
+    std::size_t m_max_header_bytes = 16384;
+    std::size_t m_max_body_bytes = 4U << 20U;
+    milliseconds m_header_timeout{3000};
+    milliseconds m_idle_timeout{15000};
+
+    friend bool operator==(const caller_limits&,
+                           const caller_limits&) = default;
+};
+
+struct routing_config
+{
+    std::uint64_t m_version = 0;
+    std::vector<route> m_routes;
+    std::map<std::string, service> m_services;
+    caller_limits m_limits;
+
+    friend bool operator==(const routing_config&,
+                           const routing_config&) = default;
+};
+
+/// The route of \p host (any case, with or without a port) with the longest
+/// prefix of \p path; null: none.
+[[nodiscard]] const route* find_route(const routing_config& config,
+                                      std::string_view host,
+                                      std::string_view path);
+
+struct runner_info
+{
+    std::string m_id;
+    std::string m_service;
+    /// IP:PORT.
+    std::string m_address;
+    std::string m_availability_zone;
+    std::uint32_t m_slots = 1;
+    bool m_draining = false;
+
+    friend bool operator==(const runner_info&, const runner_info&) = default;
+};
+
+} // namespace pepperturn
--- /dev/null
+++ b/include/pepperturn/forward/runner_table.hpp
@@ -0,0 +1,70 @@
+// SPDX-License-Identifier: BSL-1.0
+/// \file
+/// The runners as one edge VM sees them, and which one a request goes to.
+#pragma once
+
+#include "pepperturn/forward/routing_config.hpp"
+
+#include <set>
+
+namespace pepperturn {
+
+/// One runner with what this VM has seen of it.
+struct runner_row
+{
+    runner_info m_info;
+    /// Requests of this VM that are there now.
+    std::uint32_t m_in_flight = 0;
+    /// Smoothed time to the first byte of an answer, in milliseconds.
+    double m_latency_ms = 0;
+    /// Not used before this while another runner is there.
+    instant m_avoid_until{};
+    /// Failures in a row.
+    std::uint32_t m_failures = 0;
+};
+
+struct runner_choice
+{
+    std::string m_service;
+    /// Where the prefix is cached; empty: nowhere.
+    std::string m_preferred;
+    std::string m_availability_zone;
+    /// Runners that have refused this request already.
+    std::set<std::string> m_excluded;
+    /// Draws among equals.
+    std::uint64_t m_draw = 0;
+};
+
+class runner_table
+{
+public:
+    /// Takes the current list; keeps what was seen of those that stay.
+    void replace(const std::vector<runner_info>& runners);
+
+    /// The runner with the least load, or the preferred one unless it is
+    /// clearly busier; null: none is left.
+    [[nodiscard]] const runner_row* choose(const runner_choice& choice,
+                                           instant now) const;
+
+    [[nodiscard]] const runner_row* find(const std::string& id) const;
+    [[nodiscard]] std::size_t size() const
+    {
+        return m_rows.size();
+    }
+
+    void note_sent(const std::string& id);
+    void note_ended(const std::string& id);
+    void note_first_byte(const std::string& id, milliseconds latency);
+    /// A connection was refused, cut or silent.
+    void note_failure(const std::string& id, instant now);
+    /// The runner said that it is full.
+    void note_full(const std::string& id, instant now);
+
+private:
+    [[nodiscard]] runner_row* locate(const std::string& id);
+
+    std::map<std::string, runner_row> m_rows;
+    std::map<std::string, std::vector<std::string>> m_by_service;
+};
+
+} // namespace pepperturn
--- /dev/null
+++ b/include/pepperturn/forward/upstream_pool.hpp
@@ -0,0 +1,64 @@
+// SPDX-License-Identifier: BSL-1.0
+/// \file
+/// Kept connections to runners. One that gets bytes or an end while it is
+/// idle is closed: those bytes belong to no request.
+#pragma once
+
+#include "pepperturn/base/async.hpp"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <deque>
+#include <map>
+#include <memory>
+
+namespace pepperturn {
+
+struct upstream_connection
+{
+    explicit upstream_connection(boost::beast::tcp_stream stream)
+        : m_stream(std::move(stream))
+    {}
+
+    boost::beast::tcp_stream m_stream;
+    boost::beast::flat_buffer m_buffer;
+    /// The runner may close it after this.
+    instant m_usable_until{};
+    bool m_idle = false;
+    bool m_reused = false;
+};
+
+class upstream_pool
+{
+public:
+    upstream_pool(asio::io_context& io, const clock& time);
+
+    /// A kept connection that is still good; null: there is none.
+    [[nodiscard]] std::shared_ptr<upstream_connection>
+    take(const std::string& runner);
+    /// A new one; null with \p reason set if it does not come up in time.
+    [[nodiscard]] task<std::shared_ptr<upstream_connection>>
+    connect(std::string address, milliseconds patience, std::string& reason);
+    void put_back(const std::string& runner,
+                  std::shared_ptr<upstream_connection> connection,
+                  milliseconds usable);
+    /// Closes the idle connections of every runner that \p keep refuses.
+    void retain(const std::function<bool(const std::string&)>& keep);
+
+    [[nodiscard]] std::uint64_t opened() const
+    {
+        return m_opened;
+    }
+
+private:
+    void watch(const std::string& runner,
+               const std::shared_ptr<upstream_connection>& connection);
+
+    asio::io_context& m_io;
+    const clock& m_time;
+    std::map<std::string, std::deque<std::shared_ptr<upstream_connection>>>
+        m_idle;
+    std::uint64_t m_opened = 0;
+};
+
+} // namespace pepperturn
--- /dev/null
+++ b/include/pepperturn/forward/wire_names.hpp
@@ -0,0 +1,37 @@
+// SPDX-License-Identifier: BSL-1.0
+/// \file
+/// Header names that forwarding reads and sets. The defaults are this
+/// product's own; a platform brings a table with its names.
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace pepperturn {
+
+struct wire_names
+{
+    /// Id of one request, repeated in its answer.
+    std::string m_request_id = "Pepperturn-Call";
+    /// Milliseconds that the caller, then the runner, has left.
+    std::string m_deadline = "Pepperturn-Deadline-Ms";
+    std::string m_program = "Pepperturn-Program";
+    /// Tokens that all turns of the program may generate.
+    std::string m_token_budget = "Pepperturn-Token-Budget";
+    /// Tokens of the prompt, a comma, and the most that are generated.
+    std::string m_token_count = "Pepperturn-Token-Count";
+    /// Id of the turn that this one goes on from.
+    std::string m_parent_turn = "Pepperturn-Parent-Turn";
+    /// Id of the runner that is meant; any other refuses.
+    std::string m_expected_runner = "Pepperturn-Expect-Runner";
+    /// In a runner's answer: signs it as that runner's own.
+    std::string m_signature = "Pepperturn-Signature";
+    /// In a runner's answer: the request has not run and will not.
+    std::string m_not_run = "Pepperturn-Not-Run";
+    /// 0 (first) to 9.
+    std::string m_urgency = "Pepperturn-Urgency";
+    /// Headers that only this product may set towards a runner.
+    std::vector<std::string> m_reserved;
+};
+
+} // namespace pepperturn
--- /dev/null
+++ b/include/pepperturn/turns/messages.hpp
@@ -0,0 +1,140 @@
+// SPDX-License-Identifier: BSL-1.0
+/// \file
+/// Frames between edge and storage VMs, and their Cap'n Proto form.
+#pragma once
+
+#include "pepperturn/cluster/state.hpp"
+#include "pepperturn/turns/records.hpp"
+
+#include <optional>
+#include <string_view>
+
+namespace pepperturn {
+
+enum class frame_status : std::uint8_t
+{
+    ok,
+    /// The sender's view is older than the receiver's, or the reverse.
+    stale,
+    /// The receiver's disk is not in the view.
+    not_member,
+    /// The disk cannot be written.
+    failed
+};
+
+/// First frame on a connection: the sender's name.
+struct hello_message
+{
+    std::string m_name;
+    friend bool operator==(const hello_message&,
+                           const hello_message&) = default;
+};
+
+/// Sent now and then by storage VMs.
+struct beat_message
+{
+    /// Milliseconds since the platform's store was last heard.
+    std::uint32_t m_store_age_ms = 0;
+    friend bool operator==(const beat_message&, const beat_message&) = default;
+};
+
+/// Sets tokens aside and looks a parent up.
+struct begin_message
+{
+    reservation m_reservation;
+    std::uint32_t m_retention_ms = 0;
+    /// Empty: the first turn of its line.
+    std::string m_parent;
+    /// The records of the chain are wanted, not only whether it is there.
+    bool m_want_chain = false;
+    friend bool operator==(const begin_message&,
+                           const begin_message&) = default;
+};
+
+struct begun_message
+{
+    /// Every reservation of the program that the member knows.
+    std::vector<reservation> m_ledger;
+    bool m_parent_found = false;
+    /// Newest first, as far back as this member knows.
+    std::vector<turn_record> m_chain;
+    friend bool operator==(const begun_message&,
+                           const begun_message&) = default;
+};
+
+struct append_message
+{
+    log_entry m_entry;
+    friend bool operator==(const append_message&,
+                           const append_message&) = default;
+};
+
+struct appended_message
+{
+    friend bool operator==(const appended_message&,
+                           const appended_message&) = default;
+};
+
+/// Asks for a turn and those before it.
+struct fetch_message
+{
+    std::string m_turn;
+    friend bool operator==(const fetch_message&,
+                           const fetch_message&) = default;
+};
+
+struct fetched_message
+{
+    std::vector<turn_record> m_chain;
+    friend bool operator==(const fetched_message&,
+                           const fetched_message&) = default;
+};
+
+/// Asks for log entries from a position on.
+struct pull_message
+{
+    std::uint64_t m_from = 0;
+    friend bool operator==(const pull_message&, const pull_message&) = default;
+};
+
+struct pulled_message
+{
+    std::uint64_t m_next = 0;
+    bool m_more = false;
+    std::vector<log_entry> m_entries;
+    friend bool operator==(const pulled_message&,
+                           const pulled_message&) = default;
+};
+
+using frame_body =
+    std::variant<hello_message, cluster_state, beat_message, begin_message,
+                 begun_message, append_message, appended_message, fetch_message,
+                 fetched_message, pull_message, pulled_message>;
+
+struct frame
+{
+    /// Matches an answer with its question; 0: a notice.
+    std::uint64_t m_call = 0;
+    /// Epoch of the sender's view.
+    std::uint64_t m_epoch = 0;
+    frame_status m_status = frame_status::ok;
+    frame_body m_body;
+
+    friend bool operator==(const frame&, const frame&) = default;
+};
+
+/// Largest frame that is read, in bytes: a chain of 100 turns of 31 KB with
+/// room to spare.
+constexpr std::size_t max_frame_bytes = 16U << 20U;
+
+/// The frame with its 4-byte little-endian length in front.
+[[nodiscard]] std::string encode_frame(const frame& value);
+/// \param bytes the frame without its length
+[[nodiscard]] std::optional<frame> decode_frame(std::string_view bytes,
+                                                std::string& reason);
+
+[[nodiscard]] std::string encode_entry(const log_entry& value);
+[[nodiscard]] std::optional<log_entry> decode_entry(std::string_view bytes,
+                                                    std::string& reason);
+
+} // namespace pepperturn
--- /dev/null
+++ b/include/pepperturn/turns/records.hpp
@@ -0,0 +1,74 @@
+// SPDX-License-Identifier: BSL-1.0
+/// \file
+/// What storage VMs keep: turns, written once, and the token reservations of
+/// programs.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace pepperturn {
+
+/// 128-bit hash of a caller's id; ids themselves may be of any length.
+struct id_key
+{
+    std::uint64_t m_high = 0;
+    std::uint64_t m_low = 0;
+
+    friend auto operator<=>(const id_key&, const id_key&) = default;
+};
+
+[[nodiscard]] id_key key_of(const std::string& id);
+
+struct id_key_hash
+{
+    std::size_t operator()(const id_key& key) const
+    {
+        return key.m_low;
+    }
+};
+
+/// Tokens set aside for one attempt of a turn, or, once settled, handed out.
+struct reservation
+{
+    id_key m_program;
+    id_key m_attempt;
+    std::uint32_t m_tokens = 0;
+    bool m_settled = false;
+
+    friend bool operator==(const reservation&, const reservation&) = default;
+};
+
+/// One turn that was answered whole. Immutable.
+struct turn_record
+{
+    /// The id of the request that was answered.
+    std::string m_id;
+    /// The turn it goes on from; empty: none.
+    std::string m_parent;
+    std::string m_input;
+    /// Data of each event, each with a line feed behind.
+    std::string m_output;
+    /// Where its prefix is cached.
+    std::string m_runner;
+    id_key m_program;
+    id_key m_attempt;
+    /// Tokens handed out; settles the reservation.
+    std::uint32_t m_tokens = 0;
+
+    friend bool operator==(const turn_record&, const turn_record&) = default;
+};
+
+/// One entry of a storage VM's log.
+struct log_entry
+{
+    std::uint32_t m_retention_ms = 0;
+    std::variant<turn_record, reservation> m_what;
+
+    friend bool operator==(const log_entry&, const log_entry&) = default;
+};
+
+} // namespace pepperturn
--- /dev/null
+++ b/include/pepperturn/turns/turn_client.hpp
@@ -0,0 +1,83 @@
+// SPDX-License-Identifier: BSL-1.0
+/// \file
+/// What an edge VM asks of the storage VMs: to set a turn's tokens aside and
+/// rebuild its chain before it is sent, and to keep it before its answer ends.
+#pragma once
+
+#include "pepperturn/cluster/member_links.hpp"
+#include "pepperturn/turns/ledger.hpp"
+
+namespace pepperturn {
+
+enum class begin_outcome : std::uint8_t
+{
+    granted,
+    over_budget,
+    /// Every copy that could hold the parent says that it does not.
+    no_such_turn,
+    /// Too few storage VMs answered in time; nothing is decided.
+    unavailable
+};
+
+struct begin_request
+{
+    id_key m_program;
+    id_key m_attempt;
+    /// The most tokens that the turn may hand out.
+    std::uint32_t m_tokens = 0;
+    std::uint64_t m_budget = 0;
+    std::uint32_t m_retention_ms = 0;
+    /// Empty: the first turn of its line.
+    std::string m_parent;
+};
+
+struct begin_result
+{
+    begin_outcome m_outcome = begin_outcome::unavailable;
+    /// The turns to go on from, oldest first.
+    std::vector<turn_record> m_chain;
+    /// What decided, for the log.
+    std::string m_reason;
+};
+
+class turn_client
+{
+public:
+    /// \param availability_zone members there are asked for chains first
+    turn_client(asio::io_context& io, const clock& time, member_links& links,
+                std::string availability_zone, std::uint32_t disk_losses);
+
+    /// The view that calls go by.
+    void follow(const cluster_view& view);
+
+    [[nodiscard]] task<begin_result> begin(begin_request request,
+                                           instant until);
+    /// True once enough disks hold the entry.
+    [[nodiscard]] task<bool> keep(log_entry entry, instant until);
+    /// Tells what an attempt has had in the end; not waited for. If it is
+    /// lost, the program is charged the whole reservation.
+    void settle(const begin_request& request, std::uint32_t tokens);
+
+private:
+    struct round;
+
+    void send_round(const std::shared_ptr<round>& work);
+    [[nodiscard]] bool wrote_enough(const round& work) const;
+    [[nodiscard]] bool read_enough(const round& work) const;
+    [[nodiscard]] bool all_lack_parent(const round& work) const;
+    [[nodiscard]] std::string nearest_member() const;
+    task<bool> complete_chain(std::shared_ptr<round> work, std::string parent,
+                              std::vector<turn_record>& chain, instant until);
+    task<std::optional<frame>> ask(std::string name, frame_body body,
+                                   instant until);
+
+    asio::io_context& m_io;
+    const clock& m_time;
+    member_links& m_links;
+    std::string m_availability_zone;
+    std::uint32_t m_disk_losses;
+    cluster_view m_view;
+    quorum_sizes m_quorums;
+};
+
+} // namespace pepperturn
--- /dev/null
+++ b/include/pepperturn/turns/turn_log.hpp
@@ -0,0 +1,129 @@
+// SPDX-License-Identifier: BSL-1.0
+/// \file
+/// Append-only log on a local disk, in segments. Each entry stands behind its
+/// length and a checksum. Appending only queues; a batch is written and synced
+/// by one call, which may run on another thread.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace pepperturn {
+
+/// Where an entry stands. Positions only grow.
+struct log_position
+{
+    std::uint32_t m_segment = 0;
+    std::uint32_t m_offset = 0;
+
+    friend auto operator<=>(const log_position&, const log_position&) = default;
+};
+
+[[nodiscard]] std::uint64_t pack(const log_position& position);
+[[nodiscard]] log_position unpack(std::uint64_t packed);
+
+/// Bytes queued for one segment.
+struct log_batch
+{
+    std::uint32_t m_segment = 0;
+    std::uint32_t m_offset = 0;
+    std::string m_bytes;
+};
+
+struct loaded_entry
+{
+    log_position m_position;
+    std::string m_bytes;
+};
+
+class turn_log
+{
+public:
+    /// \param segment_bytes a new segment is begun once one is this large
+    turn_log(std::string folder, std::uint32_t segment_bytes);
+    ~turn_log();
+    turn_log(const turn_log&) = delete;
+    turn_log& operator=(const turn_log&) = delete;
+
+    /// Identity of this disk: read, or drawn and synced on first use.
+    /// \param fresh what to write if there is none yet
+    [[nodiscard]] std::optional<std::uint64_t> identity(std::uint64_t fresh,
+                                                        std::string& reason);
+    /// Gives the disk a new identity, after its content proved damaged.
+    [[nodiscard]] bool set_identity(std::uint64_t value, std::string& reason);
+
+    /// Reads every whole entry in order and cuts a torn tail off.
+    /// \param damaged set if entries before the tail cannot be read
+    [[nodiscard]] bool
+    load(const std::function<void(const loaded_entry&)>& take, bool& damaged,
+         std::string& reason);
+
+    /// Queues an entry. It is readable at once and lasts after write_batches.
+    [[nodiscard]] log_position append(std::string_view bytes);
+    [[nodiscard]] bool has_pending() const;
+    /// Where the next entry will stand, at the earliest.
+    [[nodiscard]] log_position end() const
+    {
+        return {m_current, m_end};
+    }
+    [[nodiscard]] bool has_unwritten_before(const log_position& position) const
+    {
+        return !m_unwritten.empty() && m_unwritten.begin()->first < position;
+    }
+    /// Takes what is queued, to be written by write_batches.
+    [[nodiscard]] std::vector<log_batch> take_pending();
+    /// Writes and syncs. Blocks; may run on another thread, one at a time.
+    [[nodiscard]] bool write_batches(const std::vector<log_batch>& batches,
+                                     std::string& reason);
+    /// Forgets the copies in memory of what write_batches wrote.
+    void written(const std::vector<log_batch>& batches);
+
+    /// The entry at \p position; empty if it cannot be read.
+    [[nodiscard]] std::optional<std::string>
+    read(const log_position& position) const;
+    /// Written entries from \p from on, about \p most_bytes of them, and
+    /// where to go on.
+    [[nodiscard]] std::vector<loaded_entry> read_from(log_position from,
+                                                      std::size_t most_bytes,
+                                                      log_position& next) const;
+
+    /// First position of a segment that is still written to.
+    [[nodiscard]] std::uint32_t current_segment() const
+    {
+        return m_current;
+    }
+    [[nodiscard]] std::vector<std::uint32_t> segments() const;
+    /// Deletes a segment other than the current one.
+    void remove_segment(std::uint32_t segment);
+
+private:
+    [[nodiscard]] std::string path_of(std::uint32_t segment) const;
+    [[nodiscard]] int open_segment(std::uint32_t segment, std::string& reason);
+    [[nodiscard]] std::optional<std::string>
+    read_bytes(std::uint32_t segment, std::uint32_t offset,
+               std::uint32_t length) const;
+    [[nodiscard]] bool
+    load_segment(std::uint32_t segment, bool last,
+                 const std::function<void(const loaded_entry&)>& take,
+                 bool& damaged, std::string& reason);
+
+    std::string m_folder;
+    std::uint32_t m_segment_bytes;
+    std::uint32_t m_current = 1;
+    std::uint32_t m_end = 0;
+    /// Bytes that are not yet known to be on disk, by segment and offset.
+    std::map<log_position, std::string> m_unwritten;
+    std::vector<log_batch> m_pending;
+    /// Bytes on disk of each segment.
+    std::map<std::uint32_t, std::uint32_t> m_on_disk;
+    /// Open files; the writer's thread adds to it.
+    mutable std::mutex m_files_mutex;
+    std::map<std::uint32_t, int> m_files;
+};
+
+} // namespace pepperturn
--- /dev/null
+++ b/include/pepperturn/turns/turn_server.hpp
@@ -0,0 +1,101 @@
+// SPDX-License-Identifier: BSL-1.0
+/// \file
+/// The frame interface of a storage VM: answers edge VMs and other storage
+/// VMs from its turn store, and tells them what it knows of the world.
+#pragma once
+
+#include "pepperturn/cluster/frame_link.hpp"
+#include "pepperturn/turns/turn_store.hpp"
+
+#include <boost/asio/thread_pool.hpp>
+#include <set>
+
+namespace pepperturn {
+
+class turn_server
+{
+public:
+    /// \param disk identity of the local disk
+    turn_server(asio::io_context& io, const clock& time, std::string name,
+                std::uint64_t disk, turn_log& log, turn_store& store);
+    ~turn_server();
+
+    [[nodiscard]] bool listen(const tcp::endpoint& at, std::string& reason);
+    void stop();
+
+    /// Merges what is newer and passes it on; \p on_change comes after each.
+    void take_state(const cluster_state& news);
+    void on_change(std::function<void(const state_change&)> handler);
+    [[nodiscard]] const cluster_state& state() const
+    {
+        return m_state;
+    }
+    /// Tells every connected VM that the platform's store was heard
+    /// \p store_age ago.
+    void send_beat(milliseconds store_age);
+
+    /// Enters what another member holds.
+    void take_entries(const std::vector<log_entry>& entries);
+    /// Waits until all that was entered so far is synced; false: it is not.
+    [[nodiscard]] task<bool> synced();
+
+    /// Members that hold everything this one had at \p epoch.
+    [[nodiscard]] std::set<std::string> copied_by(std::uint64_t epoch) const;
+    /// False once the disk refused a write.
+    [[nodiscard]] bool disk_good() const
+    {
+        return m_disk_good;
+    }
+
+private:
+    struct peer
+    {
+        std::string m_name;
+        std::shared_ptr<frame_link> m_link;
+    };
+    struct waiting_answer
+    {
+        std::shared_ptr<frame_link> m_link;
+        frame m_answer;
+    };
+
+    task<> accept_links();
+    void add_link(tcp::socket socket);
+    void take_frame(const std::shared_ptr<peer>& from, frame value);
+    [[nodiscard]] frame_status check(const frame& value) const;
+    void answer_begin(const std::shared_ptr<peer>& from, std::uint64_t call,
+                      const begin_message& question);
+    void answer_pull(const std::shared_ptr<peer>& from, std::uint64_t call,
+                     const pull_message& question);
+    void answer(const std::shared_ptr<peer>& from, std::uint64_t call,
+                frame_status status, frame_body body);
+    void answer_when_synced(const std::shared_ptr<peer>& from,
+                            std::uint64_t call, frame_body body);
+    void commit();
+    void committed(const std::vector<log_batch>& batches, bool good,
+                   const std::string& reason);
+
+    asio::io_context& m_io;
+    const clock& m_time;
+    std::string m_name;
+    std::uint64_t m_disk;
+    turn_log& m_log;
+    turn_store& m_store;
+    asio::thread_pool m_writer{1};
+    tcp::acceptor m_acceptor;
+    cluster_state m_state;
+    std::function<void(const state_change&)> m_on_change;
+    std::set<std::shared_ptr<peer>> m_peers;
+    /// Answers for what is queued, and for what is being written.
+    std::vector<waiting_answer> m_queued_answers;
+    std::vector<waiting_answer> m_written_answers;
+    std::vector<std::function<void(bool)>> m_queued_waits;
+    std::vector<std::function<void(bool)>> m_written_waits;
+    bool m_writing = false;
+    bool m_disk_good = true;
+    std::map<std::string, std::uint64_t> m_copied_at;
+    /// Where the log ended when the current view was taken.
+    log_position m_epoch_begin;
+};
+
+} // namespace pepperturn
--- /dev/null
+++ b/include/pepperturn/turns/turn_store.hpp
@@ -0,0 +1,84 @@
+// SPDX-License-Identifier: BSL-1.0
+/// \file
+/// The turns and reservations that one storage VM holds: tables in memory
+/// that point into its log.
+#pragma once
+
+#include "pepperturn/base/time.hpp"
+#include "pepperturn/turns/records.hpp"
+#include "pepperturn/turns/turn_log.hpp"
+
+#include <unordered_map>
+
+namespace pepperturn {
+
+/// Turns that one chain may have; a longer one is not followed further.
+constexpr std::size_t max_chain_turns = 1024;
+
+class turn_store
+{
+public:
+    explicit turn_store(turn_log& log);
+
+    /// Reads the log. Retention starts anew for all of it, since the time
+    /// that has passed while the process was down is unknown.
+    /// \param damaged set if acknowledged entries may be missing
+    [[nodiscard]] bool load(instant now, bool& damaged, std::string& reason);
+
+    /// Queues an entry for the log and enters it. Repeating one is harmless;
+    /// a settled reservation is never set back.
+    void append(const log_entry& entry, instant now);
+
+    [[nodiscard]] std::vector<reservation>
+    ledger_of(const id_key& program) const;
+    [[nodiscard]] bool has_turn(const std::string& id) const;
+    /// The turn and those before it, newest first, as far as this store
+    /// knows them; keeps them for another \p retention.
+    [[nodiscard]] std::vector<turn_record>
+    chain(const std::string& id, milliseconds retention, instant now);
+
+    /// Forgets what is past its retention and gives disk space back.
+    void expire(instant now);
+
+    [[nodiscard]] std::size_t turn_count() const
+    {
+        return m_turns.size();
+    }
+    [[nodiscard]] std::size_t program_count() const
+    {
+        return m_programs.size();
+    }
+
+private:
+    struct turn_row
+    {
+        log_position m_position;
+        instant m_expiry{};
+    };
+    struct reservation_row
+    {
+        std::uint32_t m_tokens = 0;
+        bool m_settled = false;
+        log_position m_position;
+    };
+    struct program_row
+    {
+        std::unordered_map<id_key, reservation_row, id_key_hash> m_attempts;
+        std::uint32_t m_retention_ms = 0;
+        instant m_expiry{};
+    };
+
+    void enter(const log_entry& entry, const log_position& position,
+               instant now);
+    void enter_reservation(const reservation& row, std::uint32_t retention_ms,
+                           const log_position& position, instant now);
+    [[nodiscard]] std::optional<turn_record>
+    read_turn(const log_position& position) const;
+    void compact_oldest(instant now);
+
+    turn_log& m_log;
+    std::unordered_map<id_key, turn_row, id_key_hash> m_turns;
+    std::unordered_map<id_key, program_row, id_key_hash> m_programs;
+};
+
+} // namespace pepperturn
--- /dev/null
+++ b/src/cluster/frame_link.cpp
@@ -0,0 +1,155 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/cluster/frame_link.hpp"
+
+#include <array>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+namespace pepperturn {
+
+namespace {
+
+/// A peer that leaves more than this unread is cut off: several of the
+/// largest frames.
+constexpr std::size_t max_queued_bytes = 4 * max_frame_bytes;
+constexpr std::size_t read_bytes = 16384;
+
+std::uint32_t length_of(const std::string& buffer, std::size_t offset)
+{
+    std::uint32_t value = 0;
+    for (std::size_t i = 0; i < 4; ++i)
+        value |= std::uint32_t{static_cast<std::uint8_t>(buffer[offset + i])}
+                 << (8 * i);
+    return value;
+}
+
+} // namespace
+
+frame_link::frame_link(asio::io_context& io, tcp::socket socket)
+    : m_io(io), m_socket(std::move(socket))
+{
+    tune_socket(m_socket, frame_peer_silence);
+}
+
+void frame_link::start(std::function<void(frame)> on_frame,
+                       std::function<void(const std::string&)> on_closed)
+{
+    m_on_frame = std::move(on_frame);
+    m_on_closed = std::move(on_closed);
+    spawn(m_io, "frame_link.read", read_frames());
+}
+
+void frame_link::send(const frame& value)
+{
+    if (!m_open)
+        return;
+    m_queue += encode_frame(value);
+    if (m_queue.size() > max_queued_bytes)
+    {
+        close("too much unread");
+        return;
+    }
+    if (!m_writing)
+    {
+        m_writing = true;
+        spawn(m_io, "frame_link.write", write_queued());
+    }
+}
+
+void frame_link::close(const std::string& reason)
+{
+    if (!m_open)
+        return;
+    m_open = false;
+    error_code ignored;
+    m_socket.close(ignored);
+    m_on_frame = nullptr;
+    if (const auto closed = std::exchange(m_on_closed, nullptr))
+        closed(reason);
+}
+
+task<> frame_link::read_frames()
+{
+    const auto self = shared_from_this();
+    std::string buffer;
+    std::array<char, read_bytes> chunk;
+    while (m_open)
+    {
+        error_code ec;
+        const auto count =
+            co_await m_socket.async_read_some(asio::buffer(chunk), into(ec));
+        if (ec)
+        {
+            close(ec.message());
+            co_return;
+        }
+        buffer.append(chunk.data(), count);
+        std::size_t used = 0;
+        while (m_open && buffer.size() - used >= 4)
+        {
+            const std::size_t length = length_of(buffer, used);
+            if (length > max_frame_bytes)
+            {
+                close("frame of " + std::to_string(length) + " bytes");
+                co_return;
+            }
+            if (buffer.size() - used - 4 < length)
+                break;
+            std::string reason;
+            auto value = decode_frame(
+                std::string_view(buffer).substr(used + 4, length), reason);
+            if (!value)
+            {
+                close("bad frame: " + reason);
+                co_return;
+            }
+            used += 4 + length;
+            if (m_on_frame)
+            {
+                // The handler may close the link, which drops the member.
+                const auto handler = m_on_frame;
+                handler(std::move(*value));
+            }
+        }
+        buffer.erase(0, used);
+    }
+}
+
+task<> frame_link::write_queued()
+{
+    const auto self = shared_from_this();
+    while (m_open && !m_queue.empty())
+    {
+        const auto batch = std::exchange(m_queue, {});
+        error_code ec;
+        co_await asio::async_write(m_socket, asio::buffer(batch), into(ec));
+        if (ec)
+        {
+            close(ec.message());
+            co_return;
+        }
+    }
+    m_writing = false;
+}
+
+task<std::shared_ptr<frame_link>> connect_frames(asio::io_context& io,
+                                                 std::string address,
+                                                 milliseconds patience,
+                                                 std::string& reason)
+{
+    error_code ec;
+    const auto endpoint = parse_endpoint(address, ec);
+    if (!ec)
+    {
+        boost::beast::tcp_stream stream(io);
+        stream.expires_after(patience);
+        co_await stream.async_connect(endpoint, into(ec));
+        if (!ec)
+            co_return std::make_shared<frame_link>(io, stream.release_socket());
+    }
+    reason = ec.message();
+    co_return nullptr;
+}
+
+} // namespace pepperturn
--- /dev/null
+++ b/src/cluster/member_links.cpp
@@ -0,0 +1,182 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/cluster/member_links.hpp"
+
+#include <glog/logging.h>
+
+namespace pepperturn {
+
+namespace {
+
+/// A storage VM in the same region answers a connect within milliseconds.
+constexpr milliseconds connect_patience{600};
+constexpr milliseconds first_backoff{50};
+constexpr milliseconds longest_backoff{400};
+/// A beat that tells of the platform's store within this is good news.
+constexpr std::uint32_t fresh_store_ms = 2500;
+
+} // namespace
+
+member_links::member_links(asio::io_context& io, const clock& time,
+                           std::string self_name)
+    : m_io(io), m_time(time), m_self_name(std::move(self_name))
+{}
+
+void member_links::on_state(std::function<void(const cluster_state&)> handler)
+{
+    m_on_state = std::move(handler);
+}
+
+void member_links::follow(const cluster_state& state)
+{
+    m_state = state;
+    std::map<std::string, std::shared_ptr<link_row>> kept;
+    for (const auto& row : state.m_view.m_members)
+    {
+        if (row.m_name == m_self_name)
+            continue;
+        const auto found = m_rows.find(row.m_name);
+        if (found != m_rows.end() && found->second->m_address == row.m_address)
+        {
+            kept.insert(*found);
+            continue;
+        }
+        auto fresh = std::make_shared<link_row>();
+        fresh->m_address = row.m_address;
+        kept[row.m_name] = fresh;
+        spawn(m_io, "member_links.connect", keep_connected(row.m_name, fresh));
+    }
+    const auto before = std::exchange(m_rows, std::move(kept));
+    for (const auto& [name, row] : before)
+    {
+        const auto found = m_rows.find(name);
+        if (found != m_rows.end() && found->second == row)
+            continue;
+        row->m_dropped = true;
+        if (const auto link = row->m_link)
+            link->close("left the view");
+    }
+}
+
+void member_links::stop()
+{
+    m_stopped = true;
+    follow({});
+}
+
+task<> member_links::keep_connected(std::string name,
+                                    std::shared_ptr<link_row> row)
+{
+    auto backoff = first_backoff;
+    bool reported = false;
+    while (!row->m_dropped && !m_stopped)
+    {
+        std::string reason;
+        auto link = co_await connect_frames(m_io, row->m_address,
+                                            connect_patience, reason);
+        if (row->m_dropped || m_stopped)
+            co_return;
+        if (!link)
+        {
+            if (!std::exchange(reported, true))
+                LOG(WARNING) << "event=storage_unreachable vm=" << name
+                             << " address=" << row->m_address << " reason=\""
+                             << reason << '"';
+            co_await sleep_for(m_io, backoff);
+            backoff = std::min(backoff * 2, longest_backoff);
+            continue;
+        }
+        backoff = first_backoff;
+        reported = false;
+        async_event closed(m_io);
+        std::string closed_reason;
+        row->m_link = link;
+        row->m_heard = m_time.now();
+        link->start(
+            [this, row](frame value) { take_frame(*row, std::move(value)); },
+            [&closed, &closed_reason](const std::string& why) {
+                closed_reason = why;
+                closed.notify();
+            });
+        link->send({0, m_state.m_view.m_epoch, frame_status::ok,
+                    hello_message{m_self_name}});
+        LOG(INFO) << "event=storage_connected vm=" << name
+                  << " address=" << row->m_address;
+        while (link->open())
+            co_await closed.wait_until(instant::max());
+        row->m_link = nullptr;
+        end_calls(*row);
+        LOG(WARNING) << "event=storage_lost vm=" << name << " reason=\""
+                     << closed_reason << '"';
+    }
+}
+
+void member_links::take_frame(link_row& row, frame value)
+{
+    row.m_heard = m_time.now();
+    if (value.m_call != 0)
+    {
+        const auto found = row.m_calls.find(value.m_call);
+        if (found == row.m_calls.end())
+            return;
+        const auto done = std::move(found->second);
+        row.m_calls.erase(found);
+        done(std::move(value));
+        return;
+    }
+    if (const auto* state = std::get_if<cluster_state>(&value.m_body))
+    {
+        if (m_on_state)
+            m_on_state(*state);
+    }
+    else if (const auto* beat = std::get_if<beat_message>(&value.m_body))
+    {
+        if (beat->m_store_age_ms <= fresh_store_ms)
+            m_store_heard =
+                std::max(m_store_heard,
+                         m_time.now() - milliseconds(beat->m_store_age_ms));
+    }
+}
+
+void member_links::end_calls(link_row& row)
+{
+    for (const auto& [call, done] : std::exchange(row.m_calls, {}))
+        done(std::nullopt);
+}
+
+void member_links::call(const std::string& name, frame_body body,
+                        frame_done done)
+{
+    const auto found = m_rows.find(name);
+    if (found == m_rows.end() || !found->second->m_link)
+    {
+        done(std::nullopt);
+        return;
+    }
+    const auto call = m_next_call++;
+    found->second->m_calls[call] = std::move(done);
+    found->second->m_link->send(
+        {call, m_state.m_view.m_epoch, frame_status::ok, std::move(body)});
+}
+
+void member_links::tell_state(const std::string& name)
+{
+    const auto found = m_rows.find(name);
+    if (found == m_rows.end() || !found->second->m_link)
+        return;
+    found->second->m_link->send(
+        {0, m_state.m_view.m_epoch, frame_status::ok, m_state});
+}
+
+bool member_links::connected(const std::string& name) const
+{
+    const auto found = m_rows.find(name);
+    return found != m_rows.end() && found->second->m_link != nullptr;
+}
+
+instant member_links::last_heard(const std::string& name) const
+{
+    const auto found = m_rows.find(name);
+    return found == m_rows.end() ? instant{} : found->second->m_heard;
+}
+
+} // namespace pepperturn
--- /dev/null
+++ b/src/cluster/view.cpp
@@ -0,0 +1,106 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/cluster/view.hpp"
+
+#include <algorithm>
+
+namespace pepperturn {
+
+namespace {
+
+auto locate(auto& members, const std::string& name)
+{
+    return std::find_if(members.begin(), members.end(),
+                        [&](const member& row) { return row.m_name == name; });
+}
+
+std::uint32_t count_in(const cluster_view& view, member_state state)
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(view.m_members.begin(), view.m_members.end(),
+                      [&](const member& row) { return row.m_state == state; }));
+}
+
+std::uint32_t write_quorum(std::uint32_t voters, std::uint32_t disk_losses)
+{
+    return std::max(disk_losses + 1, voters / 2 + 1);
+}
+
+/// Any so many members share one with every set that acknowledged a write.
+std::uint32_t read_quorum(std::uint32_t voters, std::uint32_t disk_losses)
+{
+    const auto write = write_quorum(voters, disk_losses);
+    // With fewer voters than copies, no write can be acknowledged, and
+    // every member is asked.
+    return write > voters ? std::max(voters, 1U) : voters - write + 1;
+}
+
+} // namespace
+
+const member* find_member(const cluster_view& view, const std::string& name)
+{
+    const auto found = locate(view.m_members, name);
+    return found == view.m_members.end() ? nullptr : &*found;
+}
+
+quorum_sizes quorums_of(const cluster_view& view, std::uint32_t disk_losses)
+{
+    const auto voters = count_in(view, member_state::joining) +
+                        count_in(view, member_state::full);
+    const auto all = static_cast<std::uint32_t>(view.m_members.size());
+    quorum_sizes out;
+    out.m_write = write_quorum(voters, disk_losses);
+    // A leaving member may hold what was written while it counted, and what
+    // it holds is not copied everywhere yet.
+    out.m_read = std::max(read_quorum(voters, disk_losses),
+                          read_quorum(all, disk_losses));
+    return out;
+}
+
+cluster_view with_joining(cluster_view view, member self)
+{
+    self.m_state =
+        view.m_members.empty() ? member_state::full : member_state::joining;
+    const auto found = locate(view.m_members, self.m_name);
+    if (found == view.m_members.end())
+        view.m_members.push_back(std::move(self));
+    else
+        *found = std::move(self);
+    return view;
+}
+
+cluster_view with_state(cluster_view view, const std::string& name,
+                        member_state state)
+{
+    const auto found = locate(view.m_members, name);
+    if (found != view.m_members.end())
+        found->m_state = state;
+    return view;
+}
+
+cluster_view without(cluster_view view, const std::string& name)
+{
+    const auto found = locate(view.m_members, name);
+    if (found != view.m_members.end())
+        view.m_members.erase(found);
+    return view;
+}
+
+bool may_evict(const cluster_view& view, const std::string& name,
+               std::uint32_t disk_losses)
+{
+    const auto* row = find_member(view, name);
+    if (row == nullptr || count_in(view, member_state::leaving) > 0)
+        return false;
+    const auto after = without(view, name);
+    const auto full = count_in(after, member_state::full);
+    if (full < disk_losses + 2 || count_in(after, member_state::joining) > 0)
+        return false;
+    // A write may have been acknowledged by the evicted member and one less
+    // than a quorum of the others; the smaller read quorum must still meet
+    // one of these. It does whenever the write quorum shrinks as well, that
+    // is, from an even number of members.
+    const auto before = static_cast<std::uint32_t>(view.m_members.size());
+    return write_quorum(full, disk_losses) < write_quorum(before, disk_losses);
+}
+
+} // namespace pepperturn
--- /dev/null
+++ b/src/config/fleet_settings.cpp
@@ -0,0 +1,88 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/config/fleet_settings.hpp"
+
+#include <fstream>
+#include <sstream>
+
+namespace pepperturn {
+
+namespace {
+
+constexpr std::uint32_t most_port = 65535;
+constexpr std::uint32_t most_losses = 16;
+constexpr std::uint32_t most_grace_s = 3600;
+
+} // namespace
+
+std::optional<fleet_settings>
+parse_fleet_settings(const std::string& text, const std::string& source,
+                     std::vector<std::string>& errors)
+{
+    std::string reason;
+    const auto document = parse_ini(text, source, reason);
+    if (!document)
+    {
+        errors.push_back(reason);
+        return std::nullopt;
+    }
+    const auto before = errors.size();
+    fleet_settings out;
+    for (const auto& [name, section] : *document)
+    {
+        section_reader reader(source, name, section, errors);
+        if (name == "vm")
+        {
+            reader.read("name", out.m_name);
+            reader.read("host", out.m_host);
+            reader.read("availability_zone", out.m_availability_zone);
+            reader.read("bootstrap", out.m_bootstrap);
+            reader.read("grace_s", out.m_grace_s, 1, most_grace_s);
+        }
+        else if (name == "listen")
+        {
+            reader.read("callers", out.m_callers_address);
+            reader.read("ready", out.m_ready_address);
+            reader.read("frames_port", out.m_frames_port, 1, most_port);
+        }
+        else if (name == "storage")
+        {
+            reader.read("folder", out.m_data_folder);
+            reader.read("disk_losses", out.m_disk_losses, 0, most_losses);
+        }
+        else if (name == "store")
+            reader.read("address", out.m_store_address);
+        else
+        {
+            errors.push_back(source + ": unknown section [" + name + ']');
+            continue;
+        }
+        reader.finish();
+    }
+    for (const auto& [key, value] :
+         {std::pair<const char*, const std::string&>{"[vm] name", out.m_name},
+          {"[vm] host", out.m_host},
+          {"[store] address", out.m_store_address}})
+    {
+        if (value.empty())
+            errors.push_back(source + ": " + key + " is missing");
+    }
+    if (errors.size() > before)
+        return std::nullopt;
+    return out;
+}
+
+std::optional<fleet_settings>
+load_fleet_settings(const std::string& file, std::vector<std::string>& errors)
+{
+    std::ifstream input(file);
+    if (!input)
+    {
+        errors.push_back(file + ": cannot be read");
+        return std::nullopt;
+    }
+    std::ostringstream text;
+    text << input.rdbuf();
+    return parse_fleet_settings(text.str(), file, errors);
+}
+
+} // namespace pepperturn
--- /dev/null
+++ b/src/fleet/edge_node.cpp
@@ -0,0 +1,155 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/fleet/edge_node.hpp"
+
+#include <glog/logging.h>
+
+namespace pepperturn {
+
+namespace {
+
+/// Without word of the platform's store through a storage VM for this long,
+/// an edge VM asks the store itself. Storage VMs tell twice a second, and
+/// what they tell may be a watch old.
+constexpr milliseconds relay_patience{3200};
+/// After the order to stop: the balancer asks once a second and takes a VM
+/// out after two misses.
+constexpr milliseconds still_new_connections{3200};
+/// Left of the grace for the last answers to be written.
+constexpr milliseconds exit_margin{400};
+constexpr milliseconds drain_check{50};
+
+} // namespace
+
+edge_node::edge_node(asio::io_context& io, const clock& time,
+                     const fleet_settings& settings, wire_names names,
+                     state_decoders decoders, world_source& source)
+    : m_io(io), m_time(time), m_settings(settings),
+      m_decoders(std::move(decoders)), m_source(source),
+      m_links(io, time, settings.m_name),
+      m_turns(io, time, m_links, settings.m_availability_zone,
+              settings.m_disk_losses),
+      m_proxy(io, time, std::move(names), settings.m_availability_zone,
+              m_turns),
+      m_status(
+          io, [this] { return m_proxy.has_config() && !m_stopping; },
+          [this] { return m_proxy.metrics().text(); })
+{}
+
+bool edge_node::start(std::string& reason)
+{
+    error_code ec;
+    const auto callers = parse_endpoint(m_settings.m_callers_address, ec);
+    if (ec)
+    {
+        reason = "[listen] callers: " + ec.message();
+        return false;
+    }
+    const auto ready = parse_endpoint(m_settings.m_ready_address, ec);
+    if (ec)
+    {
+        reason = "[listen] ready: " + ec.message();
+        return false;
+    }
+    if (!m_proxy.listen(callers, reason) || !m_status.listen(ready, reason))
+        return false;
+    m_links.on_state([this](const cluster_state& news) { take_state(news); });
+    m_source.on_state([this](const cluster_state& news) { take_state(news); });
+    m_own_source = true;
+    m_source.start();
+    return true;
+}
+
+void edge_node::take_state(const cluster_state& news)
+{
+    const auto change = merge_state(m_state, news);
+    if (change.m_config)
+    {
+        std::string reason;
+        auto config = m_decoders.m_config(m_state.m_config, reason);
+        if (config)
+            m_proxy.take_config(std::move(*config));
+        else
+            LOG(ERROR) << "event=config_unreadable revision="
+                       << m_state.m_config_revision << " reason=\"" << reason
+                       << '"';
+    }
+    if (change.m_runners)
+        take_runners();
+    if (change.m_view)
+    {
+        LOG(INFO) << "event=view_taken epoch=" << m_state.m_view.m_epoch
+                  << " members=" << m_state.m_view.m_members.size();
+        m_links.follow(m_state);
+        m_turns.follow(m_state.m_view);
+    }
+}
+
+void edge_node::take_runners()
+{
+    std::vector<runner_info> runners;
+    std::size_t draining = 0;
+    for (const auto& row : m_state.m_runners)
+    {
+        std::string reason;
+        auto info = m_decoders.m_runner(row.m_name, row.m_text, reason);
+        if (!info)
+        {
+            LOG(ERROR) << "event=runner_unreadable runner=" << row.m_name
+                       << " reason=\"" << reason << '"';
+            continue;
+        }
+        draining += info->m_draining ? 1 : 0;
+        runners.push_back(std::move(*info));
+    }
+    LOG(INFO) << "event=runners_taken revision=" << m_state.m_runners_revision
+              << " runners=" << runners.size() << " draining=" << draining;
+    m_proxy.take_runners(runners);
+}
+
+void edge_node::choose_source()
+{
+    const bool relayed = m_time.now() - m_links.store_heard() < relay_patience;
+    if (relayed != m_own_source)
+        return;
+    m_own_source = !relayed;
+    LOG(INFO) << "event=source_chosen source=" << (relayed ? "relay" : "store");
+    if (relayed)
+        m_source.pause();
+    else
+        m_source.start();
+}
+
+void edge_node::tick()
+{
+    choose_source();
+}
+
+void edge_node::stop()
+{
+    if (std::exchange(m_stopping, true))
+        return;
+    LOG(INFO) << "event=stop_begun active=" << m_proxy.active();
+    m_proxy.begin_drain();
+    spawn(m_io, "edge_node.drain", drain());
+}
+
+task<> edge_node::drain()
+{
+    const auto begun = m_time.now();
+    const auto latest =
+        begun + std::chrono::seconds(m_settings.m_grace_s) - exit_margin;
+    while (m_time.now() < latest)
+    {
+        if (m_time.now() >= begun + still_new_connections)
+        {
+            m_proxy.close_idle();
+            if (m_proxy.active() == 0)
+                break;
+        }
+        co_await sleep_for(m_io, drain_check);
+    }
+    LOG(INFO) << "event=stop_done active=" << m_proxy.active();
+    m_io.stop();
+}
+
+} // namespace pepperturn
--- /dev/null
+++ b/src/fleet/status_server.cpp
@@ -0,0 +1,87 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/fleet/status_server.hpp"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <glog/logging.h>
+
+namespace pepperturn {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr milliseconds idle_patience{30000};
+constexpr const char* metrics_path = "/metrics";
+
+} // namespace
+
+status_server::status_server(asio::io_context& io, std::function<bool()> ready,
+                             std::function<std::string()> metrics)
+    : m_io(io), m_ready(std::move(ready)), m_metrics(std::move(metrics)),
+      m_acceptor(io)
+{}
+
+bool status_server::listen(const tcp::endpoint& at, std::string& reason)
+{
+    error_code ec;
+    m_acceptor.open(at.protocol(), ec);
+    if (!ec)
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+    if (!ec)
+        m_acceptor.bind(at, ec);
+    if (!ec)
+        m_acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    if (ec)
+    {
+        reason = to_text(at) + ": " + ec.message();
+        return false;
+    }
+    spawn(m_io, "status_server.accept", accept_callers());
+    return true;
+}
+
+task<> status_server::accept_callers()
+{
+    while (true)
+    {
+        error_code ec;
+        auto socket = co_await m_acceptor.async_accept(into(ec));
+        if (ec == asio::error::operation_aborted)
+            co_return;
+        if (!ec)
+            spawn(m_io, "status_server.serve", serve(std::move(socket)));
+    }
+}
+
+task<> status_server::serve(tcp::socket socket)
+{
+    boost::beast::tcp_stream stream(std::move(socket));
+    boost::beast::flat_buffer buffer;
+    bool go_on = true;
+    while (go_on)
+    {
+        error_code ec;
+        http::request<http::string_body> request;
+        stream.expires_after(idle_patience);
+        co_await http::async_read(stream, buffer, request, into(ec));
+        if (ec)
+            break;
+        http::response<http::string_body> response;
+        response.version(request.version());
+        if (request.target() == metrics_path)
+            response.body() = m_metrics();
+        else
+            response.result(m_ready() ? http::status::ok
+                                      : http::status::service_unavailable);
+        go_on = request.keep_alive();
+        response.keep_alive(go_on);
+        response.prepare_payload();
+        co_await http::async_write(stream, response, into(ec));
+        go_on = go_on && !ec;
+    }
+    stream.close();
+}
+
+} // namespace pepperturn
--- /dev/null
+++ b/src/fleet/storage_node.cpp
@@ -0,0 +1,294 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/fleet/storage_node.hpp"
+
+#include <glog/logging.h>
+#include <random>
+
+namespace pepperturn {
+
+namespace {
+
+/// A sixteenth of the smallest disk, so that space comes back in steps.
+constexpr std::uint32_t segment_bytes = 16U << 20U;
+constexpr milliseconds beat_interval{500};
+constexpr milliseconds expiry_interval{2000};
+constexpr milliseconds membership_interval{150};
+/// Ten beats: a restart or a freeze is over by then, a loss is not.
+constexpr milliseconds silence_limit{5000};
+constexpr milliseconds copy_patience{2000};
+constexpr milliseconds copy_pause{10};
+/// Answers under way go out before the process ends.
+constexpr milliseconds stop_linger{150};
+
+std::uint64_t draw_identity()
+{
+    std::random_device device;
+    std::uint64_t value = 0;
+    while (value == 0)
+        value = std::uint64_t{device()} << 32U | device();
+    // Positive in every reader of the view's text.
+    return value >> 1U;
+}
+
+} // namespace
+
+storage_node::storage_node(asio::io_context& io, const clock& time,
+                           const fleet_settings& settings, world_source& source)
+    : m_io(io), m_time(time), m_settings(settings), m_source(source),
+      m_links(io, time, settings.m_name)
+{}
+
+bool storage_node::open_disk(std::string& reason)
+{
+    m_log = std::make_unique<turn_log>(m_settings.m_data_folder, segment_bytes);
+    m_store = std::make_unique<turn_store>(*m_log);
+    const auto fresh = draw_identity();
+    const auto identity = m_log->identity(fresh, reason);
+    if (!identity)
+        return false;
+    m_disk = *identity;
+    bool damaged = false;
+    if (!m_store->load(m_time.now(), damaged, reason))
+        return false;
+    if (damaged)
+    {
+        // What it lacks may have counted: it joins like an empty disk.
+        LOG(ERROR) << "event=disk_damaged disk=" << m_disk;
+        if (!m_log->set_identity(fresh, reason))
+            return false;
+        m_disk = fresh;
+    }
+    LOG(INFO) << "event=disk_opened disk=" << m_disk
+              << " empty=" << (m_disk == fresh)
+              << " turns=" << m_store->turn_count()
+              << " programs=" << m_store->program_count();
+    return true;
+}
+
+bool storage_node::start(std::string& reason)
+{
+    if (!open_disk(reason))
+        return false;
+    m_started = m_time.now();
+    error_code ec;
+    const auto endpoint = parse_endpoint(
+        m_settings.m_host + ':' + std::to_string(m_settings.m_frames_port), ec);
+    if (ec)
+    {
+        reason = "[vm] host: " + ec.message();
+        return false;
+    }
+    m_server = std::make_unique<turn_server>(m_io, m_time, m_settings.m_name,
+                                             m_disk, *m_log, *m_store);
+    if (!m_server->listen(endpoint, reason))
+        return false;
+    m_server->on_change([this](const state_change& change) {
+        if (change.m_view)
+            m_links.follow(m_server->state());
+    });
+    m_links.on_state([this](const cluster_state& news) { take_state(news); });
+    m_source.on_state([this](const cluster_state& news) { take_state(news); });
+    m_source.start();
+    spawn(m_io, "storage_node.membership", look_after_membership());
+    return true;
+}
+
+void storage_node::take_state(const cluster_state& news)
+{
+    m_server->take_state(news);
+}
+
+membership_facts storage_node::gather_facts() const
+{
+    const auto& view = m_server->state().m_view;
+    membership_facts facts;
+    facts.m_self = {
+        m_settings.m_name,
+        m_settings.m_host + ':' + std::to_string(m_settings.m_frames_port),
+        m_settings.m_availability_zone, m_disk, member_state::joining};
+    facts.m_bootstrap = m_settings.m_bootstrap;
+    facts.m_view_known = m_source.synced();
+    facts.m_retire = m_source.retire_asked(m_settings.m_name);
+    facts.m_caught_up_at = m_caught_up_at;
+    facts.m_copied_by = m_server->copied_by(view.m_epoch);
+    facts.m_disk_losses = m_settings.m_disk_losses;
+    const auto now = m_time.now();
+    for (const auto& row : view.m_members)
+    {
+        const auto heard = std::max(m_started, m_links.last_heard(row.m_name));
+        if (row.m_name != m_settings.m_name && now - heard > silence_limit)
+            facts.m_silent.insert(row.m_name);
+    }
+    return facts;
+}
+
+task<> storage_node::look_after_membership()
+{
+    while (!m_stopping)
+    {
+        if (m_server->disk_good())
+        {
+            const auto& view = m_server->state().m_view;
+            if (!m_copying &&
+                should_copy(view, m_settings.m_name, m_caught_up_at))
+            {
+                m_copying = true;
+                spawn(m_io, "storage_node.copy", copy_all());
+            }
+            co_await change_view();
+        }
+        co_await sleep_for(m_io, membership_interval);
+    }
+}
+
+task<> storage_node::change_view()
+{
+    const auto view = m_server->state().m_view;
+    const auto facts = gather_facts();
+    if (facts.m_retire && !m_emptying_reported)
+        m_emptying_reported =
+            co_await m_source.report_emptying(m_settings.m_name, false);
+    if (is_emptied(view, facts))
+    {
+        if (!m_emptied_reported)
+            m_emptied_reported =
+                co_await m_source.report_emptying(m_settings.m_name, true);
+        co_return;
+    }
+    auto next = wanted_view(view, facts);
+    if (!next)
+        co_return;
+    const auto result = co_await m_source.swap_view(*next, view.m_epoch);
+    LOG(INFO) << "event=view_swap epoch=" << view.m_epoch
+              << " members=" << next->m_members.size()
+              << " outcome=" << result.m_reason
+              << " next_epoch=" << result.m_epoch;
+    if (result.m_outcome != swap_outcome::written)
+        co_return;
+    cluster_state news;
+    news.m_view = std::move(*next);
+    news.m_view.m_epoch = result.m_epoch;
+    take_state(news);
+}
+
+task<std::optional<frame>> storage_node::ask(std::string name, frame_body body)
+{
+    struct asked
+    {
+        explicit asked(asio::io_context& io) : m_changed(io) {}
+        async_event m_changed;
+        bool m_done = false;
+        std::optional<frame> m_answer;
+    };
+    const auto state = std::make_shared<asked>(m_io);
+    m_links.call(name, std::move(body), [state](std::optional<frame> answer) {
+        state->m_done = true;
+        state->m_answer = std::move(answer);
+        state->m_changed.notify();
+    });
+    const auto until = m_time.now() + copy_patience;
+    while (!state->m_done && m_time.now() < until)
+        co_await state->m_changed.wait_until(until);
+    co_return std::move(state->m_answer);
+}
+
+task<> storage_node::copy_from(member source, std::uint64_t epoch)
+{
+    auto& progress = m_copied_from[source.m_name];
+    if (progress.m_disk != source.m_disk)
+        progress = {source.m_disk, 0, 0};
+    std::size_t copied = 0;
+    while (m_server->state().m_view.m_epoch == epoch && !m_stopping)
+    {
+        const auto answer =
+            co_await ask(source.m_name, pull_message{progress.m_next});
+        const auto* page = answer && answer->m_status == frame_status::ok
+                               ? std::get_if<pulled_message>(&answer->m_body)
+                               : nullptr;
+        if (page == nullptr)
+        {
+            if (answer && answer->m_status == frame_status::stale &&
+                answer->m_epoch < epoch)
+                m_links.tell_state(source.m_name);
+            co_return;
+        }
+        copied += page->m_entries.size();
+        m_server->take_entries(page->m_entries);
+        if (!co_await m_server->synced())
+            co_return;
+        progress.m_next = page->m_next;
+        if (!page->m_more)
+        {
+            progress.m_done_at = epoch;
+            LOG(INFO) << "event=copied_all from=" << source.m_name
+                      << " epoch=" << epoch << " entries=" << copied;
+            co_return;
+        }
+        if (page->m_entries.empty())
+            co_await sleep_for(m_io, copy_pause);
+    }
+}
+
+task<> storage_node::copy_all()
+{
+    const auto view = m_server->state().m_view;
+    const auto* own = find_member(view, m_settings.m_name);
+    const bool joining =
+        own != nullptr && own->m_state == member_state::joining;
+    std::uint32_t full_copied = 0;
+    bool leaving_copied = true;
+    for (const auto& row : view.m_members)
+    {
+        // A full member copies only what is about to leave.
+        const bool wanted = row.m_state == member_state::leaving ||
+                            (joining && row.m_state == member_state::full);
+        if (!wanted || row.m_name == m_settings.m_name)
+            continue;
+        if (m_links.connected(row.m_name) &&
+            m_copied_from[row.m_name].m_done_at != view.m_epoch)
+            co_await copy_from(row, view.m_epoch);
+        const bool done = m_copied_from[row.m_name].m_done_at == view.m_epoch;
+        if (row.m_state == member_state::leaving)
+            leaving_copied = leaving_copied && done;
+        else
+            full_copied += done ? 1 : 0;
+    }
+    const auto needed = quorums_of(view, m_settings.m_disk_losses).m_read;
+    if ((!joining || full_copied >= needed) && leaving_copied &&
+        m_server->state().m_view.m_epoch == view.m_epoch)
+        m_caught_up_at = view.m_epoch;
+    m_copying = false;
+}
+
+void storage_node::tick()
+{
+    const auto now = m_time.now();
+    if (now >= m_next_beat)
+    {
+        m_next_beat = now + beat_interval;
+        const auto age = std::chrono::duration_cast<milliseconds>(
+            now - m_source.last_heard());
+        constexpr milliseconds most{UINT32_MAX};
+        m_server->send_beat(m_source.synced() ? std::min(age, most) : most);
+    }
+    if (now >= m_next_expiry)
+    {
+        m_next_expiry = now + expiry_interval;
+        m_store->expire(now);
+    }
+}
+
+void storage_node::stop()
+{
+    if (std::exchange(m_stopping, true))
+        return;
+    LOG(INFO) << "event=stop_begun";
+    spawn(m_io, "storage_node.stop", [](storage_node& self) -> task<> {
+        co_await sleep_for(self.m_io, stop_linger);
+        (void)co_await self.m_server->synced();
+        LOG(INFO) << "event=stop_done";
+        self.m_io.stop();
+    }(*this));
+}
+
+} // namespace pepperturn
--- /dev/null
+++ b/src/forward/caller_connection.cpp
@@ -0,0 +1,236 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/forward/caller_connection.hpp"
+
+#include <array>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/status.hpp>
+#include <sys/socket.h>
+
+namespace pepperturn {
+
+namespace {
+
+constexpr std::size_t read_bytes = 8192;
+/// A caller that takes nothing for this long has gone, whatever its socket
+/// says.
+constexpr milliseconds write_patience{10000};
+constexpr milliseconds caller_silence{3000};
+constexpr std::string_view head_end = "\r\n\r\n";
+
+std::string_view view_of(const boost::beast::flat_buffer& buffer)
+{
+    return {static_cast<const char*>(buffer.data().data()), buffer.size()};
+}
+
+read_result refusal(unsigned status, std::string reason)
+{
+    read_result out;
+    out.m_outcome = read_outcome::refused;
+    out.m_status = status;
+    out.m_reason = std::move(reason);
+    return out;
+}
+
+std::string head_text(const upstream_answer& answer, bool keep_alive)
+{
+    const auto reason =
+        http::obsolete_reason(http::int_to_status(answer.m_status));
+    const auto connection = answer.m_fields[http::field::connection];
+    std::string out = "HTTP/1.1 " + std::to_string(answer.m_status) + ' ';
+    out.append(reason.data(), reason.size());
+    out += "\r\n";
+    for (const auto& row : answer.m_fields)
+    {
+        const std::string_view name(row.name_string().data(),
+                                    row.name_string().size());
+        if (row.name() == http::field::content_length ||
+            is_hop_by_hop(name, {connection.data(), connection.size()}))
+            continue;
+        out += name;
+        out += ": ";
+        out.append(row.value().data(), row.value().size());
+        out += "\r\n";
+    }
+    if (!keep_alive)
+        out += "Connection: close\r\n";
+    return out;
+}
+
+} // namespace
+
+upstream_answer own_answer(unsigned status, const std::string& text)
+{
+    upstream_answer out;
+    out.m_status = status;
+    out.m_fields.set(http::field::content_type, "text/plain");
+    out.m_body = text;
+    return out;
+}
+
+caller_connection::caller_connection(asio::io_context& io, const clock& time,
+                                     tcp::socket socket)
+    : m_time(time), m_stream(std::move(socket))
+{
+    (void)io;
+    tune_socket(m_stream.socket(), caller_silence);
+}
+
+task<read_result> caller_connection::read_request(caller_limits limits)
+{
+    m_idle = m_buffer.size() == 0;
+    std::size_t searched = 0;
+    std::size_t head_bytes = 0;
+    m_stream.expires_after(m_idle ? limits.m_idle_timeout
+                                  : limits.m_header_timeout);
+    while (true)
+    {
+        const auto text = view_of(m_buffer);
+        const auto end = text.find(head_end, searched);
+        if (end != std::string_view::npos)
+        {
+            head_bytes = end + head_end.size();
+            break;
+        }
+        searched = text.size() < head_end.size()
+                       ? 0
+                       : text.size() - head_end.size() + 1;
+        if (text.size() > limits.m_max_header_bytes)
+            co_return refusal(431, "head is too long");
+        error_code ec;
+        const auto count = co_await m_stream.async_read_some(
+            m_buffer.prepare(read_bytes), into(ec));
+        if (ec == boost::beast::error::timeout && !m_idle)
+            co_return refusal(408, "head took too long");
+        if (ec)
+            co_return read_result{};
+        m_buffer.commit(count);
+        if (std::exchange(m_idle, false))
+            m_stream.expires_after(limits.m_header_timeout);
+    }
+    if (head_bytes > limits.m_max_header_bytes)
+        co_return refusal(431, "head is too long");
+    if (const auto* fault =
+            find_ambiguity(view_of(m_buffer).substr(0, head_bytes)))
+        co_return refusal(400, fault);
+
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(limits.m_max_header_bytes));
+    parser.body_limit(limits.m_max_body_bytes);
+    error_code ec;
+    m_stream.expires_after(write_patience);
+    co_await http::async_read_header(m_stream, m_buffer, parser, into(ec));
+    if (ec)
+        co_return refusal(ec == http::error::body_limit ? 413 : 400,
+                          ec.message());
+    if (parser.get()[http::field::expect] == "100-continue" &&
+        !co_await write_all("HTTP/1.1 100 Continue\r\n\r\n"))
+        co_return read_result{};
+    co_await http::async_read(m_stream, m_buffer, parser, into(ec));
+    if (ec == http::error::body_limit)
+        co_return refusal(413, "body is too long");
+    if (ec == boost::beast::error::timeout)
+        co_return refusal(408, "body took too long");
+    if (ec &&
+        ec.category() ==
+            http::make_error_code(http::error::bad_method).category() &&
+        ec != http::error::end_of_stream && ec != http::error::partial_message)
+        co_return refusal(400, ec.message());
+    if (ec)
+        co_return read_result{};
+    m_stream.expires_never();
+    read_result out;
+    out.m_outcome = read_outcome::request;
+    out.m_request = parser.release();
+    co_return out;
+}
+
+task<bool> caller_connection::write_all(std::string text)
+{
+    error_code ec;
+    m_stream.expires_after(write_patience);
+    co_await asio::async_write(m_stream, asio::buffer(text), into(ec));
+    m_stream.expires_never();
+    co_return !ec;
+}
+
+task<bool> caller_connection::write_answer(const upstream_answer& answer,
+                                           bool keep_alive)
+{
+    std::string text = head_text(answer, keep_alive);
+    constexpr unsigned no_content = 204;
+    constexpr unsigned not_modified = 304;
+    if (answer.m_status != no_content && answer.m_status != not_modified)
+        text +=
+            "Content-Length: " + std::to_string(answer.m_body.size()) + "\r\n";
+    text += "\r\n";
+    text += answer.m_body;
+    co_return co_await write_all(std::move(text));
+}
+
+task<bool> caller_connection::begin_stream(const upstream_answer& head,
+                                           bool keep_alive)
+{
+    auto text = head_text(head, keep_alive);
+    text += "Transfer-Encoding: chunked\r\n\r\n";
+    co_return co_await write_all(std::move(text));
+}
+
+task<bool> caller_connection::write_piece(std::string_view bytes)
+{
+    constexpr std::size_t most_digits = 16;
+    std::array<char, most_digits + 3> size{};
+    const int count =
+        std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+    std::string text(size.data(), static_cast<std::size_t>(count));
+    text += bytes;
+    text += "\r\n";
+    co_return co_await write_all(std::move(text));
+}
+
+task<bool> caller_connection::end_stream()
+{
+    co_return co_await write_all("0\r\n\r\n");
+}
+
+void caller_connection::watch(std::shared_ptr<abort_switch> aborter)
+{
+    const auto watch = ++m_watch;
+    m_stream.socket().async_wait(
+        tcp::socket::wait_read,
+        [self = shared_from_this(), aborter, watch](error_code ec) {
+            if (ec || self->m_watch != watch)
+                return;
+            char byte = 0;
+            const auto count = recv(self->m_stream.socket().native_handle(),
+                                    &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+            // Bytes are the next request already: it waits its turn.
+            const bool gone = count == 0 || (count < 0 && errno != EAGAIN &&
+                                             errno != EWOULDBLOCK);
+            if (gone)
+                aborter->pull(abort_cause::caller_left);
+        });
+}
+
+void caller_connection::stop_watching()
+{
+    ++m_watch;
+    error_code ignored;
+    m_stream.socket().cancel(ignored);
+}
+
+void caller_connection::close_if_idle()
+{
+    if (m_idle)
+        m_stream.cancel();
+}
+
+void caller_connection::close()
+{
+    error_code ignored;
+    m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    m_stream.close();
+}
+
+} // namespace pepperturn
--- /dev/null
+++ b/src/forward/event_reader.cpp
@@ -0,0 +1,50 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/forward/event_reader.hpp"
+
+namespace pepperturn {
+
+void event_reader::take(std::string_view bytes)
+{
+    for (const char c : bytes)
+    {
+        if (c == '\n')
+            end_line();
+        else if (c != '\r')
+            m_line.push_back(c);
+    }
+}
+
+void event_reader::end_line()
+{
+    constexpr std::string_view field = "data:";
+    if (m_line.empty())
+    {
+        if (m_in_event)
+            ++m_events;
+        if (m_has_data && m_keep_data)
+        {
+            m_data += m_event_data;
+            m_data += '\n';
+        }
+        m_event_data.clear();
+        m_in_event = false;
+        m_has_data = false;
+        return;
+    }
+    m_in_event = true;
+    std::string_view line = m_line;
+    if (line.starts_with(field))
+    {
+        line.remove_prefix(field.size());
+        if (line.starts_with(' '))
+            line.remove_prefix(1);
+        // Several data lines of one event are joined by line feeds.
+        if (m_has_data)
+            m_event_data += '\n';
+        m_event_data += line;
+        m_has_data = true;
+    }
+    m_line.clear();
+}
+
+} // namespace pepperturn
--- /dev/null
+++ b/src/forward/exchange.cpp
@@ -0,0 +1,338 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/forward/exchange.hpp"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+
+namespace pepperturn {
+
+namespace {
+
+using answer_parser = http::response_parser<http::buffer_body>;
+
+/// A connect is over in a round trip; a runner behind a cut never answers.
+constexpr milliseconds connect_patience{250};
+/// Bodies up to this fit into the send window, so that writing them cannot
+/// wait for the runner's reader.
+constexpr std::size_t inline_write_bytes = 8192;
+constexpr std::size_t read_bytes = 8192;
+constexpr std::size_t max_answer_bytes = 16U << 20U;
+constexpr std::uint32_t max_answer_head_bytes = 32U << 10U;
+/// Kept without a stated time; most servers keep five seconds or more.
+constexpr milliseconds default_keep{4000};
+/// The runner's close may already be on its way this long before its time.
+constexpr milliseconds keep_margin{500};
+
+/// State of one attempt on one connection.
+struct attempt_state
+{
+    std::shared_ptr<upstream_connection> m_connection;
+    std::string m_head;
+    std::string m_late_body;
+    bool m_written = false;
+    bool m_write_failed = false;
+    bool m_sent_any = false;
+};
+
+std::string_view field(const http::fields& fields, const std::string& name)
+{
+    const auto value = fields[name];
+    return {value.data(), value.size()};
+}
+
+milliseconds keep_time(const http::fields& fields)
+{
+    const auto value = fields["Keep-Alive"];
+    const std::string_view text(value.data(), value.size());
+    constexpr std::string_view key = "timeout=";
+    const auto at = text.find(key);
+    if (at == std::string_view::npos)
+        return default_keep;
+    const auto digits = text.substr(at + key.size());
+    const auto seconds_kept =
+        parse_number(digits.substr(0, digits.find_first_not_of("0123456789")));
+    if (!seconds_kept)
+        return default_keep;
+    return milliseconds(*seconds_kept * 1000) - keep_margin;
+}
+
+std::optional<milliseconds> retry_after(const http::fields& fields)
+{
+    const auto value = fields[http::field::retry_after];
+    char* end = nullptr;
+    const std::string text(value.data(), value.size());
+    const double seconds_left = std::strtod(text.c_str(), &end);
+    if (text.empty() || end == text.c_str() || !(seconds_left >= 0))
+        return std::nullopt;
+    return milliseconds(static_cast<std::int64_t>(seconds_left * 1000));
+}
+
+/// Writes head and body while the answer may already be coming.
+task<> write_late(std::shared_ptr<attempt_state> state)
+{
+    error_code ec;
+    const std::array<asio::const_buffer, 2> parts{
+        asio::buffer(state->m_head), asio::buffer(state->m_late_body)};
+    co_await asio::async_write(state->m_connection->m_stream.socket(), parts,
+                               into(ec));
+    state->m_written = !ec;
+    state->m_write_failed = static_cast<bool>(ec);
+}
+
+/// Sends the request; large bodies go on being sent after the return.
+task<bool> send_request(asio::io_context& io,
+                        std::shared_ptr<attempt_state> state,
+                        std::string_view body)
+{
+    state->m_sent_any = true;
+    if (body.size() > inline_write_bytes)
+    {
+        state->m_late_body = std::string(body);
+        spawn(io, "exchange.write", write_late(state));
+        co_return true;
+    }
+    error_code ec;
+    const std::array<asio::const_buffer, 2> parts{
+        asio::buffer(state->m_head), asio::buffer(body.data(), body.size())};
+    co_await asio::async_write(state->m_connection->m_stream, parts, into(ec));
+    state->m_written = !ec;
+    co_return !ec;
+}
+
+/// Null if the head is this request's own, else what is wrong.
+const char* find_fault(const http::response_header<>& head,
+                       const wire_names& names, const std::string& id)
+{
+    if (field(head, names.m_request_id) != id)
+        return "answer of another request";
+    if (head.count(http::field::content_encoding) > 0)
+        return "encoded answer";
+    if (head.result_int() / 100 == 2 && field(head, names.m_signature).empty())
+        return "unsigned answer";
+    return nullptr;
+}
+
+/// Statuses that promise that nothing has run.
+bool is_promise(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+struct body_read
+{
+    bool m_whole = false;
+    bool m_caller_gone = false;
+    std::string m_reason;
+};
+
+/// Passes the body to \p take as it comes.
+task<body_read> read_body(std::shared_ptr<attempt_state> state,
+                          answer_parser& parser,
+                          std::function<task<bool>(std::string_view)> take)
+{
+    body_read out;
+    std::array<char, read_bytes> chunk;
+    auto& connection = *state->m_connection;
+    while (!parser.is_done())
+    {
+        parser.get().body().data = chunk.data();
+        parser.get().body().size = chunk.size();
+        error_code ec;
+        co_await http::async_read_some(connection.m_stream, connection.m_buffer,
+                                       parser, into(ec));
+        if (ec == http::error::need_buffer)
+            ec = {};
+        if (ec)
+        {
+            out.m_reason = ec.message();
+            co_return out;
+        }
+        const auto count = chunk.size() - parser.get().body().size;
+        if (count > 0 && !co_await take(std::string_view(chunk.data(), count)))
+        {
+            out.m_caller_gone = true;
+            co_return out;
+        }
+    }
+    out.m_whole = true;
+    co_return out;
+}
+
+} // namespace
+
+const char* to_string(abort_cause cause)
+{
+    switch (cause)
+    {
+    case abort_cause::none:
+        return "none";
+    case abort_cause::caller_left:
+        return "caller_left";
+    case abort_cause::timeout:
+        return "timeout";
+    }
+    return "unknown";
+}
+
+const char* to_string(attempt_outcome outcome)
+{
+    switch (outcome)
+    {
+    case attempt_outcome::answered:
+        return "answered";
+    case attempt_outcome::not_run:
+        return "not_run";
+    case attempt_outcome::unknown:
+        return "unknown";
+    case attempt_outcome::aborted:
+        return "aborted";
+    }
+    return "unknown";
+}
+
+void abort_switch::pull(abort_cause cause)
+{
+    if (m_cause != abort_cause::none)
+        return;
+    m_cause = cause;
+    if (const auto action = std::exchange(m_action, nullptr))
+        action();
+}
+
+void abort_switch::on_pull(std::function<void()> action)
+{
+    m_action = std::move(action);
+}
+
+task<attempt_result> run_attempt(asio::io_context& io, const clock& time,
+                                 upstream_pool& pool, runner_table& runners,
+                                 const wire_names& names, runner_info runner,
+                                 attempt_request request, stream_sink sink,
+                                 std::shared_ptr<abort_switch> aborter)
+{
+    attempt_result result;
+    const auto state = std::make_shared<attempt_state>();
+    state->m_connection = pool.take(runner.m_id);
+    if (!state->m_connection)
+    {
+        const auto left = std::chrono::duration_cast<milliseconds>(
+            request.m_deadline - time.now());
+        state->m_connection = co_await pool.connect(
+            runner.m_address, std::min(connect_patience, left),
+            result.m_reason);
+    }
+    if (!state->m_connection)
+    {
+        // Nothing was sent, so nothing can have run.
+        result.m_outcome = attempt_outcome::not_run;
+        result.m_reason = "connect: " + result.m_reason;
+        runners.note_failure(runner.m_id, time.now());
+        co_return result;
+    }
+    auto& connection = *state->m_connection;
+    if (aborter->cause() != abort_cause::none)
+    {
+        result.m_outcome = attempt_outcome::not_run;
+        result.m_reason = to_string(aborter->cause());
+        pool.put_back(runner.m_id, state->m_connection, keep_margin);
+        co_return result;
+    }
+    aborter->on_pull([kept = state->m_connection] { kept->m_stream.close(); });
+    const auto sent_at = time.now();
+    const auto left = std::max(
+        milliseconds(1),
+        std::chrono::duration_cast<milliseconds>(request.m_deadline - sent_at));
+    state->m_head = upstream_head(
+        request.m_request,
+        {runner.m_id, left, request.m_body.size(), request.m_urgency}, names);
+    runners.note_sent(runner.m_id);
+    (void)co_await send_request(io, state, request.m_body);
+
+    answer_parser parser;
+    parser.header_limit(max_answer_head_bytes);
+    // Bounded where it is gathered; a stream has no bound.
+    parser.body_limit(std::uint64_t{1} << 62U);
+    error_code ec;
+    co_await http::async_read_header(connection.m_stream, connection.m_buffer,
+                                     parser, into(ec));
+    const char* fault = nullptr;
+    if (!ec)
+    {
+        runners.note_first_byte(
+            runner.m_id,
+            std::chrono::duration_cast<milliseconds>(time.now() - sent_at));
+        fault = find_fault(parser.get().base(), names, request.m_request_id);
+    }
+    const bool head_good = !ec && fault == nullptr;
+    body_read body;
+    if (head_good)
+    {
+        const auto& head = parser.get();
+        result.m_answer.m_status = head.result_int();
+        result.m_answer.m_fields = head.base();
+        const bool stream =
+            request.m_streaming && result.m_answer.m_status == 200;
+        std::function<task<bool>(std::string_view)> take =
+            [&](std::string_view bytes) -> task<bool> {
+            result.m_answer.m_body += bytes;
+            co_return result.m_answer.m_body.size() <= max_answer_bytes;
+        };
+        if (stream)
+        {
+            result.m_streamed = true;
+            take = sink.m_data;
+            if (!co_await sink.m_begin(result.m_answer))
+                body.m_caller_gone = true;
+        }
+        if (!body.m_caller_gone)
+            body = co_await read_body(state, parser, take);
+    }
+    aborter->on_pull(nullptr);
+    runners.note_ended(runner.m_id);
+    const bool surplus = connection.m_buffer.size() > 0;
+    const bool reusable = body.m_whole && state->m_written && !surplus &&
+                          parser.get().keep_alive() && !parser.get().need_eof();
+    if (reusable && keep_time(parser.get().base()) > milliseconds(0))
+        pool.put_back(runner.m_id, state->m_connection,
+                      keep_time(parser.get().base()));
+    else
+        connection.m_stream.close();
+
+    if (aborter->cause() != abort_cause::none || body.m_caller_gone)
+    {
+        if (aborter->cause() == abort_cause::none)
+            aborter->pull(abort_cause::caller_left);
+        result.m_outcome = attempt_outcome::aborted;
+        result.m_reason = to_string(aborter->cause());
+        co_return result;
+    }
+    const unsigned status = result.m_answer.m_status;
+    const bool refused =
+        head_good &&
+        (status == 421 || !field(parser.get().base(), names.m_not_run).empty());
+    if (refused)
+    {
+        result.m_outcome = attempt_outcome::not_run;
+        result.m_reason = "refused " + std::to_string(status);
+        result.m_retry_after = retry_after(parser.get().base());
+        runners.note_full(runner.m_id, time.now());
+        co_return result;
+    }
+    if (body.m_whole)
+    {
+        // A promise that the runner did not sign as one is not passed on.
+        result.m_outcome = is_promise(status) ? attempt_outcome::unknown
+                                              : attempt_outcome::answered;
+        result.m_reason = "status " + std::to_string(status);
+        co_return result;
+    }
+    result.m_reason = fault != nullptr ? fault
+                      : ec             ? "head: " + ec.message()
+                                       : "body: " + body.m_reason;
+    runners.note_failure(runner.m_id, time.now());
+    co_return result;
+}
+
+} // namespace pepperturn
--- /dev/null
+++ b/src/forward/request_head.cpp
@@ -0,0 +1,226 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/forward/request_head.hpp"
+
+#include <algorithm>
+#include <array>
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <charconv>
+
+namespace pepperturn {
+
+namespace {
+
+using boost::algorithm::iequals;
+
+constexpr std::array<std::string_view, 9> hop_by_hop_names{
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "proxy-authenticate",
+    "proxy-authorization"};
+
+std::string_view trimmed(std::string_view text)
+{
+    constexpr std::string_view blanks = " \t";
+    const auto begin = text.find_first_not_of(blanks);
+    if (begin == std::string_view::npos)
+        return {};
+    return text.substr(begin, text.find_last_not_of(blanks) - begin + 1);
+}
+
+std::string_view view_of(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+/// What one pass over the header lines has seen.
+struct framing
+{
+    unsigned m_lengths = 0;
+    unsigned m_codings = 0;
+    unsigned m_hosts = 0;
+    bool m_only_chunked = true;
+};
+
+const char* note_line(framing& seen, std::string_view line)
+{
+    if (line.front() == ' ' || line.front() == '\t')
+        return "folded header line";
+    const auto colon = line.find(':');
+    if (colon == std::string_view::npos || colon == 0)
+        return "header line without a name";
+    const auto name = line.substr(0, colon);
+    if (name.back() == ' ' || name.back() == '\t')
+        return "blank before a colon";
+    const auto value = trimmed(line.substr(colon + 1));
+    if (iequals(name, "content-length"))
+    {
+        ++seen.m_lengths;
+        if (!parse_number(value))
+            return "bad content length";
+    }
+    else if (iequals(name, "transfer-encoding"))
+    {
+        ++seen.m_codings;
+        seen.m_only_chunked = iequals(value, "chunked");
+    }
+    else if (iequals(name, "host"))
+        ++seen.m_hosts;
+    return nullptr;
+}
+
+bool is_set_by_system(std::string_view name, const wire_names& names)
+{
+    if (iequals(name, names.m_deadline) ||
+        iequals(name, names.m_expected_runner) ||
+        iequals(name, names.m_urgency) || iequals(name, "content-length") ||
+        iequals(name, "expect"))
+        return true;
+    return std::any_of(
+        names.m_reserved.begin(), names.m_reserved.end(),
+        [&](const std::string& row) { return iequals(name, row); });
+}
+
+/// Headers that a Connection header cannot take away.
+bool is_end_to_end(std::string_view name, const wire_names& names)
+{
+    return iequals(name, "host") || iequals(name, names.m_request_id) ||
+           iequals(name, names.m_parent_turn) ||
+           iequals(name, names.m_token_budget) ||
+           iequals(name, names.m_program) || iequals(name, names.m_token_count);
+}
+
+void add_line(std::string& out, std::string_view name, std::string_view value)
+{
+    out += name;
+    out += ": ";
+    out += value;
+    out += "\r\n";
+}
+
+} // namespace
+
+std::optional<std::uint64_t> parse_number(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const char* end = text.data() + text.size();
+    const auto [rest, error] = std::from_chars(text.data(), end, value);
+    if (text.empty() || error != std::errc{} || rest != end)
+        return std::nullopt;
+    return value;
+}
+
+const char* find_ambiguity(std::string_view head)
+{
+    framing seen;
+    bool first = true;
+    bool old_version = false;
+    while (!head.empty())
+    {
+        const auto end = head.find('\n');
+        if (end == std::string_view::npos)
+            return "unfinished line";
+        if (end == 0 || head[end - 1] != '\r')
+            return "bare line feed";
+        const auto line = head.substr(0, end - 1);
+        head.remove_prefix(end + 1);
+        if (line.find('\r') != std::string_view::npos ||
+            line.find('\0') != std::string_view::npos)
+            return "control character";
+        if (line.empty())
+            break;
+        if (std::exchange(first, false))
+        {
+            old_version = line.ends_with("HTTP/1.0");
+            continue;
+        }
+        if (const auto* fault = note_line(seen, line))
+            return fault;
+    }
+    if (seen.m_lengths > 1)
+        return "two content lengths";
+    if (seen.m_codings > 1 || !seen.m_only_chunked)
+        return "transfer coding other than chunked";
+    if (seen.m_codings > 0 && (seen.m_lengths > 0 || old_version))
+        return "both a length and chunks";
+    if (seen.m_hosts != 1)
+        return "not exactly one host";
+    return nullptr;
+}
+
+request_fields decode_fields(const caller_request& request,
+                             const wire_names& names)
+{
+    const auto text = [&](const std::string& name) {
+        return std::string(trimmed(view_of(request[name])));
+    };
+    request_fields out;
+    out.m_id = text(names.m_request_id);
+    out.m_host = std::string(trimmed(view_of(request[http::field::host])));
+    if (const auto ms = parse_number(text(names.m_deadline)))
+        out.m_deadline = milliseconds(*ms);
+    out.m_program = text(names.m_program);
+    out.m_token_budget = parse_number(text(names.m_token_budget));
+    const auto count = text(names.m_token_count);
+    const auto comma = count.find(',');
+    if (comma != std::string::npos)
+    {
+        const auto view = std::string_view(count);
+        out.m_prompt_tokens = static_cast<std::uint32_t>(
+            parse_number(trimmed(view.substr(0, comma))).value_or(0));
+        out.m_most_tokens = static_cast<std::uint32_t>(
+            parse_number(trimmed(view.substr(comma + 1))).value_or(0));
+    }
+    out.m_parent_turn = text(names.m_parent_turn);
+    return out;
+}
+
+bool is_hop_by_hop(std::string_view name, std::string_view connection)
+{
+    for (const auto known : hop_by_hop_names)
+    {
+        if (iequals(name, known))
+            return true;
+    }
+    const http::token_list named(
+        boost::beast::string_view(connection.data(), connection.size()));
+    return std::any_of(named.begin(), named.end(), [&](const auto& token) {
+        return iequals(view_of(token), name);
+    });
+}
+
+std::string upstream_head(const caller_request& request,
+                          const attempt_head& attempt, const wire_names& names)
+{
+    const auto connection = view_of(request[http::field::connection]);
+    std::string out;
+    constexpr std::size_t usual_bytes = 1024;
+    out.reserve(usual_bytes);
+    out += view_of(request.method_string());
+    out += ' ';
+    out += view_of(request.target());
+    out += " HTTP/1.1\r\n";
+    for (const auto& row : request)
+    {
+        const auto name = view_of(row.name_string());
+        if (is_set_by_system(name, names) ||
+            (is_hop_by_hop(name, connection) && !is_end_to_end(name, names)))
+            continue;
+        add_line(out, name, view_of(row.value()));
+    }
+    if (attempt.m_body_bytes > 0 || request.method() != http::verb::get)
+        add_line(out, "Content-Length", std::to_string(attempt.m_body_bytes));
+    add_line(out, names.m_deadline, std::to_string(attempt.m_left.count()));
+    add_line(out, names.m_expected_runner, attempt.m_runner);
+    if (attempt.m_urgency)
+        add_line(out, names.m_urgency, std::to_string(*attempt.m_urgency));
+    out += "\r\n";
+    return out;
+}
+
+} // namespace pepperturn
--- /dev/null
+++ b/src/forward/runner_table.cpp
@@ -0,0 +1,142 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/forward/runner_table.hpp"
+
+#include "pepperturn/base/hash.hpp"
+
+#include <algorithm>
+
+namespace pepperturn {
+
+namespace {
+
+/// Weight of a new latency in the smoothed one.
+constexpr double latency_weight = 0.15;
+/// Share of its slots that another zone's runner must be less loaded by:
+/// one request of a few-slot runner outweighs the bytes between zones.
+constexpr double other_zone_load = 0.1;
+/// How much busier the runner with the cached prefix may be. Reading the
+/// prefix anew costs more than a few neighbours in the batch do.
+constexpr double preferred_load = 0.35;
+/// A runner twice as slow as the quickest counts as this much loaded.
+constexpr double slow_load = 0.2;
+constexpr milliseconds first_avoidance{300};
+constexpr std::uint32_t most_doublings = 4;
+constexpr milliseconds full_avoidance{40};
+
+} // namespace
+
+void runner_table::replace(const std::vector<runner_info>& runners)
+{
+    std::map<std::string, runner_row> next;
+    m_by_service.clear();
+    for (const auto& info : runners)
+    {
+        auto& row = next[info.m_id];
+        const auto found = m_rows.find(info.m_id);
+        if (found != m_rows.end())
+            row = std::move(found->second);
+        row.m_info = info;
+        m_by_service[info.m_service].push_back(info.m_id);
+    }
+    m_rows = std::move(next);
+}
+
+runner_row* runner_table::locate(const std::string& id)
+{
+    const auto found = m_rows.find(id);
+    return found == m_rows.end() ? nullptr : &found->second;
+}
+
+const runner_row* runner_table::find(const std::string& id) const
+{
+    const auto found = m_rows.find(id);
+    return found == m_rows.end() ? nullptr : &found->second;
+}
+
+const runner_row* runner_table::choose(const runner_choice& choice,
+                                       instant now) const
+{
+    const auto listed = m_by_service.find(choice.m_service);
+    if (listed == m_by_service.end())
+        return nullptr;
+    double quickest = 0;
+    for (const auto& id : listed->second)
+    {
+        const auto latency = m_rows.at(id).m_latency_ms;
+        if (latency > 0 && (quickest == 0 || latency < quickest))
+            quickest = latency;
+    }
+    const runner_row* best = nullptr;
+    double best_cost = 0;
+    std::uint64_t best_draw = 0;
+    for (const auto& id : listed->second)
+    {
+        const auto& row = m_rows.at(id);
+        if (row.m_info.m_draining || choice.m_excluded.contains(id))
+            continue;
+        double cost = static_cast<double>(row.m_in_flight) / row.m_info.m_slots;
+        if (row.m_info.m_availability_zone != choice.m_availability_zone)
+            cost += other_zone_load;
+        if (id == choice.m_preferred)
+            cost -= preferred_load + other_zone_load;
+        if (quickest > 0 && row.m_latency_ms > quickest)
+            cost +=
+                slow_load * std::min(row.m_latency_ms / quickest - 1.0, 4.0);
+        // Avoided ones come last, but they come.
+        if (row.m_avoid_until > now)
+            cost += 100.0;
+        const auto draw = hash64(id, choice.m_draw);
+        if (best == nullptr || cost < best_cost ||
+            (cost == best_cost && draw < best_draw))
+        {
+            best = &row;
+            best_cost = cost;
+            best_draw = draw;
+        }
+    }
+    return best;
+}
+
+void runner_table::note_sent(const std::string& id)
+{
+    if (auto* row = locate(id))
+        ++row->m_in_flight;
+}
+
+void runner_table::note_ended(const std::string& id)
+{
+    auto* row = locate(id);
+    if (row != nullptr && row->m_in_flight > 0)
+        --row->m_in_flight;
+}
+
+void runner_table::note_first_byte(const std::string& id, milliseconds latency)
+{
+    auto* row = locate(id);
+    if (row == nullptr)
+        return;
+    row->m_failures = 0;
+    const auto value = static_cast<double>(latency.count());
+    if (row->m_latency_ms == 0)
+        row->m_latency_ms = value;
+    else
+        row->m_latency_ms += latency_weight * (value - row->m_latency_ms);
+}
+
+void runner_table::note_failure(const std::string& id, instant now)
+{
+    auto* row = locate(id);
+    if (row == nullptr)
+        return;
+    const auto doublings = std::min(row->m_failures, most_doublings);
+    row->m_avoid_until = now + first_avoidance * (1U << doublings);
+    ++row->m_failures;
+}
+
+void runner_table::note_full(const std::string& id, instant now)
+{
+    if (auto* row = locate(id))
+        row->m_avoid_until = std::max(row->m_avoid_until, now + full_avoidance);
+}
+
+} // namespace pepperturn
--- /dev/null
+++ b/src/forward/upstream_pool.cpp
@@ -0,0 +1,123 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/forward/upstream_pool.hpp"
+
+#include <algorithm>
+#include <sys/socket.h>
+
+namespace pepperturn {
+
+namespace {
+
+/// A runner that acknowledges nothing for this long is unreachable; callers
+/// give a quiet stream up after two seconds.
+constexpr milliseconds runner_silence{800};
+
+/// True if nothing has come in, neither bytes nor an end.
+bool is_quiet(tcp::socket& socket)
+{
+    char byte = 0;
+    const auto count =
+        recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace
+
+upstream_pool::upstream_pool(asio::io_context& io, const clock& time)
+    : m_io(io), m_time(time)
+{}
+
+std::shared_ptr<upstream_connection>
+upstream_pool::take(const std::string& runner)
+{
+    const auto found = m_idle.find(runner);
+    if (found == m_idle.end())
+        return nullptr;
+    auto& idle = found->second;
+    while (!idle.empty())
+    {
+        // The one used last is the least likely to be closed meanwhile.
+        auto connection = std::move(idle.back());
+        idle.pop_back();
+        connection->m_idle = false;
+        auto& socket = connection->m_stream.socket();
+        error_code ignored;
+        socket.cancel(ignored);
+        if (m_time.now() < connection->m_usable_until && is_quiet(socket))
+        {
+            connection->m_reused = true;
+            return connection;
+        }
+        connection->m_stream.close();
+    }
+    return nullptr;
+}
+
+task<std::shared_ptr<upstream_connection>>
+upstream_pool::connect(std::string address, milliseconds patience,
+                       std::string& reason)
+{
+    error_code ec;
+    const auto endpoint = parse_endpoint(address, ec);
+    if (!ec)
+    {
+        boost::beast::tcp_stream stream(m_io);
+        stream.expires_after(patience);
+        ++m_opened;
+        co_await stream.async_connect(endpoint, into(ec));
+        if (!ec)
+        {
+            stream.expires_never();
+            tune_socket(stream.socket(), runner_silence);
+            co_return std::make_shared<upstream_connection>(std::move(stream));
+        }
+    }
+    reason = ec.message();
+    co_return nullptr;
+}
+
+void upstream_pool::put_back(const std::string& runner,
+                             std::shared_ptr<upstream_connection> connection,
+                             milliseconds usable)
+{
+    connection->m_usable_until = m_time.now() + usable;
+    connection->m_idle = true;
+    connection->m_stream.expires_never();
+    watch(runner, connection);
+    m_idle[runner].push_back(std::move(connection));
+}
+
+void upstream_pool::watch(
+    const std::string& runner,
+    const std::shared_ptr<upstream_connection>& connection)
+{
+    connection->m_stream.socket().async_wait(
+        tcp::socket::wait_read, [this, runner, connection](error_code) {
+            if (!connection->m_idle)
+                return;
+            connection->m_idle = false;
+            connection->m_stream.close();
+            const auto found = m_idle.find(runner);
+            if (found == m_idle.end())
+                return;
+            std::erase(found->second, connection);
+            if (found->second.empty())
+                m_idle.erase(found);
+        });
+}
+
+void upstream_pool::retain(const std::function<bool(const std::string&)>& keep)
+{
+    std::erase_if(m_idle, [&](const auto& row) {
+        if (keep(row.first))
+            return false;
+        for (const auto& connection : row.second)
+        {
+            connection->m_idle = false;
+            connection->m_stream.close();
+        }
+        return true;
+    });
+}
+
+} // namespace pepperturn
--- /dev/null
+++ b/src/turns/messages.cpp
@@ -0,0 +1,384 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/turns/messages.hpp"
+
+#include "pepperturn/base/hash.hpp"
+#include "turns.capnp.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+#include <cstring>
+#include <kj/exception.h>
+
+namespace pepperturn {
+
+namespace {
+
+constexpr std::uint64_t second_hash_seed = 0x9e3779b97f4a7c15ULL;
+constexpr std::size_t length_bytes = 4;
+
+std::string text_of(capnp::Text::Reader reader)
+{
+    return {reader.begin(), reader.size()};
+}
+
+std::string data_of(capnp::Data::Reader reader)
+{
+    return {reinterpret_cast<const char*>(reader.begin()), reader.size()};
+}
+
+capnp::Data::Reader data_from(const std::string& text)
+{
+    return {reinterpret_cast<const kj::byte*>(text.data()), text.size()};
+}
+
+void fill(turns_wire::Key::Builder out, const id_key& key)
+{
+    out.setHigh(key.m_high);
+    out.setLow(key.m_low);
+}
+
+id_key read(turns_wire::Key::Reader in)
+{
+    return {in.getHigh(), in.getLow()};
+}
+
+void fill(turns_wire::Reservation::Builder out, const reservation& row)
+{
+    fill(out.initProgram(), row.m_program);
+    fill(out.initAttempt(), row.m_attempt);
+    out.setTokens(row.m_tokens);
+    out.setSettled(row.m_settled);
+}
+
+reservation read(turns_wire::Reservation::Reader in)
+{
+    return {read(in.getProgram()), read(in.getAttempt()), in.getTokens(),
+            in.getSettled()};
+}
+
+void fill(turns_wire::Turn::Builder out, const turn_record& turn)
+{
+    out.setId(turn.m_id);
+    out.setParent(turn.m_parent);
+    out.setInput(data_from(turn.m_input));
+    out.setOutput(data_from(turn.m_output));
+    out.setRunner(turn.m_runner);
+    fill(out.initProgram(), turn.m_program);
+    fill(out.initAttempt(), turn.m_attempt);
+    out.setTokens(turn.m_tokens);
+}
+
+turn_record read(turns_wire::Turn::Reader in)
+{
+    turn_record turn;
+    turn.m_id = text_of(in.getId());
+    turn.m_parent = text_of(in.getParent());
+    turn.m_input = data_of(in.getInput());
+    turn.m_output = data_of(in.getOutput());
+    turn.m_runner = text_of(in.getRunner());
+    turn.m_program = read(in.getProgram());
+    turn.m_attempt = read(in.getAttempt());
+    turn.m_tokens = in.getTokens();
+    return turn;
+}
+
+void fill(turns_wire::Entry::Builder out, const log_entry& entry)
+{
+    out.setRetentionMs(entry.m_retention_ms);
+    if (const auto* turn = std::get_if<turn_record>(&entry.m_what))
+        fill(out.initTurn(), *turn);
+    else
+        fill(out.initReservation(), std::get<reservation>(entry.m_what));
+}
+
+log_entry read(turns_wire::Entry::Reader in)
+{
+    log_entry entry;
+    entry.m_retention_ms = in.getRetentionMs();
+    if (in.isTurn())
+        entry.m_what = read(in.getTurn());
+    else
+        entry.m_what = read(in.getReservation());
+    return entry;
+}
+
+void fill(turns_wire::State::Builder out, const cluster_state& state)
+{
+    out.setConfigRevision(state.m_config_revision);
+    out.setConfig(state.m_config);
+    out.setRunnersRevision(state.m_runners_revision);
+    auto runners = out.initRunners(state.m_runners.size());
+    for (unsigned i = 0; i < runners.size(); ++i)
+    {
+        runners[i].setName(state.m_runners[i].m_name);
+        runners[i].setText(state.m_runners[i].m_text);
+    }
+    out.setViewRevision(state.m_view.m_epoch);
+    auto members = out.initView(state.m_view.m_members.size());
+    for (unsigned i = 0; i < members.size(); ++i)
+    {
+        const auto& row = state.m_view.m_members[i];
+        members[i].setName(row.m_name);
+        members[i].setAddress(row.m_address);
+        members[i].setZone(row.m_availability_zone);
+        members[i].setDisk(row.m_disk);
+        members[i].setState(static_cast<std::uint8_t>(row.m_state));
+    }
+}
+
+member read(turns_wire::Member::Reader in)
+{
+    member row;
+    row.m_name = text_of(in.getName());
+    row.m_address = text_of(in.getAddress());
+    row.m_availability_zone = text_of(in.getZone());
+    row.m_disk = in.getDisk();
+    row.m_state = static_cast<member_state>(in.getState());
+    return row;
+}
+
+cluster_state read(turns_wire::State::Reader in)
+{
+    cluster_state state;
+    state.m_config_revision = in.getConfigRevision();
+    state.m_config = text_of(in.getConfig());
+    state.m_runners_revision = in.getRunnersRevision();
+    for (const auto row : in.getRunners())
+        state.m_runners.push_back(
+            {text_of(row.getName()), text_of(row.getText())});
+    state.m_view.m_epoch = in.getViewRevision();
+    for (const auto row : in.getView())
+        state.m_view.m_members.push_back(read(row));
+    return state;
+}
+
+template <class List, class Rows> void fill_all(List out, const Rows& rows)
+{
+    for (unsigned i = 0; i < out.size(); ++i)
+        fill(out[i], rows[i]);
+}
+
+template <class Row, class List> std::vector<Row> read_all(List in)
+{
+    std::vector<Row> rows;
+    rows.reserve(in.size());
+    for (const auto row : in)
+        rows.push_back(read(row));
+    return rows;
+}
+
+/// Writes each kind of body into its member of the union.
+struct body_writer
+{
+    turns_wire::Frame::Builder m_out;
+
+    void operator()(const hello_message& body)
+    {
+        m_out.setHello(body.m_name);
+    }
+    void operator()(const cluster_state& body)
+    {
+        fill(m_out.initState(), body);
+    }
+    void operator()(const beat_message& body)
+    {
+        m_out.setBeat(body.m_store_age_ms);
+    }
+    void operator()(const begin_message& body)
+    {
+        auto out = m_out.initBegin();
+        fill(out.initReservation(), body.m_reservation);
+        out.setRetentionMs(body.m_retention_ms);
+        out.setParent(body.m_parent);
+        out.setWantChain(body.m_want_chain);
+    }
+    void operator()(const begun_message& body)
+    {
+        auto out = m_out.initBegun();
+        fill_all(out.initLedger(body.m_ledger.size()), body.m_ledger);
+        out.setParentFound(body.m_parent_found);
+        fill_all(out.initChain(body.m_chain.size()), body.m_chain);
+    }
+    void operator()(const append_message& body)
+    {
+        fill(m_out.initAppend(), body.m_entry);
+    }
+    void operator()(const appended_message&)
+    {
+        m_out.setAppended();
+    }
+    void operator()(const fetch_message& body)
+    {
+        m_out.setFetch(body.m_turn);
+    }
+    void operator()(const fetched_message& body)
+    {
+        fill_all(m_out.initFetched(body.m_chain.size()), body.m_chain);
+    }
+    void operator()(const pull_message& body)
+    {
+        m_out.setPull(body.m_from);
+    }
+    void operator()(const pulled_message& body)
+    {
+        auto out = m_out.initPulled();
+        out.setNext(body.m_next);
+        out.setMore(body.m_more);
+        fill_all(out.initEntries(body.m_entries.size()), body.m_entries);
+    }
+};
+
+begin_message read_begin(turns_wire::Begin::Reader in)
+{
+    return {read(in.getReservation()), in.getRetentionMs(),
+            text_of(in.getParent()), in.getWantChain()};
+}
+
+begun_message read_begun(turns_wire::Begun::Reader in)
+{
+    return {read_all<reservation>(in.getLedger()), in.getParentFound(),
+            read_all<turn_record>(in.getChain())};
+}
+
+pulled_message read_pulled(turns_wire::Pulled::Reader in)
+{
+    return {in.getNext(), in.getMore(), read_all<log_entry>(in.getEntries())};
+}
+
+std::optional<frame_body> read_body(turns_wire::Frame::Reader in)
+{
+    using kind = turns_wire::Frame;
+    switch (in.which())
+    {
+    case kind::HELLO:
+        return hello_message{text_of(in.getHello())};
+    case kind::STATE:
+        return read(in.getState());
+    case kind::BEAT:
+        return beat_message{in.getBeat()};
+    case kind::BEGIN:
+        return read_begin(in.getBegin());
+    case kind::BEGUN:
+        return read_begun(in.getBegun());
+    case kind::APPEND:
+        return append_message{read(in.getAppend())};
+    case kind::APPENDED:
+        return appended_message{};
+    case kind::FETCH:
+        return fetch_message{text_of(in.getFetch())};
+    case kind::FETCHED:
+        return fetched_message{read_all<turn_record>(in.getFetched())};
+    case kind::PULL:
+        return pull_message{in.getPull()};
+    case kind::PULLED:
+        return read_pulled(in.getPulled());
+    }
+    return std::nullopt;
+}
+
+/// Bytes copied to where words may be read.
+kj::Array<capnp::word> aligned(std::string_view bytes)
+{
+    auto words = kj::heapArray<capnp::word>(bytes.size() / sizeof(capnp::word));
+    std::memcpy(words.begin(), bytes.data(), words.asBytes().size());
+    return words;
+}
+
+capnp::ReaderOptions reader_options()
+{
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = max_frame_bytes;
+    return options;
+}
+
+/// Runs \p decode over the message in \p bytes; the library reports by
+/// exception, ours are values.
+template <class Root, class Decode>
+auto decode_message(std::string_view bytes, std::string& reason, Decode decode)
+    -> decltype(decode(std::declval<typename Root::Reader>()))
+{
+    if (bytes.empty() || bytes.size() % sizeof(capnp::word) != 0)
+    {
+        reason = "length " + std::to_string(bytes.size()) + " is not of words";
+        return std::nullopt;
+    }
+    try
+    {
+        const auto words = aligned(bytes);
+        capnp::FlatArrayMessageReader reader(words, reader_options());
+        return decode(reader.getRoot<Root>());
+    }
+    catch (const kj::Exception& error)
+    {
+        reason = error.getDescription().cStr();
+        return std::nullopt;
+    }
+}
+
+void put_length(std::string& out, std::size_t length)
+{
+    for (std::size_t i = 0; i < length_bytes; ++i)
+        out.push_back(static_cast<char>(length >> (8 * i) & 0xffU));
+}
+
+} // namespace
+
+id_key key_of(const std::string& id)
+{
+    return {hash64(id, second_hash_seed), hash64(id)};
+}
+
+std::string encode_frame(const frame& value)
+{
+    capnp::MallocMessageBuilder builder;
+    auto root = builder.initRoot<turns_wire::Frame>();
+    root.setCall(value.m_call);
+    root.setEpoch(value.m_epoch);
+    root.setStatus(static_cast<turns_wire::Status>(value.m_status));
+    std::visit(body_writer{root}, value.m_body);
+    const auto words = capnp::messageToFlatArray(builder);
+    const auto bytes = words.asChars();
+    std::string out;
+    out.reserve(bytes.size() + length_bytes);
+    put_length(out, bytes.size());
+    out.append(bytes.begin(), bytes.size());
+    return out;
+}
+
+std::optional<frame> decode_frame(std::string_view bytes, std::string& reason)
+{
+    return decode_message<turns_wire::Frame>(
+        bytes, reason,
+        [&](turns_wire::Frame::Reader root) -> std::optional<frame> {
+            auto body = read_body(root);
+            if (!body)
+            {
+                reason = "unknown kind of frame";
+                return std::nullopt;
+            }
+            return frame{root.getCall(), root.getEpoch(),
+                         static_cast<frame_status>(root.getStatus()),
+                         std::move(*body)};
+        });
+}
+
+std::string encode_entry(const log_entry& value)
+{
+    capnp::MallocMessageBuilder builder;
+    fill(builder.initRoot<turns_wire::Entry>(), value);
+    const auto words = capnp::messageToFlatArray(builder);
+    const auto bytes = words.asChars();
+    return {bytes.begin(), bytes.size()};
+}
+
+std::optional<log_entry> decode_entry(std::string_view bytes,
+                                      std::string& reason)
+{
+    return decode_message<turns_wire::Entry>(
+        bytes, reason,
+        [](turns_wire::Entry::Reader root) -> std::optional<log_entry> {
+            return read(root);
+        });
+}
+
+} // namespace pepperturn
--- /dev/null
+++ b/src/turns/turn_client.cpp
@@ -0,0 +1,320 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/turns/turn_client.hpp"
+
+#include <algorithm>
+#include <glog/logging.h>
+
+namespace pepperturn {
+
+namespace {
+
+/// How often members that have not answered are tried again.
+constexpr milliseconds retry_interval{60};
+/// How long the nearest member may be later with a chain than the quorum.
+constexpr milliseconds chain_patience{30};
+
+bool takes_writes(const member& row)
+{
+    return row.m_state != member_state::leaving;
+}
+
+} // namespace
+
+/// One question to all members, repeated until enough have answered.
+struct turn_client::round
+{
+    struct row
+    {
+        bool m_pending = false;
+        std::optional<frame> m_answer;
+    };
+
+    round(asio::io_context& io, frame_body body)
+        : m_body(std::move(body)), m_changed(io)
+    {}
+
+    frame_body m_body;
+    /// The one member that is asked for the chain as well.
+    std::string m_chain_from;
+    std::uint64_t m_epoch = 0;
+    std::map<std::string, row> m_rows;
+    async_event m_changed;
+    bool m_closed = false;
+
+    [[nodiscard]] bool answered(const std::string& name) const
+    {
+        const auto found = m_rows.find(name);
+        return found != m_rows.end() && found->second.m_answer;
+    }
+    [[nodiscard]] const begun_message* begun(const std::string& name) const
+    {
+        const auto found = m_rows.find(name);
+        if (found == m_rows.end() || !found->second.m_answer)
+            return nullptr;
+        return std::get_if<begun_message>(&found->second.m_answer->m_body);
+    }
+};
+
+turn_client::turn_client(asio::io_context& io, const clock& time,
+                         member_links& links, std::string availability_zone,
+                         std::uint32_t disk_losses)
+    : m_io(io), m_time(time), m_links(links),
+      m_availability_zone(std::move(availability_zone)),
+      m_disk_losses(disk_losses)
+{}
+
+void turn_client::follow(const cluster_view& view)
+{
+    m_view = view;
+    m_quorums = quorums_of(view, m_disk_losses);
+}
+
+std::string turn_client::nearest_member() const
+{
+    std::string best;
+    for (const auto& row : m_view.m_members)
+    {
+        if (row.m_state != member_state::full || !m_links.connected(row.m_name))
+            continue;
+        if (row.m_availability_zone == m_availability_zone)
+            return row.m_name;
+        if (best.empty())
+            best = row.m_name;
+    }
+    return best;
+}
+
+void turn_client::send_round(const std::shared_ptr<round>& work)
+{
+    if (work->m_epoch != m_view.m_epoch)
+    {
+        // Answers under another view do not add up with those of this one.
+        work->m_epoch = m_view.m_epoch;
+        work->m_rows.clear();
+        work->m_chain_from = nearest_member();
+    }
+    for (const auto& target : m_view.m_members)
+    {
+        auto& row = work->m_rows[target.m_name];
+        if (!takes_writes(target) || row.m_pending || row.m_answer ||
+            !m_links.connected(target.m_name))
+            continue;
+        row.m_pending = true;
+        auto body = work->m_body;
+        if (auto* begin = std::get_if<begin_message>(&body))
+            begin->m_want_chain = target.m_name == work->m_chain_from;
+        m_links.call(target.m_name, std::move(body),
+                     [this, work, name = target.m_name,
+                      epoch = work->m_epoch](std::optional<frame> answer) {
+                         if (work->m_closed || work->m_epoch != epoch)
+                             return;
+                         auto& asked = work->m_rows[name];
+                         asked.m_pending = false;
+                         if (answer &&
+                             answer->m_status == frame_status::stale &&
+                             answer->m_epoch < m_view.m_epoch)
+                             m_links.tell_state(name);
+                         if (answer && answer->m_status == frame_status::ok)
+                             asked.m_answer = std::move(answer);
+                         work->m_changed.notify();
+                     });
+    }
+}
+
+bool turn_client::wrote_enough(const round& work) const
+{
+    if (work.m_epoch != m_view.m_epoch)
+        return false;
+    std::uint32_t count = 0;
+    for (const auto& row : m_view.m_members)
+    {
+        if (takes_writes(row) && work.answered(row.m_name))
+            ++count;
+    }
+    return m_quorums.m_write > 0 && count >= m_quorums.m_write;
+}
+
+bool turn_client::read_enough(const round& work) const
+{
+    std::uint32_t count = 0;
+    for (const auto& row : m_view.m_members)
+    {
+        if (row.m_state == member_state::full && work.answered(row.m_name))
+            ++count;
+    }
+    return count >= m_quorums.m_read;
+}
+
+bool turn_client::all_lack_parent(const round& work) const
+{
+    for (const auto& row : m_view.m_members)
+    {
+        if (row.m_state == member_state::joining)
+            continue;
+        const auto* begun = work.begun(row.m_name);
+        if (begun == nullptr || begun->m_parent_found)
+            return false;
+    }
+    return true;
+}
+
+task<std::optional<frame>> turn_client::ask(std::string name, frame_body body,
+                                            instant until)
+{
+    struct asked
+    {
+        explicit asked(asio::io_context& io) : m_changed(io) {}
+        async_event m_changed;
+        bool m_done = false;
+        std::optional<frame> m_answer;
+    };
+    const auto state = std::make_shared<asked>(m_io);
+    m_links.call(name, std::move(body), [state](std::optional<frame> answer) {
+        state->m_done = true;
+        state->m_answer = std::move(answer);
+        state->m_changed.notify();
+    });
+    while (!state->m_done && m_time.now() < until)
+        co_await state->m_changed.wait_until(until);
+    co_return std::move(state->m_answer);
+}
+
+task<bool> turn_client::complete_chain(std::shared_ptr<round> work,
+                                       std::string parent,
+                                       std::vector<turn_record>& chain,
+                                       instant until)
+{
+    const auto* near = work->begun(work->m_chain_from);
+    if (near != nullptr)
+        chain = near->m_chain;
+    // Newest first until the end, so that what is missing is appended.
+    while (true)
+    {
+        const std::string missing =
+            chain.empty() ? parent : chain.back().m_parent;
+        if (missing.empty())
+            break;
+        bool grown = false;
+        const auto members = m_view.m_members;
+        for (const auto& row : members)
+        {
+            if (row.m_state == member_state::joining ||
+                !m_links.connected(row.m_name))
+                continue;
+            const auto answer =
+                co_await ask(row.m_name, fetch_message{missing}, until);
+            const auto* fetched =
+                answer ? std::get_if<fetched_message>(&answer->m_body)
+                       : nullptr;
+            if (fetched == nullptr || fetched->m_chain.empty())
+                continue;
+            chain.insert(chain.end(), fetched->m_chain.begin(),
+                         fetched->m_chain.end());
+            grown = true;
+            break;
+        }
+        if (!grown || m_time.now() >= until)
+            co_return false;
+    }
+    std::reverse(chain.begin(), chain.end());
+    co_return true;
+}
+
+task<begin_result> turn_client::begin(begin_request request, instant until)
+{
+    begin_message question;
+    question.m_reservation = {request.m_program, request.m_attempt,
+                              request.m_tokens, false};
+    question.m_retention_ms = request.m_retention_ms;
+    question.m_parent = request.m_parent;
+    const auto work = std::make_shared<round>(m_io, question);
+    begin_result result;
+    const bool has_parent = !request.m_parent.empty();
+    std::optional<instant> quorum_at;
+    bool parent_found = !has_parent;
+    while (m_time.now() < until)
+    {
+        send_round(work);
+        if (wrote_enough(*work) && read_enough(*work))
+        {
+            if (!quorum_at)
+                quorum_at = m_time.now();
+            for (const auto& [name, row] : work->m_rows)
+            {
+                const auto* begun = work->begun(name);
+                parent_found =
+                    parent_found || (begun != nullptr && begun->m_parent_found);
+            }
+            const bool chain_due = work->begun(work->m_chain_from) != nullptr ||
+                                   m_time.now() >= *quorum_at + chain_patience;
+            if (parent_found && (!has_parent || chain_due))
+                break;
+            if (all_lack_parent(*work))
+                break;
+        }
+        const auto wake =
+            quorum_at && m_time.now() < *quorum_at + chain_patience
+                ? *quorum_at + chain_patience
+                : m_time.now() + retry_interval;
+        co_await work->m_changed.wait_until(std::min(until, wake));
+    }
+    if (!wrote_enough(*work) || !read_enough(*work))
+    {
+        work->m_closed = true;
+        result.m_reason = "no quorum of storage VMs";
+        co_return result;
+    }
+    joint_ledger ledger;
+    for (const auto& [name, row] : work->m_rows)
+    {
+        if (const auto* begun = work->begun(name))
+            join_ledger(ledger, begun->m_ledger);
+    }
+    const auto committed = committed_tokens(ledger, request.m_attempt);
+    result.m_reason = "committed=" + std::to_string(committed) +
+                      " budget=" + std::to_string(request.m_budget);
+    if (!fits_budget(ledger, question.m_reservation, request.m_budget))
+        result.m_outcome = begin_outcome::over_budget;
+    else if (!has_parent)
+        result.m_outcome = begin_outcome::granted;
+    else if (!parent_found && all_lack_parent(*work))
+        result.m_outcome = begin_outcome::no_such_turn;
+    else if (parent_found && co_await complete_chain(work, request.m_parent,
+                                                     result.m_chain, until))
+        result.m_outcome = begin_outcome::granted;
+    else
+        result.m_reason = "the chain is not all within reach";
+    work->m_closed = true;
+    co_return result;
+}
+
+task<bool> turn_client::keep(log_entry entry, instant until)
+{
+    const auto work =
+        std::make_shared<round>(m_io, append_message{std::move(entry)});
+    while (m_time.now() < until)
+    {
+        send_round(work);
+        if (wrote_enough(*work))
+            break;
+        co_await work->m_changed.wait_until(
+            std::min(until, m_time.now() + retry_interval));
+    }
+    const bool kept = wrote_enough(*work);
+    work->m_closed = true;
+    co_return kept;
+}
+
+void turn_client::settle(const begin_request& request, std::uint32_t tokens)
+{
+    const append_message body{
+        {request.m_retention_ms,
+         reservation{request.m_program, request.m_attempt, tokens, true}}};
+    for (const auto& row : m_view.m_members)
+    {
+        if (takes_writes(row))
+            m_links.call(row.m_name, body, [](const std::optional<frame>&) {});
+    }
+}
+
+} // namespace pepperturn
--- /dev/null
+++ b/src/turns/turn_server.cpp
@@ -0,0 +1,312 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/turns/turn_server.hpp"
+
+#include <boost/asio/post.hpp>
+#include <glog/logging.h>
+
+namespace pepperturn {
+
+namespace {
+
+/// Log bytes in one answer to a member that copies: some milliseconds of a
+/// slow link, so that turns pass between them.
+constexpr std::size_t pull_bytes = 256U << 10U;
+
+} // namespace
+
+turn_server::turn_server(asio::io_context& io, const clock& time,
+                         std::string name, std::uint64_t disk, turn_log& log,
+                         turn_store& store)
+    : m_io(io), m_time(time), m_name(std::move(name)), m_disk(disk), m_log(log),
+      m_store(store), m_acceptor(io)
+{}
+
+turn_server::~turn_server()
+{
+    m_writer.join();
+}
+
+bool turn_server::listen(const tcp::endpoint& at, std::string& reason)
+{
+    error_code ec;
+    m_acceptor.open(at.protocol(), ec);
+    if (!ec)
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+    if (!ec)
+        m_acceptor.bind(at, ec);
+    if (!ec)
+        m_acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    if (ec)
+    {
+        reason = to_text(at) + ": " + ec.message();
+        return false;
+    }
+    spawn(m_io, "turn_server.accept", accept_links());
+    return true;
+}
+
+void turn_server::stop()
+{
+    error_code ignored;
+    m_acceptor.close(ignored);
+    for (const auto& row : std::set(m_peers))
+        row->m_link->close("stopping");
+}
+
+task<> turn_server::accept_links()
+{
+    while (m_acceptor.is_open())
+    {
+        error_code ec;
+        auto socket = co_await m_acceptor.async_accept(into(ec));
+        if (!ec)
+        {
+            add_link(std::move(socket));
+            continue;
+        }
+        if (ec == asio::error::operation_aborted)
+            co_return;
+        LOG(WARNING) << "event=accept_failed reason=\"" << ec.message() << '"';
+        constexpr milliseconds pause{100};
+        co_await sleep_for(m_io, pause);
+    }
+}
+
+void turn_server::add_link(tcp::socket socket)
+{
+    const auto from = std::make_shared<peer>();
+    from->m_link = std::make_shared<frame_link>(m_io, std::move(socket));
+    m_peers.insert(from);
+    from->m_link->start(
+        [this, from](frame value) { take_frame(from, std::move(value)); },
+        [this, from](const std::string&) { m_peers.erase(from); });
+    answer(from, 0, frame_status::ok, m_state);
+}
+
+void turn_server::on_change(std::function<void(const state_change&)> handler)
+{
+    m_on_change = std::move(handler);
+}
+
+void turn_server::take_state(const cluster_state& news)
+{
+    const auto change = merge_state(m_state, news);
+    if (!change.any())
+        return;
+    if (change.m_view)
+        m_epoch_begin = m_log.end();
+    LOG(INFO) << "event=state_taken config_revision="
+              << m_state.m_config_revision
+              << " runners_revision=" << m_state.m_runners_revision
+              << " runners=" << m_state.m_runners.size()
+              << " epoch=" << m_state.m_view.m_epoch;
+    const auto parts = parts_of(m_state, change);
+    for (const auto& row : std::set(m_peers))
+        answer(row, 0, frame_status::ok, parts);
+    if (m_on_change)
+        m_on_change(change);
+}
+
+void turn_server::send_beat(milliseconds store_age)
+{
+    const auto age = static_cast<std::uint32_t>(store_age.count());
+    for (const auto& row : std::set(m_peers))
+        answer(row, 0, frame_status::ok, beat_message{age});
+}
+
+void turn_server::answer(const std::shared_ptr<peer>& from, std::uint64_t call,
+                         frame_status status, frame_body body)
+{
+    from->m_link->send({call, m_state.m_view.m_epoch, status, std::move(body)});
+}
+
+frame_status turn_server::check(const frame& value) const
+{
+    const bool writes = std::holds_alternative<begin_message>(value.m_body) ||
+                        std::holds_alternative<append_message>(value.m_body);
+    if (value.m_epoch != m_state.m_view.m_epoch)
+        return frame_status::stale;
+    const auto* self = find_member(m_state.m_view, m_name);
+    if (self == nullptr || self->m_disk != m_disk)
+        return frame_status::not_member;
+    if (writes && self->m_state == member_state::leaving)
+        return frame_status::not_member;
+    if (writes && !m_disk_good)
+        return frame_status::failed;
+    return frame_status::ok;
+}
+
+void turn_server::take_frame(const std::shared_ptr<peer>& from, frame value)
+{
+    if (const auto* hello = std::get_if<hello_message>(&value.m_body))
+    {
+        from->m_name = hello->m_name;
+        return;
+    }
+    if (const auto* news = std::get_if<cluster_state>(&value.m_body))
+    {
+        take_state(*news);
+        return;
+    }
+    if (value.m_call == 0)
+        return;
+    const auto status = check(value);
+    if (status != frame_status::ok)
+    {
+        if (status == frame_status::stale &&
+            value.m_epoch < m_state.m_view.m_epoch)
+            answer(from, 0, frame_status::ok, m_state);
+        answer(from, value.m_call, status, appended_message{});
+        return;
+    }
+    if (const auto* begin = std::get_if<begin_message>(&value.m_body))
+        answer_begin(from, value.m_call, *begin);
+    else if (const auto* append = std::get_if<append_message>(&value.m_body))
+    {
+        m_store.append(append->m_entry, m_time.now());
+        answer_when_synced(from, value.m_call, appended_message{});
+    }
+    else if (const auto* fetch = std::get_if<fetch_message>(&value.m_body))
+        answer(from, value.m_call, frame_status::ok,
+               fetched_message{m_store.chain(fetch->m_turn, milliseconds(0),
+                                             m_time.now())});
+    else if (const auto* pull = std::get_if<pull_message>(&value.m_body))
+        answer_pull(from, value.m_call, *pull);
+}
+
+void turn_server::answer_begin(const std::shared_ptr<peer>& from,
+                               std::uint64_t call,
+                               const begin_message& question)
+{
+    const auto now = m_time.now();
+    m_store.append({question.m_retention_ms, question.m_reservation}, now);
+    begun_message body;
+    body.m_ledger = m_store.ledger_of(question.m_reservation.m_program);
+    body.m_parent_found =
+        !question.m_parent.empty() && m_store.has_turn(question.m_parent);
+    if (question.m_want_chain)
+        body.m_chain = m_store.chain(
+            question.m_parent, milliseconds(question.m_retention_ms), now);
+    answer_when_synced(from, call, std::move(body));
+}
+
+void turn_server::answer_pull(const std::shared_ptr<peer>& from,
+                              std::uint64_t call, const pull_message& question)
+{
+    pulled_message body;
+    log_position next;
+    for (const auto& row :
+         m_log.read_from(unpack(question.m_from), pull_bytes, next))
+    {
+        std::string reason;
+        auto entry = decode_entry(row.m_bytes, reason);
+        if (entry)
+            body.m_entries.push_back(std::move(*entry));
+        else
+            LOG(ERROR) << "event=pull_unreadable reason=\"" << reason << '"';
+    }
+    body.m_next = pack(next);
+    // Entries of this epoch reach the copying member by themselves; what was
+    // queued before it must be read, also if it is not on disk yet.
+    body.m_more =
+        !body.m_entries.empty() || m_log.has_unwritten_before(m_epoch_begin);
+    if (!body.m_more)
+        m_copied_at[from->m_name] = m_state.m_view.m_epoch;
+    answer(from, call, frame_status::ok, std::move(body));
+}
+
+std::set<std::string> turn_server::copied_by(std::uint64_t epoch) const
+{
+    std::set<std::string> out;
+    for (const auto& [name, at] : m_copied_at)
+    {
+        if (at == epoch)
+            out.insert(name);
+    }
+    return out;
+}
+
+void turn_server::take_entries(const std::vector<log_entry>& entries)
+{
+    for (const auto& entry : entries)
+        m_store.append(entry, m_time.now());
+    commit();
+}
+
+task<bool> turn_server::synced()
+{
+    if (!m_writing && !m_log.has_pending())
+        co_return m_disk_good;
+    struct waited
+    {
+        bool m_done = false;
+        bool m_good = false;
+    };
+    const auto state = std::make_shared<waited>();
+    const auto event = std::make_shared<async_event>(m_io);
+    auto& waits = m_log.has_pending() ? m_queued_waits : m_written_waits;
+    waits.emplace_back([state, event](bool good) {
+        state->m_done = true;
+        state->m_good = good;
+        event->notify();
+    });
+    while (!state->m_done)
+        co_await event->wait_until(instant::max());
+    co_return state->m_good;
+}
+
+void turn_server::answer_when_synced(const std::shared_ptr<peer>& from,
+                                     std::uint64_t call, frame_body body)
+{
+    frame value{call, m_state.m_view.m_epoch, frame_status::ok,
+                std::move(body)};
+    if (m_log.has_pending())
+        m_queued_answers.push_back({from->m_link, std::move(value)});
+    else if (m_writing)
+        m_written_answers.push_back({from->m_link, std::move(value)});
+    else
+        from->m_link->send(value);
+    commit();
+}
+
+void turn_server::commit()
+{
+    if (m_writing || !m_log.has_pending())
+        return;
+    m_writing = true;
+    m_written_answers = std::exchange(m_queued_answers, {});
+    m_written_waits = std::exchange(m_queued_waits, {});
+    // Syncing blocks, so it has a thread of its own.
+    asio::post(m_writer, [this, batches = m_log.take_pending()] {
+        std::string reason;
+        const bool good = m_log.write_batches(batches, reason);
+        asio::post(m_io, [this, batches, good, reason] {
+            committed(batches, good, reason);
+        });
+    });
+}
+
+void turn_server::committed(const std::vector<log_batch>& batches, bool good,
+                            const std::string& reason)
+{
+    m_writing = false;
+    if (good)
+        m_log.written(batches);
+    else
+    {
+        m_disk_good = false;
+        LOG(ERROR) << "event=disk_failed reason=\"" << reason << '"';
+    }
+    for (auto& row : std::exchange(m_written_answers, {}))
+    {
+        // A view that changed meanwhile does not count this answer.
+        if (!good)
+            row.m_answer.m_status = frame_status::failed;
+        row.m_link->send(row.m_answer);
+    }
+    for (const auto& done : std::exchange(m_written_waits, {}))
+        done(good);
+    commit();
+}
+
+} // namespace pepperturn
--- /dev/null
+++ b/src/turns/turn_store.cpp
@@ -0,0 +1,189 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/turns/turn_store.hpp"
+
+#include "pepperturn/turns/messages.hpp"
+
+#include <algorithm>
+#include <glog/logging.h>
+
+namespace pepperturn {
+
+namespace {
+
+/// The oldest segment is rewritten once at most this share of its entries
+/// is alive: copying a quarter costs little and frees three quarters.
+constexpr std::size_t rewrite_share = 4;
+
+} // namespace
+
+turn_store::turn_store(turn_log& log) : m_log(log) {}
+
+bool turn_store::load(instant now, bool& damaged, std::string& reason)
+{
+    std::uint64_t unreadable = 0;
+    const bool loaded = m_log.load(
+        [&](const loaded_entry& row) {
+            std::string why;
+            const auto entry = decode_entry(row.m_bytes, why);
+            if (entry)
+                enter(*entry, row.m_position, now);
+            else
+                ++unreadable;
+        },
+        damaged, reason);
+    if (unreadable > 0)
+    {
+        LOG(ERROR) << "event=log_unreadable entries=" << unreadable;
+        damaged = true;
+    }
+    return loaded;
+}
+
+void turn_store::append(const log_entry& entry, instant now)
+{
+    const auto* turn = std::get_if<turn_record>(&entry.m_what);
+    if (turn != nullptr && has_turn(turn->m_id))
+        return;
+    const auto position = m_log.append(encode_entry(entry));
+    enter(entry, position, now);
+}
+
+void turn_store::enter(const log_entry& entry, const log_position& position,
+                       instant now)
+{
+    if (const auto* row = std::get_if<reservation>(&entry.m_what))
+    {
+        enter_reservation(*row, entry.m_retention_ms, position, now);
+        return;
+    }
+    const auto& turn = std::get<turn_record>(entry.m_what);
+    m_turns[key_of(turn.m_id)] = {position,
+                                  now + milliseconds(entry.m_retention_ms)};
+    enter_reservation({turn.m_program, turn.m_attempt, turn.m_tokens, true},
+                      entry.m_retention_ms, position, now);
+}
+
+void turn_store::enter_reservation(const reservation& row,
+                                   std::uint32_t retention_ms,
+                                   const log_position& position, instant now)
+{
+    auto& program = m_programs[row.m_program];
+    program.m_retention_ms = std::max(program.m_retention_ms, retention_ms);
+    program.m_expiry = now + milliseconds(program.m_retention_ms);
+    auto& attempt = program.m_attempts[row.m_attempt];
+    if (attempt.m_settled && !row.m_settled)
+        return;
+    attempt = {row.m_tokens, row.m_settled, position};
+}
+
+std::vector<reservation> turn_store::ledger_of(const id_key& program) const
+{
+    std::vector<reservation> out;
+    const auto found = m_programs.find(program);
+    if (found == m_programs.end())
+        return out;
+    out.reserve(found->second.m_attempts.size());
+    for (const auto& [attempt, row] : found->second.m_attempts)
+        out.push_back({program, attempt, row.m_tokens, row.m_settled});
+    return out;
+}
+
+bool turn_store::has_turn(const std::string& id) const
+{
+    return m_turns.contains(key_of(id));
+}
+
+std::optional<turn_record>
+turn_store::read_turn(const log_position& position) const
+{
+    const auto bytes = m_log.read(position);
+    if (!bytes)
+        return std::nullopt;
+    std::string reason;
+    auto entry = decode_entry(*bytes, reason);
+    if (!entry || !std::holds_alternative<turn_record>(entry->m_what))
+    {
+        LOG(ERROR) << "event=turn_unreadable segment=" << position.m_segment
+                   << " offset=" << position.m_offset << " reason=\"" << reason
+                   << '"';
+        return std::nullopt;
+    }
+    return std::get<turn_record>(std::move(entry->m_what));
+}
+
+std::vector<turn_record> turn_store::chain(const std::string& id,
+                                           milliseconds retention, instant now)
+{
+    std::vector<turn_record> out;
+    std::string next = id;
+    while (!next.empty() && out.size() < max_chain_turns)
+    {
+        const auto found = m_turns.find(key_of(next));
+        if (found == m_turns.end())
+            break;
+        auto turn = read_turn(found->second.m_position);
+        if (!turn || turn->m_id != next)
+            break;
+        found->second.m_expiry =
+            std::max(found->second.m_expiry, now + retention);
+        next = turn->m_parent;
+        out.push_back(std::move(*turn));
+    }
+    return out;
+}
+
+void turn_store::expire(instant now)
+{
+    std::erase_if(m_turns,
+                  [&](const auto& row) { return row.second.m_expiry <= now; });
+    std::erase_if(m_programs,
+                  [&](const auto& row) { return row.second.m_expiry <= now; });
+    compact_oldest(now);
+}
+
+void turn_store::compact_oldest(instant now)
+{
+    const auto segments = m_log.segments();
+    if (segments.empty() || segments.front() >= m_log.current_segment())
+        return;
+    const auto oldest = segments.front();
+    std::vector<log_position> turns;
+    for (const auto& [key, row] : m_turns)
+    {
+        if (row.m_position.m_segment == oldest)
+            turns.push_back(row.m_position);
+    }
+    if (turns.size() * rewrite_share > m_turns.size())
+        return;
+    std::vector<log_entry> alive;
+    for (const auto& position : turns)
+    {
+        if (auto turn = read_turn(position))
+            alive.push_back({static_cast<std::uint32_t>(
+                                 (m_turns[key_of(turn->m_id)].m_expiry - now) /
+                                 milliseconds(1)),
+                             std::move(*turn)});
+    }
+    for (const auto& [program, row] : m_programs)
+    {
+        for (const auto& [attempt, held] : row.m_attempts)
+        {
+            if (held.m_position.m_segment == oldest)
+                alive.push_back({row.m_retention_ms,
+                                 reservation{program, attempt, held.m_tokens,
+                                             held.m_settled}});
+        }
+    }
+    if (!alive.empty())
+    {
+        // Written again first; the segment goes at a later call, when the
+        // copies have long been synced.
+        for (const auto& entry : alive)
+            enter(entry, m_log.append(encode_entry(entry)), now);
+        return;
+    }
+    LOG(INFO) << "event=segment_removed segment=" << oldest;
+    m_log.remove_segment(oldest);
+}
+
+} // namespace pepperturn
