--- a/src/fleet/storage_node.cpp
+++ b/src/fleet/storage_node.cpp
@@ -200,8 +200,8 @@
     std::size_t copied = 0;
     while (m_server->state().m_view.m_epoch == epoch && !m_stopping)
     {
-        const auto answer =
-            co_await ask(source.m_name, pull_message{progress.m_next});
+        const frame_body question = pull_message{progress.m_next};
+        const auto answer = co_await ask(source.m_name, question);
         const auto* page = answer && answer->m_status == frame_status::ok
                                ? std::get_if<pulled_message>(&answer->m_body)
                                : nullptr;
--- a/src/turns/turn_client.cpp
+++ b/src/turns/turn_client.cpp
@@ -201,8 +201,10 @@
             if (row.m_state == member_state::joining ||
                 !m_links.connected(row.m_name))
                 continue;
-            const auto answer =
-                co_await ask(row.m_name, fetch_message{missing}, until);
+            // A local: GCC 12 destroys aggregate temporaries of an awaiting
+            // expression twice.
+            const frame_body question = fetch_message{missing};
+            const auto answer = co_await ask(row.m_name, question, until);
             const auto* fetched =
                 answer ? std::get_if<fetched_message>(&answer->m_body)
                        : nullptr;
