--- a/include/pepperturn/forward/proxy.hpp
+++ b/include/pepperturn/forward/proxy.hpp
@@ -31,6 +31,7 @@
 
     /// Answers close their connections from now on.
     void begin_drain();
+    void stop_accepting();
     void close_idle();
     [[nodiscard]] std::size_t active() const
     {
--- a/src/fleet/edge_node.cpp
+++ b/src/fleet/edge_node.cpp
@@ -13,7 +13,7 @@
 constexpr milliseconds relay_patience{3200};
 /// After the order to stop: the balancer asks once a second and takes a VM
 /// out after two misses.
-constexpr milliseconds still_new_connections{3200};
+constexpr milliseconds still_new_connections{3000};
 /// Left of the grace for the last answers to be written.
 constexpr milliseconds exit_margin{400};
 constexpr milliseconds drain_check{50};
@@ -142,6 +142,9 @@
     {
         if (m_time.now() >= begun + still_new_connections)
         {
+            // Where many VMs stop at once the balancer goes on using them:
+            // a refused connection is tried elsewhere at once.
+            m_proxy.stop_accepting();
             m_proxy.close_idle();
             if (m_proxy.active() == 0)
                 break;
--- a/src/forward/proxy.cpp
+++ b/src/forward/proxy.cpp
@@ -95,6 +95,12 @@
     m_draining = true;
 }
 
+void proxy::stop_accepting()
+{
+    error_code ignored;
+    m_acceptor.close(ignored);
+}
+
 void proxy::close_idle()
 {
     for (const auto& caller : std::set(m_callers))
