A storage VM cut off from the store follows its neighbours' list of runners

A runner's entry went without a word two seconds after one storage VM had regained the store; that VM took the entry for lapsed and kept it 2.2 s, and its list, newer by revision, overrode those of its neighbours. Ruled out: a late write of the entry (none was logged), a lost watch (the deletion was in every VM's log). VMs without a configuration ask callers to come back after a second.

--- a/include/pepperturn/fleet/world_source.hpp
+++ b/include/pepperturn/fleet/world_source.hpp
@@ -43,6 +43,10 @@
     /// Ends after the call that is under way.
     virtual void pause() = 0;
 
+    /// Takes what another VM knows, for while the store is out of reach from
+    /// here only.
+    virtual void learn(const cluster_state& news) = 0;
+
     /// Asks for \p next in place of the view at \p expected.
     [[nodiscard]] virtual task<swap_result>
     swap_view(cluster_view next, std::uint64_t expected) = 0;
--- a/src/fleet/storage_node.cpp
+++ b/src/fleet/storage_node.cpp
@@ -86,7 +86,10 @@
         if (change.m_view)
             m_links.follow(m_server->state());
     });
-    m_links.on_state([this](const cluster_state& news) { take_state(news); });
+    m_links.on_state([this](const cluster_state& news) {
+        take_state(news);
+        m_source.learn(news);
+    });
     m_source.on_state([this](const cluster_state& news) { take_state(news); });
     m_source.start();
     spawn(m_io, "storage_node.membership", look_after_membership());
--- a/src/forward/proxy.cpp
+++ b/src/forward/proxy.cpp
@@ -17,6 +17,9 @@
 /// a fraction of the usual objective.
 constexpr milliseconds come_back_soon{60};
 constexpr milliseconds come_back_later{250};
+/// Without any configuration the VM has just started and the platform's
+/// store is away: that takes a second or more.
+constexpr milliseconds come_back_configured{1000};
 /// Runners that may refuse one request before it is refused itself; each
 /// costs a round trip.
 constexpr unsigned most_refusals = 4;
@@ -233,7 +236,8 @@
     verdict out;
     if (!work->m_config)
     {
-        out.m_answer = refuse(*work, "no configuration yet", come_back_later);
+        out.m_answer =
+            refuse(*work, "no configuration yet", come_back_configured);
         co_return out;
     }
     const auto target = work->m_request.target();
