An edge VM that hears no storage VM says so: not ready, refused at once

Change: readiness and an immediate refusal when no storage VM is heard. Kept: nothing is held that cannot be served.

--- a/include/pepperturn/turns/turn_client.hpp
+++ b/include/pepperturn/turns/turn_client.hpp
@@ -50,6 +50,9 @@
     /// The view that calls go by.
     void follow(const cluster_view& view);
 
+    /// False if this VM hears none of the storage VMs: others may well.
+    [[nodiscard]] bool connected() const;
+
     [[nodiscard]] task<begin_result> begin(begin_request request,
                                            instant until);
     /// True once enough disks hold the entry.
--- a/src/fleet/edge_node.cpp
+++ b/src/fleet/edge_node.cpp
@@ -31,7 +31,11 @@
       m_proxy(io, time, std::move(names), settings.m_availability_zone,
               m_turns),
       m_status(
-          io, [this] { return m_proxy.has_config() && !m_stopping; },
+          io,
+          [this] {
+              return m_proxy.has_config() && m_turns.connected() &&
+                     !m_stopping;
+          },
           [this] { return m_proxy.metrics().text(); })
 {}
 
--- a/src/forward/proxy.cpp
+++ b/src/forward/proxy.cpp
@@ -284,6 +284,12 @@
         work->m_why = "budget=" + std::to_string(begin.m_budget) + ' ';
         co_return fail(*work, 402, "budget is below one turn");
     }
+    if (!m_turns.connected())
+    {
+        // Cut off from all of them: the next VM that is tried may not be.
+        work->m_keep_alive = false;
+        co_return refuse(*work, "no storage VM is heard", come_back_soon);
+    }
     work->m_reserved = true;
     auto result = co_await m_turns.begin(
         begin, std::min(work->m_deadline, m_time.now() + begin_patience));
--- a/src/turns/turn_client.cpp
+++ b/src/turns/turn_client.cpp
@@ -12,6 +12,8 @@
 constexpr milliseconds retry_interval{60};
 /// How long the nearest member may be later with a chain than the quorum.
 constexpr milliseconds chain_patience{30};
+/// A member that has missed two beats is not heard.
+constexpr milliseconds heard_within{1200};
 
 bool takes_writes(const member& row)
 {
@@ -69,6 +71,17 @@
     m_quorums = quorums_of(view, m_disk_losses);
 }
 
+bool turn_client::connected() const
+{
+    const auto now = m_time.now();
+    return std::any_of(m_view.m_members.begin(), m_view.m_members.end(),
+                       [&](const member& row) {
+                           return m_links.connected(row.m_name) &&
+                                  now - m_links.last_heard(row.m_name) <
+                                      heard_within;
+                       });
+}
+
 std::string turn_client::nearest_member() const
 {
     std::string best;
