An outage that only this VM has makes no entry lapse; tests of views, membership, turns

Change: neighbours' beats tell that the store served them meanwhile; then a missing entry has the usual 0.9 s.

--- a/include/pepperturn/fleet/world_source.hpp
+++ b/include/pepperturn/fleet/world_source.hpp
@@ -46,6 +46,8 @@
     /// Takes what another VM knows, for while the store is out of reach from
     /// here only.
     virtual void learn(const cluster_state& news) = 0;
+    /// Tells when any other VM last heard the store.
+    virtual void note_heard_elsewhere(instant at) = 0;
 
     /// Asks for \p next in place of the view at \p expected.
     [[nodiscard]] virtual task<swap_result>
--- a/src/fleet/edge_node.cpp
+++ b/src/fleet/edge_node.cpp
@@ -33,8 +33,7 @@
       m_status(
           io,
           [this] {
-              return m_proxy.has_config() && m_turns.connected() &&
-                     !m_stopping;
+              return m_proxy.has_config() && m_turns.connected() && !m_stopping;
           },
           [this] { return m_proxy.metrics().text(); })
 {}
--- a/src/fleet/storage_node.cpp
+++ b/src/fleet/storage_node.cpp
@@ -269,6 +269,7 @@
     if (now >= m_next_beat)
     {
         m_next_beat = now + beat_interval;
+        m_source.note_heard_elsewhere(m_links.store_heard());
         const auto age = std::chrono::duration_cast<milliseconds>(
             now - m_source.last_heard());
         constexpr milliseconds most{UINT32_MAX};
--- /dev/null
+++ b/test/cluster/test_membership.cpp
@@ -0,0 +1,168 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/cluster/membership.hpp"
+
+#include "pepperturn/cluster/state.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+using namespace pepperturn;
+
+constexpr auto joining = member_state::joining;
+constexpr auto full = member_state::full;
+constexpr auto leaving = member_state::leaving;
+constexpr std::uint64_t epoch = 5;
+
+member row(const std::string& name, member_state state, std::uint64_t disk = 7)
+{
+    return {name, name + ":1", "zone", disk, state};
+}
+
+cluster_view view_of(std::vector<member> members)
+{
+    return {epoch, std::move(members)};
+}
+
+membership_facts facts_of(const std::string& name, std::uint64_t disk = 7)
+{
+    membership_facts facts;
+    facts.m_self = row(name, joining, disk);
+    facts.m_view_known = true;
+    return facts;
+}
+
+std::string describe(const std::optional<cluster_view>& view)
+{
+    if (!view)
+        return "-";
+    std::string out;
+    for (const auto& each : view->m_members)
+    {
+        out += each.m_name;
+        out += each.m_state == full ? "F" : each.m_state == joining ? "J" : "L";
+    }
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("which view a storage VM asks for", "[membership]")
+{
+    auto bootstrap = facts_of("a");
+    bootstrap.m_bootstrap = true;
+    auto unknown = bootstrap;
+    unknown.m_view_known = false;
+    auto caught_up = facts_of("b");
+    caught_up.m_caught_up_at = epoch;
+    auto caught_up_before = facts_of("b");
+    caught_up_before.m_caught_up_at = epoch - 1;
+    auto sees_silent = facts_of("a");
+    sees_silent.m_silent = {"d"};
+    auto retire = facts_of("c");
+    retire.m_retire = true;
+    auto retire_copied = retire;
+    retire_copied.m_copied_by = {"a", "b"};
+    auto retire_half = retire;
+    retire_half.m_copied_by = {"a"};
+    auto joins_beside_silent = facts_of("e");
+    joins_beside_silent.m_silent = {"d"};
+
+    struct sample
+    {
+        std::string m_name;
+        cluster_view m_view;
+        membership_facts m_facts;
+        std::string m_expected;
+    };
+    const std::vector<sample> samples{
+        {"a first start makes the view", {}, bootstrap, "aF"},
+        {"nothing is made before the store was read", {}, unknown, "-"},
+        {"an empty view at a later start is no view", {}, facts_of("a"), "-"},
+        {"a new one joins", view_of({row("a", full)}), facts_of("b"), "aFbJ"},
+        {"one joins after the other",
+         view_of({row("a", full), row("b", joining)}), facts_of("c"), "-"},
+        {"an empty disk joins again",
+         view_of({row("a", full), row("b", full, 6)}), facts_of("b"), "aFbJ"},
+        {"a joining one waits for its copies",
+         view_of({row("a", full), row("b", joining)}), facts_of("b"), "-"},
+        {"copies of an earlier epoch do not count",
+         view_of({row("a", full), row("b", joining)}), caught_up_before, "-"},
+        {"with its copies it is full",
+         view_of({row("a", full), row("b", joining)}), caught_up, "aFbF"},
+        {"a silent one goes",
+         view_of(
+             {row("a", full), row("b", full), row("c", full), row("d", full)}),
+         sees_silent, "aFbFcF"},
+        {"a silent one stays while it is needed",
+         view_of({row("a", full), row("b", full), row("d", full)}), sees_silent,
+         "-"},
+        {"who waits to join drops a silent joining one",
+         view_of({row("a", full), row("b", full), row("c", full),
+                  row("d", joining)}),
+         joins_beside_silent, "aFbFcF"},
+        {"a retiring one says so",
+         view_of({row("a", full), row("b", full), row("c", full)}), retire,
+         "aFbFcL"},
+        {"it waits for every copy",
+         view_of({row("a", full), row("b", full), row("c", leaving)}),
+         retire_half, "-"},
+        {"then it goes",
+         view_of({row("a", full), row("b", full), row("c", leaving)}),
+         retire_copied, "aFbF"},
+        {"it does not come back", view_of({row("a", full), row("b", full)}),
+         retire, "-"},
+        {"taken back, it copies like a new one",
+         view_of({row("a", full), row("b", full), row("c", leaving)}),
+         facts_of("c"), "aFbFcJ"},
+    };
+    for (const auto& each : samples)
+    {
+        INFO(each.m_name);
+        CHECK(describe(wanted_view(each.m_view, each.m_facts)) ==
+              each.m_expected);
+    }
+}
+
+TEST_CASE("emptied only once out of the view", "[membership]")
+{
+    auto facts = facts_of("c");
+    facts.m_retire = true;
+    CHECK(is_emptied(view_of({row("a", full)}), facts));
+    CHECK_FALSE(
+        is_emptied(view_of({row("a", full), row("c", leaving)}), facts));
+    CHECK_FALSE(is_emptied({}, facts));
+    facts.m_retire = false;
+    CHECK_FALSE(is_emptied(view_of({row("a", full)}), facts));
+}
+
+TEST_CASE("who copies", "[membership]")
+{
+    const auto view =
+        view_of({row("a", full), row("b", joining), row("c", leaving)});
+    CHECK(should_copy(view, "a", 0));
+    CHECK(should_copy(view, "b", 0));
+    CHECK_FALSE(should_copy(view, "c", 0));
+    CHECK_FALSE(should_copy(view, "b", epoch));
+    CHECK_FALSE(should_copy(view_of({row("a", full)}), "a", 0));
+}
+
+TEST_CASE("state only moves forward, part by part", "[state]")
+{
+    cluster_state state;
+    state.m_config_revision = 4;
+    state.m_config = "four";
+    state.m_runners_revision = 10;
+    cluster_state news;
+    news.m_config_revision = 3;
+    news.m_config = "three";
+    news.m_runners_revision = 11;
+    news.m_runners = {{"r", "text"}};
+    const auto change = merge_state(state, news);
+    CHECK(change == state_change{false, true, false});
+    CHECK(state.m_config == "four");
+    CHECK(state.m_runners.size() == 1);
+    CHECK_FALSE(merge_state(state, news).any());
+    CHECK(parts_of(state, change).m_config_revision == 0);
+    CHECK(parts_of(state, change).m_runners_revision == 11);
+}
--- /dev/null
+++ b/test/turns/test_messages.cpp
@@ -0,0 +1,112 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/turns/ledger.hpp"
+#include "pepperturn/turns/messages.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+namespace {
+
+using namespace pepperturn;
+
+turn_record some_turn(const std::string& id)
+{
+    return {id,      "parent", "in\nput", std::string("\0out\n", 5),
+            "run-1", {1, 2},   {3, 4},    33};
+}
+
+} // namespace
+
+TEST_CASE("frames survive the wire", "[messages]")
+{
+    const reservation held{{1, 2}, {3, 4}, 80, false};
+    cluster_state state;
+    state.m_config_revision = 3;
+    state.m_config = "{}";
+    state.m_runners_revision = 512;
+    state.m_runners = {{"r-1", "text"}};
+    state.m_view = {4, {{"a", "1.2.3.4:5", "z", 9, member_state::leaving}}};
+    const std::vector<frame_body> bodies{
+        hello_message{"vm-1"},
+        state,
+        beat_message{77},
+        begin_message{held, 60000, "parent", true},
+        begun_message{{held}, true, {some_turn("a"), some_turn("b")}},
+        append_message{{60000, some_turn("a")}},
+        append_message{{60000, held}},
+        appended_message{},
+        fetch_message{"a"},
+        fetched_message{{some_turn("a")}},
+        pull_message{99},
+        pulled_message{7, true, {{1, held}, {2, some_turn("c")}}}};
+    for (const auto& body : bodies)
+    {
+        const frame sent{12, 34, frame_status::stale, body};
+        const auto bytes = encode_frame(sent);
+        std::string reason;
+        const auto back =
+            decode_frame(std::string_view(bytes).substr(4), reason);
+        INFO(reason);
+        REQUIRE(back.has_value());
+        CHECK(*back == sent);
+    }
+}
+
+TEST_CASE("random bytes are refused, not believed", "[messages][fuzz]")
+{
+    CHECK(rc::check("frames", [](const std::string& bytes) {
+        std::string reason;
+        (void)decode_frame(bytes, reason);
+        (void)decode_entry(bytes, reason);
+    }));
+    CHECK(rc::check("damaged frames", [](std::size_t at, char with) {
+        auto bytes = encode_frame(
+            {1, 2, frame_status::ok, append_message{{5, some_turn("a")}}});
+        bytes.erase(0, 4);
+        bytes[at % bytes.size()] = with;
+        std::string reason;
+        (void)decode_frame(bytes, reason);
+    }));
+}
+
+TEST_CASE("budgets from what several members know", "[ledger]")
+{
+    const id_key program{1, 1};
+    const auto held = [&](std::uint64_t id, std::uint32_t tokens,
+                          bool settled) {
+        return reservation{program, {id, id}, tokens, settled};
+    };
+    struct sample
+    {
+        std::string m_name;
+        std::vector<reservation> m_first;
+        std::vector<reservation> m_second;
+        std::uint64_t m_committed;
+    };
+    const std::vector<sample> samples{
+        {"nothing known", {}, {}, 0},
+        {"known to one only", {held(1, 50, false)}, {}, 50},
+        {"known to both", {held(1, 50, false)}, {held(1, 50, false)}, 50},
+        {"settled goes before held",
+         {held(1, 50, false)},
+         {held(1, 20, true)},
+         20},
+        {"in either order", {held(1, 20, true)}, {held(1, 50, false)}, 20},
+        {"one's own does not count", {held(9, 70, false)}, {}, 0},
+        {"different ones add up",
+         {held(1, 50, true)},
+         {held(2, 30, false)},
+         80},
+    };
+    const auto own = held(9, 40, false);
+    for (const auto& each : samples)
+    {
+        INFO(each.m_name);
+        joint_ledger ledger;
+        join_ledger(ledger, each.m_first);
+        join_ledger(ledger, each.m_second);
+        CHECK(committed_tokens(ledger, own.m_attempt) == each.m_committed);
+        CHECK(fits_budget(ledger, own, each.m_committed + 40));
+        CHECK_FALSE(fits_budget(ledger, own, each.m_committed + 39));
+    }
+}
