--- /dev/null
+++ b/test/forward/test_event_reader.cpp
@@ -0,0 +1,54 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/forward/event_reader.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+namespace {
+
+using pepperturn::event_reader;
+
+} // namespace
+
+TEST_CASE("what events say", "[event_reader]")
+{
+    struct sample
+    {
+        std::string m_bytes;
+        std::uint32_t m_whole;
+        std::uint32_t m_begun;
+        std::string m_data;
+    };
+    const auto each = GENERATE(values<sample>({
+        {"", 0, 0, ""},
+        {"id: 1\ndata: a\n\n", 1, 1, "a\n"},
+        {"id: 1\r\ndata: a\r\n\r\n", 1, 1, "a\n"},
+        {"data:a\n\ndata: b\n\n", 2, 2, "a\nb\n"},
+        {"data: a\ndata: b\n\n", 1, 1, "a\nb\n"},
+        {"data:  two blanks\n\n", 1, 1, " two blanks\n"},
+        {"data:\n\n", 1, 1, "\n"},
+        {"id: 1\n\n", 1, 1, ""},
+        {"\n\n\n", 0, 0, ""},
+        {"data: a\n\ndata: b", 1, 2, "a\n"},
+        {"data: a\n\nid: 2\n", 1, 2, "a\n"},
+    }));
+    INFO(each.m_bytes);
+    event_reader reader(true);
+    reader.take(each.m_bytes);
+    CHECK(reader.whole_events() == each.m_whole);
+    CHECK(reader.begun_events() == each.m_begun);
+    CHECK(reader.data() == each.m_data);
+}
+
+TEST_CASE("how the bytes are cut makes no difference", "[event_reader]")
+{
+    CHECK(rc::check("cuts", [](const std::string& bytes) {
+        event_reader whole(true);
+        whole.take(bytes);
+        event_reader pieces(true);
+        for (const char c : bytes)
+            pieces.take(std::string_view(&c, 1));
+        RC_ASSERT(whole.data() == pieces.data());
+        RC_ASSERT(whole.whole_events() == pieces.whole_events());
+    }));
+}
--- /dev/null
+++ b/test/forward/test_runner_table.cpp
@@ -0,0 +1,108 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/forward/runner_table.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+using namespace pepperturn;
+
+runner_info runner(const std::string& id, const std::string& zone,
+                   bool draining = false)
+{
+    return {id, "svc", "127.0.0.1:1", zone, 4, draining};
+}
+
+std::string chosen(const runner_table& table, const runner_choice& choice,
+                   instant now = {})
+{
+    const auto* row = table.choose(choice, now);
+    return row == nullptr ? "-" : row->m_info.m_id;
+}
+
+} // namespace
+
+TEST_CASE("which runner a request goes to", "[runner_table]")
+{
+    runner_table table;
+    table.replace({runner("near", "z1"), runner("far", "z2"),
+                   runner("leaves", "z1", true)});
+    runner_choice choice{"svc", "", "z1", {}, 1};
+    CHECK(chosen(table, choice) == "near");
+    // One request there, and the other zone is better.
+    table.note_sent("near");
+    CHECK(chosen(table, choice) == "far");
+    choice.m_preferred = "near";
+    CHECK(chosen(table, choice) == "near");
+    choice.m_excluded = {"near"};
+    CHECK(chosen(table, choice) == "far");
+    choice.m_excluded = {"near", "far"};
+    CHECK(chosen(table, choice) == "-");
+    choice.m_service = "other";
+    CHECK(chosen(table, choice) == "-");
+}
+
+TEST_CASE("a failing runner is avoided for a time", "[runner_table]")
+{
+    runner_table table;
+    table.replace({runner("a", "z1"), runner("b", "z2")});
+    const runner_choice choice{"svc", "", "z1", {}, 1};
+    const instant now{};
+    table.note_failure("a", now);
+    CHECK(chosen(table, choice, now) == "b");
+    CHECK(chosen(table, choice, now + milliseconds(301)) == "a");
+    table.note_failure("a", now);
+    CHECK(chosen(table, choice, now + milliseconds(301)) == "b");
+    // With nobody else there, it is better than nothing.
+    runner_choice only = choice;
+    only.m_excluded = {"b"};
+    CHECK(chosen(table, only, now) == "a");
+}
+
+TEST_CASE("a new list keeps what was seen", "[runner_table]")
+{
+    runner_table table;
+    table.replace({runner("a", "z1"), runner("b", "z1")});
+    table.note_sent("a");
+    table.replace({runner("a", "z1"), runner("c", "z1")});
+    CHECK(table.find("a")->m_in_flight == 1);
+    CHECK(table.find("b") == nullptr);
+    CHECK(table.size() == 2);
+    table.note_ended("a");
+    table.note_ended("a");
+    CHECK(table.find("a")->m_in_flight == 0);
+}
+
+TEST_CASE("the longest prefix of the host decides", "[routing]")
+{
+    routing_config config;
+    for (const auto& [name, host, prefix] :
+         {std::tuple("root", "a.example", "/"),
+          std::tuple("deep", "a.example", "/x/y/"),
+          std::tuple("shallow", "a.example", "/x/"),
+          std::tuple("other", "b.example", "/x/")})
+    {
+        route row;
+        row.m_name = name;
+        row.m_host = host;
+        row.m_path_prefix = prefix;
+        config.m_routes.push_back(row);
+    }
+    struct sample
+    {
+        std::string m_host;
+        std::string m_path;
+        std::string m_expected;
+    };
+    const auto each = GENERATE(values<sample>({
+        {"a.example", "/x/y/z", "deep"},
+        {"A.Example:8080", "/x/z?p=/x/y/", "shallow"},
+        {"a.example", "/x", "root"},
+        {"b.example", "/x/y/", "other"},
+        {"b.example", "/", "-"},
+        {"c.example", "/x/", "-"},
+    }));
+    INFO(each.m_host << each.m_path);
+    const auto* found = find_route(config, each.m_host, each.m_path);
+    CHECK((found == nullptr ? "-" : found->m_name) == each.m_expected);
+}
--- /dev/null
+++ b/test/platform/test_cluster_source.cpp
@@ -0,0 +1,155 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "platform/cluster_source.hpp"
+
+#include "support/fleet/loop.hpp"
+#include "support/fleet/platform_store.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+using namespace pepperturn;
+using namespace pepperturn::platform;
+using namespace pepperturn::test;
+
+std::string entry(const std::string& state, int sequence)
+{
+    return R"({"service":"a","address":"1.2.3.4:5","state":")" + state +
+           R"(","seq":)" + std::to_string(sequence) + "}";
+}
+
+/// A source that follows a stand-in store, and what it told last.
+struct followed
+{
+    followed() : m_store(m_io), m_source(m_io, m_time, m_store.address())
+    {
+        m_source.on_state(
+            [this](const cluster_state& state) { m_state = state; });
+    }
+
+    [[nodiscard]] std::string text_of(const std::string& runner) const
+    {
+        for (const auto& row : m_state.m_runners)
+        {
+            if (row.m_name == runner)
+                return row.m_text;
+        }
+        return {};
+    }
+    bool wait_for_runner(const std::string& runner, const std::string& text)
+    {
+        return run_until(m_io, [&] { return text_of(runner) == text; });
+    }
+    void settle(milliseconds span)
+    {
+        const auto end = std::chrono::steady_clock::now() + span;
+        run_until(m_io,
+                  [&] { return std::chrono::steady_clock::now() >= end; });
+    }
+
+    asio::io_context m_io;
+    system_clock m_time;
+    platform_store m_store;
+    cluster_source m_source;
+    cluster_state m_state;
+};
+
+} // namespace
+
+TEST_CASE("the store is read whole, then followed", "[cluster_source]")
+{
+    followed world;
+    for (int i = 0; i < 5; ++i)
+        world.m_store.put("servers/i-" + std::to_string(i), entry("ready", 1));
+    world.m_store.put("op/config", R"({"version":1})");
+    world.m_store.put("op/retire/vm-9", "{}");
+    world.m_source.start();
+    REQUIRE(world.wait_for_runner("i-4", entry("ready", 1)));
+    CHECK(world.m_state.m_runners.size() == 5);
+    CHECK(world.m_state.m_config == R"({"version":1})");
+    CHECK(world.m_source.retire_asked("vm-9"));
+    world.m_store.put("servers/i-5", entry("ready", 1));
+    CHECK(world.wait_for_runner("i-5", entry("ready", 1)));
+    world.m_store.put("op/config", R"({"version":2})");
+    CHECK(run_until(world.m_io, [&] {
+        return world.m_state.m_config == R"({"version":2})";
+    }));
+}
+
+TEST_CASE("a late write of a runner's entry does not count", "[cluster_source]")
+{
+    followed world;
+    world.m_store.put("servers/i-1", entry("ready", 4));
+    world.m_source.start();
+    REQUIRE(world.wait_for_runner("i-1", entry("ready", 4)));
+    world.m_store.put("servers/i-1", entry("draining", 5));
+    REQUIRE(world.wait_for_runner("i-1", entry("draining", 5)));
+    world.m_store.put("servers/i-1", entry("ready", 3));
+    world.m_store.put("servers/i-2", entry("ready", 1));
+    REQUIRE(world.wait_for_runner("i-2", entry("ready", 1)));
+    CHECK(world.text_of("i-1") == entry("draining", 5));
+}
+
+TEST_CASE("forgotten history is read anew", "[cluster_source]")
+{
+    followed world;
+    world.m_store.put("servers/i-1", entry("ready", 1));
+    world.m_source.start();
+    REQUIRE(world.wait_for_runner("i-1", entry("ready", 1)));
+    world.m_store.set_down(true);
+    world.m_store.put("servers/i-2", entry("ready", 1));
+    world.m_store.compact();
+    world.m_store.set_down(false);
+    CHECK(world.wait_for_runner("i-2", entry("ready", 1)));
+}
+
+TEST_CASE("an entry that lapsed in an outage has time to come back",
+          "[cluster_source]")
+{
+    followed world;
+    world.m_store.put("servers/i-1", entry("ready", 1));
+    world.m_source.start();
+    REQUIRE(world.wait_for_runner("i-1", entry("ready", 1)));
+    const bool served_others = GENERATE(false, true);
+    world.m_store.set_down(true);
+    world.settle(milliseconds(1500));
+    world.m_store.remove("servers/i-1");
+    if (served_others)
+        world.m_source.note_heard_elsewhere(world.m_time.now());
+    world.m_store.set_down(false);
+    const auto returned = world.m_time.now();
+    REQUIRE(world.wait_for_runner("i-1", ""));
+    const auto took = world.m_time.now() - returned;
+    // Others had the store all the while: the entry went on purpose.
+    if (served_others)
+        CHECK(took < milliseconds(2000));
+    else
+        CHECK(took > milliseconds(2000));
+    CHECK(took < milliseconds(4000));
+}
+
+TEST_CASE("a write whose answer is lost is found by the watch",
+          "[cluster_source]")
+{
+    followed world;
+    world.m_source.start();
+    REQUIRE(run_until(world.m_io, [&] { return world.m_source.synced(); }));
+    const cluster_view next{0,
+                            {{"a", "1.2.3.4:5", "z", 3, member_state::full}}};
+    world.m_store.lose_next_answer();
+    const auto lost = run_task(world.m_io, world.m_source.swap_view(next, 0));
+    REQUIRE(lost.has_value());
+    CHECK(lost->m_outcome == swap_outcome::failed);
+    REQUIRE(run_until(world.m_io,
+                      [&] { return !world.m_state.m_view.m_members.empty(); }));
+    CHECK(world.m_state.m_view.m_members == next.m_members);
+    const auto again = run_task(world.m_io, world.m_source.swap_view(next, 0));
+    REQUIRE(again.has_value());
+    CHECK(again->m_outcome == swap_outcome::conflict);
+    const auto newer =
+        run_task(world.m_io,
+                 world.m_source.swap_view(next, world.m_state.m_view.m_epoch));
+    REQUIRE(newer.has_value());
+    CHECK(newer->m_outcome == swap_outcome::written);
+    CHECK(newer->m_epoch > world.m_state.m_view.m_epoch);
+}
--- /dev/null
+++ b/test/platform/test_decode.cpp
@@ -0,0 +1,145 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "platform/decode.hpp"
+
+#include "pepperturn/config/fleet_settings.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+namespace {
+
+using namespace pepperturn;
+using namespace pepperturn::platform;
+
+} // namespace
+
+TEST_CASE("the operator's configuration", "[platform]")
+{
+    std::string reason;
+    const auto config = decode_config(
+        R"({"version":7,"routes":[
+            {"name":"r1","host":"h","path_prefix":"/p/","kind":"streaming",
+             "timeout_ms":5000,"target_latency_ms":200,"priority":1,
+             "traffic_split":[{"service":"a","weight":90},
+                              {"service":"b","weight":10}],
+             "max_attempts":2,"stateful":true,"retention_s":1.5},
+            {"name":"r2","host":"h","path_prefix":"/q/",
+             "kind":"idempotent","service":"a"},
+            {"name":"r3","host":"h","path_prefix":"/n/",
+             "kind":"something new","service":"a"}],
+            "services":[{"name":"a","health_path":"/health","max_conns":370,
+                         "engine":{"slots":64,"kv_capacity":211374,
+                                   "stride":3}}],
+            "limits":{"max_header_bytes":100,"max_body_bytes":200,
+                      "header_timeout_ms":300,"idle_timeout_ms":400}})",
+        reason);
+    REQUIRE(config.has_value());
+    CHECK(config->m_version == 7);
+    const auto& first = config->m_routes.at(0);
+    CHECK(first.m_kind == route_kind::stream);
+    CHECK(first.m_services.size() == 2);
+    CHECK(first.m_retention == milliseconds(1500));
+    CHECK(first.m_stateful);
+    CHECK(config->m_routes.at(1).m_kind == route_kind::idempotent);
+    CHECK_FALSE(config->m_routes.at(1).m_stateful);
+    // What is not known is not repeated.
+    CHECK(config->m_routes.at(2).m_kind == route_kind::unrepeatable);
+    CHECK(config->m_services.at("a").m_engine->m_tokens_per_event == 3);
+    CHECK(config->m_limits ==
+          caller_limits{100, 200, milliseconds(300), milliseconds(400)});
+}
+
+TEST_CASE("an unusable configuration is refused with a reason", "[platform]")
+{
+    const auto* text = GENERATE(
+        "", "{", "[]", "null", R"({"version":"x","routes":[],"services":[]})",
+        R"({"routes":[],"services":[]})", R"({"version":1,"services":[]})",
+        R"({"version":1,"routes":[{"host":1}],"services":[]})",
+        R"({"version":1,"routes":[{"host":"h","path_prefix":"/",
+            "kind":"streaming"}],"services":[]})",
+        R"({"version":1,"routes":{},"services":[{}]})");
+    std::string reason;
+    CHECK_FALSE(decode_config(text, reason).has_value());
+    CHECK_FALSE(reason.empty());
+}
+
+TEST_CASE("runner entries", "[platform]")
+{
+    std::string reason;
+    const auto ready = decode_runner(
+        "i-1",
+        R"({"service":"a","address":"1.2.3.4:5","zone":"z","slots":6,
+            "state":"ready","seq":4})",
+        reason);
+    REQUIRE(ready.has_value());
+    CHECK(*ready == runner_info{"i-1", "a", "1.2.3.4:5", "z", 6, false});
+    const auto leaving = decode_runner(
+        "i-1", R"({"service":"a","address":"1.2.3.4:5","state":"draining"})",
+        reason);
+    REQUIRE(leaving.has_value());
+    CHECK(leaving->m_draining);
+    CHECK(leaving->m_slots == 1);
+    CHECK_FALSE(decode_runner("i-1", R"({"service":"a"})", reason));
+    CHECK(runner_sequence(R"({"seq":12})") == 12);
+    CHECK(runner_sequence(R"({"seq":-1})") == 0);
+    CHECK(runner_sequence("nonsense") == 0);
+}
+
+TEST_CASE("views survive the store", "[platform]")
+{
+    const cluster_view view{
+        12,
+        {{"a", "1.2.3.4:5", "z", UINT64_MAX >> 1U, member_state::full},
+         {"b", "1.2.3.5:5", "y", 2, member_state::leaving}}};
+    std::string reason;
+    const auto back = decode_view(encode_view(view), 12, reason);
+    REQUIRE(back.has_value());
+    CHECK(*back == view);
+    CHECK_FALSE(decode_view("{}", 1, reason));
+    CHECK_FALSE(decode_view(R"({"members":[{"name":"a"}]})", 1, reason));
+}
+
+TEST_CASE("random texts are refused, not believed", "[platform][fuzz]")
+{
+    CHECK(rc::check("texts", [](const std::string& text) {
+        std::string reason;
+        (void)decode_config(text, reason);
+        (void)decode_runner("i", text, reason);
+        (void)decode_view(text, 1, reason);
+        (void)runner_sequence(text);
+    }));
+}
+
+TEST_CASE("settings of a fleet's process", "[settings]")
+{
+    const std::string good = "[vm]\nname=a\nhost=1.2.3.4\n"
+                             "[store]\naddress=1.2.3.5:6\n";
+    std::vector<std::string> errors;
+    const auto read = parse_fleet_settings(good, "test", errors);
+    REQUIRE(read.has_value());
+    CHECK(read->m_disk_losses == 1);
+    struct sample
+    {
+        std::string m_text;
+        std::string m_error;
+    };
+    const auto each = GENERATE_COPY(values<sample>({
+        {"", "[vm] name is missing"},
+        {good + "[vm2]\na=b\n", "unknown section [vm2]"},
+        {"[vm]\nname=a\nhost=h\nnmae=x\n[store]\naddress=s\n",
+         "[vm] nmae: unknown key"},
+        {good + "[listen]\nframes_port=70000\n", "from 1 to 65535"},
+        {good + "[storage]\ndisk_losses=many\n", "whole number"},
+        {"[vm]\nname=a\nhost=h\nbootstrap=perhaps\n[store]\naddress=s\n",
+         "expected true or false"},
+        {"nonsense\n", "test"},
+    }));
+    INFO(each.m_text);
+    CHECK_FALSE(parse_fleet_settings(each.m_text, "test", errors));
+    REQUIRE_FALSE(errors.empty());
+    std::string all;
+    for (const auto& error : errors)
+        all += error + '\n';
+    INFO(all);
+    CHECK(all.find(each.m_error) != std::string::npos);
+}
--- /dev/null
+++ b/test/support/fleet/loop.hpp
@@ -0,0 +1,48 @@
+// SPDX-License-Identifier: BSL-1.0
+/// \file
+/// Runs an Asio loop until something is true, with a limit so that a fault
+/// shows as a failed test and not as a hang.
+#pragma once
+
+#include "pepperturn/base/async.hpp"
+
+namespace pepperturn::test {
+
+/// \returns false if \p done was not true within \p limit
+inline bool run_until(asio::io_context& io, const std::function<bool()>& done,
+                      milliseconds limit = milliseconds(10000))
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (!done())
+    {
+        if (std::chrono::steady_clock::now() >= end)
+            return false;
+        io.restart();
+        io.run_one_for(milliseconds(20));
+    }
+    return true;
+}
+
+/// Runs \p work to its end; empty if it takes longer than \p limit.
+template <class T>
+std::optional<T> run_task(asio::io_context& io, task<T> work,
+                          milliseconds limit = milliseconds(10000))
+{
+    std::optional<T> out;
+    asio::co_spawn(io, std::move(work), [&](std::exception_ptr, T value) {
+        out = std::move(value);
+    });
+    run_until(
+        io, [&] { return out.has_value(); }, limit);
+    return out;
+}
+
+/// A port that the kernel had free a moment ago.
+inline std::uint16_t free_port(asio::io_context& io)
+{
+    tcp::acceptor probe(io,
+                        tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    return probe.local_endpoint().port();
+}
+
+} // namespace pepperturn::test
