--- a/src/fleet/storage_node.cpp
+++ b/src/fleet/storage_node.cpp
@@ -290,6 +290,7 @@
     spawn(m_io, "storage_node.stop", [](storage_node& self) -> task<> {
         co_await sleep_for(self.m_io, stop_linger);
         (void)co_await self.m_server->synced();
+        self.m_server->stop();
         LOG(INFO) << "event=stop_done";
         self.m_io.stop();
     }(*this));
--- /dev/null
+++ b/test/fleet/test_turns.cpp
@@ -0,0 +1,295 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/fleet/storage_node.hpp"
+#include "pepperturn/turns/turn_client.hpp"
+
+#include "platform/cluster_source.hpp"
+#include "support/fleet/loop.hpp"
+#include "support/fleet/platform_store.hpp"
+
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <unistd.h>
+
+namespace {
+
+using namespace pepperturn;
+using namespace pepperturn::test;
+
+constexpr std::uint32_t retention_ms = 60000;
+
+/// A storage VM with a disk that may outlive it.
+struct storage_vm
+{
+    storage_vm(asio::io_context& io, const pepperturn::clock& time,
+               const std::string& store, const std::string& name,
+               const std::string& folder, bool bootstrap)
+        : m_port(free_port(io)), m_source(io, time, store)
+    {
+        fleet_settings settings;
+        settings.m_name = name;
+        settings.m_host = "127.0.0.1";
+        settings.m_availability_zone = name;
+        settings.m_bootstrap = bootstrap;
+        settings.m_frames_port = m_port;
+        settings.m_data_folder = folder;
+        settings.m_store_address = store;
+        m_node = std::make_unique<storage_node>(io, time, settings, m_source);
+        std::string reason;
+        INFO(reason);
+        REQUIRE(m_node->start(reason));
+    }
+
+    std::uint16_t m_port;
+    platform::cluster_source m_source;
+    std::unique_ptr<storage_node> m_node;
+};
+
+/// Storage VMs, a store, and an edge VM's client.
+class world
+{
+public:
+    world()
+        : m_store(m_io), m_edge_source(m_io, m_time, m_store.address()),
+          m_links(m_io, m_time, "edge"),
+          m_client(m_io, m_time, m_links, "vm-0", 1)
+    {
+        std::string name =
+            std::filesystem::temp_directory_path() / "fleet-XXXXXX";
+        m_folder = mkdtemp(name.data());
+        m_edge_source.on_state([this](const cluster_state& news) {
+            if (merge_state(m_state, news).m_view)
+            {
+                m_links.follow(m_state);
+                m_client.follow(m_state.m_view);
+            }
+        });
+        m_edge_source.start();
+    }
+    ~world()
+    {
+        // Coroutines hold parts of each other: the loop's end frees them.
+        std::filesystem::remove_all(m_folder);
+    }
+    world(const world&) = delete;
+    world& operator=(const world&) = delete;
+
+    void add(const std::string& name, bool bootstrap = true)
+    {
+        m_vms[name] =
+            std::make_unique<storage_vm>(m_io, m_time, m_store.address(), name,
+                                         m_folder + '/' + name, bootstrap);
+    }
+    [[nodiscard]] std::string states() const
+    {
+        std::map<std::string, member_state> sorted;
+        for (const auto& row : m_state.m_view.m_members)
+            sorted[row.m_name] = row.m_state;
+        std::string out;
+        for (const auto& [name, state] : sorted)
+        {
+            out += name;
+            out += state == member_state::full      ? "F"
+                   : state == member_state::joining ? "J"
+                                                    : "L";
+        }
+        return out;
+    }
+    bool wait_for(const std::string& expected)
+    {
+        return run_until(m_io, [&] { return states() == expected; });
+    }
+    void start_three()
+    {
+        add("vm-0");
+        add("vm-1");
+        add("vm-2");
+        REQUIRE(wait_for("vm-0Fvm-1Fvm-2F"));
+        REQUIRE(run_until(m_io, [&] {
+            return m_links.connected("vm-0") && m_links.connected("vm-1") &&
+                   m_links.connected("vm-2");
+        }));
+    }
+
+    static begin_request request(const std::string& id,
+                                 const std::string& parent,
+                                 std::uint64_t budget = 1000)
+    {
+        return {key_of("program"), key_of(id), 50, budget,
+                retention_ms,      parent};
+    }
+    begin_result begin(const begin_request& what,
+                       milliseconds patience = milliseconds(1500))
+    {
+        auto result =
+            run_task(m_io, m_client.begin(what, m_time.now() + patience));
+        REQUIRE(result.has_value());
+        return *result;
+    }
+    bool keep(const std::string& id, const std::string& parent)
+    {
+        const log_entry entry{retention_ms,
+                              turn_record{id, parent, "in-" + id + ';',
+                                          "out-" + id + ';', "run",
+                                          key_of("program"), key_of(id), 30}};
+        const auto kept = run_task(
+            m_io, m_client.keep(entry, m_time.now() + milliseconds(1500)));
+        return kept.value_or(false);
+    }
+    static std::string text_of(const begin_result& result)
+    {
+        std::string out;
+        for (const auto& turn : result.m_chain)
+            out += turn.m_input + turn.m_output;
+        return out;
+    }
+
+    asio::io_context m_io{1};
+    system_clock m_time;
+    platform_store m_store;
+    platform::cluster_source m_edge_source;
+    member_links m_links;
+    turn_client m_client;
+    cluster_state m_state;
+    std::string m_folder;
+    std::map<std::string, std::unique_ptr<storage_vm>> m_vms;
+};
+
+} // namespace
+
+TEST_CASE("three VMs that start at once all become full", "[fleet]")
+{
+    // Two that joined together once waited for each other for ever.
+    world fleet;
+    fleet.start_three();
+}
+
+TEST_CASE("a turn goes on from what was kept", "[fleet]")
+{
+    world fleet;
+    fleet.start_three();
+    CHECK(fleet.begin(world::request("a", "")).m_outcome ==
+          begin_outcome::granted);
+    REQUIRE(fleet.keep("a", ""));
+    REQUIRE(fleet.keep("b", "a"));
+    const auto result = fleet.begin(world::request("c", "b"));
+    CHECK(result.m_outcome == begin_outcome::granted);
+    CHECK(world::text_of(result) == "in-a;out-a;in-b;out-b;");
+    CHECK(fleet.begin(world::request("d", "nobody")).m_outcome ==
+          begin_outcome::no_such_turn);
+}
+
+TEST_CASE("budgets hold over all storage VMs", "[fleet]")
+{
+    world fleet;
+    fleet.start_three();
+    // Each holds 50 until it is settled.
+    CHECK(fleet.begin(world::request("a", "", 120)).m_outcome ==
+          begin_outcome::granted);
+    CHECK(fleet.begin(world::request("b", "", 120)).m_outcome ==
+          begin_outcome::granted);
+    const auto third = world::request("c", "", 120);
+    CHECK(fleet.begin(third).m_outcome == begin_outcome::over_budget);
+    fleet.m_client.settle(third, 0);
+    fleet.m_client.settle(world::request("b", ""), 10);
+    CHECK(fleet.begin(world::request("d", "", 120)).m_outcome ==
+          begin_outcome::granted);
+}
+
+TEST_CASE("one storage VM away: served, but not certain of absence", "[fleet]")
+{
+    world fleet;
+    fleet.start_three();
+    REQUIRE(fleet.keep("a", ""));
+    // Its listener is gone, its disk is not.
+    fleet.m_vms["vm-0"]->m_node->stop();
+    fleet.m_vms["vm-0"]->m_source.pause();
+    REQUIRE(run_until(fleet.m_io,
+                      [&] { return !fleet.m_links.connected("vm-0"); }));
+    fleet.m_io.restart();
+    const auto result = fleet.begin(world::request("b", "a"));
+    CHECK(result.m_outcome == begin_outcome::granted);
+    CHECK(world::text_of(result) == "in-a;out-a;");
+    CHECK(fleet.keep("b", "a"));
+    CHECK(fleet.begin(world::request("c", "nobody"), milliseconds(400))
+              .m_outcome == begin_outcome::unavailable);
+}
+
+TEST_CASE("a chain whose parts lie on different VMs is put together", "[fleet]")
+{
+    // The nearest VM lacks a part in the middle, which is fetched from
+    // another; that once freed memory twice.
+    world fleet;
+    fleet.add("vm-0");
+    fleet.add("vm-1");
+    REQUIRE(fleet.wait_for("vm-0Fvm-1F"));
+    REQUIRE(run_until(fleet.m_io, [&] {
+        return fleet.m_links.connected("vm-0") &&
+               fleet.m_links.connected("vm-1");
+    }));
+    const std::string long_id(60, 'x');
+    REQUIRE(fleet.keep(long_id, ""));
+    fleet.add("vm-2");
+    REQUIRE(fleet.wait_for("vm-0Fvm-1Fvm-2F"));
+    REQUIRE(
+        run_until(fleet.m_io, [&] { return fleet.m_links.connected("vm-2"); }));
+    const log_entry middle{retention_ms,
+                           turn_record{std::string(60, 'y'), long_id, "in-y;",
+                                       "out-y;", "run", key_of("program"),
+                                       key_of("y"), 30}};
+    // Only vm-1 and vm-2 get the middle one.
+    for (const char* name : {"vm-1", "vm-2"})
+    {
+        bool done = false;
+        fleet.m_links.call(name, append_message{middle},
+                           [&](const std::optional<frame>&) { done = true; });
+        REQUIRE(run_until(fleet.m_io, [&] { return done; }));
+    }
+    REQUIRE(fleet.keep("z", std::string(60, 'y')));
+    const auto result = fleet.begin(world::request("next", "z"));
+    CHECK(result.m_outcome == begin_outcome::granted);
+    CHECK(world::text_of(result) ==
+          "in-" + long_id + ";out-" + long_id + ";in-y;out-y;in-z;out-z;");
+}
+
+TEST_CASE("a VM that is to be emptied hands everything over first", "[fleet]")
+{
+    world fleet;
+    fleet.start_three();
+    REQUIRE(fleet.keep("a", ""));
+    REQUIRE(fleet.keep("b", "a"));
+    fleet.m_store.put("op/retire/vm-1", R"({"duration_s":10})");
+    REQUIRE(run_until(fleet.m_io, [&] {
+        return fleet.m_store.value_of("status/retire/vm-1").find("completed") !=
+               std::string::npos;
+    }));
+    REQUIRE(fleet.wait_for("vm-0Fvm-2F"));
+    const auto result = fleet.begin(world::request("c", "b"));
+    CHECK(result.m_outcome == begin_outcome::granted);
+    CHECK(world::text_of(result) == "in-a;out-a;in-b;out-b;");
+}
+
+TEST_CASE("an added VM copies what was kept before it came", "[fleet]")
+{
+    world fleet;
+    fleet.start_three();
+    for (int i = 0; i < 40; ++i)
+        REQUIRE(fleet.keep("t" + std::to_string(i),
+                           i == 0 ? "" : "t" + std::to_string(i - 1)));
+    fleet.add("vm-3", false);
+    REQUIRE(fleet.wait_for("vm-0Fvm-1Fvm-2Fvm-3F"));
+    REQUIRE(
+        run_until(fleet.m_io, [&] { return fleet.m_links.connected("vm-3"); }));
+    bool done = false;
+    std::size_t turns = 0;
+    fleet.m_links.call(
+        "vm-3", fetch_message{"t39"}, [&](const std::optional<frame>& answer) {
+            done = true;
+            if (!answer)
+                return;
+            if (const auto* fetched =
+                    std::get_if<fetched_message>(&answer->m_body))
+                turns = fetched->m_chain.size();
+        });
+    REQUIRE(run_until(fleet.m_io, [&] { return done; }));
+    CHECK(turns == 40);
+}
