--- a/src/cluster/view.cpp
+++ b/src/cluster/view.cpp
@@ -25,13 +25,15 @@
     return std::max(disk_losses + 1, voters / 2 + 1);
 }
 
-/// Any so many members share one with every set that acknowledged a write.
-std::uint32_t read_quorum(std::uint32_t voters, std::uint32_t disk_losses)
+/// Any so many full members share one with every set that acknowledged a
+/// write.
+std::uint32_t read_quorum(std::uint32_t voters, std::uint32_t full,
+                          std::uint32_t disk_losses)
 {
     const auto write = write_quorum(voters, disk_losses);
-    // With fewer voters than copies, no write can be acknowledged, and
-    // every member is asked.
-    return write > voters ? std::max(voters, 1U) : voters - write + 1;
+    // With fewer voters than copies no write is acknowledged, and whoever
+    // joins copies from every full member.
+    return write > voters ? std::max(full, 1U) : voters - write + 1;
 }
 
 } // namespace
@@ -51,8 +53,9 @@
     out.m_write = write_quorum(voters, disk_losses);
     // A leaving member may hold what was written while it counted, and what
     // it holds is not copied everywhere yet.
-    out.m_read = std::max(read_quorum(voters, disk_losses),
-                          read_quorum(all, disk_losses));
+    const auto full = count_in(view, member_state::full);
+    out.m_read = std::max(read_quorum(voters, full, disk_losses),
+                          read_quorum(all, full, disk_losses));
     return out;
 }
 
--- a/test/cluster/test_view.cpp
+++ b/test/cluster/test_view.cpp
@@ -83,6 +83,10 @@
         {{full, full, full, full, full}, 2, {3, 3}},
         {{full, full, full}, 2, {3, 1}},
         {{full}, 0, {1, 1}},
+        // Too few voters for a write: the joining one does not count as a
+        // source of copies.
+        {{full, joining}, 2, {3, 1}},
+        {{full, full, joining}, 2, {3, 1}},
     }));
     CHECK(quorums_of(view_of(sample_.m_states), sample_.m_losses) ==
           sample_.m_expected);
