A quorum of storage VMs is asked first, the others only when it is late

Change: the nearest members that make a quorum first, all after 25 ms or when a parent is not found; plain calls prefer runners to which a kept connection is idle.

--- a/include/pepperturn/forward/runner_table.hpp
+++ b/include/pepperturn/forward/runner_table.hpp
@@ -5,6 +5,7 @@
 
 #include "pepperturn/forward/routing_config.hpp"
 
+#include <functional>
 #include <set>
 
 namespace pepperturn {
@@ -33,6 +34,8 @@
     std::set<std::string> m_excluded;
     /// Draws among equals.
     std::uint64_t m_draw = 0;
+    /// Whether a kept connection to a runner is idle; empty: never.
+    std::function<bool(const std::string&)> m_connected = {};
 };
 
 class runner_table
--- a/include/pepperturn/forward/upstream_pool.hpp
+++ b/include/pepperturn/forward/upstream_pool.hpp
@@ -36,6 +36,10 @@
     /// A kept connection that is still good; null: there is none.
     [[nodiscard]] std::shared_ptr<upstream_connection>
     take(const std::string& runner);
+    [[nodiscard]] bool has_idle(const std::string& runner) const
+    {
+        return m_idle.contains(runner);
+    }
     /// A new one; null with \p reason set if it does not come up in time.
     [[nodiscard]] task<std::shared_ptr<upstream_connection>>
     connect(std::string address, milliseconds patience, std::string& reason);
--- a/include/pepperturn/turns/turn_client.hpp
+++ b/include/pepperturn/turns/turn_client.hpp
@@ -56,6 +56,7 @@
     [[nodiscard]] task<begin_result> begin(begin_request request,
                                            instant until);
     /// True once enough disks hold the entry.
+    /// \param entry a turn
     [[nodiscard]] task<bool> keep(log_entry entry, instant until);
     /// Tells what an attempt has had in the end; not waited for. If it is
     /// lost, the program is charged the whole reservation.
@@ -69,6 +70,9 @@
     [[nodiscard]] bool read_enough(const round& work) const;
     [[nodiscard]] bool all_lack_parent(const round& work) const;
     [[nodiscard]] std::string nearest_member() const;
+    /// A quorum of members, the nearest first.
+    [[nodiscard]] std::vector<std::string>
+    first_members(std::uint64_t draw) const;
     task<bool> complete_chain(std::shared_ptr<round> work, std::string parent,
                               std::vector<turn_record>& chain, instant until);
     task<std::optional<frame>> ask(std::string name, frame_body body,
--- a/src/forward/proxy.cpp
+++ b/src/forward/proxy.cpp
@@ -359,6 +359,9 @@
     choice.m_service = pick_service(*work);
     choice.m_preferred = work->m_preferred;
     choice.m_availability_zone = m_availability_zone;
+    choice.m_connected = [this](const std::string& id) {
+        return m_pool.has_idle(id);
+    };
     const auto found = work->m_config->m_services.find(choice.m_service);
     const bool engine = found != work->m_config->m_services.end() &&
                         found->second.m_engine.has_value();
--- a/src/forward/runner_table.cpp
+++ b/src/forward/runner_table.cpp
@@ -17,6 +17,9 @@
 /// How much busier the runner with the cached prefix may be. Reading the
 /// prefix anew costs more than a few neighbours in the batch do.
 constexpr double preferred_load = 0.35;
+/// Worth of a kept connection, as load: less than one request in a slot of
+/// a few, more than chance, so that each VM stays with some of the runners.
+constexpr double open_connection_load = 0.08;
 /// A runner twice as slow as the quickest counts as this much loaded.
 constexpr double slow_load = 0.2;
 constexpr milliseconds first_avoidance{300};
@@ -77,6 +80,8 @@
         double cost = static_cast<double>(row.m_in_flight) / row.m_info.m_slots;
         if (row.m_info.m_availability_zone != choice.m_availability_zone)
             cost += other_zone_load;
+        if (choice.m_connected && choice.m_connected(id))
+            cost -= open_connection_load;
         if (id == choice.m_preferred)
             cost -= preferred_load + other_zone_load;
         if (quickest > 0 && row.m_latency_ms > quickest)
--- a/src/forward/upstream_pool.cpp
+++ b/src/forward/upstream_pool.cpp
@@ -30,15 +30,16 @@
 std::shared_ptr<upstream_connection>
 upstream_pool::take(const std::string& runner)
 {
-    const auto found = m_idle.find(runner);
-    if (found == m_idle.end())
-        return nullptr;
-    auto& idle = found->second;
-    while (!idle.empty())
+    while (true)
     {
+        const auto found = m_idle.find(runner);
+        if (found == m_idle.end())
+            return nullptr;
         // The one used last is the least likely to be closed meanwhile.
-        auto connection = std::move(idle.back());
-        idle.pop_back();
+        auto connection = std::move(found->second.back());
+        found->second.pop_back();
+        if (found->second.empty())
+            m_idle.erase(found);
         connection->m_idle = false;
         auto& socket = connection->m_stream.socket();
         error_code ignored;
@@ -50,7 +51,6 @@
         }
         connection->m_stream.close();
     }
-    return nullptr;
 }
 
 task<std::shared_ptr<upstream_connection>>
--- a/src/turns/turn_client.cpp
+++ b/src/turns/turn_client.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "pepperturn/turns/turn_client.hpp"
 
+#include "pepperturn/base/hash.hpp"
+
 #include <algorithm>
 #include <glog/logging.h>
 
@@ -12,6 +14,9 @@
 constexpr milliseconds retry_interval{60};
 /// How long the nearest member may be later with a chain than the quorum.
 constexpr milliseconds chain_patience{30};
+/// Members beyond a quorum are asked only if it has not answered by then:
+/// several times what it usually takes.
+constexpr milliseconds quorum_patience{25};
 /// A member that has missed two beats is not heard.
 constexpr milliseconds heard_within{1200};
 
@@ -38,6 +43,10 @@
     frame_body m_body;
     /// The one member that is asked for the chain as well.
     std::string m_chain_from;
+    /// Spreads the members that are asked first.
+    std::uint64_t m_draw = 0;
+    /// From then on every member is asked.
+    instant m_ask_all_at{};
     std::uint64_t m_epoch = 0;
     std::map<std::string, row> m_rows;
     async_event m_changed;
@@ -82,6 +91,37 @@
                        });
 }
 
+std::vector<std::string> turn_client::first_members(std::uint64_t draw) const
+{
+    struct candidate
+    {
+        bool m_joining = false;
+        bool m_far = false;
+        std::uint64_t m_draw = 0;
+        std::string m_name;
+
+        auto operator<=>(const candidate&) const = default;
+    };
+    std::vector<candidate> candidates;
+    const auto now = m_time.now();
+    for (const auto& row : m_view.m_members)
+    {
+        if (takes_writes(row) && m_links.connected(row.m_name) &&
+            now - m_links.last_heard(row.m_name) < heard_within)
+            candidates.push_back(
+                {row.m_state == member_state::joining,
+                 row.m_availability_zone != m_availability_zone,
+                 hash64(row.m_name, draw), row.m_name});
+    }
+    std::sort(candidates.begin(), candidates.end());
+    const std::size_t enough = std::max(m_quorums.m_write, m_quorums.m_read);
+    candidates.resize(std::min(candidates.size(), enough));
+    std::vector<std::string> out;
+    for (auto& row : candidates)
+        out.push_back(std::move(row.m_name));
+    return out;
+}
+
 std::string turn_client::nearest_member() const
 {
     std::string best;
@@ -106,10 +146,15 @@
         work->m_rows.clear();
         work->m_chain_from = nearest_member();
     }
+    const bool ask_all = m_time.now() >= work->m_ask_all_at;
+    const auto first =
+        ask_all ? std::vector<std::string>{} : first_members(work->m_draw);
     for (const auto& target : m_view.m_members)
     {
         auto& row = work->m_rows[target.m_name];
-        if (!takes_writes(target) || row.m_pending || row.m_answer ||
+        const bool wanted = ask_all || std::find(first.begin(), first.end(),
+                                                 target.m_name) != first.end();
+        if (!wanted || !takes_writes(target) || row.m_pending || row.m_answer ||
             !m_links.connected(target.m_name))
             continue;
         row.m_pending = true;
@@ -243,6 +288,8 @@
     question.m_retention_ms = request.m_retention_ms;
     question.m_parent = request.m_parent;
     const auto work = std::make_shared<round>(m_io, question);
+    work->m_draw = request.m_attempt.m_low;
+    work->m_ask_all_at = m_time.now() + quorum_patience;
     begin_result result;
     const bool has_parent = !request.m_parent.empty();
     std::optional<instant> quorum_at;
@@ -266,6 +313,12 @@
                 break;
             if (all_lack_parent(*work))
                 break;
+            // Only every member together knows that a turn is not there.
+            if (!parent_found && m_time.now() < work->m_ask_all_at)
+            {
+                work->m_ask_all_at = m_time.now();
+                continue;
+            }
         }
         const auto wake =
             quorum_at && m_time.now() < *quorum_at + chain_patience
@@ -305,15 +358,20 @@
 
 task<bool> turn_client::keep(log_entry entry, instant until)
 {
+    const auto id = std::get<turn_record>(entry.m_what).m_attempt.m_low;
     const auto work =
         std::make_shared<round>(m_io, append_message{std::move(entry)});
+    work->m_draw = id;
+    work->m_ask_all_at = m_time.now() + quorum_patience;
     while (m_time.now() < until)
     {
         send_round(work);
         if (wrote_enough(*work))
             break;
-        co_await work->m_changed.wait_until(
-            std::min(until, m_time.now() + retry_interval));
+        const auto wake = m_time.now() < work->m_ask_all_at
+                              ? work->m_ask_all_at
+                              : m_time.now() + retry_interval;
+        co_await work->m_changed.wait_until(std::min(until, wake));
     }
     const bool kept = wrote_enough(*work);
     work->m_closed = true;
