--- a/src/forward/proxy.cpp
+++ b/src/forward/proxy.cpp
@@ -424,11 +424,21 @@
         std::optional<std::uint32_t> urgency;
         if (engine)
             urgency = std::min(first_urgency + route.m_priority, last_urgency);
-        const attempt_request attempt{
-            work->m_request,     body,
-            work->m_fields.m_id, route.m_kind == route_kind::stream,
-            work->m_deadline,    urgency};
         const auto sent_at = m_time.now();
+        const bool again = route.m_kind == route_kind::idempotent &&
+                           may_have_run + 1 < route.m_max_attempts;
+        std::optional<instant> give_up_at;
+        if (again)
+            give_up_at =
+                std::min(work->m_deadline,
+                         sent_at + patience_factor * route.m_target_latency);
+        const attempt_request attempt{work->m_request,
+                                      body,
+                                      work->m_fields.m_id,
+                                      route.m_kind == route_kind::stream,
+                                      work->m_deadline,
+                                      give_up_at,
+                                      urgency};
         auto result =
             co_await run_attempt(m_io, m_time, m_pool, m_runners, m_names,
                                  runner, attempt, sink, work->m_aborter);
