Proxy tests over sockets; a slow head is answered 408 instead of being cut

Cause: the new test of a slow head failed: Beast's own expiry closes the socket, so the answer that says why could not be written. Change: a timer of the connection ends the read and leaves the socket open.

--- a/include/pepperturn/forward/caller_connection.hpp
+++ b/include/pepperturn/forward/caller_connection.hpp
@@ -29,8 +29,7 @@
 class caller_connection : public std::enable_shared_from_this<caller_connection>
 {
 public:
-    caller_connection(asio::io_context& io, const clock& time,
-                      tcp::socket socket);
+    caller_connection(asio::io_context& io, tcp::socket socket);
 
     [[nodiscard]] task<read_result> read_request(caller_limits limits);
 
@@ -58,8 +57,12 @@
 private:
     task<bool> write_all(std::string text);
 
-    const clock& m_time;
+    /// Ends a read under way after \p span, and notes that it did.
+    void limit_read(milliseconds span);
+
     boost::beast::tcp_stream m_stream;
+    asio::steady_timer m_read_timer;
+    bool m_read_late = false;
     boost::beast::flat_buffer m_buffer;
     bool m_idle = true;
     std::uint64_t m_watch = 0;
--- a/src/forward/caller_connection.cpp
+++ b/src/forward/caller_connection.cpp
@@ -17,6 +17,8 @@
 /// says.
 constexpr milliseconds write_patience{10000};
 constexpr milliseconds caller_silence{3000};
+/// A body of the largest size passes in this time on a slow link.
+constexpr milliseconds body_patience{10000};
 constexpr std::string_view head_end = "\r\n\r\n";
 
 std::string_view view_of(const boost::beast::flat_buffer& buffer)
@@ -69,11 +71,9 @@
     return out;
 }
 
-caller_connection::caller_connection(asio::io_context& io, const clock& time,
-                                     tcp::socket socket)
-    : m_time(time), m_stream(std::move(socket))
+caller_connection::caller_connection(asio::io_context& io, tcp::socket socket)
+    : m_stream(std::move(socket)), m_read_timer(io)
 {
-    (void)io;
     tune_socket(m_stream.socket(), caller_silence);
 }
 
@@ -82,8 +82,9 @@
     m_idle = m_buffer.size() == 0;
     std::size_t searched = 0;
     std::size_t head_bytes = 0;
-    m_stream.expires_after(m_idle ? limits.m_idle_timeout
-                                  : limits.m_header_timeout);
+    // Not the stream's own expiry, which closes the socket: a slow caller is
+    // told why.
+    limit_read(m_idle ? limits.m_idle_timeout : limits.m_header_timeout);
     while (true)
     {
         const auto text = view_of(m_buffer);
@@ -101,14 +102,15 @@
         error_code ec;
         const auto count = co_await m_stream.async_read_some(
             m_buffer.prepare(read_bytes), into(ec));
-        if (ec == boost::beast::error::timeout && !m_idle)
+        if (ec && m_read_late && !m_idle)
             co_return refusal(408, "head took too long");
         if (ec)
             co_return read_result{};
         m_buffer.commit(count);
         if (std::exchange(m_idle, false))
-            m_stream.expires_after(limits.m_header_timeout);
+            limit_read(limits.m_header_timeout);
     }
+    limit_read(body_patience);
     if (head_bytes > limits.m_max_header_bytes)
         co_return refusal(431, "head is too long");
     if (const auto* fault =
@@ -119,7 +121,6 @@
     parser.header_limit(static_cast<std::uint32_t>(limits.m_max_header_bytes));
     parser.body_limit(limits.m_max_body_bytes);
     error_code ec;
-    m_stream.expires_after(write_patience);
     co_await http::async_read_header(m_stream, m_buffer, parser, into(ec));
     if (ec)
         co_return refusal(ec == http::error::body_limit ? 413 : 400,
@@ -130,7 +131,7 @@
     co_await http::async_read(m_stream, m_buffer, parser, into(ec));
     if (ec == http::error::body_limit)
         co_return refusal(413, "body is too long");
-    if (ec == boost::beast::error::timeout)
+    if (ec && m_read_late)
         co_return refusal(408, "body took too long");
     if (ec &&
         ec.category() ==
@@ -139,13 +140,27 @@
         co_return refusal(400, ec.message());
     if (ec)
         co_return read_result{};
-    m_stream.expires_never();
+    m_read_timer.cancel();
     read_result out;
     out.m_outcome = read_outcome::request;
     out.m_request = parser.release();
     co_return out;
 }
 
+void caller_connection::limit_read(milliseconds span)
+{
+    m_read_late = false;
+    m_read_timer.expires_after(span);
+    m_read_timer.async_wait([weak = weak_from_this()](error_code ec) {
+        const auto self = weak.lock();
+        if (ec || !self)
+            return;
+        self->m_read_late = true;
+        error_code ignored;
+        self->m_stream.socket().cancel(ignored);
+    });
+}
+
 task<bool> caller_connection::write_all(std::string text)
 {
     error_code ec;
--- a/src/forward/proxy.cpp
+++ b/src/forward/proxy.cpp
@@ -129,8 +129,8 @@
             co_await sleep_for(m_io, drain_retry);
             continue;
         }
-        auto caller = std::make_shared<caller_connection>(m_io, m_time,
-                                                          std::move(socket));
+        auto caller =
+            std::make_shared<caller_connection>(m_io, std::move(socket));
         m_callers.insert(caller);
         spawn(m_io, "proxy.serve", serve(caller));
     }
--- /dev/null
+++ b/test/support/fleet/runner.cpp
@@ -0,0 +1,159 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "support/fleet/runner.hpp"
+
+#include <array>
+#include <boost/asio/write.hpp>
+
+namespace pepperturn::test {
+
+namespace {
+
+constexpr std::string_view head_end = "\r\n\r\n";
+
+std::string line_value(const std::string& head, const std::string& name)
+{
+    const auto at = head.find("\r\n" + name + ": ");
+    if (at == std::string::npos)
+        return {};
+    const auto begin = at + name.size() + 4;
+    return head.substr(begin, head.find("\r\n", begin) - begin);
+}
+
+std::string with_id(std::string bytes, const std::string& id)
+{
+    const auto at = bytes.find("ID");
+    if (at != std::string::npos)
+        bytes.replace(at, 2, id);
+    return bytes;
+}
+
+} // namespace
+
+std::string whole_answer(unsigned status, const std::string& body,
+                         const std::string& more_lines)
+{
+    return "HTTP/1.1 " + std::to_string(status) +
+           " X\r\nPepperturn-Call: ID\r\nPepperturn-Signature: s\r\n" +
+           more_lines + "Content-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+}
+
+std::string event_answer(const std::vector<std::string>& events, bool ended)
+{
+    std::string out = "HTTP/1.1 200 OK\r\nPepperturn-Call: ID\r\n"
+                      "Pepperturn-Signature: s\r\n"
+                      "Content-Type: text/event-stream\r\n"
+                      "Transfer-Encoding: chunked\r\n\r\n";
+    int number = 0;
+    for (const auto& data : events)
+    {
+        const auto event =
+            "id: " + std::to_string(++number) + "\ndata: " + data + "\n\n";
+        std::array<char, 16> size{};
+        std::snprintf(size.data(), size.size(), "%zx\r\n", event.size());
+        out += size.data() + event + "\r\n";
+    }
+    if (ended)
+        out += "0\r\n\r\n";
+    return out;
+}
+
+scripted_runner::scripted_runner(asio::io_context& io)
+    : m_io(io),
+      m_acceptor(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+{
+    spawn(m_io, "scripted_runner.accept", accept());
+}
+
+std::string scripted_runner::address() const
+{
+    return to_text(m_acceptor.local_endpoint());
+}
+
+void scripted_runner::script(std::vector<runner_step> steps)
+{
+    m_steps = std::move(steps);
+    m_next = 0;
+}
+
+task<> scripted_runner::accept()
+{
+    while (true)
+    {
+        error_code ec;
+        auto socket = co_await m_acceptor.async_accept(into(ec));
+        if (ec)
+            co_return;
+        ++m_connections;
+        spawn(m_io, "scripted_runner.serve",
+              serve(std::make_shared<tcp::socket>(std::move(socket))));
+    }
+}
+
+task<> scripted_runner::serve(std::shared_ptr<tcp::socket> socket)
+{
+    std::string buffer;
+    std::array<char, 4096> chunk;
+    while (true)
+    {
+        error_code ec;
+        std::size_t head_bytes = std::string::npos;
+        std::size_t body_bytes = 0;
+        const auto step = [&]() -> const runner_step& {
+            return m_steps.at(std::min(m_next, m_steps.size() - 1));
+        };
+        while (true)
+        {
+            head_bytes = buffer.find(head_end);
+            if (head_bytes != std::string::npos)
+            {
+                const auto length = line_value(buffer.substr(0, head_bytes + 2),
+                                               "Content-Length");
+                body_bytes = length.empty() ? 0 : std::stoul(length);
+                const auto whole = head_bytes + head_end.size() + body_bytes;
+                if (!step().m_read_all || buffer.size() >= whole)
+                    break;
+            }
+            const auto count =
+                co_await socket->async_read_some(asio::buffer(chunk), into(ec));
+            if (ec)
+            {
+                ++m_closed;
+                co_return;
+            }
+            buffer.append(chunk.data(), count);
+        }
+        const runner_step now = step();
+        ++m_next;
+        const auto whole =
+            std::min(buffer.size(), head_bytes + head_end.size() + body_bytes);
+        const auto id =
+            line_value(buffer.substr(0, head_bytes + 2), "Pepperturn-Call");
+        m_requests.push_back(buffer.substr(0, whole));
+        buffer.erase(0, whole);
+        if (now.m_delay > milliseconds(0))
+            co_await sleep_for(m_io, now.m_delay);
+        const auto bytes = with_id(now.m_bytes, id);
+        co_await asio::async_write(*socket, asio::buffer(bytes), into(ec));
+        if (now.m_after == runner_step::after::close)
+        {
+            socket->close(ec);
+            co_return;
+        }
+        if (now.m_after == runner_step::after::reset)
+        {
+            socket->set_option(asio::socket_base::linger(true, 0), ec);
+            socket->close(ec);
+            co_return;
+        }
+        if (!now.m_surplus.empty())
+        {
+            co_await sleep_for(m_io, milliseconds(20));
+            const auto surplus = with_id(now.m_surplus, id);
+            co_await asio::async_write(*socket, asio::buffer(surplus),
+                                       into(ec));
+        }
+    }
+}
+
+} // namespace pepperturn::test
