Storage VMs are the seeds and remember what they knew of the world

Change: storage VMs keep the last state on their disk, a view before acting under it; they are the seeds of the settings, and an edge VM asks the store itself only when it has heard nothing through them for 0.7 s after its start.

--- a/include/pepperturn/cluster/member_links.hpp
+++ b/include/pepperturn/cluster/member_links.hpp
@@ -24,6 +24,8 @@
     /// Called for each state that a storage VM tells.
     void on_state(std::function<void(const cluster_state&)> handler);
 
+    /// Connects to \p addresses until a view is known.
+    void seek(const std::vector<std::string>& addresses);
     /// Connects to the members of \p state's view and lets go of others.
     void follow(const cluster_state& state);
     void stop();
@@ -52,6 +54,7 @@
         bool m_dropped = false;
     };
 
+    void add_row(const std::string& name, const std::string& address);
     task<> keep_connected(std::string name, std::shared_ptr<link_row> row);
     void take_frame(link_row& row, frame value);
     void end_calls(link_row& row);
--- a/include/pepperturn/config/fleet_settings.hpp
+++ b/include/pepperturn/config/fleet_settings.hpp
@@ -18,8 +18,10 @@
     std::string m_callers_address;
     /// IP:PORT for the readiness question; edge VMs only.
     std::string m_ready_address;
-    /// Port for frames; storage VMs listen there.
-    std::uint32_t m_frames_port = 0;
+    /// IP:PORT for frames; storage VMs only.
+    std::string m_frames_address;
+    /// Frame addresses of some storage VMs, by commas; they may be stale.
+    std::vector<std::string> m_seeds;
     /// Where turns are kept; storage VMs only.
     std::string m_data_folder;
     /// Disks that may be lost at once without losing anything.
--- a/include/pepperturn/fleet/edge_node.hpp
+++ b/include/pepperturn/fleet/edge_node.hpp
@@ -41,6 +41,7 @@
     cluster_state m_state;
     bool m_stopping = false;
     bool m_own_source = false;
+    instant m_started{};
 };
 
 } // namespace pepperturn
--- a/include/pepperturn/turns/turn_log.hpp
+++ b/include/pepperturn/turns/turn_log.hpp
@@ -57,6 +57,13 @@
     /// Gives the disk a new identity, after its content proved damaged.
     [[nodiscard]] bool set_identity(std::uint64_t value, std::string& reason);
 
+    /// Replaces the file \p name in the folder, synced. Blocks.
+    [[nodiscard]] bool write_file(const std::string& name,
+                                  const std::string& bytes,
+                                  std::string& reason);
+    /// Empty: it is not there or cannot be read.
+    [[nodiscard]] std::string read_file(const std::string& name) const;
+
     /// Reads every whole entry in order and cuts a torn tail off.
     /// \param damaged set if entries before the tail cannot be read
     [[nodiscard]] bool
--- a/include/pepperturn/turns/turn_server.hpp
+++ b/include/pepperturn/turns/turn_server.hpp
@@ -23,6 +23,12 @@
     [[nodiscard]] bool listen(const tcp::endpoint& at, std::string& reason);
     void stop();
 
+    /// Takes up what was known when the process last ran.
+    void load_state();
+    /// Writes what is known to the disk if it has changed, on the writer's
+    /// thread.
+    void save_state();
+
     /// Merges what is newer and passes it on; \p on_change comes after each.
     void take_state(const cluster_state& news);
     void on_change(std::function<void(const state_change&)> handler);
@@ -92,6 +98,7 @@
     std::vector<std::function<void(bool)>> m_queued_waits;
     std::vector<std::function<void(bool)>> m_written_waits;
     bool m_writing = false;
+    bool m_state_saved = true;
     bool m_disk_good = true;
     std::map<std::string, std::uint64_t> m_copied_at;
     /// Where the log ended when the current view was taken.
--- a/src/cluster/member_links.cpp
+++ b/src/cluster/member_links.cpp
@@ -26,34 +26,41 @@
     m_on_state = std::move(handler);
 }
 
+void member_links::add_row(const std::string& name, const std::string& address)
+{
+    auto fresh = std::make_shared<link_row>();
+    fresh->m_address = address;
+    m_rows[name] = fresh;
+    spawn(m_io, "member_links.connect", keep_connected(name, fresh));
+}
+
+void member_links::seek(const std::vector<std::string>& addresses)
+{
+    if (!m_state.m_view.m_members.empty())
+        return;
+    for (const auto& address : addresses)
+        add_row(address, address);
+}
+
 void member_links::follow(const cluster_state& state)
 {
     m_state = state;
-    std::map<std::string, std::shared_ptr<link_row>> kept;
+    auto before = std::exchange(m_rows, {});
     for (const auto& row : state.m_view.m_members)
     {
         if (row.m_name == m_self_name)
             continue;
-        const auto found = m_rows.find(row.m_name);
-        if (found != m_rows.end() && found->second->m_address == row.m_address)
-        {
-            kept.insert(*found);
-            continue;
-        }
-        auto fresh = std::make_shared<link_row>();
-        fresh->m_address = row.m_address;
-        kept[row.m_name] = fresh;
-        spawn(m_io, "member_links.connect", keep_connected(row.m_name, fresh));
+        const auto found = before.find(row.m_name);
+        if (found != before.end() && found->second->m_address == row.m_address)
+            m_rows.insert(before.extract(found));
+        else
+            add_row(row.m_name, row.m_address);
     }
-    const auto before = std::exchange(m_rows, std::move(kept));
     for (const auto& [name, row] : before)
     {
-        const auto found = m_rows.find(name);
-        if (found != m_rows.end() && found->second == row)
-            continue;
         row->m_dropped = true;
         if (const auto link = row->m_link)
-            link->close("left the view");
+            link->close("not in the view");
     }
 }
 
--- a/src/config/fleet_settings.cpp
+++ b/src/config/fleet_settings.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "pepperturn/config/fleet_settings.hpp"
 
+#include <boost/algorithm/string/classification.hpp>
+#include <boost/algorithm/string/split.hpp>
 #include <fstream>
 #include <sstream>
 
@@ -8,7 +10,6 @@
 
 namespace {
 
-constexpr std::uint32_t most_port = 65535;
 constexpr std::uint32_t most_losses = 16;
 constexpr std::uint32_t most_grace_s = 3600;
 
@@ -42,7 +43,11 @@
         {
             reader.read("callers", out.m_callers_address);
             reader.read("ready", out.m_ready_address);
-            reader.read("frames_port", out.m_frames_port, 1, most_port);
+            reader.read("frames", out.m_frames_address);
+            std::string seeds;
+            if (reader.read("seeds", seeds) && !seeds.empty())
+                boost::algorithm::split(out.m_seeds, seeds,
+                                        boost::algorithm::is_any_of(","));
         }
         else if (name == "storage")
         {
--- a/src/fleet/edge_node.cpp
+++ b/src/fleet/edge_node.cpp
@@ -11,6 +11,9 @@
 /// an edge VM asks the store itself. Storage VMs tell twice a second, and
 /// what they tell may be a watch old.
 constexpr milliseconds relay_patience{3200};
+/// A VM that starts hears of the world from the storage VMs; each question
+/// to the store is priced.
+constexpr milliseconds seed_patience{700};
 /// After the order to stop: the balancer asks once a second and takes a VM
 /// out after two misses.
 constexpr milliseconds still_new_connections{3000};
@@ -57,8 +60,8 @@
         return false;
     m_links.on_state([this](const cluster_state& news) { take_state(news); });
     m_source.on_state([this](const cluster_state& news) { take_state(news); });
-    m_own_source = true;
-    m_source.start();
+    m_started = m_time.now();
+    m_links.seek(m_settings.m_seeds);
     return true;
 }
 
@@ -111,7 +114,10 @@
 
 void edge_node::choose_source()
 {
-    const bool relayed = m_time.now() - m_links.store_heard() < relay_patience;
+    const auto now = m_time.now();
+    const bool relayed = now - m_links.store_heard() < relay_patience;
+    if (!relayed && now - m_started < seed_patience)
+        return;
     if (relayed != m_own_source)
         return;
     m_own_source = !relayed;
--- a/src/fleet/storage_node.cpp
+++ b/src/fleet/storage_node.cpp
@@ -71,11 +71,10 @@
         return false;
     m_started = m_time.now();
     error_code ec;
-    const auto endpoint = parse_endpoint(
-        m_settings.m_host + ':' + std::to_string(m_settings.m_frames_port), ec);
+    const auto endpoint = parse_endpoint(m_settings.m_frames_address, ec);
     if (ec)
     {
-        reason = "[vm] host: " + ec.message();
+        reason = "[listen] frames: " + ec.message();
         return false;
     }
     m_server = std::make_unique<turn_server>(m_io, m_time, m_settings.m_name,
@@ -91,6 +90,7 @@
         m_source.learn(news);
     });
     m_source.on_state([this](const cluster_state& news) { take_state(news); });
+    m_server->load_state();
     m_source.start();
     spawn(m_io, "storage_node.membership", look_after_membership());
     return true;
@@ -105,10 +105,9 @@
 {
     const auto& view = m_server->state().m_view;
     membership_facts facts;
-    facts.m_self = {
-        m_settings.m_name,
-        m_settings.m_host + ':' + std::to_string(m_settings.m_frames_port),
-        m_settings.m_availability_zone, m_disk, member_state::joining};
+    facts.m_self = {m_settings.m_name, m_settings.m_frames_address,
+                    m_settings.m_availability_zone, m_disk,
+                    member_state::joining};
     facts.m_bootstrap = m_settings.m_bootstrap;
     facts.m_view_known = m_source.synced();
     facts.m_retire = m_source.retire_asked(m_settings.m_name);
@@ -278,6 +277,7 @@
     if (now >= m_next_expiry)
     {
         m_next_expiry = now + expiry_interval;
+        m_server->save_state();
         m_store->expire(now);
     }
 }
--- a/src/turns/turn_log.cpp
+++ b/src/turns/turn_log.cpp
@@ -10,6 +10,8 @@
 #include <cstring>
 #include <fcntl.h>
 #include <filesystem>
+#include <fstream>
+#include <sstream>
 #include <sys/stat.h>
 #include <unistd.h>
 #include <utility>
@@ -218,6 +220,20 @@
     return replace_file(m_folder, identity_file, std::to_string(value), reason);
 }
 
+bool turn_log::write_file(const std::string& name, const std::string& bytes,
+                          std::string& reason)
+{
+    return replace_file(m_folder, name, bytes, reason);
+}
+
+std::string turn_log::read_file(const std::string& name) const
+{
+    std::ifstream input(m_folder + '/' + name, std::ios::binary);
+    std::ostringstream text;
+    text << input.rdbuf();
+    return text.str();
+}
+
 int turn_log::open_segment(std::uint32_t segment, std::string& reason)
 {
     {
--- a/src/turns/turn_server.cpp
+++ b/src/turns/turn_server.cpp
@@ -11,6 +11,24 @@
 /// Log bytes in one answer to a member that copies: some milliseconds of a
 /// slow link, so that turns pass between them.
 constexpr std::size_t pull_bytes = 256U << 10U;
+constexpr const char* state_file = "state";
+
+/// What is known, as the frame that tells it.
+std::string encode_state(const cluster_state& state)
+{
+    constexpr std::size_t length_bytes = 4;
+    return encode_frame({0, state.m_view.m_epoch, frame_status::ok, state})
+        .substr(length_bytes);
+}
+
+std::optional<cluster_state> decode_state(const std::string& bytes,
+                                          std::string& reason)
+{
+    auto value = decode_frame(bytes, reason);
+    if (!value || !std::holds_alternative<cluster_state>(value->m_body))
+        return std::nullopt;
+    return std::get<cluster_state>(std::move(value->m_body));
+}
 
 } // namespace
 
@@ -93,8 +111,18 @@
     const auto change = merge_state(m_state, news);
     if (!change.any())
         return;
+    m_state_saved = false;
     if (change.m_view)
+    {
         m_epoch_begin = m_log.end();
+        // After a restart it must not act under an older view than before.
+        std::string reason;
+        if (!m_log.write_file(state_file, encode_state(m_state), reason))
+        {
+            m_disk_good = false;
+            LOG(ERROR) << "event=disk_failed reason=\"" << reason << '"';
+        }
+    }
     LOG(INFO) << "event=state_taken config_revision="
               << m_state.m_config_revision
               << " runners_revision=" << m_state.m_runners_revision
@@ -107,6 +135,33 @@
         m_on_change(change);
 }
 
+void turn_server::load_state()
+{
+    const auto bytes = m_log.read_file(state_file);
+    if (bytes.empty())
+        return;
+    std::string reason;
+    const auto state = decode_state(bytes, reason);
+    if (!state)
+    {
+        LOG(ERROR) << "event=state_unreadable reason=\"" << reason << '"';
+        return;
+    }
+    take_state(*state);
+    m_state_saved = true;
+}
+
+void turn_server::save_state()
+{
+    if (std::exchange(m_state_saved, true))
+        return;
+    asio::post(m_writer, [this, bytes = encode_state(m_state)] {
+        std::string reason;
+        if (!m_log.write_file(state_file, bytes, reason))
+            LOG(WARNING) << "event=state_unsaved reason=\"" << reason << '"';
+    });
+}
+
 void turn_server::send_beat(milliseconds store_age)
 {
     const auto age = static_cast<std::uint32_t>(store_age.count());
