Copying by listing: a joining storage VM reads only what it lacks

Change: a member lists turns by key and position from its tables; only missing ones are read, as they stand; a read quorum of members is enough; what is known is not written again. A VM that was cut off from more members than may be lost evicts nobody for 5 s. The last state is written by one thread at a time.

--- a/include/pepperturn/fleet/storage_node.hpp
+++ b/include/pepperturn/fleet/storage_node.hpp
@@ -24,23 +24,16 @@
     void tick();
 
 private:
-    /// How far another member's log has been copied.
-    struct copy_progress
-    {
-        std::uint64_t m_disk = 0;
-        /// Packed position to go on from.
-        std::uint64_t m_next = 0;
-        /// Epoch in which all of it was copied; 0: none.
-        std::uint64_t m_done_at = 0;
-    };
-
     [[nodiscard]] bool open_disk(std::string& reason);
     void take_state(const cluster_state& news);
     [[nodiscard]] membership_facts gather_facts() const;
     task<> look_after_membership();
     task<> change_view();
     task<> copy_all();
-    task<> copy_from(member source, std::uint64_t epoch);
+    task<bool> copy_from(std::string name, std::uint64_t epoch);
+    task<bool> copy_turns(std::string name,
+                          std::vector<std::uint64_t> positions);
+    void note_isolation();
     task<std::optional<frame>> ask(std::string name, frame_body body);
 
     asio::io_context& m_io;
@@ -53,7 +46,9 @@
     std::unique_ptr<turn_server> m_server;
     std::uint64_t m_disk = 0;
     std::uint64_t m_caught_up_at = 0;
-    std::map<std::string, copy_progress> m_copied_from;
+    /// Epoch in which all of another member's holdings were copied.
+    std::map<std::string, std::uint64_t> m_copied_at;
+    instant m_isolated_until{};
     bool m_copying = false;
     bool m_stopping = false;
     bool m_emptied_reported = false;
--- a/include/pepperturn/turns/messages.hpp
+++ b/include/pepperturn/turns/messages.hpp
@@ -90,26 +90,51 @@
                            const fetched_message&) = default;
 };
 
-/// Asks for log entries from a position on.
-struct pull_message
+/// Asks what a member holds, page by page.
+struct list_message
 {
+    /// Row to go on from; 0 begins a new listing.
     std::uint64_t m_from = 0;
-    friend bool operator==(const pull_message&, const pull_message&) = default;
+    friend bool operator==(const list_message&, const list_message&) = default;
 };
 
-struct pulled_message
+struct listed_message
 {
     std::uint64_t m_next = 0;
     bool m_more = false;
-    std::vector<log_entry> m_entries;
-    friend bool operator==(const pulled_message&,
-                           const pulled_message&) = default;
+    std::vector<located_turn> m_turns;
+    std::vector<log_entry> m_reservations;
+    friend bool operator==(const listed_message&,
+                           const listed_message&) = default;
+};
+
+/// Asks for log entries by their packed positions.
+struct read_message
+{
+    std::vector<std::uint64_t> m_positions;
+    friend bool operator==(const read_message&, const read_message&) = default;
+};
+
+struct entries_message
+{
+    /// As they stand in the log; what cannot be read is left out.
+    std::vector<std::string> m_entries;
+    friend bool operator==(const entries_message&,
+                           const entries_message&) = default;
+};
+
+/// Tells a member that the sender has synced all that it listed.
+struct copied_message
+{
+    friend bool operator==(const copied_message&,
+                           const copied_message&) = default;
 };
 
 using frame_body =
     std::variant<hello_message, cluster_state, beat_message, begin_message,
                  begun_message, append_message, appended_message, fetch_message,
-                 fetched_message, pull_message, pulled_message>;
+                 fetched_message, list_message, listed_message, read_message,
+                 entries_message, copied_message>;
 
 struct frame
 {
--- a/include/pepperturn/turns/records.hpp
+++ b/include/pepperturn/turns/records.hpp
@@ -62,6 +62,16 @@
     friend bool operator==(const turn_record&, const turn_record&) = default;
 };
 
+/// Where a storage VM's log has a turn.
+struct located_turn
+{
+    id_key m_key;
+    /// Packed position in that VM's log.
+    std::uint64_t m_position = 0;
+
+    friend bool operator==(const located_turn&, const located_turn&) = default;
+};
+
 /// One entry of a storage VM's log.
 struct log_entry
 {
--- a/include/pepperturn/turns/turn_log.hpp
+++ b/include/pepperturn/turns/turn_log.hpp
@@ -73,15 +73,6 @@
     /// Queues an entry. It is readable at once and lasts after write_batches.
     [[nodiscard]] log_position append(std::string_view bytes);
     [[nodiscard]] bool has_pending() const;
-    /// Where the next entry will stand, at the earliest.
-    [[nodiscard]] log_position end() const
-    {
-        return {m_current, m_end};
-    }
-    [[nodiscard]] bool has_unwritten_before(const log_position& position) const
-    {
-        return !m_unwritten.empty() && m_unwritten.begin()->first < position;
-    }
     /// Takes what is queued, to be written by write_batches.
     [[nodiscard]] std::vector<log_batch> take_pending();
     /// Writes and syncs. Blocks; may run on another thread, one at a time.
@@ -93,12 +84,6 @@
     /// The entry at \p position; empty if it cannot be read.
     [[nodiscard]] std::optional<std::string>
     read(const log_position& position) const;
-    /// Written entries from \p from on, about \p most_bytes of them, and
-    /// where to go on.
-    [[nodiscard]] std::vector<loaded_entry> read_from(log_position from,
-                                                      std::size_t most_bytes,
-                                                      log_position& next) const;
-
     /// First position of a segment that is still written to.
     [[nodiscard]] std::uint32_t current_segment() const
     {
@@ -130,6 +115,8 @@
     std::map<std::uint32_t, std::uint32_t> m_on_disk;
     /// Open files; the writer's thread adds to it.
     mutable std::mutex m_files_mutex;
+    /// Small files are replaced one at a time.
+    std::mutex m_replace_mutex;
     std::map<std::uint32_t, int> m_files;
 };
 
--- a/include/pepperturn/turns/turn_server.hpp
+++ b/include/pepperturn/turns/turn_server.hpp
@@ -42,6 +42,7 @@
 
     /// Enters what another member holds.
     void take_entries(const std::vector<log_entry>& entries);
+    void take_encoded(const std::vector<std::string>& entries);
     /// Waits until all that was entered so far is synced; false: it is not.
     [[nodiscard]] task<bool> synced();
 
@@ -58,6 +59,9 @@
     {
         std::string m_name;
         std::shared_ptr<frame_link> m_link;
+        /// What was held when it began to copy.
+        std::vector<located_turn> m_turns;
+        std::vector<log_entry> m_reservations;
     };
     struct waiting_answer
     {
@@ -71,8 +75,10 @@
     [[nodiscard]] frame_status check(const frame& value) const;
     void answer_begin(const std::shared_ptr<peer>& from, std::uint64_t call,
                       const begin_message& question);
-    void answer_pull(const std::shared_ptr<peer>& from, std::uint64_t call,
-                     const pull_message& question);
+    void answer_list(const std::shared_ptr<peer>& from, std::uint64_t call,
+                     const list_message& question);
+    void answer_read(const std::shared_ptr<peer>& from, std::uint64_t call,
+                     const read_message& question);
     void answer(const std::shared_ptr<peer>& from, std::uint64_t call,
                 frame_status status, frame_body body);
     void answer_when_synced(const std::shared_ptr<peer>& from,
@@ -101,8 +107,6 @@
     bool m_state_saved = true;
     bool m_disk_good = true;
     std::map<std::string, std::uint64_t> m_copied_at;
-    /// Where the log ended when the current view was taken.
-    log_position m_epoch_begin;
 };
 
 } // namespace pepperturn
--- a/include/pepperturn/turns/turn_store.hpp
+++ b/include/pepperturn/turns/turn_store.hpp
@@ -29,9 +29,18 @@
     /// a settled reservation is never set back.
     void append(const log_entry& entry, instant now);
 
+    /// The same for an entry as it stands in another log; false with
+    /// \p reason set if it is none.
+    bool append_encoded(const std::string& bytes, instant now,
+                        std::string& reason);
+
     [[nodiscard]] std::vector<reservation>
     ledger_of(const id_key& program) const;
     [[nodiscard]] bool has_turn(const std::string& id) const;
+    [[nodiscard]] bool has_turn(const id_key& key) const;
+    /// Everything that is held, for a member that copies.
+    [[nodiscard]] std::vector<located_turn> list_turns() const;
+    [[nodiscard]] std::vector<log_entry> list_reservations() const;
     /// The turn and those before it, newest first, as far as this store
     /// knows them; keeps them for another \p retention.
     [[nodiscard]] std::vector<turn_record>
@@ -68,6 +77,7 @@
         instant m_expiry{};
     };
 
+    [[nodiscard]] bool is_known(const log_entry& entry) const;
     void enter(const log_entry& entry, const log_position& position,
                instant now);
     void enter_reservation(const reservation& row, std::uint32_t retention_ms,
--- a/src/fleet/storage_node.cpp
+++ b/src/fleet/storage_node.cpp
@@ -15,8 +15,11 @@
 constexpr milliseconds membership_interval{150};
 /// Ten beats: a restart or a freeze is over by then, a loss is not.
 constexpr milliseconds silence_limit{5000};
+/// Three beats.
+constexpr milliseconds isolation_limit{1600};
 constexpr milliseconds copy_patience{2000};
-constexpr milliseconds copy_pause{10};
+/// Turns in one question: about a megabyte, a few milliseconds of work.
+constexpr std::size_t read_batch = 128;
 /// Answers under way go out before the process ends.
 constexpr milliseconds stop_linger{150};
 
@@ -115,6 +118,8 @@
     facts.m_copied_by = m_server->copied_by(view.m_epoch);
     facts.m_disk_losses = m_settings.m_disk_losses;
     const auto now = m_time.now();
+    if (now < m_isolated_until)
+        return facts;
     for (const auto& row : view.m_members)
     {
         const auto heard = std::max(m_started, m_links.last_heard(row.m_name));
@@ -194,41 +199,70 @@
     co_return std::move(state->m_answer);
 }
 
-task<> storage_node::copy_from(member source, std::uint64_t epoch)
+task<bool> storage_node::copy_turns(std::string name,
+                                    std::vector<std::uint64_t> positions)
 {
-    auto& progress = m_copied_from[source.m_name];
-    if (progress.m_disk != source.m_disk)
-        progress = {source.m_disk, 0, 0};
+    for (std::size_t begin = 0; begin < positions.size(); begin += read_batch)
+    {
+        const auto end = std::min(begin + read_batch, positions.size());
+        const frame_body question = read_message{
+            {positions.begin() + static_cast<std::ptrdiff_t>(begin),
+             positions.begin() + static_cast<std::ptrdiff_t>(end)}};
+        const auto answer = co_await ask(name, question);
+        const auto* entries =
+            answer && answer->m_status == frame_status::ok
+                ? std::get_if<entries_message>(&answer->m_body)
+                : nullptr;
+        if (entries == nullptr || entries->m_entries.size() < end - begin)
+            co_return false;
+        m_server->take_encoded(entries->m_entries);
+        if (!co_await m_server->synced())
+            co_return false;
+    }
+    co_return true;
+}
+
+task<bool> storage_node::copy_from(std::string name, std::uint64_t epoch)
+{
+    std::uint64_t from = 0;
+    bool more = true;
     std::size_t copied = 0;
-    while (m_server->state().m_view.m_epoch == epoch && !m_stopping)
+    const auto begun = m_time.now();
+    while (more)
     {
-        const frame_body question = pull_message{progress.m_next};
-        const auto answer = co_await ask(source.m_name, question);
+        const frame_body question = list_message{from};
+        const auto answer = co_await ask(name, question);
+        if (answer && answer->m_status == frame_status::stale &&
+            answer->m_epoch < epoch)
+            m_links.tell_state(name);
         const auto* page = answer && answer->m_status == frame_status::ok
-                               ? std::get_if<pulled_message>(&answer->m_body)
+                               ? std::get_if<listed_message>(&answer->m_body)
                                : nullptr;
-        if (page == nullptr)
+        if (page == nullptr || m_server->state().m_view.m_epoch != epoch)
+            co_return false;
+        std::vector<std::uint64_t> missing;
+        for (const auto& turn : page->m_turns)
         {
-            if (answer && answer->m_status == frame_status::stale &&
-                answer->m_epoch < epoch)
-                m_links.tell_state(source.m_name);
-            co_return;
+            if (!m_store->has_turn(turn.m_key))
+                missing.push_back(turn.m_position);
         }
-        copied += page->m_entries.size();
-        m_server->take_entries(page->m_entries);
-        if (!co_await m_server->synced())
-            co_return;
-        progress.m_next = page->m_next;
-        if (!page->m_more)
-        {
-            progress.m_done_at = epoch;
-            LOG(INFO) << "event=copied_all from=" << source.m_name
-                      << " epoch=" << epoch << " entries=" << copied;
-            co_return;
-        }
-        if (page->m_entries.empty())
-            co_await sleep_for(m_io, copy_pause);
+        m_server->take_entries(page->m_reservations);
+        copied += missing.size();
+        from = page->m_next;
+        more = page->m_more;
+        if (!co_await copy_turns(name, std::move(missing)))
+            co_return false;
     }
+    if (!co_await m_server->synced())
+        co_return false;
+    const frame_body done = copied_message{};
+    const auto answer = co_await ask(name, done);
+    if (!answer || answer->m_status != frame_status::ok)
+        co_return false;
+    LOG(INFO) << "event=copied_all from=" << name << " epoch=" << epoch
+              << " turns=" << copied
+              << " ms=" << (m_time.now() - begun) / milliseconds(1);
+    co_return true;
 }
 
 task<> storage_node::copy_all()
@@ -237,34 +271,54 @@
     const auto* own = find_member(view, m_settings.m_name);
     const bool joining =
         own != nullptr && own->m_state == member_state::joining;
+    const auto needed =
+        joining ? quorums_of(view, m_settings.m_disk_losses).m_read : 0U;
     std::uint32_t full_copied = 0;
     bool leaving_copied = true;
     for (const auto& row : view.m_members)
     {
-        // A full member copies only what is about to leave.
-        const bool wanted = row.m_state == member_state::leaving ||
-                            (joining && row.m_state == member_state::full);
+        const bool leaves = row.m_state == member_state::leaving;
+        // Any read quorum of full members knows all; what leaves is copied
+        // from where it is.
+        const bool wanted = leaves || (row.m_state == member_state::full &&
+                                       full_copied < needed);
         if (!wanted || row.m_name == m_settings.m_name)
             continue;
-        if (m_links.connected(row.m_name) &&
-            m_copied_from[row.m_name].m_done_at != view.m_epoch)
-            co_await copy_from(row, view.m_epoch);
-        const bool done = m_copied_from[row.m_name].m_done_at == view.m_epoch;
-        if (row.m_state == member_state::leaving)
+        bool done = m_copied_at[row.m_name] == view.m_epoch;
+        if (!done && m_links.connected(row.m_name))
+            done = co_await copy_from(row.m_name, view.m_epoch);
+        if (done)
+            m_copied_at[row.m_name] = view.m_epoch;
+        if (leaves)
             leaving_copied = leaving_copied && done;
         else
             full_copied += done ? 1 : 0;
     }
-    const auto needed = quorums_of(view, m_settings.m_disk_losses).m_read;
-    if ((!joining || full_copied >= needed) && leaving_copied &&
+    if (full_copied >= needed && leaving_copied &&
         m_server->state().m_view.m_epoch == view.m_epoch)
         m_caught_up_at = view.m_epoch;
     m_copying = false;
 }
 
+void storage_node::note_isolation()
+{
+    std::uint32_t unheard = 0;
+    const auto now = m_time.now();
+    for (const auto& row : m_server->state().m_view.m_members)
+    {
+        if (row.m_name != m_settings.m_name &&
+            now - m_links.last_heard(row.m_name) > isolation_limit)
+            ++unheard;
+    }
+    // More than may be lost at once: it is this VM that was cut off.
+    if (unheard > m_settings.m_disk_losses)
+        m_isolated_until = now + silence_limit;
+}
+
 void storage_node::tick()
 {
     const auto now = m_time.now();
+    note_isolation();
     if (now >= m_next_beat)
     {
         m_next_beat = now + beat_interval;
--- a/src/turns/messages.cpp
+++ b/src/turns/messages.cpp
@@ -215,16 +215,39 @@
     {
         fill_all(m_out.initFetched(body.m_chain.size()), body.m_chain);
     }
-    void operator()(const pull_message& body)
+    void operator()(const list_message& body)
     {
-        m_out.setPull(body.m_from);
+        m_out.setList(body.m_from);
     }
-    void operator()(const pulled_message& body)
+    void operator()(const listed_message& body)
     {
-        auto out = m_out.initPulled();
+        auto out = m_out.initListed();
         out.setNext(body.m_next);
         out.setMore(body.m_more);
-        fill_all(out.initEntries(body.m_entries.size()), body.m_entries);
+        auto turns = out.initTurns(body.m_turns.size());
+        for (unsigned i = 0; i < turns.size(); ++i)
+        {
+            fill(turns[i].initKey(), body.m_turns[i].m_key);
+            turns[i].setPosition(body.m_turns[i].m_position);
+        }
+        fill_all(out.initReservations(body.m_reservations.size()),
+                 body.m_reservations);
+    }
+    void operator()(const read_message& body)
+    {
+        auto out = m_out.initRead(body.m_positions.size());
+        for (unsigned i = 0; i < out.size(); ++i)
+            out.set(i, body.m_positions[i]);
+    }
+    void operator()(const entries_message& body)
+    {
+        auto out = m_out.initEntries(body.m_entries.size());
+        for (unsigned i = 0; i < out.size(); ++i)
+            out.set(i, data_from(body.m_entries[i]));
+    }
+    void operator()(const copied_message&)
+    {
+        m_out.setCopied();
     }
 };
 
@@ -240,9 +263,31 @@
             read_all<turn_record>(in.getChain())};
 }
 
-pulled_message read_pulled(turns_wire::Pulled::Reader in)
+listed_message read_listed(turns_wire::Listed::Reader in)
 {
-    return {in.getNext(), in.getMore(), read_all<log_entry>(in.getEntries())};
+    listed_message out;
+    out.m_next = in.getNext();
+    out.m_more = in.getMore();
+    for (const auto row : in.getTurns())
+        out.m_turns.push_back({read(row.getKey()), row.getPosition()});
+    out.m_reservations = read_all<log_entry>(in.getReservations());
+    return out;
+}
+
+read_message read_positions(capnp::List<std::uint64_t>::Reader in)
+{
+    read_message out;
+    for (const auto position : in)
+        out.m_positions.push_back(position);
+    return out;
+}
+
+entries_message read_entries(capnp::List<capnp::Data>::Reader in)
+{
+    entries_message out;
+    for (const auto entry : in)
+        out.m_entries.push_back(data_of(entry));
+    return out;
 }
 
 std::optional<frame_body> read_body(turns_wire::Frame::Reader in)
@@ -268,10 +313,16 @@
         return fetch_message{text_of(in.getFetch())};
     case kind::FETCHED:
         return fetched_message{read_all<turn_record>(in.getFetched())};
-    case kind::PULL:
-        return pull_message{in.getPull()};
-    case kind::PULLED:
-        return read_pulled(in.getPulled());
+    case kind::LIST:
+        return list_message{in.getList()};
+    case kind::LISTED:
+        return read_listed(in.getListed());
+    case kind::READ:
+        return read_positions(in.getRead());
+    case kind::ENTRIES:
+        return read_entries(in.getEntries());
+    case kind::COPIED:
+        return copied_message{};
     }
     return std::nullopt;
 }
--- a/src/turns/turn_client.cpp
+++ b/src/turns/turn_client.cpp
@@ -14,6 +14,9 @@
 constexpr milliseconds retry_interval{60};
 /// How long the nearest member may be later with a chain than the quorum.
 constexpr milliseconds chain_patience{30};
+/// How long one member may take over a part of a chain before the next is
+/// asked.
+constexpr milliseconds fetch_patience{150};
 /// Members beyond a quorum are asked only if it has not answered by then:
 /// several times what it usually takes.
 constexpr milliseconds quorum_patience{25};
@@ -262,7 +265,9 @@
             // A local: GCC 12 destroys aggregate temporaries of an awaiting
             // expression twice.
             const frame_body question = fetch_message{missing};
-            const auto answer = co_await ask(row.m_name, question, until);
+            const auto answer =
+                co_await ask(row.m_name, question,
+                             std::min(until, m_time.now() + fetch_patience));
             const auto* fetched =
                 answer ? std::get_if<fetched_message>(&answer->m_body)
                        : nullptr;
--- a/src/turns/turn_log.cpp
+++ b/src/turns/turn_log.cpp
@@ -223,6 +223,7 @@
 bool turn_log::write_file(const std::string& name, const std::string& bytes,
                           std::string& reason)
 {
+    const std::lock_guard lock(m_replace_mutex);
     return replace_file(m_folder, name, bytes, reason);
 }
 
@@ -439,32 +440,6 @@
     return bytes->substr(header_bytes, length);
 }
 
-std::vector<loaded_entry> turn_log::read_from(log_position from,
-                                              std::size_t most_bytes,
-                                              log_position& next) const
-{
-    std::vector<loaded_entry> out;
-    next = from;
-    std::size_t have = 0;
-    for (auto row = m_on_disk.lower_bound(from.m_segment);
-         row != m_on_disk.end() && have < most_bytes; ++row)
-    {
-        if (next.m_segment != row->first)
-            next = {row->first, 0};
-        while (next.m_offset < row->second && have < most_bytes)
-        {
-            auto entry = read(next);
-            if (!entry)
-                break;
-            const auto size = static_cast<std::uint32_t>(entry->size());
-            have += size;
-            out.push_back({next, std::move(*entry)});
-            next.m_offset += header_bytes + size;
-        }
-    }
-    return out;
-}
-
 std::vector<std::uint32_t> turn_log::segments() const
 {
     std::vector<std::uint32_t> out;
--- a/src/turns/turn_server.cpp
+++ b/src/turns/turn_server.cpp
@@ -8,9 +8,8 @@
 
 namespace {
 
-/// Log bytes in one answer to a member that copies: some milliseconds of a
-/// slow link, so that turns pass between them.
-constexpr std::size_t pull_bytes = 256U << 10U;
+/// Rows of each kind in one page of a listing: some tens of kilobytes.
+constexpr std::size_t list_rows = 2000;
 constexpr const char* state_file = "state";
 
 /// What is known, as the frame that tells it.
@@ -114,7 +113,6 @@
     m_state_saved = false;
     if (change.m_view)
     {
-        m_epoch_begin = m_log.end();
         // After a restart it must not act under an older view than before.
         std::string reason;
         if (!m_log.write_file(state_file, encode_state(m_state), reason))
@@ -225,8 +223,15 @@
         answer(from, value.m_call, frame_status::ok,
                fetched_message{m_store.chain(fetch->m_turn, milliseconds(0),
                                              m_time.now())});
-    else if (const auto* pull = std::get_if<pull_message>(&value.m_body))
-        answer_pull(from, value.m_call, *pull);
+    else if (const auto* list = std::get_if<list_message>(&value.m_body))
+        answer_list(from, value.m_call, *list);
+    else if (const auto* read = std::get_if<read_message>(&value.m_body))
+        answer_read(from, value.m_call, *read);
+    else if (std::holds_alternative<copied_message>(value.m_body))
+    {
+        m_copied_at[from->m_name] = m_state.m_view.m_epoch;
+        answer(from, value.m_call, frame_status::ok, appended_message{});
+    }
 }
 
 void turn_server::answer_begin(const std::shared_ptr<peer>& from,
@@ -245,28 +250,48 @@
     answer_when_synced(from, call, std::move(body));
 }
 
-void turn_server::answer_pull(const std::shared_ptr<peer>& from,
-                              std::uint64_t call, const pull_message& question)
+void turn_server::answer_list(const std::shared_ptr<peer>& from,
+                              std::uint64_t call, const list_message& question)
 {
-    pulled_message body;
-    log_position next;
-    for (const auto& row :
-         m_log.read_from(unpack(question.m_from), pull_bytes, next))
+    // Taken under the current epoch: whatever was acknowledged before it is
+    // in, and what comes later reaches a quorum of this view by itself.
+    if (question.m_from == 0)
     {
-        std::string reason;
-        auto entry = decode_entry(row.m_bytes, reason);
-        if (entry)
-            body.m_entries.push_back(std::move(*entry));
-        else
-            LOG(ERROR) << "event=pull_unreadable reason=\"" << reason << '"';
+        from->m_turns = m_store.list_turns();
+        from->m_reservations = m_store.list_reservations();
     }
-    body.m_next = pack(next);
-    // Entries of this epoch reach the copying member by themselves; what was
-    // queued before it must be read, also if it is not on disk yet.
-    body.m_more =
-        !body.m_entries.empty() || m_log.has_unwritten_before(m_epoch_begin);
+    const auto page = [&](const auto& rows, auto& out) {
+        const auto begin = std::min<std::size_t>(question.m_from, rows.size());
+        const auto end = std::min(begin + list_rows, rows.size());
+        out.assign(rows.begin() + static_cast<std::ptrdiff_t>(begin),
+                   rows.begin() + static_cast<std::ptrdiff_t>(end));
+    };
+    listed_message body;
+    page(from->m_turns, body.m_turns);
+    page(from->m_reservations, body.m_reservations);
+    body.m_next = question.m_from + list_rows;
+    body.m_more = body.m_next <
+                  std::max(from->m_turns.size(), from->m_reservations.size());
     if (!body.m_more)
-        m_copied_at[from->m_name] = m_state.m_view.m_epoch;
+    {
+        from->m_turns = {};
+        from->m_reservations = {};
+    }
+    answer(from, call, frame_status::ok, std::move(body));
+}
+
+void turn_server::answer_read(const std::shared_ptr<peer>& from,
+                              std::uint64_t call, const read_message& question)
+{
+    entries_message body;
+    for (const auto position : question.m_positions)
+    {
+        auto bytes = m_log.read(unpack(position));
+        if (bytes)
+            body.m_entries.push_back(std::move(*bytes));
+        else
+            LOG(WARNING) << "event=entry_unreadable position=" << position;
+    }
     answer(from, call, frame_status::ok, std::move(body));
 }
 
@@ -288,6 +313,17 @@
     commit();
 }
 
+void turn_server::take_encoded(const std::vector<std::string>& entries)
+{
+    for (const auto& entry : entries)
+    {
+        std::string reason;
+        if (!m_store.append_encoded(entry, m_time.now(), reason))
+            LOG(ERROR) << "event=copy_unreadable reason=\"" << reason << '"';
+    }
+    commit();
+}
+
 task<bool> turn_server::synced()
 {
     if (!m_writing && !m_log.has_pending())
--- a/src/turns/turn_store.cpp
+++ b/src/turns/turn_store.cpp
@@ -39,13 +39,59 @@
     return loaded;
 }
 
+bool turn_store::is_known(const log_entry& entry) const
+{
+    if (const auto* turn = std::get_if<turn_record>(&entry.m_what))
+        return has_turn(turn->m_id);
+    const auto& row = std::get<reservation>(entry.m_what);
+    const auto program = m_programs.find(row.m_program);
+    if (program == m_programs.end())
+        return false;
+    const auto attempt = program->second.m_attempts.find(row.m_attempt);
+    if (attempt == program->second.m_attempts.end())
+        return false;
+    // A settled one says it all; else only the same once more is known.
+    return attempt->second.m_settled ||
+           (!row.m_settled && attempt->second.m_tokens == row.m_tokens);
+}
+
 void turn_store::append(const log_entry& entry, instant now)
 {
-    const auto* turn = std::get_if<turn_record>(&entry.m_what);
-    if (turn != nullptr && has_turn(turn->m_id))
-        return;
-    const auto position = m_log.append(encode_entry(entry));
-    enter(entry, position, now);
+    if (!is_known(entry))
+        enter(entry, m_log.append(encode_entry(entry)), now);
+}
+
+bool turn_store::append_encoded(const std::string& bytes, instant now,
+                                std::string& reason)
+{
+    const auto entry = decode_entry(bytes, reason);
+    if (!entry)
+        return false;
+    if (!is_known(*entry))
+        enter(*entry, m_log.append(bytes), now);
+    return true;
+}
+
+std::vector<located_turn> turn_store::list_turns() const
+{
+    std::vector<located_turn> out;
+    out.reserve(m_turns.size());
+    for (const auto& [key, row] : m_turns)
+        out.push_back({key, pack(row.m_position)});
+    return out;
+}
+
+std::vector<log_entry> turn_store::list_reservations() const
+{
+    std::vector<log_entry> out;
+    for (const auto& [program, row] : m_programs)
+    {
+        for (const auto& [attempt, held] : row.m_attempts)
+            out.push_back(
+                {row.m_retention_ms,
+                 reservation{program, attempt, held.m_tokens, held.m_settled}});
+    }
+    return out;
 }
 
 void turn_store::enter(const log_entry& entry, const log_position& position,
@@ -90,7 +136,12 @@
 
 bool turn_store::has_turn(const std::string& id) const
 {
-    return m_turns.contains(key_of(id));
+    return has_turn(key_of(id));
+}
+
+bool turn_store::has_turn(const id_key& key) const
+{
+    return m_turns.contains(key);
 }
 
 std::optional<turn_record>
--- a/test/turns/test_messages.cpp
+++ b/test/turns/test_messages.cpp
@@ -37,8 +37,11 @@
         appended_message{},
         fetch_message{"a"},
         fetched_message{{some_turn("a")}},
-        pull_message{99},
-        pulled_message{7, true, {{1, held}, {2, some_turn("c")}}}};
+        list_message{99},
+        listed_message{7, true, {{{1, 2}, 9}}, {{1, held}}},
+        read_message{{5, 6}},
+        entries_message{{"raw", "bytes"}},
+        copied_message{}};
     for (const auto& body : bodies)
     {
         const frame sent{12, 34, frame_status::stale, body};
--- a/test/turns/test_turn_store.cpp
+++ b/test/turns/test_turn_store.cpp
@@ -206,7 +206,7 @@
     CHECK(life.m_log.segments().size() < before);
 }
 
-TEST_CASE("a copy by pages is the same store", "[turn_store]")
+TEST_CASE("a copy of what is listed is the same store", "[turn_store]")
 {
     CHECK(rc::check("pages", [](const std::vector<std::uint8_t>& picks) {
         const temporary_folder folder;
@@ -230,19 +230,20 @@
         life.sync();
         const temporary_folder other;
         opened copy(other.path());
-        log_position next;
-        while (true)
+        for (const auto& row : life.m_store.list_turns())
         {
-            const auto page = life.m_log.read_from(next, 100, next);
-            if (page.empty())
-                break;
-            for (const auto& row : page)
-            {
-                std::string reason;
-                copy.m_store.append(*decode_entry(row.m_bytes, reason),
-                                    instant{});
-            }
+            std::string reason;
+            const auto bytes = life.m_log.read(unpack(row.m_position));
+            RC_ASSERT(bytes.has_value());
+            RC_ASSERT(copy.m_store.append_encoded(*bytes, instant{}, reason));
         }
+        for (const auto& entry : life.m_store.list_reservations())
+            copy.m_store.append(entry, instant{});
+        // Once more changes nothing and writes nothing.
+        copy.sync();
+        for (const auto& entry : life.m_store.list_reservations())
+            copy.m_store.append(entry, instant{});
+        RC_ASSERT(!copy.m_log.has_pending());
         RC_ASSERT(copy.m_store.turn_count() == life.m_store.turn_count());
         RC_ASSERT(
             ids_of(copy.m_store.chain(last, milliseconds(0), instant{})) ==
