Coroutines of a link hold it from the first: storage VMs no longer crash

Ruled out: the log's threads (address and undefined behaviour sanitizers clean over all tests). Change: they are given the link when they are made. Test: a link dropped right after a send.

--- a/include/pepperturn/cluster/frame_link.hpp
+++ b/include/pepperturn/cluster/frame_link.hpp
@@ -31,8 +31,12 @@
     }
 
 private:
-    task<> read_frames();
-    task<> write_queued();
+    // A coroutine starts later than it is made: it holds the link from the
+    // first.
+    static task<> read_frames(std::shared_ptr<frame_link> self);
+    static task<> write_queued(std::shared_ptr<frame_link> self);
+    /// Hands whole frames in \p buffer on and takes them out of it.
+    void take_frames(std::string& buffer);
 
     asio::io_context& m_io;
     tcp::socket m_socket;
--- a/src/cluster/frame_link.cpp
+++ b/src/cluster/frame_link.cpp
@@ -14,11 +14,12 @@
 /// largest frames.
 constexpr std::size_t max_queued_bytes = 4 * max_frame_bytes;
 constexpr std::size_t read_bytes = 16384;
+constexpr std::size_t length_bytes = 4;
 
 std::uint32_t length_of(const std::string& buffer, std::size_t offset)
 {
     std::uint32_t value = 0;
-    for (std::size_t i = 0; i < 4; ++i)
+    for (std::size_t i = 0; i < length_bytes; ++i)
         value |= std::uint32_t{static_cast<std::uint8_t>(buffer[offset + i])}
                  << (8 * i);
     return value;
@@ -37,7 +38,7 @@
 {
     m_on_frame = std::move(on_frame);
     m_on_closed = std::move(on_closed);
-    spawn(m_io, "frame_link.read", read_frames());
+    spawn(m_io, "frame_link.read", read_frames(shared_from_this()));
 }
 
 void frame_link::send(const frame& value)
@@ -53,7 +54,7 @@
     if (!m_writing)
     {
         m_writing = true;
-        spawn(m_io, "frame_link.write", write_queued());
+        spawn(m_io, "frame_link.write", write_queued(shared_from_this()));
     }
 }
 
@@ -69,68 +70,70 @@
         closed(reason);
 }
 
-task<> frame_link::read_frames()
+void frame_link::take_frames(std::string& buffer)
+{
+    std::size_t used = 0;
+    while (m_open && buffer.size() - used >= length_bytes)
+    {
+        const std::size_t length = length_of(buffer, used);
+        if (length > max_frame_bytes)
+        {
+            close("frame of " + std::to_string(length) + " bytes");
+            return;
+        }
+        if (buffer.size() - used - length_bytes < length)
+            break;
+        std::string reason;
+        auto value = decode_frame(
+            std::string_view(buffer).substr(used + length_bytes, length),
+            reason);
+        if (!value)
+        {
+            close("bad frame: " + reason);
+            return;
+        }
+        used += length_bytes + length;
+        // The handler may close the link, which drops the member.
+        if (const auto handler = m_on_frame)
+            handler(std::move(*value));
+    }
+    buffer.erase(0, used);
+}
+
+task<> frame_link::read_frames(std::shared_ptr<frame_link> self)
 {
-    const auto self = shared_from_this();
     std::string buffer;
     std::array<char, read_bytes> chunk;
-    while (m_open)
+    while (self->m_open)
     {
         error_code ec;
-        const auto count =
-            co_await m_socket.async_read_some(asio::buffer(chunk), into(ec));
+        const auto count = co_await self->m_socket.async_read_some(
+            asio::buffer(chunk), into(ec));
         if (ec)
         {
-            close(ec.message());
+            self->close(ec.message());
             co_return;
         }
         buffer.append(chunk.data(), count);
-        std::size_t used = 0;
-        while (m_open && buffer.size() - used >= 4)
-        {
-            const std::size_t length = length_of(buffer, used);
-            if (length > max_frame_bytes)
-            {
-                close("frame of " + std::to_string(length) + " bytes");
-                co_return;
-            }
-            if (buffer.size() - used - 4 < length)
-                break;
-            std::string reason;
-            auto value = decode_frame(
-                std::string_view(buffer).substr(used + 4, length), reason);
-            if (!value)
-            {
-                close("bad frame: " + reason);
-                co_return;
-            }
-            used += 4 + length;
-            if (m_on_frame)
-            {
-                // The handler may close the link, which drops the member.
-                const auto handler = m_on_frame;
-                handler(std::move(*value));
-            }
-        }
-        buffer.erase(0, used);
+        self->take_frames(buffer);
     }
 }
 
-task<> frame_link::write_queued()
+task<> frame_link::write_queued(std::shared_ptr<frame_link> self)
 {
-    const auto self = shared_from_this();
-    while (m_open && !m_queue.empty())
+    while (self->m_open && !self->m_queue.empty())
     {
-        const auto batch = std::exchange(m_queue, {});
+        const auto batch = std::exchange(self->m_queue, {});
         error_code ec;
-        co_await asio::async_write(m_socket, asio::buffer(batch), into(ec));
+        co_await asio::async_write(self->m_socket, asio::buffer(batch),
+                                   into(ec));
         if (ec)
         {
-            close(ec.message());
+            self->close(ec.message());
             co_return;
         }
     }
-    m_writing = false;
+    self->m_writing = false;
 }
 
 task<std::shared_ptr<frame_link>> connect_frames(asio::io_context& io,
--- /dev/null
+++ b/test/fleet/test_frame_link.cpp
@@ -0,0 +1,89 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/cluster/frame_link.hpp"
+
+#include "support/fleet/loop.hpp"
+
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+namespace {
+
+using namespace pepperturn;
+using namespace pepperturn::test;
+
+/// Both ends of a loopback connection.
+struct connected_pair
+{
+    explicit connected_pair(asio::io_context& io) : m_near(io), m_far(io)
+    {
+        tcp::acceptor acceptor(
+            io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+        m_near.connect(acceptor.local_endpoint());
+        acceptor.accept(m_far);
+    }
+    tcp::socket m_near;
+    tcp::socket m_far;
+};
+
+} // namespace
+
+TEST_CASE("a link may be dropped right after it was told to send",
+          "[frame_link]")
+{
+    // The write began later than that and used the link that was gone.
+    asio::io_context io(1);
+    for (int i = 0; i < 20; ++i)
+    {
+        connected_pair pair(io);
+        bool closed = false;
+        auto link = std::make_shared<frame_link>(io, std::move(pair.m_near));
+        link->start([](const frame&) {},
+                    [&](const std::string&) { closed = true; });
+        link->send({1, 2, frame_status::ok, hello_message{"a"}});
+        link->close("dropped");
+        link.reset();
+        CHECK(closed);
+        io.restart();
+        io.poll();
+    }
+}
+
+TEST_CASE("frames pass in order however they are cut", "[frame_link]")
+{
+    asio::io_context io(1);
+    connected_pair pair(io);
+    std::vector<std::string> names;
+    const auto link = std::make_shared<frame_link>(io, std::move(pair.m_near));
+    link->start(
+        [&](const frame& value) {
+            names.push_back(std::get<hello_message>(value.m_body).m_name);
+        },
+        [](const std::string&) {});
+    std::string bytes;
+    for (const char* name : {"a", "b", "c"})
+        bytes += encode_frame({1, 2, frame_status::ok, hello_message{name}});
+    for (const char byte : bytes)
+    {
+        asio::write(pair.m_far, asio::buffer(&byte, 1));
+        io.restart();
+        io.poll();
+    }
+    REQUIRE(run_until(io, [&] { return names.size() == 3; }));
+    CHECK(names == std::vector<std::string>{"a", "b", "c"});
+}
+
+TEST_CASE("bytes that are no frame end the link", "[frame_link]")
+{
+    const std::string bytes = GENERATE(std::string("\xff\xff\xff\xff", 4),
+                                       std::string("\x08\0\0\0nonsense", 12),
+                                       std::string("\x01\0\0\0x", 5));
+    asio::io_context io(1);
+    connected_pair pair(io);
+    std::string reason;
+    const auto link = std::make_shared<frame_link>(io, std::move(pair.m_near));
+    link->start([](const frame&) {},
+                [&](const std::string& why) { reason = why; });
+    asio::write(pair.m_far, asio::buffer(bytes));
+    CHECK(run_until(io, [&] { return !reason.empty(); }));
+    CHECK_FALSE(link->open());
+}
