--- a/test/fleet/test_turns.cpp
+++ b/test/fleet/test_turns.cpp
@@ -110,6 +110,17 @@
         }));
     }
 
+    /// Stops a VM and starts it anew with its disk, at another address.
+    void restart(const std::string& name)
+    {
+        m_vms[name]->m_node->stop();
+        m_vms[name]->m_source.pause();
+        run_until(m_io, [&] { return !m_links.connected(name); });
+        m_io.restart();
+        m_stopped.push_back(std::move(m_vms[name]));
+        add(name, false);
+    }
+
     static begin_request request(const std::string& id,
                                  const std::string& parent,
                                  std::uint64_t budget = 1000)
@@ -152,6 +163,7 @@
     cluster_state m_state;
     std::string m_folder;
     std::map<std::string, std::unique_ptr<storage_vm>> m_vms;
+    std::vector<std::unique_ptr<storage_vm>> m_stopped;
 };
 
 } // namespace
@@ -293,3 +305,45 @@
     REQUIRE(run_until(fleet.m_io, [&] { return done; }));
     CHECK(turns == 40);
 }
+
+TEST_CASE("the world is remembered over a restart", "[fleet]")
+{
+    world fleet;
+    fleet.m_store.put("op/config", R"({"version":4})");
+    fleet.m_store.put("servers/i-1", R"({"service":"a","seq":1})");
+    fleet.start_three();
+    REQUIRE(run_until(fleet.m_io, [&] {
+        return !fleet.m_state.m_config.empty() &&
+               !fleet.m_state.m_runners.empty();
+    }));
+    // A little longer than it takes until the last news is written.
+    const auto saved = std::chrono::steady_clock::now() + milliseconds(300);
+    run_until(fleet.m_io,
+              [&] { return std::chrono::steady_clock::now() >= saved; });
+    fleet.m_vms["vm-0"]->m_node->tick();
+    fleet.m_store.set_down(true);
+    fleet.restart("vm-0");
+    member_links newcomer(fleet.m_io, fleet.m_time, "edge-2");
+    cluster_state heard;
+    newcomer.on_state(
+        [&](const cluster_state& news) { merge_state(heard, news); });
+    newcomer.seek({"127.0.0.1:" + std::to_string(fleet.m_vms["vm-0"]->m_port)});
+    REQUIRE(run_until(fleet.m_io, [&] { return heard.m_view.m_epoch > 0; }));
+    CHECK(heard.m_config == R"({"version":4})");
+    CHECK(heard.m_view.m_members.size() == 3);
+    CHECK(heard.m_runners.size() == 1);
+}
+
+TEST_CASE("a restarted VM still has what it acknowledged", "[fleet]")
+{
+    world fleet;
+    fleet.start_three();
+    REQUIRE(fleet.keep("a", ""));
+    fleet.restart("vm-0");
+    REQUIRE(
+        run_until(fleet.m_io, [&] { return fleet.m_links.connected("vm-0"); }));
+    CHECK(fleet.wait_for("vm-0Fvm-1Fvm-2F"));
+    const auto result = fleet.begin(world::request("b", "a"));
+    CHECK(result.m_outcome == begin_outcome::granted);
+    CHECK(world::text_of(result) == "in-a;out-a;");
+}
