Fault soak of the real daemons; boundary check; known-red runner; fuzz rule

Change: pepperturn-soak starts three storage and three edge daemons against stand-ins of the store and of runners behind loopback proxies, and hurts them by signals, wiped disks, an absent store, delayed, reset, silent or one-way connections. It checks what callers and runners see: no request runs twice or after a promise, each turn runs with exactly its chain, budgets, whole answers, turns that were kept, planned stops within the grace, processes that live. scripts/check-boundary keeps the platform's names in platform/.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	    cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=Release > /dev/null
 
 test: all
-	@cd $(BUILD) && ctest --output-on-failure -j 4
+	@scripts/run-tests $(BUILD)
 
 demo: all
 	@scripts/demo $(BUILD)/bin
@@ -24,7 +24,16 @@
 soak: all
 	@scripts/soak $(BUILD)/bin $(SEED) $(MINUTES)
 
+# Many random inputs to every decoder: make fuzz SEED=7 INPUTS=20000
+INPUTS ?= 20000
+fuzz: all
+	@cd $(BUILD) && RC_PARAMS="seed=$(SEED) max_success=$(INPUTS)" \
+	    bin/pepperturn-fleet-test "[fuzz]"
+	@cd $(BUILD) && RC_PARAMS="seed=$(SEED) max_success=$(INPUTS)" \
+	    bin/pepperturn-test "[fuzz]"
+
 lint: configure
+	@scripts/check-boundary
 	@scripts/lint $(BUILD)
 
 format:
--- /dev/null
+++ b/test/soak/fleet.hpp
@@ -0,0 +1,35 @@
+// SPDX-License-Identifier: BSL-1.0
+/// \file
+/// The real daemons as processes on loopback, started and hurt by the soak.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <sys/types.h>
+
+namespace pepperturn::soak {
+
+struct daemon_process
+{
+    std::string m_name;
+    std::string m_program;
+    std::string m_settings;
+    std::string m_data_folder;
+    std::string m_log;
+    pid_t m_pid = -1;
+};
+
+/// Starts the process; it is only ever ended by its id.
+void start(daemon_process& process);
+void send_signal(const daemon_process& process, int signal);
+/// Kills and waits.
+void kill_and_wait(daemon_process& process);
+/// Waits for a process that was told to end; kills it after \p patience_ms.
+/// \returns false if it had to be killed
+bool wait_for_end(daemon_process& process, unsigned patience_ms);
+/// True if it has ended by itself.
+[[nodiscard]] bool has_ended(daemon_process& process);
+
+} // namespace pepperturn::soak
--- /dev/null
+++ b/test/soak/world.cpp
@@ -0,0 +1,57 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "soak/world.hpp"
+
+namespace pepperturn::soak {
+
+void promises::expect(const std::string& id, const std::string& body)
+{
+    m_expected[id] = body;
+}
+
+void promises::ran(const std::string& id, const std::string& body)
+{
+    const auto expected = m_expected.find(id);
+    if (expected == m_expected.end())
+        fail("a request that no caller sent ran: " + id);
+    else if (expected->second != body)
+        fail("request " + id + " ran with " + std::to_string(body.size()) +
+             " bytes, not the " + std::to_string(expected->second.size()) +
+             " of its chain");
+    if (!m_ran.insert(id).second)
+        fail("request " + id + " ran twice");
+    const auto promised = m_not_run.find(id);
+    if (promised != m_not_run.end())
+        fail("request " + id + " ran after the answer " +
+             std::to_string(promised->second));
+}
+
+void promises::told_not_run(const std::string& id, unsigned status)
+{
+    m_not_run[id] = status;
+    if (m_ran.contains(id))
+        fail("request " + id + " had run and was answered " +
+             std::to_string(status));
+}
+
+void promises::budget(const std::string& program, std::uint64_t tokens,
+                      std::uint32_t most_of_one_turn)
+{
+    m_ledgers[program] = {tokens, most_of_one_turn, 0};
+}
+
+void promises::handed_out(const std::string& program, std::uint32_t events)
+{
+    auto& row = m_ledgers[program];
+    row.m_handed_out += std::uint64_t{events} * tokens_per_event;
+    if (row.m_handed_out > row.m_budget + row.m_most)
+        fail("program " + program + " was handed " +
+             std::to_string(row.m_handed_out) + " tokens of " +
+             std::to_string(row.m_budget));
+}
+
+void promises::fail(const std::string& what)
+{
+    m_broken.push_back(what);
+}
+
+} // namespace pepperturn::soak
--- /dev/null
+++ b/test/soak/world.hpp
@@ -0,0 +1,56 @@
+// SPDX-License-Identifier: BSL-1.0
+/// \file
+/// What the soak's callers and runners know together, and what must hold.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace pepperturn::soak {
+
+/// Tokens in one event of the stand-in engines.
+constexpr std::uint32_t tokens_per_event = 3;
+
+/// Checks the promises from what callers and runners see.
+class promises
+{
+public:
+    /// A caller is about to send a turn or a call with this body.
+    void expect(const std::string& id, const std::string& body);
+    /// A runner begins to work on it.
+    void ran(const std::string& id, const std::string& body);
+    /// A caller was told that it has not run and will not.
+    void told_not_run(const std::string& id, unsigned status);
+    /// A caller got this much of a turn.
+    void handed_out(const std::string& program, std::uint32_t events);
+    void budget(const std::string& program, std::uint64_t tokens,
+                std::uint32_t most_of_one_turn);
+    void fail(const std::string& what);
+
+    [[nodiscard]] const std::vector<std::string>& broken() const
+    {
+        return m_broken;
+    }
+    [[nodiscard]] std::size_t runs() const
+    {
+        return m_ran.size();
+    }
+
+private:
+    struct ledger
+    {
+        std::uint64_t m_budget = 0;
+        std::uint32_t m_most = 0;
+        std::uint64_t m_handed_out = 0;
+    };
+    std::map<std::string, std::string> m_expected;
+    std::set<std::string> m_ran;
+    std::map<std::string, unsigned> m_not_run;
+    std::map<std::string, ledger> m_ledgers;
+    std::vector<std::string> m_broken;
+};
+
+} // namespace pepperturn::soak
--- a/test/support/fleet/loop.hpp
+++ b/test/support/fleet/loop.hpp
@@ -6,6 +6,9 @@
 
 #include "pepperturn/base/async.hpp"
 
+#include <functional>
+#include <optional>
+
 namespace pepperturn::test {
 
 /// \returns false if \p done was not true within \p limit
