--- a/include/pepperturn/forward/caller_connection.hpp
+++ b/include/pepperturn/forward/caller_connection.hpp
@@ -43,7 +43,7 @@
     [[nodiscard]] task<bool> end_stream();
 
     /// Pulls the switch once the caller closes, until \ref stop_watching.
-    void watch(std::shared_ptr<abort_switch> aborter);
+    void watch(const std::shared_ptr<abort_switch>& aborter);
     void stop_watching();
 
     /// Ends the connection if no request is under way.
--- a/include/pepperturn/forward/proxy.hpp
+++ b/include/pepperturn/forward/proxy.hpp
@@ -80,6 +80,8 @@
     task<> serve(std::shared_ptr<caller_connection> caller);
     task<bool> serve_one(std::shared_ptr<caller_connection> caller,
                          caller_request request);
+    /// Waits for \p ready while this VM has only just started.
+    task<> wait_for(std::function<bool()> ready);
     task<verdict> handle(std::shared_ptr<caller_connection> caller,
                          std::shared_ptr<call> work);
     task<std::optional<upstream_answer>> begin_turn(std::shared_ptr<call> work);
@@ -109,6 +111,7 @@
     std::shared_ptr<const routing_config> m_config;
     std::set<std::shared_ptr<caller_connection>> m_callers;
     traffic_metrics m_metrics;
+    instant m_started{};
     std::size_t m_active = 0;
     std::uint64_t m_draw = 0;
     bool m_draining = false;
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -106,7 +106,7 @@
     auto& program = request.m_session.m_program;
     if (program.m_program.empty())
         program = one_off_program(program.m_workspace, request.m_id);
-    const auto id = request.m_id;
+    auto id = request.m_id;
     m_loop->post(
         [this, request = std::move(request), sink = std::move(sink)]() mutable {
             m_entries.start(request, std::move(sink));
--- a/src/forward/caller_connection.cpp
+++ b/src/forward/caller_connection.cpp
@@ -209,7 +209,7 @@
     co_return co_await write_all("0\r\n\r\n");
 }
 
-void caller_connection::watch(std::shared_ptr<abort_switch> aborter)
+void caller_connection::watch(const std::shared_ptr<abort_switch>& aborter)
 {
     const auto watch = ++m_watch;
     m_stream.socket().async_wait(
--- a/src/forward/proxy.cpp
+++ b/src/forward/proxy.cpp
@@ -17,6 +17,11 @@
 /// a fraction of the usual objective.
 constexpr milliseconds come_back_soon{60};
 constexpr milliseconds come_back_later{250};
+/// A VM that has just started hears of the world within some tenths of a
+/// second; what comes before that waits for it rather than being refused.
+constexpr milliseconds start_patience{1200};
+constexpr milliseconds start_hold{500};
+constexpr milliseconds start_check{15};
 /// Without any configuration the VM has just started and the platform's
 /// store is away: that takes a second or more.
 constexpr milliseconds come_back_configured{1000};
@@ -51,7 +56,7 @@
              std::string availability_zone, turn_client& turns)
     : m_io(io), m_time(time), m_names(std::move(names)),
       m_availability_zone(std::move(availability_zone)), m_turns(turns),
-      m_acceptor(io), m_pool(io, time)
+      m_acceptor(io), m_pool(io, time), m_started(time.now())
 {}
 
 bool proxy::listen(const tcp::endpoint& at, std::string& reason)
@@ -234,11 +239,24 @@
         alive->pull(abort_cause::timeout);
 }
 
+task<> proxy::wait_for(std::function<bool()> ready)
+{
+    const auto until =
+        std::min(m_started + start_patience, m_time.now() + start_hold);
+    while (!ready() && m_time.now() < until)
+        co_await sleep_for(m_io, start_check);
+}
+
 task<proxy::verdict> proxy::handle(std::shared_ptr<caller_connection> caller,
                                    std::shared_ptr<call> work)
 {
     verdict out;
     if (!work->m_config)
+    {
+        co_await wait_for([this] { return m_config != nullptr; });
+        work->m_config = m_config;
+    }
+    if (!work->m_config)
     {
         out.m_answer =
             refuse(*work, "no configuration yet", come_back_configured);
@@ -288,6 +306,8 @@
         work->m_why = "budget=" + std::to_string(begin.m_budget) + ' ';
         co_return fail(*work, 402, "budget is below one turn");
     }
+    if (!m_turns.connected())
+        co_await wait_for([this] { return m_turns.connected(); });
     if (!m_turns.connected())
     {
         // Cut off from all of them: the next VM that is tried may not be.
