Forwarding in short functions; a runner's own error is not replaced by a 502

Cause: the loop over attempts was one function of 130 lines; in it the error of a runner that is kept in reserve was forgotten when no further runner was left (found by reading). Change: begin_choice, attempt, judge, give_up. Test: errors from every runner; it was not run on the code before.

--- a/include/pepperturn/forward/proxy.hpp
+++ b/include/pepperturn/forward/proxy.hpp
@@ -64,10 +64,23 @@
         begin_request m_begin;
         bool m_reserved = false;
         std::uint32_t m_tokens_per_event = 1;
+        std::optional<std::uint32_t> m_urgency;
         unsigned m_attempts = 0;
         std::string m_runner;
         std::string m_why;
     };
+    /// How far the attempts of a request have come.
+    struct progress
+    {
+        unsigned m_may_have_run = 0;
+        unsigned m_refusals = 0;
+        /// The attempt under way may be followed by another if it may have
+        /// run.
+        bool m_may_repeat = false;
+        std::optional<milliseconds> m_come_back;
+        /// A runner's error, to be passed on if no other does better.
+        std::optional<upstream_answer> m_reserve;
+    };
     struct verdict
     {
         /// Empty: a stream that was answered or cut already.
@@ -93,7 +106,15 @@
                                 const event_reader& events);
     task<> watch_deadline(std::shared_ptr<call> work);
     void settle(call& work, std::uint32_t tokens);
-    [[nodiscard]] std::string pick_service(const call& work);
+    [[nodiscard]] std::string pick_service(const call& work) const;
+    [[nodiscard]] runner_choice begin_choice(call& work) const;
+    task<attempt_result> attempt(std::shared_ptr<call> work, runner_row target,
+                                 bool may_repeat, stream_sink sink);
+    /// What an attempt's end means; empty: go on with another runner.
+    [[nodiscard]] std::optional<verdict> judge(call& work, progress& state,
+                                               attempt_result result);
+    /// The answer when no further attempt is made.
+    [[nodiscard]] verdict give_up(call& work, progress& state, bool given_up);
     [[nodiscard]] upstream_answer refuse(call& work, const std::string& why,
                                          milliseconds come_back);
     [[nodiscard]] upstream_answer fail(call& work, unsigned status,
--- a/src/forward/proxy.cpp
+++ b/src/forward/proxy.cpp
@@ -346,7 +346,7 @@
     m_turns.settle(work.m_begin, tokens);
 }
 
-std::string proxy::pick_service(const call& work)
+std::string proxy::pick_service(const call& work) const
 {
     const auto& parts = work.m_route->m_services;
     if (parts.size() == 1)
@@ -375,23 +375,124 @@
     return parts.empty() ? std::string{} : parts.back().m_service;
 }
 
-task<proxy::verdict> proxy::forward(std::shared_ptr<caller_connection> caller,
-                                    std::shared_ptr<call> work)
+proxy::verdict proxy::give_up(call& work, progress& state, bool given_up)
+{
+    verdict out;
+    settle(work, 0);
+    if (work.m_aborter->cause() == abort_cause::caller_left)
+    {
+        work.m_why += "caller left";
+        out.m_cut = true;
+    }
+    else if (state.m_reserve)
+        out.m_answer = std::move(state.m_reserve);
+    else if (state.m_may_have_run > 0)
+        out.m_answer = fail(work, given_up ? 504 : 502, "no whole answer");
+    else
+        out.m_answer = refuse(work, given_up ? "timeout" : "no runner took it",
+                              state.m_come_back.value_or(come_back_soon));
+    return out;
+}
+
+std::optional<proxy::verdict> proxy::judge(call& work, progress& state,
+                                           attempt_result result)
+{
+    verdict out;
+    switch (result.m_outcome)
+    {
+    case attempt_outcome::answered:
+        if (state.m_may_repeat &&
+            result.m_answer.m_status >= first_server_error)
+        {
+            // Another runner may do better; this answer stays in reserve.
+            ++state.m_may_have_run;
+            state.m_reserve = std::move(result.m_answer);
+            return std::nullopt;
+        }
+        settle(work, 0);
+        out.m_answer = std::move(result.m_answer);
+        return out;
+    case attempt_outcome::not_run:
+        ++state.m_refusals;
+        if (result.m_retry_after)
+            state.m_come_back =
+                std::min(*result.m_retry_after, come_back_later);
+        return std::nullopt;
+    case attempt_outcome::unknown:
+        ++state.m_may_have_run;
+        if (state.m_may_repeat)
+            return std::nullopt;
+        settle(work, 0);
+        out.m_answer = state.m_reserve ? std::move(*state.m_reserve)
+                                       : fail(work, 502, result.m_reason);
+        return out;
+    case attempt_outcome::aborted:
+        // Whoever gave it up decides what is answered.
+        ++state.m_may_have_run;
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+runner_choice proxy::begin_choice(call& work) const
 {
-    const auto& route = *work->m_route;
     runner_choice choice;
-    choice.m_service = pick_service(*work);
-    choice.m_preferred = work->m_preferred;
+    choice.m_service = pick_service(work);
+    choice.m_preferred = work.m_preferred;
     choice.m_availability_zone = m_availability_zone;
     choice.m_connected = [this](const std::string& id) {
         return m_pool.has_idle(id);
     };
-    const auto found = work->m_config->m_services.find(choice.m_service);
-    const bool engine = found != work->m_config->m_services.end() &&
-                        found->second.m_engine.has_value();
-    if (engine)
-        work->m_tokens_per_event = found->second.m_engine->m_tokens_per_event;
+    const auto found = work.m_config->m_services.find(choice.m_service);
+    if (found != work.m_config->m_services.end() && found->second.m_engine)
+    {
+        work.m_tokens_per_event = found->second.m_engine->m_tokens_per_event;
+        work.m_urgency =
+            std::min(first_urgency + work.m_route->m_priority, last_urgency);
+    }
+    return choice;
+}
+
+task<attempt_result> proxy::attempt(std::shared_ptr<call> work,
+                                    runner_row target, bool may_repeat,
+                                    stream_sink sink)
+{
+    const auto& route = *work->m_route;
+    const auto& runner = target.m_info;
+    ++work->m_attempts;
+    work->m_runner = runner.m_id;
+    const auto sent_at = m_time.now();
+    std::optional<instant> give_up_at;
+    if (may_repeat)
+        give_up_at =
+            std::min(work->m_deadline,
+                     sent_at + patience_factor * route.m_target_latency);
+    const std::string_view body =
+        route.m_stateful ? work->m_body : work->m_request.body();
+    const attempt_request request{
+        work->m_request,     body,
+        work->m_fields.m_id, route.m_kind == route_kind::stream,
+        work->m_deadline,    give_up_at,
+        work->m_urgency};
+    auto result = co_await run_attempt(m_io, m_time, m_pool, m_runners, m_names,
+                                       runner, request, sink, work->m_aborter);
+    const double load =
+        static_cast<double>(target.m_in_flight) / runner.m_slots;
+    LOG(INFO) << "event=attempt id=" << work->m_fields.m_id
+              << " runner=" << runner.m_id << " service=" << runner.m_service
+              << " load=" << load << " preferred=" << work->m_preferred
+              << " outcome=" << to_string(result.m_outcome)
+              << " ms=" << elapsed(sent_at, m_time.now()).count()
+              << " reason=\"" << result.m_reason << '"';
+    m_metrics.count(std::string("attempts_") + to_string(result.m_outcome));
+    co_return result;
+}
 
+task<proxy::verdict> proxy::forward(std::shared_ptr<caller_connection> caller,
+                                    std::shared_ptr<call> work)
+{
+    const auto& route = *work->m_route;
+    auto choice = begin_choice(*work);
     event_reader events(route.m_stateful);
     stream_sink sink;
     sink.m_begin = [&](const upstream_answer& head) -> task<bool> {
@@ -402,110 +503,25 @@
         events.take(bytes);
         co_return co_await caller->write_piece(bytes);
     };
-    const std::string_view body =
-        route.m_stateful ? work->m_body : work->m_request.body();
-    unsigned may_have_run = 0;
-    unsigned refusals = 0;
-    std::optional<milliseconds> come_back;
-    std::optional<upstream_answer> reserve;
-    verdict out;
+    progress state;
     while (true)
     {
         const bool given_up = work->m_aborter->cause() != abort_cause::none ||
                               m_time.now() >= work->m_deadline;
         choice.m_draw = ++m_draw;
-        const auto* row = given_up || refusals >= most_refusals
+        const auto* row = given_up || state.m_refusals >= most_refusals
                               ? nullptr
                               : m_runners.choose(choice, m_time.now());
         if (row == nullptr)
-        {
-            const bool caller_left =
-                work->m_aborter->cause() == abort_cause::caller_left;
-            settle(*work, 0);
-            if (caller_left)
-            {
-                work->m_why += "caller left";
-                out.m_cut = true;
-            }
-            else if (may_have_run > 0)
-                out.m_answer =
-                    fail(*work, given_up ? 504 : 502, "no whole answer");
-            else
-                out.m_answer =
-                    refuse(*work, given_up ? "timeout" : "no runner took it",
-                           come_back.value_or(come_back_soon));
-            co_return out;
-        }
-        const runner_info runner = row->m_info;
-        ++work->m_attempts;
-        work->m_runner = runner.m_id;
-        const double load =
-            static_cast<double>(row->m_in_flight) / runner.m_slots;
-        std::optional<std::uint32_t> urgency;
-        if (engine)
-            urgency = std::min(first_urgency + route.m_priority, last_urgency);
-        const auto sent_at = m_time.now();
-        const bool again = route.m_kind == route_kind::idempotent &&
-                           may_have_run + 1 < route.m_max_attempts;
-        std::optional<instant> give_up_at;
-        if (again)
-            give_up_at =
-                std::min(work->m_deadline,
-                         sent_at + patience_factor * route.m_target_latency);
-        const attempt_request attempt{work->m_request,
-                                      body,
-                                      work->m_fields.m_id,
-                                      route.m_kind == route_kind::stream,
-                                      work->m_deadline,
-                                      give_up_at,
-                                      urgency};
-        auto result =
-            co_await run_attempt(m_io, m_time, m_pool, m_runners, m_names,
-                                 runner, attempt, sink, work->m_aborter);
-        LOG(INFO) << "event=attempt id=" << work->m_fields.m_id
-                  << " runner=" << runner.m_id
-                  << " service=" << runner.m_service << " load=" << load
-                  << " preferred=" << choice.m_preferred
-                  << " outcome=" << to_string(result.m_outcome)
-                  << " ms=" << elapsed(sent_at, m_time.now()).count()
-                  << " reason=\"" << result.m_reason << '"';
-        m_metrics.count(std::string("attempts_") + to_string(result.m_outcome));
+            co_return give_up(*work, state, given_up);
+        choice.m_excluded.insert(row->m_info.m_id);
+        state.m_may_repeat = route.m_kind == route_kind::idempotent &&
+                             state.m_may_have_run + 1 < route.m_max_attempts;
+        auto result = co_await attempt(work, *row, state.m_may_repeat, sink);
         if (result.m_streamed)
             co_return co_await finish_stream(caller, work, result, events);
-        if (again && result.m_outcome == attempt_outcome::answered &&
-            result.m_answer.m_status >= first_server_error)
-        {
-            // Another runner may do better; this answer stays in reserve.
-            ++may_have_run;
-            choice.m_excluded.insert(runner.m_id);
-            reserve = std::move(result.m_answer);
-            continue;
-        }
-        switch (result.m_outcome)
-        {
-        case attempt_outcome::answered:
-            settle(*work, 0);
-            out.m_answer = std::move(result.m_answer);
-            co_return out;
-        case attempt_outcome::not_run:
-            ++refusals;
-            choice.m_excluded.insert(runner.m_id);
-            if (result.m_retry_after)
-                come_back = std::min(*result.m_retry_after, come_back_later);
-            continue;
-        case attempt_outcome::unknown:
-            ++may_have_run;
-            choice.m_excluded.insert(runner.m_id);
-            if (again)
-                continue;
-            settle(*work, 0);
-            out.m_answer = reserve ? std::move(*reserve)
-                                   : fail(*work, 502, result.m_reason);
-            co_return out;
-        case attempt_outcome::aborted:
-            ++may_have_run;
-            continue;
-        }
+        if (auto done = judge(*work, state, std::move(result)))
+            co_return std::move(*done);
     }
 }
 
--- a/test/fleet/test_proxy.cpp
+++ b/test/fleet/test_proxy.cpp
@@ -279,6 +279,21 @@
     CHECK(has(got, "Retry-After: 0.100"));
 }
 
+TEST_CASE("errors from every runner: the runner's own is passed on", "[proxy]")
+{
+    // It was replaced by a 502 when no further runner was left.
+    world edge;
+    const bool one_runner = GENERATE(false, true);
+    edge.m_first.script({{whole_answer(500, "own error")}});
+    edge.m_second.script({{whole_answer(500, "own error")}});
+    if (one_runner)
+        edge.m_proxy.take_runners(
+            {{"r1", "svc", edge.m_first.address(), "z", 4, false}});
+    const auto got = edge.ask(world::get("/get/"), "own error");
+    CHECK(has(got, "HTTP/1.1 500 "));
+    CHECK(has(got, "Pepperturn-Signature: s"));
+}
+
 TEST_CASE("nobody listens there: not run", "[proxy]")
 {
     world edge;
