--- a/include/pepperturn/base/async.hpp
+++ b/include/pepperturn/base/async.hpp
@@ -60,6 +60,10 @@
                                            error_code& ec);
 [[nodiscard]] std::string to_text(const tcp::endpoint& endpoint);
 
+/// Opens \p acceptor at \p at; false with \p reason set if that fails.
+[[nodiscard]] bool open_listener(tcp::acceptor& acceptor,
+                                 const tcp::endpoint& at, std::string& reason);
+
 /// No delay, and a peer that acknowledges nothing for \p silence is given up.
 void tune_socket(tcp::socket& socket, milliseconds silence);
 
--- a/include/pepperturn/cluster/member_links.hpp
+++ b/include/pepperturn/cluster/member_links.hpp
@@ -32,6 +32,9 @@
 
     /// Asks one member; \p done may come at once if it is not connected.
     void call(const std::string& name, frame_body body, frame_done done);
+    /// The same as a task; empty if no answer comes before \p until.
+    [[nodiscard]] task<std::optional<frame>>
+    ask(std::string name, frame_body body, instant until);
     /// Tells a member what it seems not to know.
     void tell_state(const std::string& name);
 
--- a/include/pepperturn/fleet/storage_node.hpp
+++ b/include/pepperturn/fleet/storage_node.hpp
@@ -34,7 +34,6 @@
     task<bool> copy_turns(std::string name,
                           std::vector<std::uint64_t> positions);
     void note_isolation();
-    task<std::optional<frame>> ask(std::string name, frame_body body);
 
     asio::io_context& m_io;
     const clock& m_time;
--- a/include/pepperturn/turns/turn_client.hpp
+++ b/include/pepperturn/turns/turn_client.hpp
@@ -75,8 +75,6 @@
     first_members(std::uint64_t draw) const;
     task<bool> complete_chain(std::shared_ptr<round> work, std::string parent,
                               std::vector<turn_record>& chain, instant until);
-    task<std::optional<frame>> ask(std::string name, frame_body body,
-                                   instant until);
 
     asio::io_context& m_io;
     const clock& m_time;
--- a/src/base/async.cpp
+++ b/src/base/async.cpp
@@ -92,6 +92,23 @@
     return text;
 }
 
+bool open_listener(tcp::acceptor& acceptor, const tcp::endpoint& at,
+                   std::string& reason)
+{
+    error_code ec;
+    acceptor.open(at.protocol(), ec);
+    if (!ec)
+        acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+    if (!ec)
+        acceptor.bind(at, ec);
+    if (!ec)
+        acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    if (!ec)
+        return true;
+    reason = to_text(at) + ": " + ec.message();
+    return false;
+}
+
 void tune_socket(tcp::socket& socket, milliseconds silence)
 {
     // Options that a socket refuses leave it slower to notice a dead peer,
--- a/src/cluster/member_links.cpp
+++ b/src/cluster/member_links.cpp
@@ -166,6 +166,27 @@
         {call, m_state.m_view.m_epoch, frame_status::ok, std::move(body)});
 }
 
+task<std::optional<frame>> member_links::ask(std::string name, frame_body body,
+                                             instant until)
+{
+    struct asked
+    {
+        explicit asked(asio::io_context& io) : m_changed(io) {}
+        async_event m_changed;
+        bool m_done = false;
+        std::optional<frame> m_answer;
+    };
+    const auto state = std::make_shared<asked>(m_io);
+    call(name, std::move(body), [state](std::optional<frame> answer) {
+        state->m_done = true;
+        state->m_answer = std::move(answer);
+        state->m_changed.notify();
+    });
+    while (!state->m_done && m_time.now() < until)
+        co_await state->m_changed.wait_until(until);
+    co_return std::move(state->m_answer);
+}
+
 void member_links::tell_state(const std::string& name)
 {
     const auto found = m_rows.find(name);
--- a/src/fleet/status_server.cpp
+++ b/src/fleet/status_server.cpp
@@ -25,19 +25,8 @@
 
 bool status_server::listen(const tcp::endpoint& at, std::string& reason)
 {
-    error_code ec;
-    m_acceptor.open(at.protocol(), ec);
-    if (!ec)
-        m_acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
-    if (!ec)
-        m_acceptor.bind(at, ec);
-    if (!ec)
-        m_acceptor.listen(asio::socket_base::max_listen_connections, ec);
-    if (ec)
-    {
-        reason = to_text(at) + ": " + ec.message();
+    if (!open_listener(m_acceptor, at, reason))
         return false;
-    }
     spawn(m_io, "status_server.accept", accept_callers());
     return true;
 }
--- a/src/fleet/storage_node.cpp
+++ b/src/fleet/storage_node.cpp
@@ -178,27 +178,6 @@
     take_state(news);
 }
 
-task<std::optional<frame>> storage_node::ask(std::string name, frame_body body)
-{
-    struct asked
-    {
-        explicit asked(asio::io_context& io) : m_changed(io) {}
-        async_event m_changed;
-        bool m_done = false;
-        std::optional<frame> m_answer;
-    };
-    const auto state = std::make_shared<asked>(m_io);
-    m_links.call(name, std::move(body), [state](std::optional<frame> answer) {
-        state->m_done = true;
-        state->m_answer = std::move(answer);
-        state->m_changed.notify();
-    });
-    const auto until = m_time.now() + copy_patience;
-    while (!state->m_done && m_time.now() < until)
-        co_await state->m_changed.wait_until(until);
-    co_return std::move(state->m_answer);
-}
-
 task<bool> storage_node::copy_turns(std::string name,
                                     std::vector<std::uint64_t> positions)
 {
@@ -208,7 +187,8 @@
         const frame_body question = read_message{
             {positions.begin() + static_cast<std::ptrdiff_t>(begin),
              positions.begin() + static_cast<std::ptrdiff_t>(end)}};
-        const auto answer = co_await ask(name, question);
+        const auto answer =
+            co_await m_links.ask(name, question, m_time.now() + copy_patience);
         const auto* entries =
             answer && answer->m_status == frame_status::ok
                 ? std::get_if<entries_message>(&answer->m_body)
@@ -231,7 +211,8 @@
     while (more)
     {
         const frame_body question = list_message{from};
-        const auto answer = co_await ask(name, question);
+        const auto answer =
+            co_await m_links.ask(name, question, m_time.now() + copy_patience);
         if (answer && answer->m_status == frame_status::stale &&
             answer->m_epoch < epoch)
             m_links.tell_state(name);
@@ -256,7 +237,8 @@
     if (!co_await m_server->synced())
         co_return false;
     const frame_body done = copied_message{};
-    const auto answer = co_await ask(name, done);
+    const auto answer =
+        co_await m_links.ask(name, done, m_time.now() + copy_patience);
     if (!answer || answer->m_status != frame_status::ok)
         co_return false;
     LOG(INFO) << "event=copied_all from=" << name << " epoch=" << epoch
--- a/src/forward/proxy.cpp
+++ b/src/forward/proxy.cpp
@@ -61,19 +61,8 @@
 
 bool proxy::listen(const tcp::endpoint& at, std::string& reason)
 {
-    error_code ec;
-    m_acceptor.open(at.protocol(), ec);
-    if (!ec)
-        m_acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
-    if (!ec)
-        m_acceptor.bind(at, ec);
-    if (!ec)
-        m_acceptor.listen(asio::socket_base::max_listen_connections, ec);
-    if (ec)
-    {
-        reason = to_text(at) + ": " + ec.message();
+    if (!open_listener(m_acceptor, at, reason))
         return false;
-    }
     spawn(m_io, "proxy.accept", accept_callers());
     return true;
 }
--- a/src/turns/turn_client.cpp
+++ b/src/turns/turn_client.cpp
@@ -222,27 +222,6 @@
     return true;
 }
 
-task<std::optional<frame>> turn_client::ask(std::string name, frame_body body,
-                                            instant until)
-{
-    struct asked
-    {
-        explicit asked(asio::io_context& io) : m_changed(io) {}
-        async_event m_changed;
-        bool m_done = false;
-        std::optional<frame> m_answer;
-    };
-    const auto state = std::make_shared<asked>(m_io);
-    m_links.call(name, std::move(body), [state](std::optional<frame> answer) {
-        state->m_done = true;
-        state->m_answer = std::move(answer);
-        state->m_changed.notify();
-    });
-    while (!state->m_done && m_time.now() < until)
-        co_await state->m_changed.wait_until(until);
-    co_return std::move(state->m_answer);
-}
-
 task<bool> turn_client::complete_chain(std::shared_ptr<round> work,
                                        std::string parent,
                                        std::vector<turn_record>& chain,
@@ -268,9 +247,9 @@
             // A local: GCC 12 destroys aggregate temporaries of an awaiting
             // expression twice.
             const frame_body question = fetch_message{missing};
-            const auto answer =
-                co_await ask(row.m_name, question,
-                             std::min(until, m_time.now() + fetch_patience));
+            const auto answer = co_await m_links.ask(
+                row.m_name, question,
+                std::min(until, m_time.now() + fetch_patience));
             const auto* fetched =
                 answer ? std::get_if<fetched_message>(&answer->m_body)
                        : nullptr;
--- a/src/turns/turn_server.cpp
+++ b/src/turns/turn_server.cpp
@@ -45,19 +45,8 @@
 
 bool turn_server::listen(const tcp::endpoint& at, std::string& reason)
 {
-    error_code ec;
-    m_acceptor.open(at.protocol(), ec);
-    if (!ec)
-        m_acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
-    if (!ec)
-        m_acceptor.bind(at, ec);
-    if (!ec)
-        m_acceptor.listen(asio::socket_base::max_listen_connections, ec);
-    if (ec)
-    {
-        reason = to_text(at) + ": " + ec.message();
+    if (!open_listener(m_acceptor, at, reason))
         return false;
-    }
     spawn(m_io, "turn_server.accept", accept_links());
     return true;
 }
