Runners are told entry by entry, large configurations are announced

Change: each runner's entry carries its revision and moves forward by itself, so that news of several VMs may come in any order; only what moved is told. An entry that is missing in a whole list counts as gone up to that list's revision, and not within 2.2 s of a VM's first reading. Configurations above 2 KB are announced and asked for once, from the nearest VM. A VM that starts takes up the entries it knew, so that what lapsed meanwhile has its time to come back.

Tests: order of news (property), table of entries, one entry for one change, announcements. The test of merged state now asks for the names that moved where it asked for a flag.

--- /dev/null
+++ b/include/pepperturn/cluster/config_fetcher.hpp
@@ -0,0 +1,45 @@
+// SPDX-License-Identifier: BSL-1.0
+/// \file
+/// Gets a configuration that storage VMs have only announced, from the nearest
+/// of them.
+#pragma once
+
+#include "pepperturn/cluster/member_links.hpp"
+
+namespace pepperturn {
+
+class config_fetcher
+{
+public:
+    /// \param availability_zone members there are asked first
+    /// \param take gets the answers
+    config_fetcher(asio::io_context& io, const clock& time, member_links& links,
+                   std::string availability_zone,
+                   std::function<void(const cluster_state&)> take);
+
+    /// The view that tells where members are.
+    void follow(const cluster_view& view);
+    /// The newest configuration that is here; older ones are not asked for.
+    void note_known(std::uint64_t revision);
+    /// \p member has the configuration of \p revision.
+    void note_announced(const std::string& member, std::uint64_t revision);
+
+private:
+    /// Members that have something newer, the nearest first.
+    [[nodiscard]] std::vector<std::string> sources(bool near_only) const;
+    [[nodiscard]] bool is_near(const std::string& member) const;
+    task<> fetch();
+    task<> ask(std::string member);
+
+    asio::io_context& m_io;
+    const clock& m_time;
+    member_links& m_links;
+    std::string m_availability_zone;
+    std::function<void(const cluster_state&)> m_take;
+    cluster_view m_view;
+    std::uint64_t m_known = 0;
+    std::map<std::string, std::uint64_t> m_announced;
+    bool m_fetching = false;
+};
+
+} // namespace pepperturn
--- a/include/pepperturn/cluster/member_links.hpp
+++ b/include/pepperturn/cluster/member_links.hpp
@@ -22,12 +22,14 @@
                  std::string self_name);
 
     /// Called for each state that a storage VM tells.
-    void on_state(std::function<void(const cluster_state&)> handler);
+    /// \param handler takes the VM's name and what it told
+    void on_state(
+        std::function<void(const std::string&, const cluster_state&)> handler);
 
     /// Connects to \p addresses until a view is known.
     void seek(const std::vector<std::string>& addresses);
-    /// Connects to the members of \p state's view and lets go of others.
-    void follow(const cluster_state& state);
+    /// Connects to the members of \p view and lets go of others.
+    void follow(const cluster_view& view);
     void stop();
 
     /// Asks one member; \p done may come at once if it is not connected.
@@ -35,8 +37,8 @@
     /// The same as a task; empty if no answer comes before \p until.
     [[nodiscard]] task<std::optional<frame>>
     ask(std::string name, frame_body body, instant until);
-    /// Tells a member what it seems not to know.
-    void tell_state(const std::string& name);
+    /// Tells a member the view, which it seems not to know.
+    void tell_view(const std::string& name);
 
     [[nodiscard]] bool connected(const std::string& name) const;
     /// When the member last sent anything; the epoch of the clock: never.
@@ -59,15 +61,15 @@
 
     void add_row(const std::string& name, const std::string& address);
     task<> keep_connected(std::string name, std::shared_ptr<link_row> row);
-    void take_frame(link_row& row, frame value);
+    void take_frame(const std::string& name, link_row& row, frame value);
     void end_calls(link_row& row);
 
     asio::io_context& m_io;
     const clock& m_time;
     std::string m_self_name;
-    std::function<void(const cluster_state&)> m_on_state;
+    std::function<void(const std::string&, const cluster_state&)> m_on_state;
     std::map<std::string, std::shared_ptr<link_row>> m_rows;
-    cluster_state m_state;
+    cluster_view m_view;
     std::uint64_t m_next_call = 1;
     instant m_store_heard{};
     bool m_stopped = false;
--- a/include/pepperturn/fleet/edge_node.hpp
+++ b/include/pepperturn/fleet/edge_node.hpp
@@ -3,6 +3,7 @@
 /// An edge VM's process: forwarding, with what it needs to know kept current.
 #pragma once
 
+#include "pepperturn/cluster/config_fetcher.hpp"
 #include "pepperturn/config/fleet_settings.hpp"
 #include "pepperturn/fleet/status_server.hpp"
 #include "pepperturn/fleet/world_source.hpp"
@@ -25,7 +26,8 @@
 
 private:
     void take_state(const cluster_state& news);
-    void take_runners();
+    /// Decodes the entries that moved and passes all runners on.
+    void take_runners(const std::vector<std::string>& moved);
     void choose_source();
     task<> drain();
 
@@ -35,10 +37,12 @@
     state_decoders m_decoders;
     world_source& m_source;
     member_links m_links;
+    config_fetcher m_config_fetcher;
     turn_client m_turns;
     proxy m_proxy;
     status_server m_status;
     cluster_state m_state;
+    std::map<std::string, runner_info> m_runners;
     bool m_stopping = false;
     bool m_own_source = false;
     instant m_started{};
--- a/include/pepperturn/fleet/storage_node.hpp
+++ b/include/pepperturn/fleet/storage_node.hpp
@@ -4,7 +4,7 @@
 /// store for the fleet, and takes part in the view.
 #pragma once
 
-#include "pepperturn/cluster/member_links.hpp"
+#include "pepperturn/cluster/config_fetcher.hpp"
 #include "pepperturn/cluster/membership.hpp"
 #include "pepperturn/config/fleet_settings.hpp"
 #include "pepperturn/fleet/world_source.hpp"
@@ -40,6 +40,7 @@
     fleet_settings m_settings;
     world_source& m_source;
     member_links m_links;
+    config_fetcher m_config_fetcher;
     std::unique_ptr<turn_log> m_log;
     std::unique_ptr<turn_store> m_store;
     std::unique_ptr<turn_server> m_server;
--- a/include/pepperturn/turns/messages.hpp
+++ b/include/pepperturn/turns/messages.hpp
@@ -130,11 +130,18 @@
                            const copied_message&) = default;
 };
 
+/// Asks for the configuration whole; answered with a cluster_state.
+struct want_config_message
+{
+    friend bool operator==(const want_config_message&,
+                           const want_config_message&) = default;
+};
+
 using frame_body =
     std::variant<hello_message, cluster_state, beat_message, begin_message,
                  begun_message, append_message, appended_message, fetch_message,
                  fetched_message, list_message, listed_message, read_message,
-                 entries_message, copied_message>;
+                 entries_message, copied_message, want_config_message>;
 
 struct frame
 {
--- a/src/cluster/member_links.cpp
+++ b/src/cluster/member_links.cpp
@@ -22,7 +22,8 @@
     : m_io(io), m_time(time), m_self_name(std::move(self_name))
 {}
 
-void member_links::on_state(std::function<void(const cluster_state&)> handler)
+void member_links::on_state(
+    std::function<void(const std::string&, const cluster_state&)> handler)
 {
     m_on_state = std::move(handler);
 }
@@ -37,17 +38,17 @@
 
 void member_links::seek(const std::vector<std::string>& addresses)
 {
-    if (!m_state.m_view.m_members.empty())
+    if (!m_view.m_members.empty())
         return;
     for (const auto& address : addresses)
         add_row(address, address);
 }
 
-void member_links::follow(const cluster_state& state)
+void member_links::follow(const cluster_view& view)
 {
-    m_state = state;
+    m_view = view;
     auto before = std::exchange(m_rows, {});
-    for (const auto& row : state.m_view.m_members)
+    for (const auto& row : view.m_members)
     {
         if (row.m_name == m_self_name)
             continue;
@@ -100,13 +101,15 @@
         row->m_link = link;
         row->m_heard = m_time.now();
         link->start(
-            [this, row](frame value) { take_frame(*row, std::move(value)); },
+            [this, name, row](frame value) {
+                take_frame(name, *row, std::move(value));
+            },
             [&closed, &closed_reason](const std::string& why) {
                 closed_reason = why;
                 closed.notify();
             });
-        link->send({0, m_state.m_view.m_epoch, frame_status::ok,
-                    hello_message{m_self_name}});
+        link->send(
+            {0, m_view.m_epoch, frame_status::ok, hello_message{m_self_name}});
         LOG(INFO) << "event=storage_connected vm=" << name
                   << " address=" << row->m_address;
         while (link->open())
@@ -118,7 +121,8 @@
     }
 }
 
-void member_links::take_frame(link_row& row, frame value)
+void member_links::take_frame(const std::string& name, link_row& row,
+                              frame value)
 {
     row.m_heard = m_time.now();
     if (value.m_call != 0)
@@ -134,7 +138,7 @@
     if (const auto* state = std::get_if<cluster_state>(&value.m_body))
     {
         if (m_on_state)
-            m_on_state(*state);
+            m_on_state(name, *state);
     }
     else if (const auto* beat = std::get_if<beat_message>(&value.m_body))
     {
@@ -163,7 +167,7 @@
     const auto call = m_next_call++;
     found->second->m_calls[call] = std::move(done);
     found->second->m_link->send(
-        {call, m_state.m_view.m_epoch, frame_status::ok, std::move(body)});
+        {call, m_view.m_epoch, frame_status::ok, std::move(body)});
 }
 
 task<std::optional<frame>> member_links::ask(std::string name, frame_body body,
@@ -187,13 +191,15 @@
     co_return std::move(state->m_answer);
 }
 
-void member_links::tell_state(const std::string& name)
+void member_links::tell_view(const std::string& name)
 {
     const auto found = m_rows.find(name);
     if (found == m_rows.end() || !found->second->m_link)
         return;
+    cluster_state told;
+    told.m_view = m_view;
     found->second->m_link->send(
-        {0, m_state.m_view.m_epoch, frame_status::ok, m_state});
+        {0, m_view.m_epoch, frame_status::ok, std::move(told)});
 }
 
 bool member_links::connected(const std::string& name) const
--- a/src/fleet/edge_node.cpp
+++ b/src/fleet/edge_node.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "pepperturn/fleet/edge_node.hpp"
 
+#include <algorithm>
 #include <glog/logging.h>
 
 namespace pepperturn {
@@ -29,6 +30,8 @@
     : m_io(io), m_time(time), m_settings(settings),
       m_decoders(std::move(decoders)), m_source(source),
       m_links(io, time, settings.m_name),
+      m_config_fetcher(io, time, m_links, settings.m_availability_zone,
+                       [this](const cluster_state& news) { take_state(news); }),
       m_turns(io, time, m_links, settings.m_availability_zone,
               settings.m_disk_losses),
       m_proxy(io, time, std::move(names), settings.m_availability_zone,
@@ -58,7 +61,11 @@
     }
     if (!m_proxy.listen(callers, reason) || !m_status.listen(ready, reason))
         return false;
-    m_links.on_state([this](const cluster_state& news) { take_state(news); });
+    m_links.on_state(
+        [this](const std::string& from, const cluster_state& news) {
+            take_state(news);
+            m_config_fetcher.note_announced(from, news.m_config_revision);
+        });
     m_source.on_state([this](const cluster_state& news) { take_state(news); });
     m_started = m_time.now();
     m_links.seek(m_settings.m_seeds);
@@ -68,6 +75,7 @@
 void edge_node::take_state(const cluster_state& news)
 {
     const auto change = merge_state(m_state, news);
+    m_config_fetcher.note_known(m_state.m_config_revision);
     if (change.m_config)
     {
         std::string reason;
@@ -79,36 +87,47 @@
                        << m_state.m_config_revision << " reason=\"" << reason
                        << '"';
     }
-    if (change.m_runners)
-        take_runners();
+    if (!change.m_runners.empty())
+        take_runners(change.m_runners);
     if (change.m_view)
     {
         LOG(INFO) << "event=view_taken epoch=" << m_state.m_view.m_epoch
                   << " members=" << m_state.m_view.m_members.size();
-        m_links.follow(m_state);
+        m_links.follow(m_state.m_view);
+        m_config_fetcher.follow(m_state.m_view);
         m_turns.follow(m_state.m_view);
     }
 }
 
-void edge_node::take_runners()
+void edge_node::take_runners(const std::vector<std::string>& moved)
 {
-    std::vector<runner_info> runners;
-    std::size_t draining = 0;
+    std::uint64_t newest = 0;
     for (const auto& row : m_state.m_runners)
     {
+        newest = std::max(newest, row.m_revision);
+        if (std::find(moved.begin(), moved.end(), row.m_name) == moved.end())
+            continue;
         std::string reason;
-        auto info = m_decoders.m_runner(row.m_name, row.m_text, reason);
-        if (!info)
-        {
+        auto info = row.m_gone
+                        ? std::nullopt
+                        : m_decoders.m_runner(row.m_name, row.m_text, reason);
+        if (!row.m_gone && !info)
             LOG(ERROR) << "event=runner_unreadable runner=" << row.m_name
                        << " reason=\"" << reason << '"';
-            continue;
-        }
-        draining += info->m_draining ? 1 : 0;
-        runners.push_back(std::move(*info));
+        m_runners.erase(row.m_name);
+        if (info)
+            m_runners.emplace(row.m_name, std::move(*info));
+    }
+    std::vector<runner_info> runners;
+    std::size_t draining = 0;
+    for (const auto& [name, info] : m_runners)
+    {
+        draining += info.m_draining ? 1 : 0;
+        runners.push_back(info);
     }
-    LOG(INFO) << "event=runners_taken revision=" << m_state.m_runners_revision
-              << " runners=" << runners.size() << " draining=" << draining;
+    LOG(INFO) << "event=runners_taken revision=" << newest
+              << " runners=" << runners.size() << " draining=" << draining
+              << " moved=" << moved.size();
     m_proxy.take_runners(runners);
 }
 
--- a/src/fleet/storage_node.cpp
+++ b/src/fleet/storage_node.cpp
@@ -38,7 +38,9 @@
 storage_node::storage_node(asio::io_context& io, const clock& time,
                            const fleet_settings& settings, world_source& source)
     : m_io(io), m_time(time), m_settings(settings), m_source(source),
-      m_links(io, time, settings.m_name)
+      m_links(io, time, settings.m_name),
+      m_config_fetcher(io, time, m_links, settings.m_availability_zone,
+                       [this](const cluster_state& news) { take_state(news); })
 {}
 
 bool storage_node::open_disk(std::string& reason)
@@ -86,14 +88,21 @@
         return false;
     m_server->on_change([this](const state_change& change) {
         if (change.m_view)
-            m_links.follow(m_server->state());
-    });
-    m_links.on_state([this](const cluster_state& news) {
-        take_state(news);
-        m_source.learn(news);
+        {
+            m_links.follow(m_server->state().m_view);
+            m_config_fetcher.follow(m_server->state().m_view);
+        }
     });
+    m_links.on_state(
+        [this](const std::string& from, const cluster_state& news) {
+            take_state(news);
+            m_source.learn(news);
+            m_config_fetcher.note_announced(from, news.m_config_revision);
+        });
     m_source.on_state([this](const cluster_state& news) { take_state(news); });
     m_server->load_state();
+    // An entry that lapsed while every VM was down has time to come back.
+    m_source.learn(m_server->state());
     m_source.start();
     spawn(m_io, "storage_node.membership", look_after_membership());
     return true;
@@ -102,6 +111,7 @@
 void storage_node::take_state(const cluster_state& news)
 {
     m_server->take_state(news);
+    m_config_fetcher.note_known(m_server->state().m_config_revision);
 }
 
 membership_facts storage_node::gather_facts() const
@@ -215,7 +225,7 @@
             co_await m_links.ask(name, question, m_time.now() + copy_patience);
         if (answer && answer->m_status == frame_status::stale &&
             answer->m_epoch < epoch)
-            m_links.tell_state(name);
+            m_links.tell_view(name);
         const auto* page = answer && answer->m_status == frame_status::ok
                                ? std::get_if<listed_message>(&answer->m_body)
                                : nullptr;
--- a/src/turns/messages.cpp
+++ b/src/turns/messages.cpp
@@ -112,6 +112,8 @@
     {
         runners[i].setName(state.m_runners[i].m_name);
         runners[i].setText(state.m_runners[i].m_text);
+        runners[i].setRevision(state.m_runners[i].m_revision);
+        runners[i].setGone(state.m_runners[i].m_gone);
     }
     out.setViewRevision(state.m_view.m_epoch);
     auto members = out.initView(state.m_view.m_members.size());
@@ -144,8 +146,9 @@
     state.m_config = text_of(in.getConfig());
     state.m_runners_revision = in.getRunnersRevision();
     for (const auto row : in.getRunners())
-        state.m_runners.push_back(
-            {text_of(row.getName()), text_of(row.getText())});
+        state.m_runners.push_back({text_of(row.getName()),
+                                   text_of(row.getText()), row.getRevision(),
+                                   row.getGone()});
     state.m_view.m_epoch = in.getViewRevision();
     for (const auto row : in.getView())
         state.m_view.m_members.push_back(read(row));
@@ -249,6 +252,10 @@
     {
         m_out.setCopied();
     }
+    void operator()(const want_config_message&)
+    {
+        m_out.setWantConfig();
+    }
 };
 
 begin_message read_begin(turns_wire::Begin::Reader in)
@@ -323,6 +330,8 @@
         return read_entries(in.getEntries());
     case kind::COPIED:
         return copied_message{};
+    case turns_wire::Frame::WANT_CONFIG:
+        return want_config_message{};
     }
     return std::nullopt;
 }
--- a/src/turns/turn_client.cpp
+++ b/src/turns/turn_client.cpp
@@ -177,7 +177,7 @@
                          if (answer &&
                              answer->m_status == frame_status::stale &&
                              answer->m_epoch < m_view.m_epoch)
-                             m_links.tell_state(name);
+                             m_links.tell_view(name);
                          if (answer && answer->m_status == frame_status::ok)
                              asked.m_answer = std::move(answer);
                          work->m_changed.notify();
--- a/src/turns/turn_server.cpp
+++ b/src/turns/turn_server.cpp
@@ -86,7 +86,7 @@
     from->m_link->start(
         [this, from](frame value) { take_frame(from, std::move(value)); },
         [this, from](const std::string&) { m_peers.erase(from); });
-    answer(from, 0, frame_status::ok, m_state);
+    answer(from, 0, frame_status::ok, whole_of(m_state));
 }
 
 void turn_server::on_change(std::function<void(const state_change&)> handler)
@@ -113,7 +113,8 @@
     LOG(INFO) << "event=state_taken config_revision="
               << m_state.m_config_revision
               << " runners_revision=" << m_state.m_runners_revision
-              << " runners=" << m_state.m_runners.size()
+              << " runners=" << count_runners(m_state)
+              << " moved=" << change.m_runners.size()
               << " epoch=" << m_state.m_view.m_epoch;
     const auto parts = parts_of(m_state, change);
     for (const auto& row : std::set(m_peers))
@@ -192,12 +193,22 @@
     }
     if (value.m_call == 0)
         return;
+    // Whatever the asker's view is.
+    if (std::holds_alternative<want_config_message>(value.m_body))
+    {
+        cluster_state told;
+        told.m_config_revision = m_state.m_config_revision;
+        told.m_config = m_state.m_config;
+        answer(from, value.m_call, frame_status::ok, std::move(told));
+        return;
+    }
     const auto status = check(value);
     if (status != frame_status::ok)
     {
         if (status == frame_status::stale &&
             value.m_epoch < m_state.m_view.m_epoch)
-            answer(from, 0, frame_status::ok, m_state);
+            answer(from, 0, frame_status::ok,
+                   parts_of(m_state, {.m_view = true}));
         answer(from, value.m_call, status, appended_message{});
         return;
     }
--- /dev/null
+++ b/test/cluster/test_state.cpp
@@ -0,0 +1,225 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/cluster/state.hpp"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <rapidcheck.h>
+
+namespace {
+
+using namespace pepperturn;
+
+cluster_state whole(std::uint64_t revision, std::vector<runner_entry> rows)
+{
+    cluster_state out;
+    out.m_runners_revision = revision;
+    out.m_runners = std::move(rows);
+    return out;
+}
+
+/// Names of the runners that have not gone, with their texts.
+std::map<std::string, std::string> alive(const cluster_state& state)
+{
+    std::map<std::string, std::string> out;
+    for (const auto& row : state.m_runners)
+    {
+        if (!row.m_gone)
+            out[row.m_name] = row.m_text;
+    }
+    return out;
+}
+
+/// What a store held at each revision: runners come, change and go.
+struct history
+{
+    std::vector<std::map<std::string, runner_entry>> m_at;
+    /// The entry that each revision moved.
+    std::vector<runner_entry> m_moved;
+};
+
+history draw_history()
+{
+    history out;
+    out.m_at.emplace_back();
+    out.m_moved.emplace_back();
+    const auto steps = *rc::gen::inRange<std::uint64_t>(1, 30);
+    for (std::uint64_t revision = 1; revision <= steps; ++revision)
+    {
+        auto next = out.m_at.back();
+        const auto name = "r-" + std::to_string(*rc::gen::inRange(0, 6));
+        const bool goes = next.contains(name) && *rc::gen::arbitrary<bool>();
+        const runner_entry row{name, goes ? "" : std::to_string(revision),
+                               revision, goes};
+        if (goes)
+            next.erase(name);
+        else
+            next[name] = row;
+        out.m_at.push_back(std::move(next));
+        out.m_moved.push_back(row);
+    }
+    return out;
+}
+
+cluster_state list_at(const history& truth, std::uint64_t revision)
+{
+    cluster_state out;
+    out.m_runners_revision = revision;
+    for (const auto& [name, row] : truth.m_at[revision])
+        out.m_runners.push_back(row);
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("state only moves forward, part by part", "[state]")
+{
+    cluster_state state;
+    state.m_config_revision = 4;
+    state.m_config = "four";
+    state.m_runners_revision = 10;
+    cluster_state news;
+    news.m_config_revision = 3;
+    news.m_config = "three";
+    news.m_runners_revision = 11;
+    news.m_runners = {{"r", "text", 9}};
+    const auto change = merge_state(state, news);
+    CHECK(change == state_change{.m_runners = {"r"}});
+    CHECK(state.m_config == "four");
+    CHECK(state.m_runners.size() == 1);
+    CHECK_FALSE(merge_state(state, news).any());
+    const auto parts = parts_of(state, change);
+    CHECK(parts.m_config_revision == 0);
+    CHECK(parts.m_runners == news.m_runners);
+    // Some entries say nothing of the others.
+    CHECK(parts.m_runners_revision == 0);
+}
+
+TEST_CASE("an entry moves forward, whoever tells of it", "[state]")
+{
+    struct row
+    {
+        const char* m_what;
+        cluster_state m_news;
+        std::map<std::string, std::string> m_alive;
+        bool m_changes;
+    };
+    const auto each = GENERATE(values<row>({
+        {"newer text",
+         whole(0, {{"a", "a2", 8}}),
+         {{"a", "a2"}, {"b", "b"}},
+         true},
+        {"older text",
+         whole(0, {{"a", "a0", 2}}),
+         {{"a", "a"}, {"b", "b"}},
+         false},
+        {"gone", whole(0, {{"a", "", 7, true}}), {{"b", "b"}}, true},
+        {"gone before it came back",
+         whole(0, {{"a", "", 4, true}}),
+         {{"a", "a"}, {"b", "b"}},
+         false},
+        {"back before it went",
+         whole(0, {{"c", "c", 5}}),
+         {{"a", "a"}, {"b", "b"}},
+         false},
+        {"back after it went",
+         whole(0, {{"c", "c", 7}}),
+         {{"a", "a"}, {"b", "b"}, {"c", "c"}},
+         true},
+        {"lacks what came before the list",
+         whole(5, {{"b", "b", 6}}),
+         {{"b", "b"}},
+         true},
+        {"lacks what came after the list",
+         whole(4, {{"b", "b", 6}}),
+         {{"a", "a"}, {"b", "b"}},
+         false},
+    }));
+    INFO(each.m_what);
+    cluster_state state;
+    merge_state(state,
+                whole(3, {{"a", "a", 5}, {"b", "b", 6}, {"c", "", 6, true}}));
+    CHECK(merge_state(state, each.m_news).any() == each.m_changes);
+    CHECK(alive(state) == each.m_alive);
+}
+
+TEST_CASE("news of many VMs in any order end in the same list",
+          "[state][property]")
+{
+    CHECK(rc::check("order of news", [] {
+        const auto truth = draw_history();
+        const auto last = truth.m_at.size() - 1;
+        std::vector<cluster_state> news;
+        for (std::uint64_t revision = 1; revision <= last; ++revision)
+            news.push_back(whole(0, {truth.m_moved[revision]}));
+        const auto lists = *rc::gen::inRange(0, 5);
+        for (int i = 0; i < lists; ++i)
+            news.push_back(
+                list_at(truth, *rc::gen::inRange<std::uint64_t>(1, last + 1)));
+        cluster_state state;
+        while (!news.empty())
+        {
+            const auto at = *rc::gen::inRange<std::size_t>(0, news.size());
+            const auto change = merge_state(state, news[at]);
+            // What is passed on brings another VM as far.
+            for (const auto& row : parts_of(state, change).m_runners)
+                RC_ASSERT(std::find(change.m_runners.begin(),
+                                    change.m_runners.end(),
+                                    row.m_name) != change.m_runners.end());
+            news.erase(news.begin() + static_cast<std::ptrdiff_t>(at));
+        }
+        RC_ASSERT(alive(state) == alive(list_at(truth, last)));
+    }));
+}
+
+TEST_CASE("a change of one runner is told as one entry", "[state]")
+{
+    cluster_state state;
+    std::vector<runner_entry> rows;
+    constexpr int runner_count = 600;
+    for (int i = 0; i < runner_count; ++i)
+        rows.push_back({"r-" + std::to_string(i), "text", 1});
+    merge_state(state, whole(1, rows));
+    const auto change = merge_state(state, whole(0, {{"r-7", "new", 2}}));
+    const auto parts = parts_of(state, change);
+    REQUIRE(parts.m_runners.size() == 1);
+    CHECK(parts.m_runners.front() == runner_entry{"r-7", "new", 2});
+    CHECK(parts.m_config_revision == 0);
+    CHECK(parts.m_view.m_epoch == 0);
+}
+
+TEST_CASE("a large configuration is announced, a small one told", "[state]")
+{
+    const bool large = GENERATE(false, true);
+    cluster_state state;
+    cluster_state news;
+    news.m_config_revision = 5;
+    news.m_config = std::string(large ? 100000 : 100, 'x');
+    const auto change = merge_state(state, news);
+    CHECK(change.m_config);
+    for (const auto& told : {parts_of(state, change), whole_of(state)})
+    {
+        CHECK(told.m_config_revision == 5);
+        CHECK(told.m_config.empty() == large);
+    }
+    // An announcement is no configuration.
+    cluster_state other;
+    CHECK(merge_state(other, parts_of(state, change)).m_config == !large);
+}
+
+TEST_CASE("entries that have gone are forgotten in the end, oldest first",
+          "[state]")
+{
+    cluster_state state;
+    constexpr std::uint64_t gone_count = 5000;
+    for (std::uint64_t i = 1; i <= gone_count; ++i)
+    {
+        const auto name = "r-" + std::to_string(i);
+        merge_state(state, whole(0, {{name, "text", 2 * i}}));
+        merge_state(state, whole(0, {{name, "", 2 * i + 1, true}}));
+    }
+    CHECK(state.m_runners.size() < 600);
+    CHECK(count_runners(state) == 0);
+    // The last ones stay gone for a VM that is behind.
+    merge_state(state, whole(0, {{"r-5000", "text", 2 * gone_count}}));
+    CHECK(count_runners(state) == 0);
+}
