A runner's slowness is told from its route's

Cause: the time to the first byte was smoothed over all requests of a runner, and those of one service differ by four times (look-ups, syncs, notices).

Change: times count as multiples of what is usual on the route; a runner that is slower than 1.4 of that counts as more loaded; an unused one as usual.

Test: a slow runner is told from a slow route (the old rule picks the unused one).

--- a/include/pepperturn/forward/exchange.hpp
+++ b/include/pepperturn/forward/exchange.hpp
@@ -85,6 +85,8 @@
     /// What the runner gets as body.
     std::string_view m_body;
     std::string m_request_id;
+    /// Name of the route.
+    std::string m_route;
     /// Answers with 200 go to the sink as they come.
     bool m_streaming = false;
     instant m_deadline{};
--- a/include/pepperturn/forward/runner_table.hpp
+++ b/include/pepperturn/forward/runner_table.hpp
@@ -16,8 +16,9 @@
     runner_info m_info;
     /// Requests of this VM that are there now.
     std::uint32_t m_in_flight = 0;
-    /// Smoothed time to the first byte of an answer, in milliseconds.
-    double m_latency_ms = 0;
+    /// Smoothed time to the first byte of an answer, as a multiple of what is
+    /// usual on the route; 1 before there is any.
+    double m_slowness = 1;
     /// Not used before this while another runner is there.
     instant m_avoid_until{};
     /// Failures in a row.
@@ -61,7 +62,9 @@
 
     void note_sent(const std::string& id);
     void note_ended(const std::string& id);
-    void note_first_byte(const std::string& id, milliseconds latency);
+    /// \param route requests of one route take about the same time
+    void note_first_byte(const std::string& id, const std::string& route,
+                         milliseconds latency);
     /// A connection was refused, cut or silent.
     void note_failure(const std::string& id, instant now);
     /// How a request ended there: well, or with an error of the runner's own
@@ -75,6 +78,8 @@
 
     std::map<std::string, runner_row> m_rows;
     std::map<std::string, std::vector<std::string>> m_by_service;
+    /// Smoothed time to the first byte on each route, in milliseconds.
+    std::map<std::string, double> m_usual_ms;
 };
 
 } // namespace pepperturn
--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -268,7 +268,7 @@
     if (!ec)
     {
         runners.note_first_byte(
-            runner.m_id,
+            runner.m_id, request.m_route,
             std::chrono::duration_cast<milliseconds>(time.now() - sent_at));
         fault = find_fault(parser.get().base(), names, request.m_request_id);
     }
--- a/src/forward/proxy.cpp
+++ b/src/forward/proxy.cpp
@@ -458,11 +458,14 @@
                      sent_at + patience_factor * route.m_target_latency);
     const std::string_view body =
         route.m_stateful ? work->m_body : work->m_request.body();
-    const attempt_request request{
-        work->m_request,     body,
-        work->m_fields.m_id, route.m_kind == route_kind::stream,
-        work->m_deadline,    give_up_at,
-        work->m_urgency};
+    const attempt_request request{work->m_request,
+                                  body,
+                                  work->m_fields.m_id,
+                                  route.m_name,
+                                  route.m_kind == route_kind::stream,
+                                  work->m_deadline,
+                                  give_up_at,
+                                  work->m_urgency};
     auto result = co_await run_attempt(m_io, m_time, m_pool, m_runners, m_names,
                                        runner, request, sink, work->m_aborter);
     const double load =
--- a/src/forward/runner_table.cpp
+++ b/src/forward/runner_table.cpp
@@ -21,8 +21,14 @@
 /// Worth of a kept connection, as load: less than one request in a slot of
 /// a few, more than chance, so that each VM stays with some of the runners.
 constexpr double open_connection_load = 0.08;
-/// A runner twice as slow as the quickest counts as this much loaded.
+/// A runner counts as this much more loaded for each time that it is slower
+/// than usual; the work of single requests differs by less than the margin
+/// once some of them are smoothed.
 constexpr double slow_load = 0.2;
+constexpr double slow_margin = 1.4;
+constexpr double most_slowness = 8.0;
+/// Weight of a new latency in what is usual on its route: of some dozens.
+constexpr double usual_weight = 0.03;
 /// Weight of one result in the share that went wrong: four in a row count.
 constexpr double result_weight = 0.25;
 /// A runner that fails every request is as bad as one with its slots taken
@@ -82,13 +88,6 @@
     const auto listed = m_by_service.find(choice.m_service);
     if (listed == m_by_service.end())
         return nullptr;
-    double quickest = 0;
-    for (const auto& id : listed->second)
-    {
-        const auto latency = m_rows.at(id).m_latency_ms;
-        if (latency > 0 && (quickest == 0 || latency < quickest))
-            quickest = latency;
-    }
     const runner_row* best = nullptr;
     double best_cost = 0;
     std::uint64_t best_draw = 0;
@@ -104,9 +103,7 @@
             cost -= open_connection_load;
         if (id == choice.m_preferred)
             cost -= preferred_load + other_zone_load;
-        if (quickest > 0 && row.m_latency_ms > quickest)
-            cost +=
-                slow_load * std::min(row.m_latency_ms / quickest - 1.0, 4.0);
+        cost += slow_load * std::max(row.m_slowness - slow_margin, 0.0);
         cost += trouble_load * faded_trouble(row, now);
         // Avoided ones come last, but they come.
         if (row.m_avoid_until > now)
@@ -136,17 +133,21 @@
         --row->m_in_flight;
 }
 
-void runner_table::note_first_byte(const std::string& id, milliseconds latency)
+void runner_table::note_first_byte(const std::string& id,
+                                   const std::string& route,
+                                   milliseconds latency)
 {
     auto* row = locate(id);
     if (row == nullptr)
         return;
     row->m_failures = 0;
-    const auto value = static_cast<double>(latency.count());
-    if (row->m_latency_ms == 0)
-        row->m_latency_ms = value;
-    else
-        row->m_latency_ms += latency_weight * (value - row->m_latency_ms);
+    // Below a millisecond the clock says nothing.
+    const auto value = std::max(1.0, static_cast<double>(latency.count()));
+    const auto [usual, is_first] = m_usual_ms.try_emplace(route, value);
+    if (!is_first)
+        usual->second += usual_weight * (value - usual->second);
+    const auto slowness = std::min(value / usual->second, most_slowness);
+    row->m_slowness += latency_weight * (slowness - row->m_slowness);
 }
 
 void runner_table::note_failure(const std::string& id, instant now)
--- a/test/forward/test_runner_table.cpp
+++ b/test/forward/test_runner_table.cpp
@@ -79,6 +79,35 @@
     CHECK(chosen(table, choice, now) == "b");
 }
 
+TEST_CASE("a slow runner is told from a slow route", "[runner_table]")
+{
+    runner_table table;
+    table.replace({runner("a", "z1"), runner("b", "z1"), runner("slow", "z1"),
+                   runner("unused", "z1")});
+    // The work of two routes differs by four times, whoever does it.
+    const auto connected = [](const std::string& id) { return id != "unused"; };
+    runner_choice choice{"svc", "", "z1", {}, 1, connected};
+    for (int i = 0; i < 60; ++i)
+    {
+        const std::string id = i % 3 == 0 ? "a" : i % 3 == 1 ? "b" : "slow";
+        const bool long_work = i % 2 == 0;
+        const int times = id == "slow" ? 5 : 1;
+        table.note_first_byte(id, long_work ? "long" : "short",
+                              milliseconds((long_work ? 320 : 80) * times));
+    }
+    CHECK(table.find("a")->m_slowness < 1.4);
+    CHECK(table.find("b")->m_slowness < 1.4);
+    CHECK(table.find("slow")->m_slowness > 1.8);
+    for (choice.m_draw = 1; choice.m_draw < 20; ++choice.m_draw)
+    {
+        // No connection is opened to an unused one for the sake of chance.
+        const auto id = chosen(table, choice);
+        CHECK((id == "a" || id == "b"));
+    }
+    choice.m_excluded = {"a", "b"};
+    CHECK(chosen(table, choice) == "unused");
+}
+
 TEST_CASE("a new list keeps what was seen", "[runner_table]")
 {
     runner_table table;
