Storage VMs tell what they know while their disks load; copying costs less

Cause: after a loss of power everywhere, edge VMs of the grown site had their configuration 0.75 s after their start: storage VMs listened only once their log was read, which takes half a second at 0.17 cores, and a connect that met a VM still dark was waited for 250 ms.

Change: the log is read on a thread of its own; until then a storage VM tells configuration, runners and view, and answers 'failed' to all that concerns records. Connects are given up after 120 ms. Listings are shared by those who copy in one epoch, 56 bytes a reservation. Lost members are dropped only when no further loss would be borne; a VM may leave beside them; that a turn is not there is certain without them, since read quorums are.

--- a/include/pepperturn/cluster/view.hpp
+++ b/include/pepperturn/cluster/view.hpp
@@ -98,7 +98,8 @@
                                std::uint32_t disk_losses);
 
 /// The member that gathers what all others hold, so that lost ones can be
-/// dropped; null: nobody is lost, or too few are left to drop any.
+/// dropped; null: another loss would be borne beside them, or too few are left
+/// to drop any.
 [[nodiscard]] const member* collector_of(const cluster_view& view,
                                          std::uint32_t disk_losses);
 
--- a/include/pepperturn/fleet/storage_node.hpp
+++ b/include/pepperturn/fleet/storage_node.hpp
@@ -17,6 +17,9 @@
 public:
     storage_node(asio::io_context& io, const clock& time,
                  const fleet_settings& settings, world_source& source);
+    ~storage_node();
+    storage_node(const storage_node&) = delete;
+    storage_node& operator=(const storage_node&) = delete;
 
     [[nodiscard]] bool start(std::string& reason);
     void stop();
@@ -24,7 +27,10 @@
     void tick();
 
 private:
-    [[nodiscard]] bool open_disk(std::string& reason);
+    /// Reads the log, on a thread of its own.
+    void load_disk();
+    /// \param reason why the log cannot be read; empty: it was
+    void disk_loaded(bool damaged, const std::string& reason);
     void take_state(const cluster_state& news);
     [[nodiscard]] membership_facts gather_facts() const;
     task<> look_after_membership();
@@ -47,7 +53,11 @@
     std::unique_ptr<turn_log> m_log;
     std::unique_ptr<turn_store> m_store;
     std::unique_ptr<turn_server> m_server;
+    asio::thread_pool m_loader{1};
+    /// Identity for a disk that has none yet, or is damaged.
+    std::uint64_t m_fresh_disk = 0;
     std::uint64_t m_disk = 0;
+    bool m_loaded = false;
     std::uint64_t m_caught_up_at = 0;
     /// Epoch in which all of another member's holdings were copied.
     std::map<std::string, std::uint64_t> m_copied_at;
--- a/include/pepperturn/turns/messages.hpp
+++ b/include/pepperturn/turns/messages.hpp
@@ -105,7 +105,7 @@
     std::uint64_t m_next = 0;
     bool m_more = false;
     std::vector<located_turn> m_turns;
-    std::vector<log_entry> m_reservations;
+    std::vector<kept_reservation> m_reservations;
     friend bool operator==(const listed_message&,
                            const listed_message&) = default;
 };
--- a/include/pepperturn/turns/records.hpp
+++ b/include/pepperturn/turns/records.hpp
@@ -74,6 +74,16 @@
     friend bool operator==(const located_turn&, const located_turn&) = default;
 };
 
+/// A reservation with the time that it is kept, as one VM tells another.
+struct kept_reservation
+{
+    std::uint32_t m_retention_ms = 0;
+    reservation m_row;
+
+    friend bool operator==(const kept_reservation&,
+                           const kept_reservation&) = default;
+};
+
 /// One entry of a storage VM's log.
 struct log_entry
 {
--- a/include/pepperturn/turns/turn_server.hpp
+++ b/include/pepperturn/turns/turn_server.hpp
@@ -15,14 +15,18 @@
 class turn_server
 {
 public:
-    /// \param disk identity of the local disk
     turn_server(asio::io_context& io, const clock& time, std::string name,
-                std::uint64_t disk, turn_log& log, turn_store& store);
+                turn_log& log, turn_store& store);
     ~turn_server();
 
     [[nodiscard]] bool listen(const tcp::endpoint& at, std::string& reason);
     void stop();
 
+    /// What the disk holds is loaded: from now on it counts. Until then only
+    /// what is known of the world is told.
+    /// \param disk identity of the disk
+    void open(std::uint64_t disk);
+
     /// Takes up what was known when the process last ran.
     void load_state();
     /// Writes what is known to the disk if it has changed, on the writer's
@@ -41,7 +45,7 @@
     void send_beat(milliseconds store_age);
 
     /// Enters what another member holds.
-    void take_entries(const std::vector<log_entry>& entries);
+    void take_reservations(const std::vector<kept_reservation>& rows);
     void take_encoded(const std::vector<std::string>& entries);
     /// Waits until all that was entered so far is synced; false: it is not.
     [[nodiscard]] task<bool> synced();
@@ -58,13 +62,19 @@
     }
 
 private:
+    /// What was held at some time in an epoch.
+    struct holdings
+    {
+        std::uint64_t m_epoch = 0;
+        std::vector<located_turn> m_turns;
+        std::vector<kept_reservation> m_reservations;
+    };
     struct peer
     {
         std::string m_name;
         std::shared_ptr<frame_link> m_link;
-        /// What was held when it began to copy.
-        std::vector<located_turn> m_turns;
-        std::vector<log_entry> m_reservations;
+        /// What it is being told, if it copies.
+        std::shared_ptr<const holdings> m_holdings;
     };
     struct waiting_answer
     {
@@ -72,6 +82,7 @@
         frame m_answer;
     };
 
+    [[nodiscard]] std::shared_ptr<const holdings> list_holdings();
     task<> accept_links();
     void add_link(tcp::socket socket);
     void take_frame(const std::shared_ptr<peer>& from, frame value);
@@ -93,7 +104,8 @@
     asio::io_context& m_io;
     const clock& m_time;
     std::string m_name;
-    std::uint64_t m_disk;
+    /// Empty while the disk is being loaded.
+    std::optional<std::uint64_t> m_disk;
     turn_log& m_log;
     turn_store& m_store;
     asio::thread_pool m_writer{1};
@@ -111,6 +123,8 @@
     bool m_disk_good = true;
     std::map<std::string, std::uint64_t> m_copied_at;
     std::uint64_t m_gathered_at = 0;
+    /// Shared by all that copy at the same time.
+    std::weak_ptr<const holdings> m_holdings;
 };
 
 } // namespace pepperturn
--- a/include/pepperturn/turns/turn_store.hpp
+++ b/include/pepperturn/turns/turn_store.hpp
@@ -40,7 +40,7 @@
     [[nodiscard]] bool has_turn(const id_key& key) const;
     /// Everything that is held, for a member that copies.
     [[nodiscard]] std::vector<located_turn> list_turns() const;
-    [[nodiscard]] std::vector<log_entry> list_reservations() const;
+    [[nodiscard]] std::vector<kept_reservation> list_reservations() const;
     /// The turn and those before it, newest first, as far as this store
     /// knows them; keeps them for another \p retention.
     [[nodiscard]] std::vector<turn_record>
--- a/src/cluster/member_links.cpp
+++ b/src/cluster/member_links.cpp
@@ -9,7 +9,7 @@
 
 /// A storage VM in the same region answers a connect within milliseconds; one
 /// that is just starting drops the first packet, and the next is tried soon.
-constexpr milliseconds connect_patience{250};
+constexpr milliseconds connect_patience{120};
 constexpr milliseconds first_backoff{50};
 constexpr milliseconds longest_backoff{400};
 /// A beat that tells of the platform's store within this is good news.
--- a/src/cluster/membership.cpp
+++ b/src/cluster/membership.cpp
@@ -30,8 +30,8 @@
     std::uint32_t count = 0;
     for (const auto& row : view.m_members)
     {
-        // One after the other, and not beside a loss.
-        if (!takes_writes(row.m_state))
+        // One after the other.
+        if (row.m_state == member_state::leaving)
             return false;
         if (row.m_name != facts.m_self.m_name &&
             row.m_state == member_state::full &&
--- a/src/cluster/view.cpp
+++ b/src/cluster/view.cpp
@@ -130,7 +130,9 @@
 
 const member* collector_of(const cluster_view& view, std::uint32_t disk_losses)
 {
-    if (count_in(view, member_state::lost) == 0 ||
+    // Copying everything is dear: only when no further loss would be borne.
+    const auto lost = count_in(view, member_state::lost);
+    if (lost == 0 || lost < disk_losses ||
         count_in(view, member_state::full) < disk_losses + 1)
         return nullptr;
     const member* first = nullptr;
--- a/src/fleet/storage_node.cpp
+++ b/src/fleet/storage_node.cpp
@@ -43,38 +43,60 @@
                        [this](const cluster_state& news) { take_state(news); })
 {}
 
-bool storage_node::open_disk(std::string& reason)
+storage_node::~storage_node()
 {
-    m_log = std::make_unique<turn_log>(m_settings.m_data_folder, segment_bytes);
-    m_store = std::make_unique<turn_store>(*m_log);
-    const auto fresh = draw_identity();
-    const auto identity = m_log->identity(fresh, reason);
-    if (!identity)
-        return false;
-    m_disk = *identity;
-    bool damaged = false;
-    if (!m_store->load(m_time.now(), damaged, reason))
-        return false;
-    if (damaged)
+    m_loader.join();
+}
+
+void storage_node::load_disk()
+{
+    asio::post(m_loader, [this] {
+        bool damaged = false;
+        std::string reason;
+        if (m_store->load(m_time.now(), damaged, reason))
+            reason.clear();
+        else if (reason.empty())
+            reason = "unreadable";
+        asio::post(m_io,
+                   [this, damaged, reason] { disk_loaded(damaged, reason); });
+    });
+}
+
+void storage_node::disk_loaded(bool damaged, const std::string& reason)
+{
+    std::string fault = reason;
+    if (damaged && fault.empty())
     {
         // What it lacks may have counted: it joins like an empty disk.
         LOG(ERROR) << "event=disk_damaged disk=" << m_disk;
-        if (!m_log->set_identity(fresh, reason))
-            return false;
-        m_disk = fresh;
+        if (m_log->set_identity(m_fresh_disk, fault))
+            m_disk = m_fresh_disk;
+    }
+    if (!fault.empty())
+    {
+        LOG(ERROR) << "event=disk_failed reason=\"" << fault << '"';
+        return;
     }
     LOG(INFO) << "event=disk_opened disk=" << m_disk
-              << " empty=" << (m_disk == fresh)
+              << " empty=" << (m_disk == m_fresh_disk)
               << " turns=" << m_store->turn_count()
-              << " programs=" << m_store->program_count();
-    return true;
+              << " programs=" << m_store->program_count()
+              << " ms=" << (m_time.now() - m_started) / milliseconds(1);
+    m_loaded = true;
+    m_server->open(m_disk);
+    spawn(m_io, "storage_node.membership", look_after_membership());
 }
 
 bool storage_node::start(std::string& reason)
 {
-    if (!open_disk(reason))
-        return false;
     m_started = m_time.now();
+    m_log = std::make_unique<turn_log>(m_settings.m_data_folder, segment_bytes);
+    m_store = std::make_unique<turn_store>(*m_log);
+    m_fresh_disk = draw_identity();
+    const auto identity = m_log->identity(m_fresh_disk, reason);
+    if (!identity)
+        return false;
+    m_disk = *identity;
     error_code ec;
     const auto endpoint = parse_endpoint(m_settings.m_frames_address, ec);
     if (ec)
@@ -83,7 +105,7 @@
         return false;
     }
     m_server = std::make_unique<turn_server>(m_io, m_time, m_settings.m_name,
-                                             m_disk, *m_log, *m_store);
+                                             *m_log, *m_store);
     if (!m_server->listen(endpoint, reason))
         return false;
     m_server->on_change([this](const state_change& change) {
@@ -104,7 +126,7 @@
     // An entry that lapsed while every VM was down has time to come back.
     m_source.learn(m_server->state());
     m_source.start();
-    spawn(m_io, "storage_node.membership", look_after_membership());
+    load_disk();
     return true;
 }
 
@@ -239,7 +261,7 @@
             if (!m_store->has_turn(turn.m_key))
                 missing.push_back(turn.m_position);
         }
-        m_server->take_entries(page->m_reservations);
+        m_server->take_reservations(page->m_reservations);
         copied += missing.size();
         from = page->m_next;
         more = page->m_more;
@@ -334,7 +356,8 @@
     {
         m_next_expiry = now + expiry_interval;
         m_server->save_state();
-        m_store->expire(now);
+        if (m_loaded)
+            m_store->expire(now);
     }
 }
 
--- a/src/turns/messages.cpp
+++ b/src/turns/messages.cpp
@@ -91,6 +91,17 @@
         fill(out.initReservation(), std::get<reservation>(entry.m_what));
 }
 
+void fill(turns_wire::Kept::Builder out, const kept_reservation& kept)
+{
+    out.setRetentionMs(kept.m_retention_ms);
+    fill(out.initReservation(), kept.m_row);
+}
+
+kept_reservation read(turns_wire::Kept::Reader in)
+{
+    return {in.getRetentionMs(), read(in.getReservation())};
+}
+
 log_entry read(turns_wire::Entry::Reader in)
 {
     log_entry entry;
@@ -281,7 +292,7 @@
     out.m_more = in.getMore();
     for (const auto row : in.getTurns())
         out.m_turns.push_back({read(row.getKey()), row.getPosition()});
-    out.m_reservations = read_all<log_entry>(in.getReservations());
+    out.m_reservations = read_all<kept_reservation>(in.getReservations());
     return out;
 }
 
--- a/src/turns/turn_client.cpp
+++ b/src/turns/turn_client.cpp
@@ -218,7 +218,8 @@
 {
     for (const auto& row : m_view.m_members)
     {
-        if (row.m_state == member_state::joining)
+        if (row.m_state == member_state::joining ||
+            row.m_state == member_state::lost)
             continue;
         const auto* begun = work.begun(row.m_name);
         if (begun == nullptr || begun->m_parent_found)
--- a/src/turns/turn_server.cpp
+++ b/src/turns/turn_server.cpp
@@ -32,9 +32,8 @@
 } // namespace
 
 turn_server::turn_server(asio::io_context& io, const clock& time,
-                         std::string name, std::uint64_t disk, turn_log& log,
-                         turn_store& store)
-    : m_io(io), m_time(time), m_name(std::move(name)), m_disk(disk), m_log(log),
+                         std::string name, turn_log& log, turn_store& store)
+    : m_io(io), m_time(time), m_name(std::move(name)), m_log(log),
       m_store(store), m_acceptor(io)
 {}
 
@@ -51,6 +50,11 @@
     return true;
 }
 
+void turn_server::open(std::uint64_t disk)
+{
+    m_disk = disk;
+}
+
 void turn_server::stop()
 {
     error_code ignored;
@@ -168,6 +172,8 @@
     const bool begins = std::holds_alternative<begin_message>(value.m_body);
     const bool writes =
         begins || std::holds_alternative<append_message>(value.m_body);
+    if (!m_disk)
+        return frame_status::failed;
     if (value.m_epoch != m_state.m_view.m_epoch)
         return frame_status::stale;
     const auto* self = find_member(m_state.m_view, m_name);
@@ -255,6 +261,20 @@
     answer_when_synced(from, call, std::move(body));
 }
 
+std::shared_ptr<const turn_server::holdings> turn_server::list_holdings()
+{
+    // Taken under the current epoch: whatever was acknowledged before it is
+    // in, and what comes later reaches a quorum of this view by itself.
+    auto held = m_holdings.lock();
+    if (held && held->m_epoch == m_state.m_view.m_epoch)
+        return held;
+    held = std::make_shared<const holdings>(
+        holdings{m_state.m_view.m_epoch, m_store.list_turns(),
+                 m_store.list_reservations()});
+    m_holdings = held;
+    return held;
+}
+
 void turn_server::answer_list(const std::shared_ptr<peer>& from,
                               std::uint64_t call, const list_message& question)
 {
@@ -263,13 +283,9 @@
         answer(from, call, frame_status::failed, listed_message{});
         return;
     }
-    // Taken under the current epoch: whatever was acknowledged before it is
-    // in, and what comes later reaches a quorum of this view by itself.
-    if (question.m_from == 0)
-    {
-        from->m_turns = m_store.list_turns();
-        from->m_reservations = m_store.list_reservations();
-    }
+    if (question.m_from == 0 || !from->m_holdings)
+        from->m_holdings = list_holdings();
+    const auto& held = *from->m_holdings;
     const auto page = [&](const auto& rows, auto& out) {
         const auto begin = std::min<std::size_t>(question.m_from, rows.size());
         const auto end = std::min(begin + list_rows, rows.size());
@@ -277,16 +293,13 @@
                    rows.begin() + static_cast<std::ptrdiff_t>(end));
     };
     listed_message body;
-    page(from->m_turns, body.m_turns);
-    page(from->m_reservations, body.m_reservations);
+    page(held.m_turns, body.m_turns);
+    page(held.m_reservations, body.m_reservations);
     body.m_next = question.m_from + list_rows;
-    body.m_more = body.m_next <
-                  std::max(from->m_turns.size(), from->m_reservations.size());
+    body.m_more =
+        body.m_next < std::max(held.m_turns.size(), held.m_reservations.size());
     if (!body.m_more)
-    {
-        from->m_turns = {};
-        from->m_reservations = {};
-    }
+        from->m_holdings.reset();
     answer(from, call, frame_status::ok, std::move(body));
 }
 
@@ -308,6 +321,8 @@
 void turn_server::note_gathered(std::uint64_t epoch)
 {
     m_gathered_at = epoch;
+    // Listed before, it lacks what was gathered.
+    m_holdings.reset();
 }
 
 std::set<std::string> turn_server::copied_by(std::uint64_t epoch) const
@@ -321,10 +336,10 @@
     return out;
 }
 
-void turn_server::take_entries(const std::vector<log_entry>& entries)
+void turn_server::take_reservations(const std::vector<kept_reservation>& rows)
 {
-    for (const auto& entry : entries)
-        m_store.append(entry, m_time.now());
+    for (const auto& kept : rows)
+        m_store.append({kept.m_retention_ms, kept.m_row}, m_time.now());
     commit();
 }
 
--- a/src/turns/turn_store.cpp
+++ b/src/turns/turn_store.cpp
@@ -81,9 +81,9 @@
     return out;
 }
 
-std::vector<log_entry> turn_store::list_reservations() const
+std::vector<kept_reservation> turn_store::list_reservations() const
 {
-    std::vector<log_entry> out;
+    std::vector<kept_reservation> out;
     for (const auto& [program, row] : m_programs)
     {
         for (const auto& [attempt, held] : row.m_attempts)
--- a/test/cluster/test_view.cpp
+++ b/test/cluster/test_view.cpp
@@ -200,6 +200,8 @@
         {{full, joining, lost}, 1, false, ""},
         {{lost, full, full}, 1, false, "m1"},
         {{full, full, full, lost, lost}, 2, false, "m0"},
+        // Another loss would be borne.
+        {{full, full, full, full, lost}, 2, true, ""},
     }));
     const auto view = view_of(each.m_states);
     CHECK(may_abandon(view, "m0", each.m_losses) == each.m_may_abandon);
--- a/test/fleet/test_turns.cpp
+++ b/test/fleet/test_turns.cpp
@@ -153,8 +153,8 @@
                               turn_record{id, parent, "in-" + id + ';',
                                           "out-" + id + ';', "run",
                                           key_of("program"), key_of(id), 30}};
-        const auto kept = run_task(
-            m_io, m_client.keep(entry, m_time.now() + usual_patience));
+        const auto kept =
+            run_task(m_io, m_client.keep(entry, m_time.now() + usual_patience));
         return kept.value_or(false);
     }
     static std::string text_of(const begin_result& result)
@@ -391,6 +391,48 @@
     CHECK(heard.m_runners.front().m_name == "i-1");
 }
 
+TEST_CASE("a VM tells what it knows before its disk is loaded", "[fleet]")
+{
+    world fleet;
+    turn_log log(fleet.m_folder + "/loading", 1U << 20U);
+    turn_store store(log);
+    std::string reason;
+    REQUIRE(log.identity(7, reason).has_value());
+    turn_server server(fleet.m_io, fleet.m_time, "vm-9", log, store);
+    const auto port = free_port(fleet.m_io);
+    REQUIRE(server.listen({asio::ip::make_address("127.0.0.1"), port}, reason));
+    cluster_state known;
+    known.m_config_revision = 3;
+    known.m_config = "three";
+    known.m_view = {5,
+                    {{"vm-9", "127.0.0.1:" + std::to_string(port), "z", 7,
+                      member_state::full}}};
+    server.take_state(known);
+    member_links newcomer(fleet.m_io, fleet.m_time, "edge-2");
+    cluster_state heard;
+    newcomer.on_state([&](const std::string&, const cluster_state& news) {
+        if (merge_state(heard, news).m_view)
+            newcomer.follow(heard.m_view);
+    });
+    newcomer.seek({"127.0.0.1:" + std::to_string(port)});
+    REQUIRE(run_until(fleet.m_io, [&] { return newcomer.connected("vm-9"); }));
+    CHECK(heard.m_config == "three");
+    const auto ask = [&] {
+        const auto answer = run_task(
+            fleet.m_io, newcomer.ask("vm-9", fetch_message{"a"},
+                                     fleet.m_time.now() + usual_patience));
+        REQUIRE(answer.has_value());
+        REQUIRE(answer->has_value());
+        return (*answer)->m_status;
+    };
+    // Nothing is said of what may be on the disk.
+    CHECK(ask() == frame_status::failed);
+    server.open(7);
+    CHECK(ask() == frame_status::ok);
+    server.stop();
+    newcomer.stop();
+}
+
 TEST_CASE("a restarted VM still has what it acknowledged", "[fleet]")
 {
     world fleet;
--- a/test/turns/test_turn_store.cpp
+++ b/test/turns/test_turn_store.cpp
@@ -238,11 +238,11 @@
             RC_ASSERT(copy.m_store.append_encoded(*bytes, instant{}, reason));
         }
         for (const auto& entry : life.m_store.list_reservations())
-            copy.m_store.append(entry, instant{});
+            copy.m_store.append({entry.m_retention_ms, entry.m_row}, instant{});
         // Once more changes nothing and writes nothing.
         copy.sync();
         for (const auto& entry : life.m_store.list_reservations())
-            copy.m_store.append(entry, instant{});
+            copy.m_store.append({entry.m_retention_ms, entry.m_row}, instant{});
         RC_ASSERT(!copy.m_log.has_pending());
         RC_ASSERT(copy.m_store.turn_count() == life.m_store.turn_count());
         RC_ASSERT(
