Conversations are spread over engines, connected or not

Change: the preference holds for plain runners only.

Test: engines are spread over, plain runners kept to (the first half fails on the code before).

--- a/src/forward/proxy.cpp
+++ b/src/forward/proxy.cpp
@@ -429,16 +429,19 @@
     choice.m_service = pick_service(work);
     choice.m_preferred = work.m_preferred;
     choice.m_availability_zone = m_availability_zone;
-    choice.m_connected = [this](const std::string& id) {
-        return m_pool.has_idle(id);
-    };
     const auto found = work.m_config->m_services.find(choice.m_service);
     if (found != work.m_config->m_services.end() && found->second.m_engine)
     {
         work.m_tokens_per_event = found->second.m_engine->m_tokens_per_event;
         work.m_urgency =
             std::min(first_urgency + work.m_route->m_priority, last_urgency);
+        // No preference for open connections: a conversation stays where it
+        // begins, and its memory there is worth more than a connect.
+        return choice;
     }
+    choice.m_connected = [this](const std::string& id) {
+        return m_pool.has_idle(id);
+    };
     return choice;
 }
 
--- a/test/fleet/test_proxy.cpp
+++ b/test/fleet/test_proxy.cpp
@@ -364,6 +364,32 @@
     CHECK(edge.m_first.connections() == 2);
 }
 
+TEST_CASE("engines are spread over, plain runners kept to", "[proxy]")
+{
+    // Conversations once gathered on the engines that were connected, until
+    // these ran out of memory.
+    world edge;
+    const bool engine = GENERATE(false, true);
+    auto config = world::config(2);
+    if (engine)
+        config.m_services["svc"].m_engine = engine_profile{64, 100000, 1};
+    REQUIRE(edge.m_proxy.take_config(config));
+    edge.m_proxy.take_runners(
+        {{"r1", "svc", edge.m_first.address(), "z", 64},
+         {"r2", "svc", edge.m_second.address(), "z", 64}});
+    edge.m_first.script({{whole_answer(200, "mine")}});
+    edge.m_second.script({{whole_answer(200, "mine")}});
+    constexpr std::size_t asked = 24;
+    for (std::size_t i = 0; i < asked; ++i)
+        CHECK(has(edge.ask(world::get("/get/"), "mine"), "200"));
+    const auto least = std::min(edge.m_first.requests().size(),
+                                edge.m_second.requests().size());
+    if (engine)
+        CHECK(least >= asked / 6);
+    else
+        CHECK(least == 0);
+}
+
 TEST_CASE("an answer before the body is in ends that connection", "[proxy]")
 {
     world edge;
