--- a/include/pepperturn/config/fleet_settings.hpp
+++ b/include/pepperturn/config/fleet_settings.hpp
@@ -18,6 +18,8 @@
     std::string m_callers_address;
     /// IP:PORT for the readiness question; edge VMs only.
     std::string m_ready_address;
+    /// IP:PORT where figures are told under /metrics; empty: nowhere.
+    std::string m_metrics_address;
     /// IP:PORT for frames; storage VMs only.
     std::string m_frames_address;
     /// Frame addresses of some storage VMs, by commas; they may be stale.
--- a/include/pepperturn/fleet/edge_node.hpp
+++ b/include/pepperturn/fleet/edge_node.hpp
@@ -41,6 +41,7 @@
     turn_client m_turns;
     proxy m_proxy;
     status_server m_status;
+    status_server m_metrics;
     cluster_state m_state;
     std::map<std::string, runner_info> m_runners;
     bool m_stopping = false;
--- a/include/pepperturn/fleet/status_server.hpp
+++ b/include/pepperturn/fleet/status_server.hpp
@@ -17,6 +17,9 @@
                   std::function<std::string()> metrics);
 
     [[nodiscard]] bool listen(const tcp::endpoint& at, std::string& reason);
+    /// The same for a process that goes on without it: a fault is logged.
+    /// \param address IP:PORT; empty: nowhere
+    void listen_beside(const std::string& address);
 
 private:
     task<> accept_callers();
--- a/include/pepperturn/fleet/storage_node.hpp
+++ b/include/pepperturn/fleet/storage_node.hpp
@@ -7,6 +7,7 @@
 #include "pepperturn/cluster/config_fetcher.hpp"
 #include "pepperturn/cluster/membership.hpp"
 #include "pepperturn/config/fleet_settings.hpp"
+#include "pepperturn/fleet/status_server.hpp"
 #include "pepperturn/fleet/world_source.hpp"
 #include "pepperturn/turns/turn_server.hpp"
 
@@ -32,6 +33,8 @@
     /// \param reason why the log cannot be read; empty: it was
     void disk_loaded(bool damaged, const std::string& reason);
     void take_state(const cluster_state& news);
+    [[nodiscard]] std::string metrics_text() const;
+    [[nodiscard]] bool listen(std::string& reason);
     [[nodiscard]] membership_facts gather_facts() const;
     task<> look_after_membership();
     task<> change_view();
@@ -48,6 +51,7 @@
     const clock& m_time;
     fleet_settings m_settings;
     world_source& m_source;
+    status_server m_status;
     member_links m_links;
     config_fetcher m_config_fetcher;
     std::unique_ptr<turn_log> m_log;
--- a/include/pepperturn/turns/messages.hpp
+++ b/include/pepperturn/turns/messages.hpp
@@ -22,6 +22,8 @@
     failed
 };
 
+[[nodiscard]] const char* to_string(frame_status status);
+
 /// First frame on a connection: the sender's name.
 struct hello_message
 {
--- a/include/pepperturn/turns/turn_server.hpp
+++ b/include/pepperturn/turns/turn_server.hpp
@@ -4,6 +4,7 @@
 /// VMs from its turn store, and tells them what it knows of the world.
 #pragma once
 
+#include "pepperturn/base/latency_histogram.hpp"
 #include "pepperturn/cluster/frame_link.hpp"
 #include "pepperturn/turns/turn_store.hpp"
 
@@ -55,6 +56,8 @@
 
     /// Members that hold everything this one had at \p epoch.
     [[nodiscard]] std::set<std::string> copied_by(std::uint64_t epoch) const;
+    /// Appends counters and latencies, a line each.
+    void write_metrics(std::string& out) const;
     /// False once the disk refused a write.
     [[nodiscard]] bool disk_good() const
     {
@@ -119,6 +122,10 @@
     std::vector<std::function<void(bool)>> m_queued_waits;
     std::vector<std::function<void(bool)>> m_written_waits;
     bool m_writing = false;
+    instant m_writing_since{};
+    latency_histogram m_syncs;
+    /// Questions by the status of their answer.
+    std::map<frame_status, std::uint64_t> m_answered;
     bool m_state_saved = true;
     bool m_disk_good = true;
     std::map<std::string, std::uint64_t> m_copied_at;
--- a/src/config/fleet_settings.cpp
+++ b/src/config/fleet_settings.cpp
@@ -43,6 +43,7 @@
         {
             reader.read("callers", out.m_callers_address);
             reader.read("ready", out.m_ready_address);
+            reader.read("metrics", out.m_metrics_address);
             reader.read("frames", out.m_frames_address);
             std::string seeds;
             if (reader.read("seeds", seeds) && !seeds.empty())
--- a/src/fleet/edge_node.cpp
+++ b/src/fleet/edge_node.cpp
@@ -41,7 +41,9 @@
           [this] {
               return m_proxy.has_config() && m_turns.connected() && !m_stopping;
           },
-          [this] { return m_proxy.metrics().text(); })
+          [this] { return m_proxy.metrics().text(); }),
+      m_metrics(
+          io, [] { return true; }, [this] { return m_proxy.metrics().text(); })
 {}
 
 bool edge_node::start(std::string& reason)
@@ -61,6 +63,7 @@
     }
     if (!m_proxy.listen(callers, reason) || !m_status.listen(ready, reason))
         return false;
+    m_metrics.listen_beside(m_settings.m_metrics_address);
     m_links.on_state(
         [this](const std::string& from, const cluster_state& news) {
             take_state(news);
--- a/src/fleet/status_server.cpp
+++ b/src/fleet/status_server.cpp
@@ -31,6 +31,21 @@
     return true;
 }
 
+void status_server::listen_beside(const std::string& address)
+{
+    if (address.empty())
+        return;
+    std::string reason;
+    error_code ec;
+    const auto endpoint = parse_endpoint(address, ec);
+    if (ec)
+        reason = ec.message();
+    else if (listen(endpoint, reason))
+        return;
+    LOG(WARNING) << "event=metrics_unavailable address=" << address
+                 << " reason=\"" << reason << '"';
+}
+
 task<> status_server::accept_callers()
 {
     while (true)
--- a/src/fleet/storage_node.cpp
+++ b/src/fleet/storage_node.cpp
@@ -38,6 +38,8 @@
 storage_node::storage_node(asio::io_context& io, const clock& time,
                            const fleet_settings& settings, world_source& source)
     : m_io(io), m_time(time), m_settings(settings), m_source(source),
+      m_status(
+          io, [this] { return m_loaded; }, [this] { return metrics_text(); }),
       m_links(io, time, settings.m_name),
       m_config_fetcher(io, time, m_links, settings.m_availability_zone,
                        [this](const cluster_state& news) { take_state(news); })
@@ -87,6 +89,35 @@
     spawn(m_io, "storage_node.membership", look_after_membership());
 }
 
+bool storage_node::listen(std::string& reason)
+{
+    error_code ec;
+    const auto frames = parse_endpoint(m_settings.m_frames_address, ec);
+    if (ec)
+    {
+        reason = "[listen] frames: " + ec.message();
+        return false;
+    }
+    m_status.listen_beside(m_settings.m_metrics_address);
+    return m_server->listen(frames, reason);
+}
+
+std::string storage_node::metrics_text() const
+{
+    std::string out;
+    if (m_loaded)
+    {
+        write_metric(out, "turns", m_store->turn_count());
+        write_metric(out, "programs", m_store->program_count());
+    }
+    const auto age = m_time.now() - m_source.last_heard();
+    if (m_source.synced())
+        write_metric(out, "store_age_ms",
+                     static_cast<std::uint64_t>(age / milliseconds(1)));
+    m_server->write_metrics(out);
+    return out;
+}
+
 bool storage_node::start(std::string& reason)
 {
     m_started = m_time.now();
@@ -97,16 +128,9 @@
     if (!identity)
         return false;
     m_disk = *identity;
-    error_code ec;
-    const auto endpoint = parse_endpoint(m_settings.m_frames_address, ec);
-    if (ec)
-    {
-        reason = "[listen] frames: " + ec.message();
-        return false;
-    }
     m_server = std::make_unique<turn_server>(m_io, m_time, m_settings.m_name,
                                              *m_log, *m_store);
-    if (!m_server->listen(endpoint, reason))
+    if (!listen(reason))
         return false;
     m_server->on_change([this](const state_change& change) {
         if (change.m_view)
--- a/src/turns/messages.cpp
+++ b/src/turns/messages.cpp
@@ -398,6 +398,22 @@
 
 } // namespace
 
+const char* to_string(frame_status status)
+{
+    switch (status)
+    {
+    case frame_status::ok:
+        return "ok";
+    case frame_status::stale:
+        return "stale";
+    case frame_status::not_member:
+        return "not_member";
+    case frame_status::failed:
+        return "failed";
+    }
+    return "unknown";
+}
+
 id_key key_of(const std::string& id)
 {
     return {hash64(id, second_hash_seed), hash64(id)};
--- a/src/turns/turn_server.cpp
+++ b/src/turns/turn_server.cpp
@@ -93,6 +93,17 @@
     answer(from, 0, frame_status::ok, whole_of(m_state));
 }
 
+void turn_server::write_metrics(std::string& out) const
+{
+    write_metric(out, "connected_vms", m_peers.size());
+    write_metric(out, "view_epoch", m_state.m_view.m_epoch);
+    write_metric(out, "view_members", m_state.m_view.m_members.size());
+    write_metric(out, "runners", count_runners(m_state));
+    for (const auto& [status, count] : m_answered)
+        write_metric(out, std::string("questions_") + to_string(status), count);
+    m_syncs.write(out, "sync");
+}
+
 void turn_server::on_change(std::function<void(const state_change&)> handler)
 {
     m_on_change = std::move(handler);
@@ -212,6 +223,7 @@
         return;
     }
     const auto status = check(value);
+    ++m_answered[status];
     if (status != frame_status::ok)
     {
         if (status == frame_status::stale &&
@@ -395,6 +407,7 @@
     if (m_writing || !m_log.has_pending())
         return;
     m_writing = true;
+    m_writing_since = m_time.now();
     m_written_answers = std::exchange(m_queued_answers, {});
     m_written_waits = std::exchange(m_queued_waits, {});
     // Syncing blocks, so it has a thread of its own.
@@ -411,6 +424,8 @@
                             const std::string& reason)
 {
     m_writing = false;
+    m_syncs.note(std::chrono::duration_cast<milliseconds>(m_time.now() -
+                                                          m_writing_since));
     if (good)
         m_log.written(batches);
     else
--- a/test/fleet/test_turns.cpp
+++ b/test/fleet/test_turns.cpp
@@ -6,6 +6,8 @@
 #include "support/fleet/loop.hpp"
 #include "support/fleet/platform_store.hpp"
 
+#include <array>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <filesystem>
 #include <unistd.h>
@@ -33,6 +35,9 @@
         settings.m_availability_zone = name;
         settings.m_bootstrap = bootstrap;
         settings.m_frames_address = "127.0.0.1:" + std::to_string(m_port);
+        m_metrics_port = free_port(io);
+        settings.m_metrics_address =
+            "127.0.0.1:" + std::to_string(m_metrics_port);
         settings.m_data_folder = folder;
         settings.m_store_address = store;
         m_node = std::make_unique<storage_node>(io, time, settings, m_source);
@@ -42,6 +47,7 @@
     }
 
     std::uint16_t m_port;
+    std::uint16_t m_metrics_port = 0;
     platform::cluster_source m_source;
     std::unique_ptr<storage_node> m_node;
 };
@@ -288,6 +294,38 @@
     CHECK(world::text_of(result) == "in-a;out-a;in-b;out-b;");
 }
 
+TEST_CASE("a storage VM tells its figures", "[fleet]")
+{
+    world fleet;
+    fleet.start_three();
+    REQUIRE(fleet.keep("a", ""));
+    tcp::socket reader(fleet.m_io);
+    error_code ec;
+    reader.connect({asio::ip::make_address("127.0.0.1"),
+                    fleet.m_vms["vm-0"]->m_metrics_port},
+                   ec);
+    REQUIRE_FALSE(ec);
+    const std::string question =
+        "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+    asio::write(reader, asio::buffer(question), ec);
+    REQUIRE_FALSE(ec);
+    reader.non_blocking(true);
+    std::string told;
+    REQUIRE(run_until(fleet.m_io, [&] {
+        std::array<char, 4096> chunk{};
+        error_code read;
+        const auto count = reader.read_some(asio::buffer(chunk), read);
+        told.append(chunk.data(), count);
+        return read && read != asio::error::would_block;
+    }));
+    for (const char* name : {"turns 1", "programs 1", "view_members 3",
+                             "questions_ok ", "sync_ms{le=\"30000\"} "})
+    {
+        INFO(name);
+        CHECK(told.find(std::string("\n") + name) != std::string::npos);
+    }
+}
+
 TEST_CASE("of three VMs one is emptied and one is lost: turns go on", "[fleet]")
 {
     // The view once had no way out of this, also with another VM added.
--- a/test/support/fleet/runner.hpp
+++ b/test/support/fleet/runner.hpp
@@ -25,7 +25,7 @@
         reset
     } m_after = after::keep;
     /// Sent this much later on the kept connection, to nobody's request.
-    std::string m_surplus;
+    std::string m_surplus = {};
     milliseconds m_delay{0};
 };
 
