Edge VMs ask a store that is away less often

Change: an edge VM waits up to 2 s between failing calls, a storage VM half a second as before; edge VMs hear of the store's return from them within a beat.

Test: calls in 3.5 s of an outage, for both.

--- a/test/platform/test_cluster_source.cpp
+++ b/test/platform/test_cluster_source.cpp
@@ -21,7 +21,9 @@
 /// A source that follows a stand-in store, and what it told last.
 struct followed
 {
-    followed() : m_store(m_io), m_source(m_io, m_time, m_store.address())
+    explicit followed(milliseconds longest_backoff = storage_backoff)
+        : m_store(m_io),
+          m_source(m_io, m_time, m_store.address(), longest_backoff)
     {
         m_source.on_state(
             [this](const cluster_state& state) { m_state = state; });
@@ -128,6 +130,28 @@
     CHECK(took < milliseconds(4000));
 }
 
+TEST_CASE("edge VMs ask a store that is away less often", "[cluster_source]")
+{
+    struct row
+    {
+        milliseconds m_longest;
+        std::uint64_t m_least;
+        std::uint64_t m_most;
+    };
+    const auto each =
+        GENERATE(values<row>({{storage_backoff, 5, 9}, {edge_backoff, 2, 4}}));
+    followed world(each.m_longest);
+    world.m_store.put("servers/i-1", entry("ready", 1));
+    world.m_source.start();
+    REQUIRE(world.wait_for_runner("i-1", entry("ready", 1)));
+    world.m_store.set_down(true);
+    const auto before = world.m_store.calls();
+    world.settle(milliseconds(3500));
+    const auto asked = world.m_store.calls() - before;
+    CHECK(asked >= each.m_least);
+    CHECK(asked <= each.m_most);
+}
+
 TEST_CASE("a write whose answer is lost is found by the watch",
           "[cluster_source]")
 {
