--- a/include/pepperturn/turns/turn_client.hpp
+++ b/include/pepperturn/turns/turn_client.hpp
@@ -66,6 +66,8 @@
     struct round;
 
     void send_round(const std::shared_ptr<round>& work);
+    /// No member has said anything since \p asked, for long enough.
+    [[nodiscard]] bool cut_off_since(instant asked) const;
     [[nodiscard]] bool wrote_enough(const round& work) const;
     [[nodiscard]] bool read_enough(const round& work) const;
     [[nodiscard]] bool all_lack_parent(const round& work) const;
--- a/src/turns/turn_client.cpp
+++ b/src/turns/turn_client.cpp
@@ -22,6 +22,9 @@
 constexpr milliseconds quorum_patience{25};
 /// A member that has missed two beats is not heard.
 constexpr milliseconds heard_within{1200};
+/// Without a word of any member for this long after it was asked, this VM is
+/// cut off: they send beats twice a second, and the next VM may hear them.
+constexpr milliseconds cut_off_patience{800};
 
 } // namespace
 
@@ -89,6 +92,16 @@
                        });
 }
 
+bool turn_client::cut_off_since(instant asked) const
+{
+    if (m_time.now() - asked < cut_off_patience)
+        return false;
+    return std::none_of(m_view.m_members.begin(), m_view.m_members.end(),
+                        [&](const member& row) {
+                            return m_links.last_heard(row.m_name) > asked;
+                        });
+}
+
 std::vector<std::string> turn_client::first_members(std::uint64_t draw) const
 {
     struct candidate
@@ -282,12 +295,13 @@
     question.m_parent = request.m_parent;
     const auto work = std::make_shared<round>(m_io, question);
     work->m_draw = request.m_attempt.m_low;
-    work->m_ask_all_at = m_time.now() + quorum_patience;
+    const auto begun_at = m_time.now();
+    work->m_ask_all_at = begun_at + quorum_patience;
     begin_result result;
     const bool has_parent = !request.m_parent.empty();
     std::optional<instant> quorum_at;
     bool parent_found = !has_parent;
-    while (m_time.now() < until)
+    while (m_time.now() < until && !cut_off_since(begun_at))
     {
         send_round(work);
         if (wrote_enough(*work) && read_enough(*work))
@@ -356,8 +370,9 @@
     const auto work =
         std::make_shared<round>(m_io, append_message{std::move(entry)});
     work->m_draw = id;
-    work->m_ask_all_at = m_time.now() + quorum_patience;
-    while (m_time.now() < until)
+    const auto begun_at = m_time.now();
+    work->m_ask_all_at = begun_at + quorum_patience;
+    while (m_time.now() < until && !cut_off_since(begun_at))
     {
         send_round(work);
         if (wrote_enough(*work))
--- a/test/cluster/test_membership.cpp
+++ b/test/cluster/test_membership.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "pepperturn/cluster/membership.hpp"
 
+#include "support/fleet/member_letters.hpp"
+
 #include <catch2/catch.hpp>
 
 namespace {
@@ -39,10 +41,7 @@
     for (const auto& each : view->m_members)
     {
         out += each.m_name;
-        out += each.m_state == full      ? "F"
-               : each.m_state == joining ? "J"
-               : each.m_state == leaving ? "L"
-                                         : "X";
+        out += test::letter_of(each.m_state);
     }
     return out;
 }
--- a/test/cluster/test_state.cpp
+++ b/test/cluster/test_state.cpp
@@ -176,6 +176,7 @@
     cluster_state state;
     std::vector<runner_entry> rows;
     constexpr int runner_count = 600;
+    rows.reserve(runner_count);
     for (int i = 0; i < runner_count; ++i)
         rows.push_back({"r-" + std::to_string(i), "text", 1});
     merge_state(state, whole(1, rows));
--- a/test/cluster/test_view_histories.cpp
+++ b/test/cluster/test_view_histories.cpp
@@ -5,6 +5,8 @@
 /// once the losses are over the members must get going again by themselves.
 #include "pepperturn/cluster/membership.hpp"
 
+#include "support/fleet/member_letters.hpp"
+
 #include <bit>
 #include <catch2/catch.hpp>
 #include <map>
@@ -246,6 +248,7 @@
     [[nodiscard]] std::vector<std::string> names() const
     {
         std::vector<std::string> out;
+        out.reserve(m_vms.size());
         for (const auto& [name, vm] : m_vms)
             out.push_back(name);
         return out;
@@ -265,9 +268,8 @@
         std::string out;
         for (const auto& row : m_view.m_members)
         {
-            out += row.m_name + "FJLX"[0 + (row.m_state != member_state::full) +
-                                       (row.m_state == member_state::leaving) +
-                                       2 * (row.m_state == member_state::lost)];
+            out += row.m_name;
+            out += test::letter_of(row.m_state);
             out += row.m_is_new ? "n" : "";
             out += answers(row) ? " " : "! ";
         }
--- a/test/fleet/test_turns.cpp
+++ b/test/fleet/test_turns.cpp
@@ -4,6 +4,7 @@
 
 #include "platform/cluster_source.hpp"
 #include "support/fleet/loop.hpp"
+#include "support/fleet/member_letters.hpp"
 #include "support/fleet/platform_store.hpp"
 
 #include <array>
@@ -96,10 +97,7 @@
         for (const auto& [name, state] : sorted)
         {
             out += name;
-            out += state == member_state::full      ? "F"
-                   : state == member_state::joining ? "J"
-                   : state == member_state::leaving ? "L"
-                                                    : "X";
+            out += letter_of(state);
         }
         return out;
     }
@@ -240,6 +238,23 @@
               .m_outcome == begin_outcome::unavailable);
 }
 
+TEST_CASE("a VM that no storage VM answers says so soon", "[fleet]")
+{
+    world fleet;
+    fleet.start_three();
+    REQUIRE(fleet.keep("a", ""));
+    // Nobody is there any more.
+    for (const auto& [name, vm] : fleet.m_vms)
+        vm->m_node->stop();
+    fleet.m_io.run_for(milliseconds(400));
+    fleet.m_io.restart();
+    const auto asked = fleet.m_time.now();
+    const auto result = fleet.begin(world::request("b", "a"));
+    CHECK(result.m_outcome == begin_outcome::unavailable);
+    CHECK_FALSE(fleet.keep("b", "a"));
+    CHECK(fleet.m_time.now() - asked < milliseconds(4000));
+}
+
 TEST_CASE("a chain whose parts lie on different VMs is put together", "[fleet]")
 {
     // The nearest VM lacks a part in the middle, which is fetched from
