An announced configuration is asked for until it comes

Cause, found by reading: each announcer was asked once, with 0.4 s for the answer; one that came later was dropped, and nobody was asked again before the next configuration. A slow link would have kept an edge VM on an old version.

Change: connected announcers are asked in turn, the nearest first, until the configuration is here, and answers are taken whenever they come; whoever connects again announces again.

--- a/include/pepperturn/cluster/config_fetcher.hpp
+++ b/include/pepperturn/cluster/config_fetcher.hpp
@@ -25,11 +25,14 @@
     void note_announced(const std::string& member, std::uint64_t revision);
 
 private:
-    /// Members that have something newer, the nearest first.
+    /// Connected members that have something newer, the nearest first.
     [[nodiscard]] std::vector<std::string> sources(bool near_only) const;
+    /// Whoever connects again announces again.
+    void forget_disconnected();
     [[nodiscard]] bool is_near(const std::string& member) const;
     task<> fetch();
-    task<> ask(std::string member);
+    /// Its answer is taken whenever it comes.
+    void ask(const std::string& member);
 
     asio::io_context& m_io;
     const clock& m_time;
@@ -39,6 +42,7 @@
     cluster_view m_view;
     std::uint64_t m_known = 0;
     std::map<std::string, std::uint64_t> m_announced;
+    async_event m_changed;
     bool m_fetching = false;
 };
 
--- a/src/cluster/config_fetcher.cpp
+++ b/src/cluster/config_fetcher.cpp
@@ -11,8 +11,10 @@
 /// A member of the own zone announces the same within this time, unless it is
 /// behind or away: members read the store at most 150 ms apart.
 constexpr milliseconds near_patience{160};
-/// Half a megabyte on the slowest links takes a tenth of this.
-constexpr milliseconds ask_patience{400};
+/// Half a megabyte on the slowest links takes a third of this; then the next
+/// one is asked, and so on until somebody has answered.
+constexpr milliseconds first_patience{400};
+constexpr milliseconds longest_patience{2000};
 
 } // namespace
 
@@ -21,7 +23,8 @@
                                std::string availability_zone,
                                std::function<void(const cluster_state&)> take)
     : m_io(io), m_time(time), m_links(links),
-      m_availability_zone(std::move(availability_zone)), m_take(std::move(take))
+      m_availability_zone(std::move(availability_zone)),
+      m_take(std::move(take)), m_changed(io)
 {}
 
 void config_fetcher::follow(const cluster_view& view)
@@ -31,9 +34,12 @@
 
 void config_fetcher::note_known(std::uint64_t revision)
 {
-    m_known = std::max(m_known, revision);
+    if (revision <= m_known)
+        return;
+    m_known = revision;
     std::erase_if(m_announced,
                   [&](const auto& row) { return row.second <= m_known; });
+    m_changed.notify();
 }
 
 void config_fetcher::note_announced(const std::string& member,
@@ -42,6 +48,7 @@
     if (revision <= m_known)
         return;
     m_announced[member] = revision;
+    m_changed.notify();
     if (!std::exchange(m_fetching, true))
         spawn(m_io, "config_fetcher.fetch", fetch());
 }
@@ -67,39 +74,48 @@
     return near;
 }
 
+void config_fetcher::forget_disconnected()
+{
+    std::erase_if(m_announced, [&](const auto& row) {
+        return !m_links.connected(row.first);
+    });
+}
+
 task<> config_fetcher::fetch()
 {
     const auto far_at = m_time.now() + near_patience;
+    auto patience = first_patience;
+    std::size_t asked = 0;
     while (!m_announced.empty())
     {
-        const bool near_only = m_time.now() < far_at;
-        const auto candidates = sources(near_only);
+        const auto candidates = sources(m_time.now() < far_at);
         if (candidates.empty())
         {
-            constexpr milliseconds pause{20};
-            co_await sleep_for(m_io, pause);
-            continue;
+            co_await m_changed.wait_until(far_at);
+        }
+        else
+        {
+            ask(candidates[asked++ % candidates.size()]);
+            co_await m_changed.wait_until(m_time.now() + patience);
+            patience = std::min(2 * patience, longest_patience);
         }
-        co_await ask(candidates.front());
+        forget_disconnected();
     }
     m_fetching = false;
 }
 
-task<> config_fetcher::ask(std::string member)
+void config_fetcher::ask(const std::string& member)
 {
-    const auto before = m_known;
-    const frame_body question = want_config_message{};
-    const auto answer =
-        co_await m_links.ask(member, question, m_time.now() + ask_patience);
-    const auto* told =
-        answer ? std::get_if<cluster_state>(&answer->m_body) : nullptr;
-    if (told != nullptr)
-        m_take(*told);
     LOG(INFO) << "event=config_asked vm=" << member
-              << " revision=" << (told != nullptr ? told->m_config_revision : 0)
-              << " known=" << before;
-    // Whoever did not help is not asked again before it announces more.
-    m_announced.erase(member);
+              << " revision=" << m_announced[member] << " known=" << m_known;
+    m_links.call(member, want_config_message{},
+                 [this](const std::optional<frame>& answer) {
+                     const auto* told =
+                         answer ? std::get_if<cluster_state>(&answer->m_body)
+                                : nullptr;
+                     if (told != nullptr)
+                         m_take(*told);
+                 });
 }
 
 } // namespace pepperturn
