--- a/test/fleet/test_config_fetcher.cpp
+++ b/test/fleet/test_config_fetcher.cpp
@@ -21,7 +21,10 @@
         std::string reason;
         REQUIRE(open_listener(
             m_acceptor, {asio::ip::make_address("127.0.0.1"), 0}, reason));
-        spawn(m_io, "announcer.accept", accept());
+        spawn(m_io, "announcer.accept",
+              accept_all(m_acceptor, [this](tcp::socket socket) {
+                  greet(std::move(socket));
+              }));
     }
 
     [[nodiscard]] std::string address() const
@@ -39,21 +42,14 @@
     }
 
 private:
-    task<> accept()
+    void greet(tcp::socket socket)
     {
-        while (true)
-        {
-            error_code ec;
-            auto socket = co_await m_acceptor.async_accept(into(ec));
-            if (ec)
-                co_return;
-            m_link = std::make_shared<frame_link>(m_io, std::move(socket));
-            m_link->start([this](frame value) { take(std::move(value)); },
-                          [](const std::string&) {});
-            cluster_state told;
-            told.m_config_revision = 7;
-            m_link->send({0, 0, frame_status::ok, std::move(told)});
-        }
+        m_link = std::make_shared<frame_link>(m_io, std::move(socket));
+        m_link->start([this](frame value) { take(std::move(value)); },
+                      [](const std::string&) {});
+        cluster_state told;
+        told.m_config_revision = 7;
+        m_link->send({0, 0, frame_status::ok, std::move(told)});
     }
     void take(frame value)
     {
--- a/test/soak/soak_runner.cpp
+++ b/test/soak/soak_runner.cpp
@@ -3,6 +3,8 @@
 
 #include "pepperturn/base/hash.hpp"
 
+#include "support/fleet/loop.hpp"
+
 #include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -46,7 +48,11 @@
     : m_io(io), m_rules(rules), m_id(std::move(id)), m_draw(seed),
       m_acceptor(io, any_port())
 {
-    spawn(m_io, "soak_runner.accept", accept());
+    spawn(m_io, "soak_runner.accept",
+          test::accept_all(m_acceptor, [this](tcp::socket socket) {
+              auto kept = std::make_shared<tcp::socket>(std::move(socket));
+              spawn(m_io, "soak_runner.serve", serve(kept));
+          }));
 }
 
 std::string soak_runner::address() const
@@ -54,19 +60,6 @@
     return to_text(m_acceptor.local_endpoint());
 }
 
-task<> soak_runner::accept()
-{
-    while (true)
-    {
-        error_code ec;
-        auto socket = co_await m_acceptor.async_accept(into(ec));
-        if (ec)
-            co_return;
-        auto kept = std::make_shared<tcp::socket>(std::move(socket));
-        spawn(m_io, "soak_runner.serve", serve(kept));
-    }
-}
-
 task<> soak_runner::serve(std::shared_ptr<tcp::socket> socket)
 {
     boost::beast::flat_buffer buffer;
@@ -128,7 +121,11 @@
 fault_proxy::fault_proxy(asio::io_context& io, std::string target)
     : m_io(io), m_target(std::move(target)), m_acceptor(io, any_port())
 {
-    spawn(m_io, "fault_proxy.accept", accept());
+    spawn(m_io, "fault_proxy.accept",
+          test::accept_all(m_acceptor, [this](tcp::socket socket) {
+              auto kept = std::make_shared<tcp::socket>(std::move(socket));
+              spawn(m_io, "fault_proxy.join", join(kept));
+          }));
 }
 
 std::string fault_proxy::address() const
@@ -146,19 +143,6 @@
     }
 }
 
-task<> fault_proxy::accept()
-{
-    while (true)
-    {
-        error_code ec;
-        auto socket = co_await m_acceptor.async_accept(into(ec));
-        if (ec)
-            co_return;
-        auto near = std::make_shared<tcp::socket>(std::move(socket));
-        spawn(m_io, "fault_proxy.join", join(near));
-    }
-}
-
 task<> fault_proxy::join(std::shared_ptr<tcp::socket> near)
 {
     auto far = std::make_shared<tcp::socket>(m_io);
--- a/test/soak/soak_runner.hpp
+++ b/test/soak/soak_runner.hpp
@@ -23,7 +23,6 @@
     }
 
 private:
-    task<> accept();
     task<> serve(std::shared_ptr<tcp::socket> socket);
 
     asio::io_context& m_io;
@@ -56,7 +55,6 @@
     void reset_all();
 
 private:
-    task<> accept();
     task<> join(std::shared_ptr<tcp::socket> near);
     task<> pump(std::shared_ptr<tcp::socket> from,
                 std::shared_ptr<tcp::socket> to, bool answers);
--- a/test/support/fleet/loop.hpp
+++ b/test/support/fleet/loop.hpp
@@ -48,4 +48,18 @@
     return probe.local_endpoint().port();
 }
 
+/// Hands every connection to \p take until \p acceptor is closed.
+inline task<> accept_all(tcp::acceptor& acceptor,
+                         std::function<void(tcp::socket)> take)
+{
+    while (true)
+    {
+        error_code ec;
+        auto socket = co_await acceptor.async_accept(into(ec));
+        if (ec)
+            co_return;
+        take(std::move(socket));
+    }
+}
+
 } // namespace pepperturn::test
--- a/test/support/fleet/platform_store.cpp
+++ b/test/support/fleet/platform_store.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "support/fleet/platform_store.hpp"
 
+#include "support/fleet/loop.hpp"
+
 #include "pepperturn/base/base64.hpp"
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -62,7 +64,11 @@
     : m_io(io),
       m_acceptor(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
 {
-    spawn(m_io, "platform_store.accept", accept());
+    spawn(m_io, "platform_store.accept",
+          accept_all(m_acceptor, [this](tcp::socket socket) {
+              auto kept = std::make_shared<tcp::socket>(std::move(socket));
+              spawn(m_io, "platform_store.serve", serve(kept));
+          }));
 }
 
 platform_store::~platform_store() = default;
@@ -113,19 +119,6 @@
         watch->notify();
 }
 
-task<> platform_store::accept()
-{
-    while (true)
-    {
-        error_code ec;
-        auto socket = co_await m_acceptor.async_accept(into(ec));
-        if (ec)
-            co_return;
-        auto kept = std::make_shared<tcp::socket>(std::move(socket));
-        spawn(m_io, "platform_store.serve", serve(kept));
-    }
-}
-
 task<> platform_store::serve(std::shared_ptr<tcp::socket> socket)
 {
     boost::beast::flat_buffer buffer;
--- a/test/support/fleet/platform_store.hpp
+++ b/test/support/fleet/platform_store.hpp
@@ -52,7 +52,6 @@
     using request = http::request<http::string_body>;
     using response = http::response<http::string_body>;
 
-    task<> accept();
     task<> serve(std::shared_ptr<tcp::socket> socket);
     task<response> answer(const request& question);
     task<response> answer_watch(std::map<std::string, std::string> query);
--- a/test/support/fleet/runner.cpp
+++ b/test/support/fleet/runner.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "support/fleet/runner.hpp"
 
+#include "support/fleet/loop.hpp"
+
 #include <array>
 #include <boost/asio/write.hpp>
 
@@ -62,7 +64,12 @@
     : m_io(io),
       m_acceptor(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
 {
-    spawn(m_io, "scripted_runner.accept", accept());
+    spawn(m_io, "scripted_runner.accept",
+          accept_all(m_acceptor, [this](tcp::socket socket) {
+              ++m_connections;
+              auto kept = std::make_shared<tcp::socket>(std::move(socket));
+              spawn(m_io, "scripted_runner.serve", serve(kept));
+          }));
 }
 
 std::string scripted_runner::address() const
@@ -76,20 +83,6 @@
     m_next = 0;
 }
 
-task<> scripted_runner::accept()
-{
-    while (true)
-    {
-        error_code ec;
-        auto socket = co_await m_acceptor.async_accept(into(ec));
-        if (ec)
-            co_return;
-        ++m_connections;
-        spawn(m_io, "scripted_runner.serve",
-              serve(std::make_shared<tcp::socket>(std::move(socket))));
-    }
-}
-
 task<> scripted_runner::serve(std::shared_ptr<tcp::socket> socket)
 {
     std::string buffer;
--- a/test/support/fleet/runner.hpp
+++ b/test/support/fleet/runner.hpp
@@ -53,7 +53,6 @@
     }
 
 private:
-    task<> accept();
     task<> serve(std::shared_ptr<tcp::socket> socket);
 
     asio::io_context& m_io;
--- /dev/null
+++ b/test/support/fleet/storage_world.hpp
@@ -0,0 +1,184 @@
+// SPDX-License-Identifier: BSL-1.0
+/// \file
+/// Storage VMs on disks of their own, the platform's store and an edge VM's
+/// client, in one process.
+#pragma once
+
+#include "pepperturn/fleet/storage_node.hpp"
+#include "pepperturn/turns/turn_client.hpp"
+
+#include "platform/cluster_source.hpp"
+#include "support/fleet/loop.hpp"
+#include "support/fleet/member_letters.hpp"
+#include "support/fleet/platform_store.hpp"
+
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <unistd.h>
+
+namespace pepperturn::test {
+
+inline constexpr std::uint32_t retention_ms = 60000;
+/// A sync of a busy machine's disk may take seconds.
+inline constexpr milliseconds usual_patience{8000};
+
+/// A storage VM with a disk that may outlive it.
+struct storage_vm
+{
+    storage_vm(asio::io_context& io, const pepperturn::clock& time,
+               const std::string& store, const std::string& name,
+               const std::string& folder, bool bootstrap)
+        : m_port(free_port(io)), m_source(io, time, store)
+    {
+        fleet_settings settings;
+        settings.m_name = name;
+        settings.m_host = "127.0.0.1";
+        settings.m_availability_zone = name;
+        settings.m_bootstrap = bootstrap;
+        settings.m_frames_address = "127.0.0.1:" + std::to_string(m_port);
+        m_metrics_port = free_port(io);
+        settings.m_metrics_address =
+            "127.0.0.1:" + std::to_string(m_metrics_port);
+        settings.m_data_folder = folder;
+        settings.m_store_address = store;
+        m_node = std::make_unique<storage_node>(io, time, settings, m_source);
+        std::string reason;
+        INFO(reason);
+        REQUIRE(m_node->start(reason));
+    }
+
+    std::uint16_t m_port;
+    std::uint16_t m_metrics_port = 0;
+    platform::cluster_source m_source;
+    std::unique_ptr<storage_node> m_node;
+};
+
+/// Storage VMs, a store, and an edge VM's client.
+class storage_world
+{
+public:
+    storage_world()
+        : m_store(m_io), m_edge_source(m_io, m_time, m_store.address()),
+          m_links(m_io, m_time, "edge"),
+          m_client(m_io, m_time, m_links, "vm-0", 1)
+    {
+        std::string name =
+            std::filesystem::temp_directory_path() / "fleet-XXXXXX";
+        m_folder = mkdtemp(name.data());
+        m_edge_source.on_state([this](const cluster_state& news) {
+            if (merge_state(m_state, news).m_view)
+            {
+                m_links.follow(m_state.m_view);
+                m_client.follow(m_state.m_view);
+            }
+        });
+        m_edge_source.start();
+    }
+    ~storage_world()
+    {
+        // Coroutines hold parts of each other: the loop's end frees them.
+        std::filesystem::remove_all(m_folder);
+    }
+    storage_world(const storage_world&) = delete;
+    storage_world& operator=(const storage_world&) = delete;
+
+    void add(const std::string& name, bool bootstrap = true)
+    {
+        m_vms[name] =
+            std::make_unique<storage_vm>(m_io, m_time, m_store.address(), name,
+                                         m_folder + '/' + name, bootstrap);
+    }
+    [[nodiscard]] std::string states() const
+    {
+        std::map<std::string, member_state> sorted;
+        for (const auto& row : m_state.m_view.m_members)
+            sorted[row.m_name] = row.m_state;
+        std::string out;
+        for (const auto& [name, state] : sorted)
+        {
+            out += name;
+            out += letter_of(state);
+        }
+        return out;
+    }
+    bool wait_for(const std::string& expected)
+    {
+        return run_until(m_io, [&] { return states() == expected; });
+    }
+    /// Ends a VM that does not come back.
+    void lose(const std::string& name)
+    {
+        m_vms[name]->m_node->stop();
+        m_vms[name]->m_source.pause();
+        run_until(m_io, [&] { return !m_links.connected(name); });
+        m_io.restart();
+    }
+    void start_three()
+    {
+        add("vm-0");
+        add("vm-1");
+        add("vm-2");
+        REQUIRE(wait_for("vm-0Fvm-1Fvm-2F"));
+        REQUIRE(run_until(m_io, [&] {
+            return m_links.connected("vm-0") && m_links.connected("vm-1") &&
+                   m_links.connected("vm-2");
+        }));
+    }
+
+    /// Stops a VM and starts it anew with its disk, at another address.
+    void restart(const std::string& name)
+    {
+        m_vms[name]->m_node->stop();
+        m_vms[name]->m_source.pause();
+        run_until(m_io, [&] { return !m_links.connected(name); });
+        m_io.restart();
+        m_stopped.push_back(std::move(m_vms[name]));
+        add(name, false);
+    }
+
+    static begin_request request(const std::string& id,
+                                 const std::string& parent,
+                                 std::uint64_t budget = 1000)
+    {
+        return {key_of("program"), key_of(id), 50, budget,
+                retention_ms,      parent};
+    }
+    begin_result begin(const begin_request& what,
+                       milliseconds patience = usual_patience)
+    {
+        auto result =
+            run_task(m_io, m_client.begin(what, m_time.now() + patience));
+        REQUIRE(result.has_value());
+        return *result;
+    }
+    bool keep(const std::string& id, const std::string& parent)
+    {
+        const log_entry entry{retention_ms,
+                              turn_record{id, parent, "in-" + id + ';',
+                                          "out-" + id + ';', "run",
+                                          key_of("program"), key_of(id), 30}};
+        const auto kept =
+            run_task(m_io, m_client.keep(entry, m_time.now() + usual_patience));
+        return kept.value_or(false);
+    }
+    static std::string text_of(const begin_result& result)
+    {
+        std::string out;
+        for (const auto& turn : result.m_chain)
+            out += turn.m_input + turn.m_output;
+        return out;
+    }
+
+    asio::io_context m_io{1};
+    system_clock m_time;
+    platform_store m_store;
+    platform::cluster_source m_edge_source;
+    member_links m_links;
+    turn_client m_client;
+    cluster_state m_state;
+    std::string m_folder;
+    std::map<std::string, std::unique_ptr<storage_vm>> m_vms;
+    std::vector<std::unique_ptr<storage_vm>> m_stopped;
+};
+
+} // namespace pepperturn::test
