Figures give way to frames on the same port; tests' disks in memory

Cause: found by reading: a storage VM bound its metrics port first, so that a deployment whose frames have port 9464 would have ended it.

Change: frames are bound first. Test disks (and the soak's) are put in memory where the machine offers it; no limit or check was changed. The soak's logs stay on the disk, and a broken run's disks are copied beside them.

Test: figures give way to frames on the same port.

--- a/src/fleet/storage_node.cpp
+++ b/src/fleet/storage_node.cpp
@@ -98,8 +98,11 @@
         reason = "[listen] frames: " + ec.message();
         return false;
     }
+    if (!m_server->listen(frames, reason))
+        return false;
+    // After what the VM is for, should both name the same port.
     m_status.listen_beside(m_settings.m_metrics_address);
-    return m_server->listen(frames, reason);
+    return true;
 }
 
 std::string storage_node::metrics_text() const
--- a/test/fleet/test_storage_vms.cpp
+++ b/test/fleet/test_storage_vms.cpp
@@ -68,6 +68,18 @@
     }
 }
 
+TEST_CASE("figures give way to frames on the same port", "[fleet]")
+{
+    storage_world fleet;
+    storage_vm vm(fleet.m_io, fleet.m_time, fleet.m_store.address(), "vm-0",
+                  fleet.m_folder + "/vm-0", true, false);
+    REQUIRE(fleet.wait_for("vm-0F"));
+    CHECK(
+        run_until(fleet.m_io, [&] { return fleet.m_links.connected("vm-0"); }));
+    vm.m_node->stop();
+    fleet.m_io.run_for(milliseconds(400));
+}
+
 TEST_CASE("of three VMs one is emptied and one is lost: turns go on", "[fleet]")
 {
     // The view once had no way out of this, also with another VM added.
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -10,6 +10,7 @@
 #include "pepperturn/forward/event_reader.hpp"
 #include "support/fleet/loop.hpp"
 #include "support/fleet/platform_store.hpp"
+#include "support/fleet/scratch_folder.hpp"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -60,6 +61,7 @@
             std::filesystem::temp_directory_path() /
             ("soak-" + std::to_string(seed) + "-" + std::to_string(getpid()));
         std::filesystem::create_directories(m_folder);
+        m_disks = test::make_scratch_folder("soak");
     }
 
     int run();
@@ -112,6 +114,8 @@
     promises m_rules;
     platform_store m_store;
     std::filesystem::path m_folder;
+    /// Of the storage VMs.
+    std::filesystem::path m_disks;
     std::vector<std::unique_ptr<vm>> m_vms;
     std::vector<std::unique_ptr<soak_runner>> m_runners;
     std::vector<std::unique_ptr<fault_proxy>> m_proxies;
@@ -179,7 +183,7 @@
             (each->m_storage ? "storage-" : "edge-") + std::to_string(i);
         process.m_program = m_bin + (each->m_storage ? "/pepperturn-storage"
                                                      : "/pepperturn-edge");
-        process.m_data_folder = m_folder / (process.m_name + "-data");
+        process.m_data_folder = m_disks / (process.m_name + "-data");
         m_vms.push_back(std::move(each));
     }
     put_config();
@@ -481,7 +485,14 @@
     if (m_rules.broken().empty())
         std::filesystem::remove_all(m_folder);
     else
-        std::cout << "logs in " << m_folder << '\n';
+    {
+        std::error_code ignored;
+        std::filesystem::copy(m_disks, m_folder / "disks",
+                              std::filesystem::copy_options::recursive,
+                              ignored);
+        std::cout << "logs and disks in " << m_folder << '\n';
+    }
+    std::filesystem::remove_all(m_disks);
     return m_rules.broken().empty() && m_served > 0 ? 0 : 1;
 }
 
--- a/test/support/fleet/storage_world.hpp
+++ b/test/support/fleet/storage_world.hpp
@@ -11,6 +11,7 @@
 #include "support/fleet/loop.hpp"
 #include "support/fleet/member_letters.hpp"
 #include "support/fleet/platform_store.hpp"
+#include "support/fleet/scratch_folder.hpp"
 
 #include <catch2/catch.hpp>
 #include <filesystem>
@@ -27,7 +28,8 @@
 {
     storage_vm(asio::io_context& io, const pepperturn::clock& time,
                const std::string& store, const std::string& name,
-               const std::string& folder, bool bootstrap)
+               const std::string& folder, bool bootstrap,
+               bool own_metrics_port = true)
         : m_port(free_port(io)), m_source(io, time, store)
     {
         fleet_settings settings;
@@ -36,7 +38,7 @@
         settings.m_availability_zone = name;
         settings.m_bootstrap = bootstrap;
         settings.m_frames_address = "127.0.0.1:" + std::to_string(m_port);
-        m_metrics_port = free_port(io);
+        m_metrics_port = own_metrics_port ? free_port(io) : m_port;
         settings.m_metrics_address =
             "127.0.0.1:" + std::to_string(m_metrics_port);
         settings.m_data_folder = folder;
@@ -62,9 +64,8 @@
           m_links(m_io, m_time, "edge"),
           m_client(m_io, m_time, m_links, "vm-0", 1)
     {
-        std::string name =
-            std::filesystem::temp_directory_path() / "fleet-XXXXXX";
-        m_folder = mkdtemp(name.data());
+        m_folder = make_scratch_folder("fleet");
+        REQUIRE_FALSE(m_folder.empty());
         m_edge_source.on_state([this](const cluster_state& news) {
             if (merge_state(m_state, news).m_view)
             {
--- a/test/turns/test_turn_store.cpp
+++ b/test/turns/test_turn_store.cpp
@@ -2,6 +2,8 @@
 #include "pepperturn/turns/messages.hpp"
 #include "pepperturn/turns/turn_store.hpp"
 
+#include "support/fleet/scratch_folder.hpp"
+
 #include <catch2/catch.hpp>
 #include <filesystem>
 #include <fstream>
@@ -18,9 +20,8 @@
 public:
     temporary_folder()
     {
-        std::string name =
-            std::filesystem::temp_directory_path() / "turns-XXXXXX";
-        m_path = mkdtemp(name.data());
+        m_path = pepperturn::test::make_scratch_folder("turns");
+        REQUIRE_FALSE(m_path.empty());
     }
     ~temporary_folder()
     {
