--- a/test/fleet/test_config_fetcher.cpp
+++ b/test/fleet/test_config_fetcher.cpp
@@ -45,13 +45,13 @@
     void greet(tcp::socket socket)
     {
         m_link = std::make_shared<frame_link>(m_io, std::move(socket));
-        m_link->start([this](frame value) { take(std::move(value)); },
+        m_link->start([this](const frame& value) { take(value); },
                       [](const std::string&) {});
         cluster_state told;
         told.m_config_revision = 7;
         m_link->send({0, 0, frame_status::ok, std::move(told)});
     }
-    void take(frame value)
+    void take(const frame& value)
     {
         if (!std::holds_alternative<want_config_message>(value.m_body))
             return;
