Budgets are reserved on every route whose callers name one

Cause: the proxy reserved tokens only on routes that keep turns. Change: a call with a budget begins and settles like a turn, without a parent.

--- a/include/pepperturn/forward/request_head.hpp
+++ b/include/pepperturn/forward/request_head.hpp
@@ -36,6 +36,10 @@
     std::uint32_t m_prompt_tokens = 0;
     std::uint32_t m_most_tokens = 0;
     std::string m_parent_turn;
+    /// The last event that the caller has of a stream it takes up again.
+    std::optional<std::uint64_t> m_last_event;
+    /// What is wrong with a field that was sent; empty: nothing.
+    std::string_view m_fault;
 
     friend bool operator==(const request_fields&,
                            const request_fields&) = default;
--- a/include/pepperturn/forward/wire_names.hpp
+++ b/include/pepperturn/forward/wire_names.hpp
@@ -22,6 +22,9 @@
     std::string m_token_count = "Pepperturn-Token-Count";
     /// Id of the turn that this one goes on from.
     std::string m_parent_turn = "Pepperturn-Parent-Turn";
+    /// Id of the last event that a caller, or this system, has of a stream
+    /// that goes on from there.
+    std::string m_last_event = "Last-Event-Id";
     /// Id of the runner that is meant; any other refuses.
     std::string m_expected_runner = "Pepperturn-Expect-Runner";
     /// In a runner's answer: signs it as that runner's own.
--- a/src/forward/proxy.cpp
+++ b/src/forward/proxy.cpp
@@ -260,6 +260,11 @@
         co_return out;
     }
     const auto& route = *work->m_route;
+    if (!work->m_fields.m_fault.empty())
+    {
+        out.m_answer = fail(*work, 400, std::string(work->m_fields.m_fault));
+        co_return out;
+    }
     work->m_deadline =
         work->m_arrived +
         std::min(route.m_timeout,
@@ -269,7 +274,8 @@
     // taken back, and its answer may be asked for.
     if (route.m_kind != route_kind::unrepeatable)
         caller->watch(work->m_aborter);
-    if (route.m_stateful)
+    // Callers that bring their whole history have a budget too.
+    if (route.m_stateful || work->m_fields.m_token_budget)
     {
         out.m_answer = co_await begin_turn(work);
         if (out.m_answer)
@@ -289,7 +295,8 @@
     begin.m_budget = fields.m_token_budget.value_or(UINT64_MAX);
     begin.m_retention_ms =
         static_cast<std::uint32_t>(work->m_route->m_retention.count());
-    begin.m_parent = fields.m_parent_turn;
+    if (work->m_route->m_stateful)
+        begin.m_parent = fields.m_parent_turn;
     if (begin.m_tokens > begin.m_budget)
     {
         work->m_why = "budget=" + std::to_string(begin.m_budget) + ' ';
@@ -559,6 +566,8 @@
             co_return out;
         }
     }
+    else
+        settle(*work, count_tokens(events.whole_events()));
     // Callers count a turn from here on.
     out.m_cut = !co_await caller->end_stream();
     co_return out;
--- a/src/forward/request_head.cpp
+++ b/src/forward/request_head.cpp
@@ -153,6 +153,28 @@
     return nullptr;
 }
 
+namespace {
+
+/// Reads PROMPT,MOST; both must fit 32 bits.
+void read_token_count(request_fields& out, std::string_view count)
+{
+    const auto comma = std::min(count.find(','), count.size());
+    const auto prompt = parse_number(trimmed(count.substr(0, comma)));
+    const auto most = comma == count.size()
+                          ? std::nullopt
+                          : parse_number(trimmed(count.substr(comma + 1)));
+    constexpr std::uint64_t largest = UINT32_MAX;
+    if (!prompt || !most || *prompt > largest || *most > largest)
+    {
+        out.m_fault = "the token count is no pair of numbers";
+        return;
+    }
+    out.m_prompt_tokens = static_cast<std::uint32_t>(*prompt);
+    out.m_most_tokens = static_cast<std::uint32_t>(*most);
+}
+
+} // namespace
+
 request_fields decode_fields(const caller_request& request,
                              const wire_names& names)
 {
@@ -165,18 +187,23 @@
     if (const auto ms = parse_number(text(names.m_deadline)))
         out.m_deadline = milliseconds(*ms);
     out.m_program = text(names.m_program);
-    out.m_token_budget = parse_number(text(names.m_token_budget));
-    const auto count = text(names.m_token_count);
-    const auto comma = count.find(',');
-    if (comma != std::string::npos)
+    if (request.count(names.m_token_count) > 0)
+        read_token_count(out, text(names.m_token_count));
+    if (request.count(names.m_token_budget) > 0)
     {
-        const auto view = std::string_view(count);
-        out.m_prompt_tokens = static_cast<std::uint32_t>(
-            parse_number(trimmed(view.substr(0, comma))).value_or(0));
-        out.m_most_tokens = static_cast<std::uint32_t>(
-            parse_number(trimmed(view.substr(comma + 1))).value_or(0));
+        out.m_token_budget = parse_number(text(names.m_token_budget));
+        if (!out.m_token_budget)
+            out.m_fault = "the token budget is no number";
+        else if (request.count(names.m_token_count) == 0)
+            out.m_fault = "a token budget without a token count";
     }
     out.m_parent_turn = text(names.m_parent_turn);
+    if (request.count(names.m_last_event) > 0)
+    {
+        out.m_last_event = parse_number(text(names.m_last_event));
+        if (!out.m_last_event)
+            out.m_fault = "the last event's id is no number";
+    }
     return out;
 }
 
--- /dev/null
+++ b/test/fleet/test_budget_calls.cpp
@@ -0,0 +1,110 @@
+// SPDX-License-Identifier: BSL-1.0
+// Budgets of programs whose callers bring their whole history: nothing of
+// theirs is kept but what they have spent.
+#include "support/fleet/proxy_world.hpp"
+#include "support/fleet/storage_world.hpp"
+
+namespace {
+
+using namespace pepperturn;
+using namespace pepperturn::test;
+
+constexpr std::uint32_t event_tokens = 8;
+
+/// Storage VMs, and a proxy whose engines give eight tokens an event.
+class budget_world : public storage_world, public proxy_world
+{
+public:
+    budget_world() : proxy_world(storage_world::m_io, m_client)
+    {
+        start_three();
+        auto config = proxy_world::config(2);
+        config.m_services["svc"].m_engine =
+            engine_profile{4, 100000, event_tokens};
+        REQUIRE(m_proxy.take_config(config));
+    }
+
+    std::string ask_turn(const std::string& id, const std::string& budget,
+                         const std::string& count = "100,24")
+    {
+        const auto more =
+            "Pepperturn-Program: p\r\nPepperturn-Token-Budget: " + budget +
+            "\r\nPepperturn-Token-Count: " + count + "\r\n";
+        auto request = post("/stream/", "x", more);
+        request.replace(request.find("Call: c1"), 8, "Call: " + id);
+        connect();
+        send(request);
+        CHECK(proxy_world::wait_for([&] {
+            return has(m_received, "0\r\n\r\n") ||
+                   (has(m_received, "HTTP/1.1 4") &&
+                    has(m_received, "\r\n\r\n")) ||
+                   has(m_received, "HTTP/1.1 503 ") || m_ended;
+        }));
+        return m_received;
+    }
+};
+
+} // namespace
+
+TEST_CASE("a budget holds where callers bring their history", "[proxy]")
+{
+    // Only routes that keep turns once reserved: such programs spent four
+    // times what they might.
+    budget_world edge;
+    edge.m_first.script({{event_answer({"a", "b", "c"})}});
+    edge.m_second.script({{event_answer({"a", "b", "c"})}});
+    const auto runs = [&] {
+        return edge.m_first.requests().size() + edge.m_second.requests().size();
+    };
+    CHECK(has(edge.ask_turn("t1", "60"), "HTTP/1.1 200 "));
+    CHECK(has(edge.ask_turn("t2", "60"), "HTTP/1.1 200 "));
+    // 48 are spent, and the next may take 24.
+    CHECK(has(edge.ask_turn("t3", "60"), "HTTP/1.1 402 "));
+    CHECK(runs() == 2);
+}
+
+TEST_CASE("what a call did not hand out is given back", "[proxy]")
+{
+    budget_world edge;
+    const runner_step one{event_answer({"a"})};
+    const runner_step full{whole_answer(503, "", "Pepperturn-Not-Run: 1\r\n")};
+    const runner_step cut{event_answer({"a"}, false), true,
+                          runner_step::after::close};
+    edge.m_first.script({one, cut, full, one});
+    edge.m_second.script({full});
+    edge.m_proxy.take_runners(
+        {{"r1", "svc", edge.m_first.address(), "z", 4, false}});
+    // Each may take 24: 8 were handed out, 8 by a cut stream, none by a
+    // refused one.
+    CHECK(has(edge.ask_turn("t1", "40"), "HTTP/1.1 200 "));
+    (void)edge.ask_turn("t2", "40");
+    CHECK(has(edge.ask_turn("t3", "40"), "HTTP/1.1 503 "));
+    CHECK(has(edge.ask_turn("t4", "40"), "HTTP/1.1 200 "));
+    CHECK(has(edge.ask_turn("t5", "40"), "HTTP/1.1 402 "));
+}
+
+TEST_CASE("budgets and counts that are none are refused, nothing is reserved",
+          "[proxy]")
+{
+    struct sample
+    {
+        std::string m_budget;
+        std::string m_count;
+    };
+    const std::vector<sample> samples{
+        {"-5", "100,24"},        {"many", "100,24"},
+        {"", "100,24"},          {"99999999999999999999", "100,24"},
+        {"60", "100"},           {"60", ""},
+        {"60", "100,-1"},        {"60", "100,24,24"},
+        {"60", "100,5000000000"}};
+    budget_world edge;
+    edge.m_first.script({{event_answer({"a"})}});
+    for (const auto& each : samples)
+    {
+        INFO(each.m_budget << " / " << each.m_count);
+        const auto got = edge.ask_turn("t", each.m_budget, each.m_count);
+        CHECK(has(got, "HTTP/1.1 400 "));
+    }
+    CHECK(edge.m_first.requests().empty());
+    CHECK(has(edge.ask_turn("good", "24"), "HTTP/1.1 200 "));
+}
