--- a/test/fleet/test_budget_calls.cpp
+++ b/test/fleet/test_budget_calls.cpp
@@ -25,11 +25,13 @@
     }
 
     std::string ask_turn(const std::string& id, const std::string& budget,
-                         const std::string& count = "100,24")
+                         const std::string& count = "100,24",
+                         const std::string& lines = {})
     {
-        const auto more =
-            "Pepperturn-Program: p\r\nPepperturn-Token-Budget: " + budget +
-            "\r\nPepperturn-Token-Count: " + count + "\r\n";
+        std::string more = "Pepperturn-Program: p\r\n";
+        more += "Pepperturn-Token-Budget: " + budget + "\r\n";
+        more += "Pepperturn-Token-Count: " + count + "\r\n";
+        more += lines;
         auto request = post("/stream/", "x", more);
         request.replace(request.find("Call: c1"), 8, "Call: " + id);
         connect();
@@ -108,3 +110,25 @@
     CHECK(edge.m_first.requests().empty());
     CHECK(has(edge.ask_turn("good", "24"), "HTTP/1.1 200 "));
 }
+
+TEST_CASE("turns go where the turn before was read, through any VM", "[proxy]")
+{
+    // Spread by load alone, each turn had its whole history read anew.
+    budget_world edge;
+    edge.m_proxy.take_runners(
+        {{"r1", "svc", edge.m_first.address(), "z", 64, false},
+         {"r2", "svc", edge.m_second.address(), "z", 64, false}});
+    edge.m_first.script({{event_answer({"a"})}});
+    edge.m_second.script({{event_answer({"a"})}});
+    constexpr int turns = 10;
+    for (int i = 0; i < turns; ++i)
+    {
+        const auto parts = "Pepperturn-Prompt-Parts: 5c1e:500,77d2:" +
+                           std::to_string(100 * (i + 1)) + "\r\n";
+        CHECK(
+            has(edge.ask_turn("t" + std::to_string(i), "1000", "700,24", parts),
+                "HTTP/1.1 200 "));
+    }
+    CHECK(std::min(edge.m_first.requests().size(),
+                   edge.m_second.requests().size()) == 0);
+}
--- a/test/forward/test_request_head.cpp
+++ b/test/forward/test_request_head.cpp
@@ -111,7 +111,7 @@
         "c-1", "h:80", milliseconds(250),
         "p",   900,    1840,
         136,   "t",    {{hash64("5c1e"), 1600}, {hash64("e4"), 240}},
-        12};
+        12,    {}};
     CHECK(decode_fields(request, names) == expected);
     const auto bad = parse("POST /a HTTP/1.1\r\nHost: h\r\n"
                            "Pepperturn-Deadline-Ms: soon\r\n"
