Placement is a decision of its own; a trial of shared load digests is reverted

Hypothesis: each VM sees a seventh (grown: a fifty-seventh) of an engine's load, so placement would gain from what the others have under way, told on the questions to the storage VMs. Conclusion: own calls and the prompt's home are enough here; reverted.

Kept: the cost of a runner is a pure function in scheduling/placement, with a table of its cases.

--- a/src/forward/runner_table.cpp
+++ b/src/forward/runner_table.cpp
@@ -2,6 +2,7 @@
 #include "pepperturn/forward/runner_table.hpp"
 
 #include "pepperturn/base/hash.hpp"
+#include "pepperturn/scheduling/placement.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -12,38 +13,18 @@
 
 /// Weight of a new latency in the smoothed one.
 constexpr double latency_weight = 0.15;
-/// Share of its slots that another zone's runner must be less loaded by:
-/// one request of a few-slot runner outweighs the bytes between zones.
-constexpr double other_zone_load = 0.1;
-/// How much busier the runner with the cached prefix may be. Reading the
-/// prefix anew costs more than a few neighbours in the batch do.
-constexpr double preferred_load = 0.35;
-/// Worth of a kept connection, as load: less than one request in a slot of
-/// a few, more than chance, so that each VM stays with some of the runners.
-constexpr double open_connection_load = 0.08;
-/// A runner counts as this much more loaded for each time that it is slower
-/// than usual; the work of single requests differs by less than the margin
-/// once some of them are smoothed.
-constexpr double slow_load = 0.2;
-constexpr double slow_margin = 1.4;
+/// One answer says no more than this of a runner.
 constexpr double most_slowness = 8.0;
 /// Weight of a new latency in what is usual on its route: of some dozens.
 constexpr double usual_weight = 0.03;
 /// Weight of one result in the share that went wrong: four in a row count.
 constexpr double result_weight = 0.25;
-/// A runner that fails every request is as bad as one with its slots taken
-/// twice over; one that fails a few in a hundred stays in use.
-constexpr double trouble_load = 2.0;
 /// The share fades to a third in this time, in seconds.
 constexpr double trouble_memory_s = 5.0;
 constexpr milliseconds first_avoidance{300};
 constexpr std::uint32_t most_doublings = 4;
 constexpr milliseconds full_avoidance{40};
 
-} // namespace
-
-namespace {
-
 double faded_trouble(const runner_row& row, instant now)
 {
     if (row.m_trouble == 0)
@@ -97,36 +78,28 @@
     const auto listed = m_by_service.find(choice.m_service);
     if (listed == m_by_service.end())
         return nullptr;
-    const runner_row* best = nullptr;
-    double best_cost = 0;
-    std::uint64_t best_draw = 0;
+    std::vector<const runner_row*> rows;
+    std::vector<placement_candidate> candidates;
     for (const auto& id : listed->second)
     {
         const auto& row = m_rows.at(id);
         if (row.m_info.m_draining || choice.m_excluded.contains(id))
             continue;
-        double cost = static_cast<double>(row.m_in_flight) / row.m_info.m_slots;
-        if (row.m_info.m_availability_zone != choice.m_availability_zone)
-            cost += other_zone_load;
-        if (choice.m_connected && choice.m_connected(id))
-            cost -= open_connection_load;
-        if (id == choice.m_preferred)
-            cost -= preferred_load + other_zone_load;
-        cost += slow_load * std::max(row.m_slowness - slow_margin, 0.0);
-        cost += trouble_load * faded_trouble(row, now);
-        // Avoided ones come last, but they come.
-        if (row.m_avoid_until > now)
-            cost += 100.0;
-        const auto draw = hash64(id, choice.m_draw);
-        if (best == nullptr || cost < best_cost ||
-            (cost == best_cost && draw < best_draw))
-        {
-            best = &row;
-            best_cost = cost;
-            best_draw = draw;
-        }
+        placement_candidate out;
+        out.m_load = static_cast<double>(row.m_in_flight) / row.m_info.m_slots;
+        out.m_other_zone =
+            row.m_info.m_availability_zone != choice.m_availability_zone;
+        out.m_connected = choice.m_connected && choice.m_connected(id);
+        out.m_has_prompt = id == choice.m_preferred;
+        out.m_slowness = row.m_slowness;
+        out.m_trouble = faded_trouble(row, now);
+        out.m_avoided = row.m_avoid_until > now;
+        out.m_draw = hash64(id, choice.m_draw);
+        rows.push_back(&row);
+        candidates.push_back(out);
     }
-    return best;
+    const auto best = choose_placement(candidates);
+    return best ? rows[*best] : nullptr;
 }
 
 void runner_table::note_sent(const std::string& id)
