Streams that may be resumed go on at another runner

Cause: a stream that its route lets resume was treated like one that may run once: a runner that hung held it until its caller left (2 s), a cut ended it. Change: such a stream passes on whole events only; when its run is cut, or gives no first event for twice the route's objective (four times what is usual there, if that is more: under a burst all are slow and moving reads the prompt again) or no further one for four times the longest pause in time, the run is ended and another runner goes on from the last event, under the first one's head. Events and tokens count once; the bound on attempts stays. A caller that resumes by itself is passed on. The proxy's attempts are a file of their own.

--- a/include/pepperturn/base/time.hpp
+++ b/include/pepperturn/base/time.hpp
@@ -64,4 +64,9 @@
     return microseconds(static_cast<microseconds::rep>(value * 1e6));
 }
 
+[[nodiscard]] inline milliseconds elapsed(instant from, instant to)
+{
+    return std::chrono::duration_cast<milliseconds>(to - from);
+}
+
 } // namespace pepperturn
--- a/include/pepperturn/forward/event_reader.hpp
+++ b/include/pepperturn/forward/event_reader.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -28,6 +29,11 @@
     {
         return m_events + (m_in_event || !m_line.empty() ? 1 : 0);
     }
+    /// Id of the last whole event that had a number as id.
+    [[nodiscard]] std::optional<std::uint64_t> last_id() const
+    {
+        return m_last_id;
+    }
     /// Data of each whole event with a line feed behind it.
     [[nodiscard]] const std::string& data() const
     {
@@ -44,6 +50,8 @@
     std::string m_event_data;
     std::string m_data;
     std::uint32_t m_events = 0;
+    std::optional<std::uint64_t> m_event_id;
+    std::optional<std::uint64_t> m_last_id;
 };
 
 } // namespace pepperturn
--- a/include/pepperturn/forward/exchange.hpp
+++ b/include/pepperturn/forward/exchange.hpp
@@ -93,6 +93,12 @@
     /// When another runner is tried instead, if no whole answer has come.
     std::optional<instant> m_give_up_at;
     std::optional<std::uint32_t> m_urgency;
+    /// The last event that the caller has, for a run that goes on from it.
+    std::optional<std::uint64_t> m_last_event;
+    /// The run is given up after this long without a first byte, then without
+    /// a further one; empty: only at the deadline.
+    std::optional<milliseconds> m_first_patience;
+    std::optional<milliseconds> m_gap_patience;
 };
 
 /// Runs one attempt at \p runner.
--- a/include/pepperturn/forward/proxy.hpp
+++ b/include/pepperturn/forward/proxy.hpp
@@ -5,7 +5,7 @@
 #pragma once
 
 #include "pepperturn/forward/caller_connection.hpp"
-#include "pepperturn/forward/event_reader.hpp"
+#include "pepperturn/forward/stream_relay.hpp"
 #include "pepperturn/forward/traffic_metrics.hpp"
 #include "pepperturn/turns/turn_client.hpp"
 
@@ -100,18 +100,28 @@
     task<std::optional<upstream_answer>> begin_turn(std::shared_ptr<call> work);
     task<verdict> forward(std::shared_ptr<caller_connection> caller,
                           std::shared_ptr<call> work);
+    /// Passes a stream on to the caller.
+    [[nodiscard]] stream_sink
+    make_sink(std::shared_ptr<caller_connection> caller,
+              std::shared_ptr<call> work, std::shared_ptr<stream_relay> relay);
     task<verdict> finish_stream(std::shared_ptr<caller_connection> caller,
                                 std::shared_ptr<call> work,
                                 const attempt_result& result,
-                                const event_reader& events);
+                                stream_relay& relay);
     task<> watch_deadline(std::shared_ptr<call> work);
     void settle(call& work, std::uint32_t tokens);
     /// Where the call's prompt was read.
     [[nodiscard]] prompt_place place_of(const call& work) const;
     [[nodiscard]] std::string pick_service(const call& work) const;
     [[nodiscard]] runner_choice begin_choice(call& work) const;
+    /// The request may go to another runner though this one may run it.
+    [[nodiscard]] static bool may_repeat(const call& work,
+                                         const progress& state);
+    /// \param last_event what the caller has of the stream already
     task<attempt_result> attempt(std::shared_ptr<call> work, runner_row target,
-                                 bool may_repeat, stream_sink sink);
+                                 bool may_repeat,
+                                 std::optional<std::uint64_t> last_event,
+                                 stream_sink sink);
     /// What an attempt's end means; empty: go on with another runner.
     [[nodiscard]] std::optional<verdict> judge(call& work, progress& state,
                                                attempt_result result);
--- a/include/pepperturn/forward/request_head.hpp
+++ b/include/pepperturn/forward/request_head.hpp
@@ -58,6 +58,8 @@
     milliseconds m_left{0};
     std::size_t m_body_bytes = 0;
     std::optional<std::uint32_t> m_urgency;
+    /// Goes before what the caller sent; empty: the caller's, if any.
+    std::optional<std::uint64_t> m_last_event = {};
 };
 
 /// The caller's head as a runner is to get it: same method, target and
--- a/include/pepperturn/forward/routing_config.hpp
+++ b/include/pepperturn/forward/routing_config.hpp
@@ -50,6 +50,10 @@
     std::vector<weighted_service> m_services;
     /// Runners that one request may go to.
     std::uint32_t m_max_attempts = 1;
+    /// A stream that was cut may go on from its last event at another runner.
+    bool m_resumable = false;
+    /// The longest pause between events that is in time; zero: not told.
+    milliseconds m_target_gap{0};
     /// Turns are kept here and name the turn they go on from.
     bool m_stateful = false;
     milliseconds m_retention{60000};
--- a/include/pepperturn/forward/runner_table.hpp
+++ b/include/pepperturn/forward/runner_table.hpp
@@ -70,6 +70,8 @@
     /// \param route requests of one route take about the same time
     void note_first_byte(const std::string& id, const std::string& route,
                          milliseconds latency);
+    /// What is usual on a route; zero: nothing is known yet.
+    [[nodiscard]] milliseconds usual_first_byte(const std::string& route) const;
     /// A connection was refused, cut or silent.
     void note_failure(const std::string& id, instant now);
     /// How a request ended there: well, or with an error of the runner's own
--- /dev/null
+++ b/include/pepperturn/scheduling/refusal.hpp
@@ -0,0 +1,25 @@
+// SPDX-License-Identifier: BSL-1.0
+/// \file
+/// When a refused request may come back.
+///
+/// Load pattern: runners that are full for a moment, and VMs that have just
+/// started. A refusal is sent as soon as it is known that the request is not
+/// served now, so that its caller has the most time left for another try.
+#pragma once
+
+#include "pepperturn/base/time.hpp"
+
+namespace pepperturn {
+
+/// No runner took it: long enough for a slot to free up, a fraction of the
+/// usual objective.
+constexpr milliseconds come_back_soon{60};
+/// The storage VMs did not answer, or the runner named a later time: they are
+/// asked again within tens of milliseconds, a restarted one is back within
+/// tenths of a second.
+constexpr milliseconds come_back_later{250};
+/// Without any configuration the VM has just started and the platform's
+/// store is away: that takes a second or more.
+constexpr milliseconds come_back_configured{1000};
+
+} // namespace pepperturn
--- a/src/forward/event_reader.cpp
+++ b/src/forward/event_reader.cpp
@@ -1,6 +1,10 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "pepperturn/forward/event_reader.hpp"
 
+#include "pepperturn/forward/request_head.hpp"
+
+#include <utility>
+
 namespace pepperturn {
 
 void event_reader::take(std::string_view bytes)
@@ -17,10 +21,13 @@
 void event_reader::end_line()
 {
     constexpr std::string_view field = "data:";
+    constexpr std::string_view id_field = "id:";
     if (m_line.empty())
     {
         if (m_in_event)
             ++m_events;
+        if (m_event_id)
+            m_last_id = std::exchange(m_event_id, std::nullopt);
         if (m_has_data && m_keep_data)
         {
             m_data += m_event_data;
@@ -44,6 +51,13 @@
         m_event_data += line;
         m_has_data = true;
     }
+    else if (line.starts_with(id_field))
+    {
+        line.remove_prefix(id_field.size());
+        if (line.starts_with(' '))
+            line.remove_prefix(1);
+        m_event_id = parse_number(line);
+    }
     m_line.clear();
 }
 
--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -133,8 +133,10 @@
 };
 
 /// Passes the body to \p take as it comes.
+/// \param gap_patience longest wait for each piece; empty: no limit
 task<body_read> read_body(std::shared_ptr<attempt_state> state,
                           answer_parser& parser,
+                          std::optional<milliseconds> gap_patience,
                           std::function<task<bool>(std::string_view)> take)
 {
     body_read out;
@@ -145,6 +147,8 @@
         parser.get().body().data = chunk.data();
         parser.get().body().size = chunk.size();
         error_code ec;
+        if (gap_patience)
+            connection.m_stream.expires_after(*gap_patience);
         co_await http::async_read_some(connection.m_stream, connection.m_buffer,
                                        parser, into(ec));
         if (ec == http::error::need_buffer)
@@ -249,14 +253,17 @@
     const auto left = std::max(
         milliseconds(1),
         std::chrono::duration_cast<milliseconds>(request.m_deadline - sent_at));
-    state->m_head = upstream_head(
-        request.m_request,
-        {runner.m_id, left, request.m_body.size(), request.m_urgency}, names);
+    state->m_head = upstream_head(request.m_request,
+                                  {runner.m_id, left, request.m_body.size(),
+                                   request.m_urgency, request.m_last_event},
+                                  names);
     runners.note_sent(runner.m_id);
     (void)co_await send_request(io, state, request.m_body);
 
     if (request.m_give_up_at)
         connection.m_stream.expires_at(*request.m_give_up_at);
+    else if (request.m_first_patience)
+        connection.m_stream.expires_after(*request.m_first_patience);
     answer_parser parser;
     parser.header_limit(max_answer_head_bytes);
     // Bounded where it is gathered; a stream has no bound.
@@ -294,7 +301,8 @@
                 body.m_caller_gone = true;
         }
         if (!body.m_caller_gone)
-            body = co_await read_body(state, parser, take);
+            body =
+                co_await read_body(state, parser, request.m_gap_patience, take);
     }
     aborter->on_pull(nullptr);
     runners.note_ended(runner.m_id);
--- /dev/null
+++ b/src/forward/proxy_attempts.cpp
@@ -0,0 +1,337 @@
+// SPDX-License-Identifier: BSL-1.0
+// Attempts of one request: which runner, what its end means, whether another
+// one follows.
+#include "pepperturn/forward/proxy.hpp"
+
+#include "pepperturn/base/hash.hpp"
+#include "pepperturn/scheduling/refusal.hpp"
+
+#include <algorithm>
+#include <glog/logging.h>
+
+namespace pepperturn {
+
+namespace {
+
+/// Runners that may refuse one request before it is refused itself; each
+/// costs a round trip.
+constexpr unsigned most_refusals = 4;
+/// The most urgent routes go in front of the engines' default of 5.
+constexpr std::uint32_t first_urgency = 3;
+constexpr std::uint32_t last_urgency = 9;
+/// An idempotent request moves on to another runner after this many times
+/// its objective: slow ones are done by then, hung ones never are.
+constexpr int patience_factor = 2;
+constexpr unsigned first_server_error = 500;
+/// A stream that may be resumed moves on after this many times what its
+/// route's first events usually take: under a burst all engines are slow,
+/// and moving would have the prompt read once more.
+constexpr int first_event_factor = 4;
+/// Pauses of this many times the route's target mean that the runner hangs;
+/// engines that put a run back for want of memory pause for less.
+constexpr int gap_factor = 4;
+
+} // namespace
+
+std::string proxy::pick_service(const call& work) const
+{
+    const auto& parts = work.m_route->m_services;
+    if (parts.size() == 1)
+        return parts.front().m_service;
+    // A turn stays with the service that has its prefix.
+    if (const auto* kept = m_runners.find(work.m_preferred))
+    {
+        for (const auto& part : parts)
+        {
+            if (part.m_service == kept->m_info.m_service && part.m_weight > 0)
+                return part.m_service;
+        }
+    }
+    double sum = 0;
+    for (const auto& part : parts)
+        sum += part.m_weight;
+    constexpr double hash_range = 18446744073709551616.0;
+    double draw =
+        static_cast<double>(hash64(work.m_fields.m_id)) / hash_range * sum;
+    for (const auto& part : parts)
+    {
+        draw -= part.m_weight;
+        if (draw < 0)
+            return part.m_service;
+    }
+    return parts.empty() ? std::string{} : parts.back().m_service;
+}
+
+proxy::verdict proxy::give_up(call& work, progress& state, bool given_up)
+{
+    verdict out;
+    settle(work, 0);
+    if (work.m_aborter->cause() == abort_cause::caller_left)
+    {
+        work.m_why += "caller left";
+        out.m_cut = true;
+    }
+    else if (state.m_reserve)
+        out.m_answer = std::move(state.m_reserve);
+    else if (state.m_may_have_run > 0)
+        out.m_answer = fail(work, given_up ? 504 : 502, "no whole answer");
+    else
+        out.m_answer = refuse(work, given_up ? "timeout" : "no runner took it",
+                              state.m_come_back.value_or(come_back_soon));
+    return out;
+}
+
+std::optional<proxy::verdict> proxy::judge(call& work, progress& state,
+                                           attempt_result result)
+{
+    verdict out;
+    switch (result.m_outcome)
+    {
+    case attempt_outcome::answered:
+        if (state.m_may_repeat &&
+            result.m_answer.m_status >= first_server_error)
+        {
+            // Another runner may do better; this answer stays in reserve.
+            ++state.m_may_have_run;
+            state.m_reserve = std::move(result.m_answer);
+            return std::nullopt;
+        }
+        settle(work, 0);
+        out.m_answer = std::move(result.m_answer);
+        return out;
+    case attempt_outcome::not_run:
+        ++state.m_refusals;
+        if (result.m_retry_after)
+            state.m_come_back =
+                std::min(*result.m_retry_after, come_back_later);
+        return std::nullopt;
+    case attempt_outcome::unknown:
+        ++state.m_may_have_run;
+        if (state.m_may_repeat)
+            return std::nullopt;
+        settle(work, 0);
+        out.m_answer = state.m_reserve ? std::move(*state.m_reserve)
+                                       : fail(work, 502, result.m_reason);
+        return out;
+    case attempt_outcome::aborted:
+        // Whoever gave it up decides what is answered.
+        ++state.m_may_have_run;
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+runner_choice proxy::begin_choice(call& work) const
+{
+    runner_choice choice;
+    choice.m_service = pick_service(work);
+    choice.m_preferred = work.m_preferred;
+    choice.m_availability_zone = m_availability_zone;
+    const auto found = work.m_config->m_services.find(choice.m_service);
+    if (found != work.m_config->m_services.end() && found->second.m_engine)
+    {
+        work.m_tokens_per_event = found->second.m_engine->m_tokens_per_event;
+        work.m_urgency =
+            std::min(first_urgency + work.m_route->m_priority, last_urgency);
+        // No preference for open connections: a conversation stays where it
+        // begins, and its memory there is worth more than a connect.
+        return choice;
+    }
+    choice.m_connected = [this](const std::string& id) {
+        return m_pool.has_idle(id);
+    };
+    return choice;
+}
+
+task<attempt_result> proxy::attempt(std::shared_ptr<call> work,
+                                    runner_row target, bool may_repeat,
+                                    std::optional<std::uint64_t> last_event,
+                                    stream_sink sink)
+{
+    const auto& route = *work->m_route;
+    const auto& runner = target.m_info;
+    ++work->m_attempts;
+    work->m_runner = runner.m_id;
+    const auto sent_at = m_time.now();
+    std::optional<instant> give_up_at;
+    std::optional<milliseconds> first_patience;
+    std::optional<milliseconds> gap_patience;
+    if (may_repeat && route.m_resumable)
+    {
+        first_patience = std::max(patience_factor * route.m_target_latency,
+                                  first_event_factor *
+                                      m_runners.usual_first_byte(route.m_name));
+        gap_patience =
+            gap_factor * std::max(route.m_target_gap, route.m_target_latency);
+    }
+    else if (may_repeat)
+        give_up_at =
+            std::min(work->m_deadline,
+                     sent_at + patience_factor * route.m_target_latency);
+    const std::string_view body =
+        route.m_stateful ? work->m_body : work->m_request.body();
+    const attempt_request request{work->m_request,
+                                  body,
+                                  work->m_fields.m_id,
+                                  route.m_name,
+                                  route.m_kind == route_kind::stream,
+                                  work->m_deadline,
+                                  give_up_at,
+                                  work->m_urgency,
+                                  last_event,
+                                  first_patience,
+                                  gap_patience};
+    auto result = co_await run_attempt(m_io, m_time, m_pool, m_runners, m_names,
+                                       runner, request, sink, work->m_aborter);
+    const double load =
+        static_cast<double>(target.m_in_flight) / runner.m_slots;
+    LOG(INFO) << "event=attempt id=" << work->m_fields.m_id
+              << " runner=" << runner.m_id << " service=" << runner.m_service
+              << " load=" << load << " preferred=" << work->m_preferred
+              << " outcome=" << to_string(result.m_outcome)
+              << " ms=" << elapsed(sent_at, m_time.now()).count()
+              << " reason=\"" << result.m_reason << '"';
+    m_metrics.count(std::string("attempts_") + to_string(result.m_outcome));
+    co_return result;
+}
+
+stream_sink proxy::make_sink(std::shared_ptr<caller_connection> caller,
+                             std::shared_ptr<call> work,
+                             std::shared_ptr<stream_relay> relay)
+{
+    stream_sink sink;
+    sink.m_begin = [=, this](const upstream_answer& head) -> task<bool> {
+        // A run that goes on from another keeps the first one's head.
+        if (relay->begun())
+            co_return true;
+        relay->note_begun();
+        co_return co_await caller->begin_stream(head, work->m_keep_alive &&
+                                                          !m_draining);
+    };
+    sink.m_data = [=](std::string_view bytes) -> task<bool> {
+        const auto whole = relay->take(bytes);
+        if (whole.empty())
+            co_return true;
+        co_return co_await caller->write_piece(whole);
+    };
+    return sink;
+}
+
+bool proxy::may_repeat(const call& work, const progress& state)
+{
+    const auto& route = *work.m_route;
+    return (route.m_kind == route_kind::idempotent || route.m_resumable) &&
+           state.m_may_have_run + 1 < route.m_max_attempts;
+}
+
+task<proxy::verdict> proxy::forward(std::shared_ptr<caller_connection> caller,
+                                    std::shared_ptr<call> work)
+{
+    const auto& route = *work->m_route;
+    auto choice = begin_choice(*work);
+    const auto relay = std::make_shared<stream_relay>(
+        route.m_resumable, route.m_stateful, work->m_fields.m_last_event);
+    const auto sink = make_sink(caller, work, relay);
+    progress state;
+    attempt_result cut;
+    while (true)
+    {
+        const bool given_up = work->m_aborter->cause() != abort_cause::none ||
+                              m_time.now() >= work->m_deadline;
+        choice.m_draw = ++m_draw;
+        const auto* row = given_up || state.m_refusals >= most_refusals
+                              ? nullptr
+                              : m_runners.choose(choice, m_time.now());
+        if (row == nullptr && relay->begun())
+            co_return co_await finish_stream(caller, work, cut, *relay);
+        if (row == nullptr)
+            co_return give_up(*work, state, given_up);
+        choice.m_excluded.insert(row->m_info.m_id);
+        state.m_may_repeat = may_repeat(*work, state);
+        auto result = co_await attempt(work, *row, state.m_may_repeat,
+                                       relay->last_event(), sink);
+        const bool cut_off = result.m_outcome == attempt_outcome::unknown;
+        if (relay->begun() && result.m_outcome == attempt_outcome::not_run)
+        {
+            ++state.m_refusals;
+            continue;
+        }
+        if (relay->begun() && cut_off && state.m_may_repeat)
+        {
+            ++state.m_may_have_run;
+            relay->drop_rest();
+            cut = std::move(result);
+            m_metrics.count("streams_resumed");
+            LOG(INFO) << "event=stream_resumed id=" << work->m_fields.m_id
+                      << " runner=" << work->m_runner
+                      << " after_event=" << relay->last_event().value_or(0)
+                      << " reason=\"" << cut.m_reason << '"';
+            continue;
+        }
+        if (relay->begun())
+        {
+            if (!result.m_streamed)
+                result.m_outcome = attempt_outcome::unknown;
+            co_return co_await finish_stream(caller, work, result, *relay);
+        }
+        if (auto done = judge(*work, state, std::move(result)))
+            co_return std::move(*done);
+    }
+}
+
+task<proxy::verdict>
+proxy::finish_stream(std::shared_ptr<caller_connection> caller,
+                     std::shared_ptr<call> work, const attempt_result& result,
+                     stream_relay& relay)
+{
+    verdict out;
+    const bool whole = result.m_outcome == attempt_outcome::answered;
+    const std::string rest = whole ? relay.take_rest() : std::string{};
+    if (!rest.empty())
+    {
+        const bool taken = co_await caller->write_piece(rest);
+        out.m_cut = !taken;
+    }
+    const auto& events = relay.events();
+    const auto count_tokens = [&](std::uint32_t count) {
+        return std::min(
+            count * work->m_tokens_per_event,
+            std::max(work->m_fields.m_most_tokens, work->m_tokens_per_event));
+    };
+    if (!whole)
+    {
+        // The end is left out, so that what came does not look whole.
+        settle(*work, count_tokens(events.begun_events()));
+        work->m_why += "stream cut: " + result.m_reason;
+        out.m_cut = true;
+        co_return out;
+    }
+    if (work->m_route->m_stateful)
+    {
+        turn_record turn;
+        turn.m_id = work->m_fields.m_id;
+        turn.m_parent = work->m_fields.m_parent_turn;
+        turn.m_input = work->m_request.body();
+        turn.m_output = events.data();
+        turn.m_runner = work->m_runner;
+        turn.m_program = work->m_begin.m_program;
+        turn.m_attempt = work->m_begin.m_attempt;
+        turn.m_tokens = count_tokens(events.whole_events());
+        work->m_reserved = false;
+        log_entry entry{work->m_begin.m_retention_ms, std::move(turn)};
+        if (!co_await m_turns.keep(std::move(entry), work->m_deadline))
+        {
+            work->m_why += "turn not kept";
+            out.m_cut = true;
+            co_return out;
+        }
+    }
+    else
+        settle(*work, count_tokens(events.whole_events()));
+    // Callers count a turn from here on.
+    if (!out.m_cut)
+        out.m_cut = !co_await caller->end_stream();
+    co_return out;
+}
+
+} // namespace pepperturn
--- a/src/forward/request_head.cpp
+++ b/src/forward/request_head.cpp
@@ -261,6 +261,7 @@
     {
         const auto name = view_of(row.name_string());
         if (is_set_by_system(name, names) ||
+            (attempt.m_last_event && iequals(name, names.m_last_event)) ||
             (is_hop_by_hop(name, connection) && !is_end_to_end(name, names)))
             continue;
         add_line(out, name, view_of(row.value()));
@@ -271,6 +272,9 @@
     add_line(out, names.m_expected_runner, attempt.m_runner);
     if (attempt.m_urgency)
         add_line(out, names.m_urgency, std::to_string(*attempt.m_urgency));
+    if (attempt.m_last_event)
+        add_line(out, names.m_last_event,
+                 std::to_string(*attempt.m_last_event));
     out += "\r\n";
     return out;
 }
--- a/src/forward/runner_table.cpp
+++ b/src/forward/runner_table.cpp
@@ -132,6 +132,14 @@
     row->m_slowness += latency_weight * (slowness - row->m_slowness);
 }
 
+milliseconds runner_table::usual_first_byte(const std::string& route) const
+{
+    const auto found = m_usual_ms.find(route);
+    return milliseconds(found == m_usual_ms.end()
+                            ? 0
+                            : static_cast<std::int64_t>(found->second));
+}
+
 void runner_table::note_failure(const std::string& id, instant now)
 {
     auto* row = locate(id);
--- /dev/null
+++ b/src/forward/stream_relay.cpp
@@ -0,0 +1,63 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/forward/stream_relay.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace pepperturn {
+
+namespace {
+
+/// Bytes up to the end of the last whole event.
+std::size_t whole_bytes(const std::string& text)
+{
+    std::size_t end = 0;
+    for (const std::string_view blank : {"\n\n", "\n\r\n"})
+    {
+        const auto at = text.rfind(blank);
+        if (at != std::string::npos)
+            end = std::max(end, at + blank.size());
+    }
+    return end;
+}
+
+} // namespace
+
+stream_relay::stream_relay(bool resumable, bool keep_data,
+                           std::optional<std::uint64_t> last_event)
+    : m_resumable(resumable), m_last_event(last_event), m_events(keep_data)
+{}
+
+std::string stream_relay::take(std::string_view bytes)
+{
+    std::string out;
+    if (m_resumable)
+    {
+        m_held += bytes;
+        const auto whole = whole_bytes(m_held);
+        out = m_held.substr(0, whole);
+        m_held.erase(0, whole);
+    }
+    else
+        out = bytes;
+    m_events.take(out);
+    return out;
+}
+
+std::string stream_relay::take_rest()
+{
+    m_events.take(m_held);
+    return std::exchange(m_held, {});
+}
+
+void stream_relay::drop_rest()
+{
+    m_held.clear();
+}
+
+std::optional<std::uint64_t> stream_relay::last_event() const
+{
+    return m_events.last_id() ? m_events.last_id() : m_last_event;
+}
+
+} // namespace pepperturn
--- a/test/fleet/test_proxy.cpp
+++ b/test/fleet/test_proxy.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSL-1.0
-#include "support/fleet/proxy_world.hpp"
+#include "support/fleet/lonely_edge.hpp"
 
 namespace {
 
@@ -7,20 +7,7 @@
 using namespace pepperturn::test;
 using after = runner_step::after;
 
-/// No storage VM is there.
-struct lonely_edge
-{
-    asio::io_context m_own_io{1};
-    system_clock m_own_time;
-    member_links m_own_links{m_own_io, m_own_time, "edge"};
-    turn_client m_own_turns{m_own_io, m_own_time, m_own_links, "z", 1};
-};
-
-class world : private lonely_edge, public proxy_world
-{
-public:
-    world() : proxy_world(m_own_io, m_own_turns) {}
-};
+using world = lonely_edge;
 
 } // namespace
 
--- /dev/null
+++ b/test/fleet/test_resumed_streams.cpp
@@ -0,0 +1,149 @@
+// SPDX-License-Identifier: BSL-1.0
+// Streams that go on at another runner.
+#include "pepperturn/forward/stream_relay.hpp"
+
+#include "support/fleet/lonely_edge.hpp"
+
+namespace {
+
+using namespace pepperturn;
+using namespace pepperturn::test;
+using after = runner_step::after;
+
+std::size_t count(const std::string& text, const std::string& part)
+{
+    std::size_t out = 0;
+    for (auto at = text.find(part); at != std::string::npos;
+         at = text.find(part, at + 1))
+        ++out;
+    return out;
+}
+
+constexpr const char* whole_end = "\r\n0\r\n\r\n";
+
+} // namespace
+
+TEST_CASE("a stream that breaks goes on at another runner", "[proxy][resume]")
+{
+    struct sample
+    {
+        std::string m_name;
+        runner_step m_first;
+    };
+    const std::vector<sample> samples{
+        {"closed between events",
+         {event_answer({"a", "b"}, false), true, after::close}},
+        {"closed within an event",
+         {event_answer({"a", "b"}, false) + chunk_of("id: 3\ndata: c"), true,
+          after::close}},
+        {"silent after an event", {event_answer({"a", "b"}, false)}},
+    };
+    for (const auto& each : samples)
+    {
+        INFO(each.m_name);
+        lonely_edge edge;
+        edge.m_first.script({each.m_first});
+        edge.m_second.script({{event_answer({"c", "d"}, true, 3)}});
+        const auto got =
+            edge.ask(proxy_world::post("/resume/", "x"), whole_end);
+        for (const char* event : {"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n",
+                                  "id: 3\ndata: c\n\n", "id: 4\ndata: d\n\n"})
+            CHECK(count(got, event) == 1);
+        CHECK(count(got, "HTTP/1.1 ") == 1);
+        CHECK(has(got, whole_end));
+        REQUIRE(edge.m_second.requests().size() == 1);
+        CHECK(has(edge.m_second.requests().front(), "Last-Event-Id: 2\r\n"));
+        // The run that was left behind is ended.
+        if (each.m_first.m_after == after::keep)
+            CHECK(run_until(edge.m_io,
+                            [&] { return edge.m_first.closed() == 1; }));
+    }
+}
+
+TEST_CASE("a first event that does not come is asked for elsewhere",
+          "[proxy][resume]")
+{
+    lonely_edge edge;
+    edge.m_first.script({{""}});
+    edge.m_second.script({{event_answer({"a"})}});
+    const auto got = edge.ask(proxy_world::post("/resume/", "x"), whole_end);
+    CHECK(has(got, "data: a"));
+    REQUIRE(edge.m_second.requests().size() == 1);
+    CHECK_FALSE(has(edge.m_second.requests().front(), "Last-Event-Id"));
+    CHECK(run_until(edge.m_io, [&] { return edge.m_first.closed() == 1; }));
+}
+
+TEST_CASE("a stream that nobody goes on with does not look whole",
+          "[proxy][resume]")
+{
+    const auto second = GENERATE(values<runner_step>({
+        {whole_answer(503, "full", "Pepperturn-Not-Run: 1\r\n")},
+        {whole_answer(500, "error")},
+        {event_answer({"b"}, false, 2), true, after::close},
+        {"", true, after::reset},
+    }));
+    lonely_edge edge;
+    edge.m_first.script({{event_answer({"a"}, false), true, after::close}});
+    edge.m_second.script({second});
+    const auto got = edge.ask(proxy_world::post("/resume/", "x"), "never");
+    CHECK(count(got, "data: a") == 1);
+    CHECK(count(got, "HTTP/1.1 ") == 1);
+    CHECK_FALSE(has(got, whole_end));
+    CHECK(edge.m_ended);
+    CHECK(edge.m_first.requests().size() == 1);
+    CHECK(edge.m_second.requests().size() == 1);
+}
+
+TEST_CASE("a caller that takes a stream up again is passed on",
+          "[proxy][resume]")
+{
+    lonely_edge edge;
+    const bool cut_at_once = GENERATE(true, false);
+    const runner_step cut{cut_at_once ? "" : event_answer({"h"}, false, 8),
+                          true, cut_at_once ? after::reset : after::close};
+    edge.m_first.script({cut});
+    edge.m_second.script({{event_answer({"i"}, true, cut_at_once ? 8 : 9)}});
+    const auto got = edge.ask(
+        proxy_world::post("/resume/", "x", "Last-Event-Id: 7\r\n"), whole_end);
+    CHECK(has(got, "data: i"));
+    CHECK(count(edge.m_first.requests().front(), "Last-Event-Id: 7\r\n") == 1);
+    const auto& next = edge.m_second.requests().front();
+    CHECK(count(next, "Last-Event-Id") == 1);
+    CHECK(has(next, cut_at_once ? "Last-Event-Id: 7" : "Last-Event-Id: 8"));
+}
+
+TEST_CASE("an event's id that is no number is refused", "[proxy][resume]")
+{
+    lonely_edge edge;
+    edge.m_first.script({{event_answer({"a"})}});
+    const auto* id = GENERATE("-1", "first", "", "99999999999999999999");
+    const auto got = edge.ask(
+        proxy_world::post("/resume/", "x",
+                          std::string("Last-Event-Id: ") + id + "\r\n"),
+        "\r\n\r\n");
+    CHECK(has(got, "HTTP/1.1 400 "));
+    CHECK(edge.m_first.requests().empty());
+}
+
+TEST_CASE("bytes are passed on whole events at a time", "[resume]")
+{
+    // Cut anywhere, what is passed on and what a next run adds make the
+    // stream, each event once.
+    const std::string all = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"
+                            "id: 3\ndata: c\n\n";
+    for (std::size_t at = 0; at <= all.size(); ++at)
+    {
+        stream_relay relay(true, true, 0);
+        std::string passed;
+        for (const char byte : all.substr(0, at))
+            passed += relay.take({&byte, 1});
+        relay.drop_rest();
+        CHECK(all.starts_with(passed));
+        CHECK(relay.events().whole_events() == relay.last_event().value_or(9));
+        CHECK(relay.events().begun_events() == relay.events().whole_events());
+        passed += relay.take(all.substr(passed.size()));
+        passed += relay.take_rest();
+        CHECK(passed == all);
+        CHECK(relay.events().data() == "a\nb\nc\n");
+    }
+}
--- a/test/support/fleet/proxy_world.hpp
+++ b/test/support/fleet/proxy_world.hpp
@@ -59,6 +59,8 @@
         add("/get/", route_kind::idempotent, 2);
         add("/once/", route_kind::unrepeatable, 2);
         add("/stream/", route_kind::stream, 2);
+        add("/resume/", route_kind::stream, 2);
+        out.m_routes.back().m_resumable = true;
         out.m_services["svc"] = {"svc", "/health", 64, std::nullopt};
         out.m_limits.m_max_header_bytes = 2000;
         out.m_limits.m_max_body_bytes = 100000;
--- a/test/support/fleet/runner.cpp
+++ b/test/support/fleet/runner.cpp
@@ -40,21 +40,24 @@
            "\r\n\r\n" + body;
 }
 
-std::string event_answer(const std::vector<std::string>& events, bool ended)
+std::string chunk_of(const std::string& bytes)
+{
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+    return size.data() + bytes + "\r\n";
+}
+
+std::string event_answer(const std::vector<std::string>& events, bool ended,
+                         int first)
 {
     std::string out = "HTTP/1.1 200 OK\r\nPepperturn-Call: ID\r\n"
                       "Pepperturn-Signature: s\r\n"
                       "Content-Type: text/event-stream\r\n"
                       "Transfer-Encoding: chunked\r\n\r\n";
-    int number = 0;
+    int number = first;
     for (const auto& data : events)
-    {
-        const auto event =
-            "id: " + std::to_string(++number) + "\ndata: " + data + "\n\n";
-        std::array<char, 16> size{};
-        std::snprintf(size.data(), size.size(), "%zx\r\n", event.size());
-        out += size.data() + event + "\r\n";
-    }
+        out += chunk_of("id: " + std::to_string(number++) + "\ndata: " + data +
+                        "\n\n");
     if (ended)
         out += "0\r\n\r\n";
     return out;
--- a/test/support/fleet/runner.hpp
+++ b/test/support/fleet/runner.hpp
@@ -68,7 +68,10 @@
 [[nodiscard]] std::string whole_answer(unsigned status, const std::string& body,
                                        const std::string& more_lines = {});
 /// An answer of events in chunks, ended.
+/// \param first id of the first event
 [[nodiscard]] std::string event_answer(const std::vector<std::string>& events,
-                                       bool ended = true);
+                                       bool ended = true, int first = 1);
+/// One chunk of a body.
+[[nodiscard]] std::string chunk_of(const std::string& bytes);
 
 } // namespace pepperturn::test
