Calls wait at the VM for a place at the engines when these have queues

Cause: an engine serves in order of arrival, so each program waits at each of its turns (first bytes after 650 ms where 20 are usual) and all miss their aim. Ruled out: prompts read again (affinity is kept at 98%), plain services (their times do not move). Change: each VM limits its calls at engines by the delay gradient of first bytes (scheduling/admission): calls whose program has begun go first, first calls wait for a fifth of their program's time, late ones go behind; who cannot be let in within that is refused at once (503, not run) with a time to come back from the line's drain rate, spread over callers. Test: a burst of programs on the virtual clock (more than twice as many in time as without), tables of the decisions, the line over its gate.

--- a/include/pepperturn/forward/exchange.hpp
+++ b/include/pepperturn/forward/exchange.hpp
@@ -65,6 +65,8 @@
 {
     attempt_outcome m_outcome = attempt_outcome::unknown;
     upstream_answer m_answer;
+    /// From sending to the first byte of the answer; empty: none came.
+    std::optional<milliseconds> m_first_byte;
     /// Parts of a stream were passed on.
     bool m_streamed = false;
     /// For a runner that said it is full: when it thinks to have room.
--- a/include/pepperturn/forward/proxy.hpp
+++ b/include/pepperturn/forward/proxy.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "pepperturn/forward/caller_connection.hpp"
+#include "pepperturn/forward/engine_gate.hpp"
 #include "pepperturn/forward/stream_relay.hpp"
 #include "pepperturn/forward/traffic_metrics.hpp"
 #include "pepperturn/turns/turn_client.hpp"
@@ -61,6 +62,10 @@
         /// What goes to the runner.
         std::string m_body;
         std::string m_preferred;
+        /// Earlier calls of its program have been answered.
+        bool m_goes_on = false;
+        /// It counts at the engine gate.
+        bool m_has_place = false;
         begin_request m_begin;
         bool m_reserved = false;
         std::uint32_t m_tokens_per_event = 1;
@@ -98,6 +103,10 @@
     task<verdict> handle(std::shared_ptr<caller_connection> caller,
                          std::shared_ptr<call> work);
     task<std::optional<upstream_answer>> begin_turn(std::shared_ptr<call> work);
+    /// Who goes first when engines have queues.
+    [[nodiscard]] call_rank rank_of(const call& work) const;
+    /// Waits for a place at the engines; an answer: it is refused.
+    task<std::optional<verdict>> wait_for_place(std::shared_ptr<call> work);
     task<verdict> forward(std::shared_ptr<caller_connection> caller,
                           std::shared_ptr<call> work);
     /// Passes a stream on to the caller.
@@ -141,6 +150,7 @@
     tcp::acceptor m_acceptor;
     upstream_pool m_pool;
     runner_table m_runners;
+    engine_gate m_gate;
     std::shared_ptr<const routing_config> m_config;
     std::set<std::shared_ptr<caller_connection>> m_callers;
     traffic_metrics m_metrics;
--- a/include/pepperturn/forward/request_head.hpp
+++ b/include/pepperturn/forward/request_head.hpp
@@ -33,6 +33,8 @@
     std::string m_host;
     std::optional<milliseconds> m_deadline;
     std::string m_program;
+    /// Until the whole program should be over; empty: not told.
+    std::optional<milliseconds> m_program_left;
     std::optional<std::uint64_t> m_token_budget;
     std::uint32_t m_prompt_tokens = 0;
     std::uint32_t m_most_tokens = 0;
--- a/include/pepperturn/forward/wire_names.hpp
+++ b/include/pepperturn/forward/wire_names.hpp
@@ -16,6 +16,8 @@
     /// Milliseconds that the caller, then the runner, has left.
     std::string m_deadline = "Pepperturn-Deadline-Ms";
     std::string m_program = "Pepperturn-Program";
+    /// Milliseconds until the whole program should be over.
+    std::string m_program_deadline = "Pepperturn-Program-Deadline-Ms";
     /// Tokens that all turns of the program may generate.
     std::string m_token_budget = "Pepperturn-Token-Budget";
     /// Tokens of the prompt, a comma, and the most that are generated.
--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -274,9 +274,9 @@
     const char* fault = nullptr;
     if (!ec)
     {
-        runners.note_first_byte(
-            runner.m_id, request.m_route,
-            std::chrono::duration_cast<milliseconds>(time.now() - sent_at));
+        result.m_first_byte = elapsed(sent_at, time.now());
+        runners.note_first_byte(runner.m_id, request.m_route,
+                                *result.m_first_byte);
         fault = find_fault(parser.get().base(), names, request.m_request_id);
     }
     const bool head_good = !ec && fault == nullptr;
--- a/src/forward/proxy.cpp
+++ b/src/forward/proxy.cpp
@@ -34,7 +34,7 @@
              std::string availability_zone, turn_client& turns)
     : m_io(io), m_time(time), m_names(std::move(names)),
       m_availability_zone(std::move(availability_zone)), m_turns(turns),
-      m_acceptor(io), m_pool(io, time), m_started(time.now())
+      m_acceptor(io), m_pool(io, time), m_gate(io, time), m_started(time.now())
 {}
 
 bool proxy::listen(const tcp::endpoint& at, std::string& reason)
@@ -148,6 +148,8 @@
     work->m_keep_alive = work->m_request.keep_alive();
     m_metrics.count("requests");
     auto result = co_await handle(caller, work);
+    if (work->m_has_place)
+        m_gate.leave();
     caller->stop_watching();
     const bool keep_alive = work->m_keep_alive && !m_draining && !result.m_cut;
     bool written = !result.m_cut;
@@ -293,6 +295,7 @@
         begin, std::min(work->m_deadline, m_time.now() + begin_patience));
     m_metrics.note_turn_begin(elapsed(work->m_arrived, m_time.now()));
     work->m_why = result.m_reason + ' ';
+    work->m_goes_on = !result.m_chain.empty() || !result.m_places.empty();
     if (result.m_outcome == begin_outcome::granted)
     {
         for (const auto& turn : result.m_chain)
--- a/src/forward/proxy_attempts.cpp
+++ b/src/forward/proxy_attempts.cpp
@@ -188,9 +188,13 @@
     LOG(INFO) << "event=attempt id=" << work->m_fields.m_id
               << " runner=" << runner.m_id << " service=" << runner.m_service
               << " load=" << load << " preferred=" << work->m_preferred
-              << " outcome=" << to_string(result.m_outcome)
+              << " outcome=" << to_string(result.m_outcome) << " first_byte_ms="
+              << result.m_first_byte.value_or(milliseconds(-1)).count()
               << " ms=" << elapsed(sent_at, m_time.now()).count()
               << " reason=\"" << result.m_reason << '"';
+    if (work->m_has_place && result.m_first_byte)
+        m_gate.note_call(route.m_name, *result.m_first_byte,
+                         elapsed(sent_at, m_time.now()) - *result.m_first_byte);
     m_metrics.count(std::string("attempts_") + to_string(result.m_outcome));
     co_return result;
 }
@@ -224,11 +228,56 @@
            state.m_may_have_run + 1 < route.m_max_attempts;
 }
 
+call_rank proxy::rank_of(const call& work) const
+{
+    const auto left = work.m_fields.m_program_left;
+    if (left && elapsed(work.m_arrived, m_time.now()) >= *left)
+        return call_rank::late;
+    return work.m_goes_on ? call_rank::under_way : call_rank::first;
+}
+
+task<std::optional<proxy::verdict>>
+proxy::wait_for_place(std::shared_ptr<call> work)
+{
+    const auto asked = m_time.now();
+    const auto rank = rank_of(*work);
+    const auto result = co_await m_gate.enter(
+        rank, wait_patience(rank, work->m_fields.m_program_left,
+                            elapsed(asked, work->m_deadline)));
+    const auto waited = elapsed(asked, m_time.now());
+    if (waited > milliseconds(0) || !result.m_admitted)
+        LOG(INFO) << "event=engine_place id=" << work->m_fields.m_id
+                  << " rank=" << to_string(rank)
+                  << " expected_ms=" << result.m_expected.count()
+                  << " waited_ms=" << waited.count()
+                  << " limit=" << m_gate.limit()
+                  << " waiting=" << m_gate.waiting()
+                  << " admitted=" << (result.m_admitted ? 1 : 0);
+    if (result.m_admitted)
+    {
+        work->m_has_place = true;
+        co_return std::nullopt;
+    }
+    settle(*work, 0);
+    verdict out;
+    out.m_answer =
+        refuse(*work, "engines have no room",
+               come_back_after(result.m_expected, hash64(work->m_fields.m_id)));
+    co_return out;
+}
+
 task<proxy::verdict> proxy::forward(std::shared_ptr<caller_connection> caller,
                                     std::shared_ptr<call> work)
 {
     const auto& route = *work->m_route;
     auto choice = begin_choice(*work);
+    const bool engine = work->m_urgency.has_value();
+    if (engine)
+    {
+        auto refused = co_await wait_for_place(work);
+        if (refused)
+            co_return std::move(*refused);
+    }
     const auto relay = std::make_shared<stream_relay>(
         route.m_resumable, route.m_stateful, work->m_fields.m_last_event);
     const auto sink = make_sink(caller, work, relay);
--- a/src/forward/request_head.cpp
+++ b/src/forward/request_head.cpp
@@ -211,6 +211,8 @@
     if (const auto ms = parse_number(text(names.m_deadline)))
         out.m_deadline = milliseconds(*ms);
     out.m_program = text(names.m_program);
+    if (const auto ms = parse_number(text(names.m_program_deadline)))
+        out.m_program_left = milliseconds(*ms);
     if (request.count(names.m_token_count) > 0)
         read_token_count(out, text(names.m_token_count));
     if (request.count(names.m_token_budget) > 0)
--- /dev/null
+++ b/src/scheduling/admission.cpp
@@ -0,0 +1,158 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/scheduling/admission.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace pepperturn {
+
+namespace {
+
+/// Weight of a new call in the smoothed times: of about ten calls.
+constexpr double pace_weight = 0.1;
+/// The floor follows lower waits soon, higher ones only over thousands of
+/// calls, so that a burst does not become the usual.
+constexpr double floor_down_weight = 0.05;
+constexpr double floor_up_weight = 0.0005;
+/// Waits of this many times the floor mean a queue: prompts of all lengths
+/// and a full batch explain two or three times.
+constexpr double queueing_factor = 4.0;
+/// A limit is set only at waits of this many times a good one: short bursts
+/// pass within what programs have to spare, and nobody is refused for them.
+constexpr double onset_factor = 1.7;
+/// Below this a wait says nothing: hops and wake-ups take as long.
+constexpr double least_queueing_ms = 60.0;
+/// A VM always has this many calls under way, to learn that it is over.
+constexpr double least_limit = 2.0;
+/// A limit of this many times what is under way binds nobody.
+constexpr double unbound_factor = 2.0;
+/// Share of its program's time that a first call may wait: a third of the
+/// time is to spare, and the turns after it wait a little as well.
+constexpr int hopeful_share = 5;
+/// Callers leave a stream after two seconds of silence, and the first event
+/// takes a while.
+constexpr milliseconds longest_wait_under_way{1500};
+constexpr milliseconds longest_wait_first{700};
+/// Weight of one admission in the rate of a line: of about ten.
+constexpr double drain_weight = 0.1;
+/// A line that let nobody in for this long was empty.
+constexpr milliseconds drain_memory{1000};
+/// Callers heed a time of up to a third of what they have left, and send a
+/// call twice: sooner ones are refused again, later ones miss their program's
+/// aim.
+constexpr milliseconds soonest_come_back{250};
+constexpr milliseconds latest_come_back{800};
+constexpr milliseconds come_back_spread{250};
+constexpr double ms_per_s = 1000.0;
+
+double smoothed(double before, double value, double weight)
+{
+    return before + weight * (value - before);
+}
+
+} // namespace
+
+call_pace add_call(call_pace pace, double wait_ms, double run_ms)
+{
+    if (pace.m_wait_ms == 0)
+        return {wait_ms, wait_ms, run_ms};
+    pace.m_wait_ms = smoothed(pace.m_wait_ms, wait_ms, pace_weight);
+    pace.m_run_ms = smoothed(pace.m_run_ms, run_ms, pace_weight);
+    const double weight =
+        pace.m_wait_ms < pace.m_floor_ms ? floor_down_weight : floor_up_weight;
+    pace.m_floor_ms = smoothed(pace.m_floor_ms, pace.m_wait_ms, weight);
+    return pace;
+}
+
+double longest_good_wait_ms(const call_pace& pace)
+{
+    return std::max(queueing_factor * pace.m_floor_ms, least_queueing_ms);
+}
+
+call_limit adjust_limit(call_limit limit, const call_pace& pace,
+                        std::uint32_t under_way)
+{
+    const double calls = std::max<double>(under_way, least_limit);
+    const double good_wait = longest_good_wait_ms(pace);
+    const double wanted =
+        calls * (good_wait + pace.m_run_ms) / (pace.m_wait_ms + pace.m_run_ms);
+    const bool bound = limit.m_limit < std::numeric_limits<double>::infinity();
+    const bool queueing = pace.m_wait_ms > good_wait;
+    if (!bound && pace.m_wait_ms <= onset_factor * good_wait)
+        return limit;
+    // Over one round of all calls: what is sent now shows that much later.
+    const double before = bound ? limit.m_limit : calls;
+    const double next = smoothed(before, wanted, 1.0 / calls);
+    // With fewer calls than it allows, a short wait is no reason to fall.
+    limit.m_limit =
+        queueing ? std::max(least_limit, next) : std::max(limit.m_limit, next);
+    if (!queueing && limit.m_limit > unbound_factor * calls)
+        limit.m_limit = std::numeric_limits<double>::infinity();
+    return limit;
+}
+
+const char* to_string(call_rank rank)
+{
+    switch (rank)
+    {
+    case call_rank::under_way:
+        return "under_way";
+    case call_rank::first:
+        return "first";
+    case call_rank::late:
+        return "late";
+    }
+    return "unknown";
+}
+
+bool goes_before(const waiting_call& left, const waiting_call& right)
+{
+    return std::tie(left.m_rank, left.m_number) <
+           std::tie(right.m_rank, right.m_number);
+}
+
+milliseconds wait_patience(call_rank rank,
+                           std::optional<milliseconds> program_left,
+                           milliseconds call_left)
+{
+    if (rank == call_rank::under_way)
+        return std::min(longest_wait_under_way, call_left / 2);
+    auto patience = std::min(longest_wait_first, call_left / 4);
+    if (rank == call_rank::first && program_left)
+        patience = std::min(patience, *program_left / hopeful_share);
+    return patience;
+}
+
+drain_rate add_admission(drain_rate rate, instant now)
+{
+    const double interval = to_seconds(now - rate.m_last) * ms_per_s;
+    const bool fresh =
+        rate.m_last == instant{} || now - rate.m_last > drain_memory;
+    // After a pause the first one says nothing of the rate.
+    rate.m_interval_ms =
+        fresh ? 0
+        : rate.m_interval_ms == 0
+            ? interval
+            : smoothed(rate.m_interval_ms, interval, drain_weight);
+    rate.m_last = now;
+    return rate;
+}
+
+milliseconds expected_wait(const drain_rate& rate, std::size_t ahead,
+                           instant now)
+{
+    if (rate.m_last == instant{} || now - rate.m_last > drain_memory)
+        return milliseconds(0);
+    const double since = to_seconds(now - rate.m_last) * ms_per_s;
+    const double interval = std::max(rate.m_interval_ms, since);
+    return milliseconds(
+        static_cast<std::int64_t>(interval * static_cast<double>(ahead)));
+}
+
+milliseconds come_back_after(milliseconds expected, std::uint64_t draw)
+{
+    const auto base = std::clamp(expected, soonest_come_back, latest_come_back);
+    return base + milliseconds(draw % come_back_spread.count());
+}
+
+} // namespace pepperturn
--- a/test/forward/test_request_head.cpp
+++ b/test/forward/test_request_head.cpp
@@ -102,16 +102,24 @@
                                "Pepperturn-Call: c-1\r\n"
                                "Pepperturn-Deadline-Ms: 250\r\n"
                                "Pepperturn-Program: p\r\n"
+                               "Pepperturn-Program-Deadline-Ms: 5200\r\n"
                                "Pepperturn-Token-Budget: 900\r\n"
                                "Pepperturn-Token-Count: 1840, 136\r\n"
                                "Pepperturn-Prompt-Parts: 5c1e:1600, e4:240\r\n"
                                "Last-Event-Id: 12\r\n"
                                "Pepperturn-Parent-Turn: t\r\n\r\n");
-    const request_fields expected{
-        "c-1", "h:80", milliseconds(250),
-        "p",   900,    1840,
-        136,   "t",    {{hash64("5c1e"), 1600}, {hash64("e4"), 240}},
-        12,    {}};
+    const request_fields expected{"c-1",
+                                  "h:80",
+                                  milliseconds(250),
+                                  "p",
+                                  milliseconds(5200),
+                                  900,
+                                  1840,
+                                  136,
+                                  "t",
+                                  {{hash64("5c1e"), 1600}, {hash64("e4"), 240}},
+                                  12,
+                                  {}};
     CHECK(decode_fields(request, names) == expected);
     const auto bad = parse("POST /a HTTP/1.1\r\nHost: h\r\n"
                            "Pepperturn-Deadline-Ms: soon\r\n"
--- /dev/null
+++ b/test/scheduling/test_admission.cpp
@@ -0,0 +1,326 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/scheduling/admission.hpp"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <map>
+#include <rapidcheck.h>
+#include <vector>
+
+namespace {
+
+using namespace pepperturn;
+
+/// Engines with a batch of so many places and a queue in order of arrival
+/// before it, one VM, and programs of three turns that begin at even
+/// intervals: twice what the engines work off, for six seconds.
+class burst
+{
+public:
+    struct outcome
+    {
+        unsigned m_in_time = 0;
+        unsigned m_refusals = 0;
+        double m_longest_engine_wait_ms = 0;
+    };
+
+    explicit burst(bool gated) : m_gated(gated) {}
+
+    outcome play()
+    {
+        constexpr milliseconds calm{2000};
+        constexpr milliseconds end{8000};
+        auto next = instant{} + milliseconds(1);
+        while (next < instant{} + end)
+        {
+            m_programs.emplace_back(program{next + aim});
+            const auto id = m_programs.size() - 1;
+            at(next, [this, id] { ask(id); });
+            next += next < instant{} + calm ? calm_interval : burst_interval;
+        }
+        while (!m_events.empty())
+        {
+            const auto event = m_events.extract(m_events.begin());
+            m_now = event.key();
+            event.mapped()();
+        }
+        return m_out;
+    }
+
+private:
+    static constexpr unsigned turns = 3;
+    static constexpr std::uint32_t places = 30;
+    static constexpr milliseconds prefill{20};
+    static constexpr milliseconds run{250};
+    static constexpr milliseconds think{60};
+    /// About 1.6 times what the program takes on idle engines, and a quarter
+    /// of a second.
+    static constexpr milliseconds aim{1770};
+    /// The engines work off 111 turns, 37 programs a second.
+    static constexpr milliseconds calm_interval{54};
+    static constexpr milliseconds burst_interval{14};
+    static constexpr milliseconds call_time{4000};
+    static constexpr unsigned most_tries = 6;
+
+    struct program
+    {
+        instant m_due{};
+        unsigned m_turn = 0;
+        unsigned m_tries = 0;
+    };
+    struct waiter
+    {
+        waiting_call m_call;
+        std::size_t m_program = 0;
+        instant m_until{};
+    };
+
+    void at(instant when, std::function<void()> what)
+    {
+        m_events.emplace(when, std::move(what));
+    }
+    void ask(std::size_t id)
+    {
+        const auto& row = m_programs[id];
+        if (!m_gated)
+        {
+            send(id);
+            return;
+        }
+        const auto left = std::max(elapsed(m_now, row.m_due), milliseconds(0));
+        const auto rank = left == milliseconds(0) ? call_rank::late
+                          : row.m_turn > 0        ? call_rank::under_way
+                                                  : call_rank::first;
+        const waiting_call call{rank, ++m_number};
+        const auto ahead = static_cast<std::size_t>(
+            std::count_if(m_line.begin(), m_line.end(), [&](const auto& other) {
+                return goes_before(other.m_call, call);
+            }));
+        const auto patience = wait_patience(rank, left, call_time);
+        const auto expected = expected_wait(m_drains[rank], ahead, m_now);
+        if (expected > patience)
+        {
+            refuse(id, expected);
+            return;
+        }
+        m_line.push_back({call, id, m_now + patience});
+        at(m_now + patience,
+           [this, number = call.m_number] { give_up(number); });
+        admit();
+    }
+    void give_up(std::uint64_t number)
+    {
+        const auto found =
+            std::find_if(m_line.begin(), m_line.end(), [&](const auto& row) {
+                return row.m_call.m_number == number;
+            });
+        if (found == m_line.end())
+            return;
+        const auto id = found->m_program;
+        m_line.erase(found);
+        refuse(id, milliseconds(0));
+    }
+    void refuse(std::size_t id, milliseconds expected)
+    {
+        ++m_out.m_refusals;
+        if (++m_programs[id].m_tries < most_tries)
+            at(m_now + come_back_after(expected, id), [this, id] { ask(id); });
+    }
+    void admit()
+    {
+        while (!m_line.empty() && m_under_way < m_limit.m_limit)
+        {
+            const auto next = std::min_element(
+                m_line.begin(), m_line.end(),
+                [](const auto& left, const auto& right) {
+                    return goes_before(left.m_call, right.m_call);
+                });
+            const auto chosen = *next;
+            m_line.erase(next);
+            auto& drain = m_drains[chosen.m_call.m_rank];
+            drain = add_admission(drain, m_now);
+            send(chosen.m_program);
+        }
+    }
+    void send(std::size_t id)
+    {
+        ++m_under_way;
+        m_queue.push_back({id, m_now});
+        start();
+    }
+    void start()
+    {
+        while (m_running < places && !m_queue.empty())
+        {
+            const auto [id, sent] = m_queue.front();
+            m_queue.erase(m_queue.begin());
+            ++m_running;
+            const auto wait = elapsed(sent, m_now + prefill);
+            m_out.m_longest_engine_wait_ms =
+                std::max(m_out.m_longest_engine_wait_ms,
+                         static_cast<double>(wait.count()));
+            at(m_now + prefill + run, [this, id = id, wait] { end(id, wait); });
+        }
+    }
+    void end(std::size_t id, milliseconds wait)
+    {
+        --m_running;
+        --m_under_way;
+        m_pace = add_call(m_pace, static_cast<double>(wait.count()),
+                          static_cast<double>(run.count()));
+        m_limit = adjust_limit(m_limit, m_pace, m_under_way);
+        auto& row = m_programs[id];
+        if (++row.m_turn < turns)
+            at(m_now + think, [this, id] { ask(id); });
+        else if (m_now <= row.m_due)
+            ++m_out.m_in_time;
+        start();
+        admit();
+    }
+
+    bool m_gated;
+    instant m_now{};
+    std::multimap<instant, std::function<void()>> m_events;
+    std::vector<program> m_programs;
+    std::vector<std::pair<std::size_t, instant>> m_queue;
+    std::uint32_t m_running = 0;
+    std::uint32_t m_under_way = 0;
+    std::uint64_t m_number = 0;
+    std::vector<waiter> m_line;
+    std::map<call_rank, drain_rate> m_drains;
+    call_pace m_pace;
+    call_limit m_limit;
+    outcome m_out;
+};
+
+} // namespace
+
+TEST_CASE("under a burst programs that have begun are finished in time",
+          "[scheduling]")
+{
+    // Let in at once, every program waits at every turn and misses its aim.
+    const auto open = burst(false).play();
+    const auto gated = burst(true).play();
+    INFO("open " << open.m_in_time << " gated " << gated.m_in_time
+                 << " refusals " << gated.m_refusals);
+    CHECK(gated.m_in_time > 2 * open.m_in_time);
+    CHECK(open.m_longest_engine_wait_ms > 1500);
+    CHECK(gated.m_longest_engine_wait_ms < 700);
+    CHECK(open.m_refusals == 0);
+}
+
+TEST_CASE("engines with room are not limited", "[scheduling]")
+{
+    CHECK(rc::check("short waits", [] {
+        call_pace pace;
+        call_limit limit;
+        const auto calls = *rc::gen::inRange<std::uint32_t>(0, 200);
+        for (int i = 0; i < 200; ++i)
+        {
+            pace = add_call(pace, *rc::gen::inRange(15, 60), 250);
+            limit = adjust_limit(limit, pace, calls);
+            RC_ASSERT(limit == call_limit{});
+        }
+    }));
+}
+
+TEST_CASE("the limit goes by the calls that a short wait allows",
+          "[scheduling]")
+{
+    struct sample
+    {
+        std::string m_name;
+        call_pace m_pace;
+        double m_limit;
+        std::uint32_t m_under_way;
+        bool m_falls;
+        bool m_rises;
+    };
+    const double none = call_limit{}.m_limit;
+    const auto each = GENERATE_COPY(values<sample>({
+        {"a short burst sets none", {100, 20, 250}, none, 40, false, false},
+        {"long waits set one", {500, 20, 250}, none, 40, true, false},
+        {"waits above the good one lower it",
+         {100, 20, 250},
+         30,
+         30,
+         true,
+         false},
+        {"short waits raise it", {30, 20, 250}, 30, 30, false, true},
+        {"little to do is no reason to lower it",
+         {30, 20, 250},
+         30,
+         20,
+         false,
+         false},
+        {"it ends once it binds nobody", {30, 20, 250}, 30, 5, false, true},
+        {"waits of a few milliseconds are no queue",
+         {50, 2, 20},
+         30,
+         29,
+         false,
+         true},
+    }));
+    INFO(each.m_name);
+    const auto after =
+        adjust_limit({each.m_limit}, each.m_pace, each.m_under_way);
+    CHECK((after.m_limit < each.m_limit) == each.m_falls);
+    CHECK((after.m_limit > each.m_limit) == each.m_rises);
+    CHECK(after.m_limit >= 2);
+}
+
+TEST_CASE("how long a call may wait", "[scheduling]")
+{
+    struct sample
+    {
+        call_rank m_rank;
+        std::optional<milliseconds> m_program_left;
+        milliseconds m_call_left;
+        milliseconds m_patience;
+    };
+    const auto each = GENERATE(values<sample>({
+        {call_rank::under_way, milliseconds(100), milliseconds(4000),
+         milliseconds(1500)},
+        {call_rank::under_way, {}, milliseconds(1000), milliseconds(500)},
+        {call_rank::first, milliseconds(2000), milliseconds(4000),
+         milliseconds(400)},
+        {call_rank::first, {}, milliseconds(4000), milliseconds(700)},
+        {call_rank::first, milliseconds(9000), milliseconds(800),
+         milliseconds(200)},
+        {call_rank::late, milliseconds(0), milliseconds(4000),
+         milliseconds(700)},
+    }));
+    CHECK(wait_patience(each.m_rank, each.m_program_left, each.m_call_left) ==
+          each.m_patience);
+}
+
+TEST_CASE("what a line is expected to take", "[scheduling]")
+{
+    drain_rate rate;
+    instant now{milliseconds(1000)};
+    CHECK(expected_wait(rate, 100, now) == milliseconds(0));
+    for (int i = 0; i < 100; ++i)
+    {
+        now += milliseconds(20);
+        rate = add_admission(rate, now);
+    }
+    CHECK(expected_wait(rate, 0, now) == milliseconds(0));
+    CHECK(expected_wait(rate, 10, now) == milliseconds(200));
+    // Nobody is let in any more: it grows.
+    CHECK(expected_wait(rate, 10, now + milliseconds(100)) ==
+          milliseconds(1000));
+    // A line that was empty for long says nothing.
+    CHECK(expected_wait(rate, 10, now + milliseconds(1500)) == milliseconds(0));
+}
+
+TEST_CASE("callers come back in turns", "[scheduling]")
+{
+    CHECK(rc::check("bounds", [](std::uint16_t expected, std::uint64_t draw) {
+        const auto after = come_back_after(milliseconds(expected), draw);
+        RC_ASSERT(after >= milliseconds(250));
+        RC_ASSERT(after < milliseconds(1050));
+    }));
+    CHECK(come_back_after(milliseconds(0), 1) !=
+          come_back_after(milliseconds(0), 2));
+}
