The limit on calls at engines is set only at long waits

Cause: with 57 VMs a VM has a few calls under way, and some engines queue while others have room: waits of 140 ms set a limit, and first calls were refused in bursts that pass by themselves. The linter's findings in the attempts' file are mended.

--- a/include/pepperturn/forward/proxy.hpp
+++ b/include/pepperturn/forward/proxy.hpp
@@ -111,8 +111,9 @@
                           std::shared_ptr<call> work);
     /// Passes a stream on to the caller.
     [[nodiscard]] stream_sink
-    make_sink(std::shared_ptr<caller_connection> caller,
-              std::shared_ptr<call> work, std::shared_ptr<stream_relay> relay);
+    make_sink(const std::shared_ptr<caller_connection>& caller,
+              const std::shared_ptr<call>& work,
+              const std::shared_ptr<stream_relay>& relay);
     task<verdict> finish_stream(std::shared_ptr<caller_connection> caller,
                                 std::shared_ptr<call> work,
                                 const attempt_result& result,
--- a/src/forward/proxy_attempts.cpp
+++ b/src/forward/proxy_attempts.cpp
@@ -199,9 +199,9 @@
     co_return result;
 }
 
-stream_sink proxy::make_sink(std::shared_ptr<caller_connection> caller,
-                             std::shared_ptr<call> work,
-                             std::shared_ptr<stream_relay> relay)
+stream_sink proxy::make_sink(const std::shared_ptr<caller_connection>& caller,
+                             const std::shared_ptr<call>& work,
+                             const std::shared_ptr<stream_relay>& relay)
 {
     stream_sink sink;
     sink.m_begin = [=, this](const upstream_answer& head) -> task<bool> {
--- a/src/scheduling/admission.cpp
+++ b/src/scheduling/admission.cpp
@@ -19,7 +19,7 @@
 constexpr double queueing_factor = 4.0;
 /// A limit is set only at waits of this many times a good one: short bursts
 /// pass within what programs have to spare, and nobody is refused for them.
-constexpr double onset_factor = 1.7;
+constexpr double onset_factor = 3.0;
 /// Below this a wait says nothing: hops and wake-ups take as long.
 constexpr double least_queueing_ms = 60.0;
 /// A VM always has this many calls under way, to learn that it is over.
