The floor of waits no longer follows a burst

Cause, shown by the burst on the virtual clock: the floor took a share of each longer wait, rose from 20 to 170 ms within eight seconds of queueing and took the limit along, so that 72 of 570 programs were in time with and without it. Change: it rises by one in a thousand a call, whatever the wait; a good wait is six times the floor, a limit is set at twice that.

--- a/src/scheduling/admission.cpp
+++ b/src/scheduling/admission.cpp
@@ -10,16 +10,17 @@
 
 /// Weight of a new call in the smoothed times: of about ten calls.
 constexpr double pace_weight = 0.1;
-/// The floor follows lower waits soon, higher ones only over thousands of
-/// calls, so that a burst does not become the usual.
+/// The floor follows lower waits soon. Higher ones raise it by this share a
+/// call, however high they are: a burst of some hundred calls does not become
+/// the usual, and longer prompts do within some thousand.
 constexpr double floor_down_weight = 0.05;
-constexpr double floor_up_weight = 0.0005;
+constexpr double floor_up_share = 0.001;
 /// Waits of this many times the floor mean a queue: prompts of all lengths
 /// and a full batch explain two or three times.
-constexpr double queueing_factor = 4.0;
+constexpr double queueing_factor = 6.0;
 /// A limit is set only at waits of this many times a good one: short bursts
 /// pass within what programs have to spare, and nobody is refused for them.
-constexpr double onset_factor = 3.0;
+constexpr double onset_factor = 2.0;
 /// Below this a wait says nothing: hops and wake-ups take as long.
 constexpr double least_queueing_ms = 60.0;
 /// A VM always has this many calls under way, to learn that it is over.
@@ -58,9 +59,12 @@
         return {wait_ms, wait_ms, run_ms};
     pace.m_wait_ms = smoothed(pace.m_wait_ms, wait_ms, pace_weight);
     pace.m_run_ms = smoothed(pace.m_run_ms, run_ms, pace_weight);
-    const double weight =
-        pace.m_wait_ms < pace.m_floor_ms ? floor_down_weight : floor_up_weight;
-    pace.m_floor_ms = smoothed(pace.m_floor_ms, pace.m_wait_ms, weight);
+    if (pace.m_wait_ms < pace.m_floor_ms)
+        pace.m_floor_ms =
+            smoothed(pace.m_floor_ms, pace.m_wait_ms, floor_down_weight);
+    else
+        pace.m_floor_ms =
+            std::min(pace.m_wait_ms, pace.m_floor_ms * (1 + floor_up_share));
     return pace;
 }
 
