--- a/include/pepperturn/cluster/config_fetcher.hpp
+++ b/include/pepperturn/cluster/config_fetcher.hpp
@@ -17,8 +17,8 @@
                    std::string availability_zone,
                    std::function<void(const cluster_state&)> take);
 
-    /// The view that tells where members are.
-    void follow(const cluster_view& view);
+    /// Tells in which zone each member is.
+    void follow(const std::vector<member>& members);
     /// The newest configuration that is here; older ones are not asked for.
     void note_known(std::uint64_t revision);
     /// \p member has the configuration of \p revision.
@@ -39,7 +39,7 @@
     member_links& m_links;
     std::string m_availability_zone;
     std::function<void(const cluster_state&)> m_take;
-    cluster_view m_view;
+    std::map<std::string, std::string> m_zones;
     std::uint64_t m_known = 0;
     std::map<std::string, std::uint64_t> m_announced;
     async_event m_changed;
--- a/include/pepperturn/cluster/member_links.hpp
+++ b/include/pepperturn/cluster/member_links.hpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: BSL-1.0
 /// \file
-/// Connections of one process to the storage VMs of the current view, and
-/// calls over them.
+/// Connections of one process to storage VMs, calls over them, and the news
+/// that some of them tell.
 #pragma once
 
 #include "pepperturn/cluster/frame_link.hpp"
@@ -26,28 +26,42 @@
     void on_state(
         std::function<void(const std::string&, const cluster_state&)> handler);
 
-    /// Connects to \p addresses until a view is known.
+    /// Connects to \p addresses until members are known.
     void seek(const std::vector<std::string>& addresses);
-    /// Connects to the members of \p view and lets go of others.
-    void follow(const cluster_view& view);
+    /// Connects to \p members and lets go of others.
+    void follow(const std::vector<member>& members);
+    /// Hears news from \p sources only; until this is called, from everybody.
+    void subscribe(std::vector<std::string> sources);
     void stop();
 
     /// Asks one member; \p done may come at once if it is not connected.
-    void call(const std::string& name, frame_body body, frame_done done);
+    /// \param epoch of the view that the question goes by
+    void call(const std::string& name, std::uint64_t epoch, frame_body body,
+              frame_done done);
     /// The same as a task; empty if no answer comes before \p until.
     [[nodiscard]] task<std::optional<frame>>
-    ask(std::string name, frame_body body, instant until);
+    ask(std::string name, std::uint64_t epoch, frame_body body, instant until);
     /// Tells a member the view, which it seems not to know.
-    void tell_view(const std::string& name);
+    void tell_view(const std::string& name, const cluster_view& view);
 
     [[nodiscard]] bool connected(const std::string& name) const;
-    /// When the member last sent anything; the epoch of the clock: never.
+    /// False once a connection to the member has failed, until one is up again.
+    [[nodiscard]] bool hopeful(const std::string& name) const;
+    /// When the member last sent anything, or was first connected to if it has
+    /// not yet; the epoch of the clock: it is none that is connected to.
     [[nodiscard]] instant last_heard(const std::string& name) const;
-    /// When a member that itself hears the platform's store last said so.
+    /// When a member last heard the platform's store, as far as members said.
     [[nodiscard]] instant store_heard() const
     {
         return m_store_heard;
     }
+    /// The same, of members that watch the store themselves only.
+    [[nodiscard]] instant store_watched() const
+    {
+        return m_store_watched;
+    }
+    /// The member said lately that it watches the store and hears it.
+    [[nodiscard]] bool watches_store(const std::string& name) const;
 
 private:
     struct link_row
@@ -56,22 +70,32 @@
         std::shared_ptr<frame_link> m_link;
         std::map<std::uint64_t, frame_done> m_calls;
         instant m_heard{};
+        /// When it last heard the store by its own watch.
+        instant m_watched{};
+        /// The last try to connect failed, or the connection ended.
+        bool m_failed = false;
         bool m_dropped = false;
     };
 
     void add_row(const std::string& name, const std::string& address);
     task<> keep_connected(std::string name, std::shared_ptr<link_row> row);
     void take_frame(const std::string& name, link_row& row, frame value);
+    void take_beat(link_row& row, const beat_message& beat);
     void end_calls(link_row& row);
+    [[nodiscard]] bool wants_news_of(const std::string& name) const;
+    void greet(const std::string& name, const link_row& row);
 
     asio::io_context& m_io;
     const clock& m_time;
     std::string m_self_name;
     std::function<void(const std::string&, const cluster_state&)> m_on_state;
     std::map<std::string, std::shared_ptr<link_row>> m_rows;
-    cluster_view m_view;
+    /// Empty: everybody.
+    std::optional<std::vector<std::string>> m_sources;
+    bool m_following = false;
     std::uint64_t m_next_call = 1;
     instant m_store_heard{};
+    instant m_store_watched{};
     bool m_stopped = false;
 };
 
--- a/include/pepperturn/cluster/membership.hpp
+++ b/include/pepperturn/cluster/membership.hpp
@@ -26,6 +26,8 @@
     std::set<std::string> m_copied_by;
     /// Members that have been silent for too long.
     std::set<std::string> m_silent;
+    /// Members that this VM does not hear now.
+    std::set<std::string> m_unheard;
     std::uint32_t m_disk_losses = 1;
 };
 
--- /dev/null
+++ b/include/pepperturn/cluster/news_sources.hpp
@@ -0,0 +1,62 @@
+// SPDX-License-Identifier: BSL-1.0
+/// \file
+/// Who watches the platform's store, and from whom each VM hears the world.
+///
+/// Load pattern: hundreds of VMs, each of which needs every change of the
+/// configuration and of the runners. If every storage VM watches and tells
+/// everybody, calls to the store grow with the storage VMs and messages with
+/// the product of both kinds (10,000 a change on 295 VMs). Here a few watch,
+/// the other storage VMs hear of it from these, and an edge VM hears it from
+/// the nearest storage VMs.
+#pragma once
+
+#include "pepperturn/base/time.hpp"
+#include "pepperturn/cluster/view.hpp"
+
+#include <functional>
+#include <optional>
+
+namespace pepperturn {
+
+/// Storage VMs that watch the store: two may be lost at the same moment
+/// without a pause in the news.
+constexpr std::size_t watcher_count = 3;
+/// Storage VMs that all others are connected to: the watchers, and whoever is
+/// next.
+constexpr std::size_t watch_candidates = 4;
+/// Storage VMs from which one VM hears the world: all hold the same, and two
+/// may be lost at the same moment.
+constexpr std::size_t source_count = 3;
+
+/// Names of the storage VMs, in the order in which they take up watching:
+/// spread over the zones, lost ones left out.
+[[nodiscard]] std::vector<std::string>
+watch_order(const std::vector<member>& members);
+
+/// What a storage VM knows when it decides whether to watch.
+struct watch_facts
+{
+    /// Place in the watch order; empty: it is in no replica set.
+    std::optional<std::size_t> m_position;
+    /// Candidates before it that say that they watch and hear the store.
+    std::size_t m_fresh = 0;
+    /// For how long there have been too few of them.
+    milliseconds m_too_few_for{0};
+
+    friend bool operator==(const watch_facts&, const watch_facts&) = default;
+};
+
+/// Fewer watchers than this are too few.
+constexpr std::size_t least_watchers = 2;
+
+[[nodiscard]] bool should_watch(const watch_facts& facts);
+
+/// The storage VMs that \p self should hear the world from: those of its own
+/// zone first, each VM in an order of its own.
+/// \param usable whether a VM is connected
+[[nodiscard]] std::vector<std::string>
+choose_sources(const std::vector<member>& members, const std::string& self,
+               const std::string& availability_zone,
+               const std::function<bool(const std::string&)>& usable);
+
+} // namespace pepperturn
--- a/include/pepperturn/cluster/view.hpp
+++ b/include/pepperturn/cluster/view.hpp
@@ -1,8 +1,9 @@
 // SPDX-License-Identifier: BSL-1.0
 /// \file
-/// The set of storage VMs that keep turns and budgets, and the quorums that
-/// follow from it. A view is one value in the platform's store, changed by
-/// compare-and-swap; its revision there is the epoch of every request.
+/// The members of one replica set: storage VMs that keep the turns and budgets
+/// of some programs, and the quorums that follow from them. A view is one value
+/// in the platform's store, changed by compare-and-swap; its revision there is
+/// the epoch of every request to the set.
 #pragma once
 
 #include <cstdint>
@@ -38,9 +39,10 @@
     /// Drawn when the disk was first used; another one is an empty disk.
     std::uint64_t m_disk = 0;
     member_state m_state = member_state::joining;
-    /// Of a joining member: its name did not stand in the view before, so that
-    /// no copy that counted can have been lost with its disk.
-    bool m_is_new = false;
+    /// Of a joining member: no copy that counted has been lost with a disk of
+    /// it, since its name stood in no view before, or it is back with the disk
+    /// that it had.
+    bool m_intact = false;
 
     friend bool operator==(const member&, const member&) = default;
 };
@@ -49,7 +51,11 @@
 {
     /// Revision of the key in the platform's store; 0: none known.
     std::uint64_t m_epoch = 0;
-    std::vector<member> m_members;
+    std::vector<member> m_members = {};
+    /// Which replica set this is, from 0.
+    std::uint32_t m_set = 0;
+    /// Replica sets of the fleet. It never changes: programs are hashed by it.
+    std::uint32_t m_set_count = 1;
 
     friend bool operator==(const cluster_view&, const cluster_view&) = default;
 };
@@ -85,6 +91,10 @@
 [[nodiscard]] cluster_view
 with_state(cluster_view view, const std::string& name, member_state state);
 
+/// The view with a member back as a joining one, with the disk that it had.
+[[nodiscard]] cluster_view with_return(cluster_view view,
+                                       const std::string& name);
+
 [[nodiscard]] cluster_view without(cluster_view view, const std::string& name);
 
 /// True if \p name may be dropped without copying anything first: enough
--- a/include/pepperturn/fleet/edge_node.hpp
+++ b/include/pepperturn/fleet/edge_node.hpp
@@ -4,6 +4,8 @@
 #pragma once
 
 #include "pepperturn/cluster/config_fetcher.hpp"
+#include "pepperturn/cluster/news_sources.hpp"
+#include "pepperturn/cluster/replica_sets.hpp"
 #include "pepperturn/config/fleet_settings.hpp"
 #include "pepperturn/fleet/status_server.hpp"
 #include "pepperturn/fleet/world_source.hpp"
@@ -29,6 +31,9 @@
     /// Decodes the entries that moved and passes all runners on.
     void take_runners(const std::vector<std::string>& moved);
     void choose_source();
+    void follow_views();
+    /// Hears the world from the nearest storage VMs that are there.
+    void choose_news();
     task<> drain();
 
     asio::io_context& m_io;
@@ -43,6 +48,9 @@
     status_server m_status;
     status_server m_metrics;
     cluster_state m_state;
+    /// Of all replica sets.
+    std::vector<member> m_members;
+    bool m_subscribed = false;
     std::map<std::string, runner_info> m_runners;
     bool m_stopping = false;
     bool m_own_source = false;
--- a/include/pepperturn/fleet/storage_node.hpp
+++ b/include/pepperturn/fleet/storage_node.hpp
@@ -6,6 +6,8 @@
 
 #include "pepperturn/cluster/config_fetcher.hpp"
 #include "pepperturn/cluster/membership.hpp"
+#include "pepperturn/cluster/news_sources.hpp"
+#include "pepperturn/cluster/replica_sets.hpp"
 #include "pepperturn/config/fleet_settings.hpp"
 #include "pepperturn/fleet/status_server.hpp"
 #include "pepperturn/fleet/world_source.hpp"
@@ -26,6 +28,11 @@
     void stop();
     /// Periodic work.
     void tick();
+    /// What this VM believes about the world.
+    [[nodiscard]] const cluster_state& state() const
+    {
+        return m_server->state();
+    }
 
 private:
     /// Reads the log, on a thread of its own.
@@ -35,9 +42,23 @@
     void take_state(const cluster_state& news);
     [[nodiscard]] std::string metrics_text() const;
     [[nodiscard]] bool listen(std::string& reason);
-    [[nodiscard]] membership_facts gather_facts() const;
+    /// Who this VM is, as it stands in a view.
+    [[nodiscard]] member self() const;
+    [[nodiscard]] membership_facts gather_facts(const cluster_view& view) const;
     task<> look_after_membership();
+    /// Announces this VM, and writes the first views once all have done so.
+    task<> found_fleet();
     task<> change_view();
+    task<> report_emptied();
+    /// The view that this VM is in, or should join; empty: it stands by.
+    [[nodiscard]] std::optional<cluster_view> view_to_look_after() const;
+    /// Connects to the own set and to whoever watches the store.
+    void follow_views();
+    /// Watches the store, or stops, by what the other storage VMs say.
+    void choose_watching();
+    [[nodiscard]] watch_facts gather_watch_facts();
+    /// When the store was last heard, by this VM or one that watches it.
+    [[nodiscard]] instant store_heard() const;
     task<> copy_all();
     /// \param gathered only if the member has gathered what others hold
     task<bool> copy_from(std::string name, std::uint64_t epoch, bool gathered);
@@ -66,6 +87,14 @@
     /// Epoch in which all of another member's holdings were copied.
     std::map<std::string, std::uint64_t> m_copied_at;
     instant m_isolated_until{};
+    /// The order in which storage VMs watch the store.
+    std::vector<std::string> m_watch_order;
+    /// Since when too few watch it.
+    std::optional<instant> m_too_few_since;
+    /// A view that is newer than this is waited for before the next change.
+    std::uint64_t m_outdated_epoch = 0;
+    instant m_next_change{};
+    bool m_announced = false;
     bool m_copying = false;
     bool m_stopping = false;
     bool m_emptied_reported = false;
--- a/include/pepperturn/fleet/world_source.hpp
+++ b/include/pepperturn/fleet/world_source.hpp
@@ -49,19 +49,28 @@
     /// Tells when any other VM last heard the store.
     virtual void note_heard_elsewhere(instant at) = 0;
 
-    /// Asks for \p next in place of the view at \p expected.
+    /// Tells the storage VMs that start for the first time of \p self.
+    [[nodiscard]] virtual task<bool> announce(member self) = 0;
+    /// Storage VMs that have announced themselves, as far as this VM follows.
+    [[nodiscard]] virtual std::vector<member> announced() const = 0;
+    /// When the last of them was heard of.
+    [[nodiscard]] virtual instant last_announced() const = 0;
+    /// Writes the first views of all replica sets, unless there are any.
+    [[nodiscard]] virtual task<swap_result>
+    found(std::vector<cluster_view> views) = 0;
+    /// Asks for \p next in place of its set's view at \p expected.
     [[nodiscard]] virtual task<swap_result>
     swap_view(cluster_view next, std::uint64_t expected) = 0;
     /// Tells the operator how far the emptying of \p vm is.
     [[nodiscard]] virtual task<bool> report_emptying(std::string vm,
                                                      bool completed) = 0;
 
-    /// The operator wants \p vm emptied.
-    [[nodiscard]] virtual bool retire_asked(const std::string& vm) const = 0;
     /// The store has been read whole at least once.
     [[nodiscard]] virtual bool synced() const = 0;
     /// When the store last answered.
     [[nodiscard]] virtual instant last_heard() const = 0;
+    /// It follows the store, or is about to.
+    [[nodiscard]] virtual bool running() const = 0;
 };
 
 /// Decodes the texts of a cluster_state; empty with a reason if unusable.
--- a/include/pepperturn/turns/messages.hpp
+++ b/include/pepperturn/turns/messages.hpp
@@ -24,10 +24,13 @@
 
 [[nodiscard]] const char* to_string(frame_status status);
 
-/// First frame on a connection: the sender's name.
+/// First frame on a connection, and again if what the sender wants changes.
 struct hello_message
 {
     std::string m_name;
+    /// Every change of the world is to be told on this connection, and all
+    /// that is known first.
+    bool m_wants_news = true;
     friend bool operator==(const hello_message&,
                            const hello_message&) = default;
 };
@@ -35,8 +38,11 @@
 /// Sent now and then by storage VMs.
 struct beat_message
 {
-    /// Milliseconds since the platform's store was last heard.
+    /// Milliseconds since the platform's store was last heard, by the sender
+    /// or by a VM that tells it.
     std::uint32_t m_store_age_ms = 0;
+    /// The sender watches the store itself.
+    bool m_watches = true;
     friend bool operator==(const beat_message&, const beat_message&) = default;
 };
 
@@ -81,6 +87,8 @@
 struct fetch_message
 {
     std::string m_turn;
+    /// They are kept for this much longer.
+    std::uint32_t m_retention_ms = 0;
     friend bool operator==(const fetch_message&,
                            const fetch_message&) = default;
 };
--- a/include/pepperturn/turns/turn_client.hpp
+++ b/include/pepperturn/turns/turn_client.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "pepperturn/cluster/member_links.hpp"
+#include "pepperturn/cluster/replica_sets.hpp"
 #include "pepperturn/turns/ledger.hpp"
 
 namespace pepperturn {
@@ -49,8 +50,8 @@
     turn_client(asio::io_context& io, const clock& time, member_links& links,
                 std::string availability_zone, std::uint32_t disk_losses);
 
-    /// The view that calls go by.
-    void follow(const cluster_view& view);
+    /// The views that calls go by.
+    void follow(const std::vector<cluster_view>& views);
 
     /// False if this VM hears none of the storage VMs: others may well.
     [[nodiscard]] bool connected() const;
@@ -69,26 +70,66 @@
 private:
     struct round;
 
+    /// One replica set.
+    struct set_row
+    {
+        cluster_view m_view;
+        quorum_sizes m_quorums;
+    };
+    /// What other replica sets know of a turn.
+    struct search_result
+    {
+        /// Newest first; empty: not found.
+        std::vector<turn_record> m_chain;
+        /// Every copy that could hold it says that it does not.
+        bool m_nowhere = false;
+    };
+
+    /// The set that keeps a program; null: not known yet.
+    [[nodiscard]] const set_row* set_for(const id_key& program) const;
+    [[nodiscard]] const set_row* find_set(std::uint32_t set) const;
     void send_round(const std::shared_ptr<round>& work);
+    void ask_member(const std::shared_ptr<round>& work, const member& target);
     /// No member has said anything since \p asked, for long enough.
     [[nodiscard]] bool cut_off_since(instant asked) const;
     [[nodiscard]] bool wrote_enough(const round& work) const;
     [[nodiscard]] bool read_enough(const round& work) const;
     [[nodiscard]] bool all_lack_parent(const round& work) const;
-    [[nodiscard]] std::string nearest_member() const;
+    [[nodiscard]] std::string nearest_member(const set_row& set) const;
     /// A quorum of members, the nearest first.
     [[nodiscard]] std::vector<std::string>
-    first_members(std::uint64_t draw) const;
-    task<bool> complete_chain(std::shared_ptr<round> work, std::string parent,
+    first_members(const set_row& set, std::uint64_t draw) const;
+    /// Asks until enough have answered, or until nothing more can be expected.
+    task<> ask_quorum(std::shared_ptr<round> work, bool has_parent,
+                      instant until);
+    /// The turns that a request goes on from, oldest first; empty unless they
+    /// are all there.
+    task<search_result> find_chain(std::shared_ptr<round> work,
+                                   begin_request request, instant until);
+    /// A turn and those before it as far as one member knows, newest first.
+    task<std::vector<turn_record>> fetch_in_set(id_key program,
+                                                std::string turn,
+                                                std::uint32_t retention_ms,
+                                                instant until);
+    /// Appends what \p chain lacks, and turns it oldest first; false if not all
+    /// is within reach.
+    task<bool> complete_chain(id_key program, std::string parent,
+                              std::uint32_t retention_ms,
                               std::vector<turn_record>& chain, instant until);
+    /// Asks the members of all sets but \p besides for a turn: a program may
+    /// go on from another one's turn.
+    task<search_result> search_elsewhere(std::string turn,
+                                         std::uint32_t besides,
+                                         std::uint32_t retention_ms,
+                                         instant until);
 
     asio::io_context& m_io;
     const clock& m_time;
     member_links& m_links;
     std::string m_availability_zone;
     std::uint32_t m_disk_losses;
-    cluster_view m_view;
-    quorum_sizes m_quorums;
+    /// By set.
+    std::vector<set_row> m_sets;
 };
 
 } // namespace pepperturn
--- a/include/pepperturn/turns/turn_server.hpp
+++ b/include/pepperturn/turns/turn_server.hpp
@@ -41,9 +41,16 @@
     {
         return m_state;
     }
+    /// The view of the replica set that this VM is a member of; empty and of
+    /// epoch 0 if there is none.
+    [[nodiscard]] const cluster_view& own_view() const
+    {
+        return m_own_view;
+    }
     /// Tells every connected VM that the platform's store was heard
     /// \p store_age ago.
-    void send_beat(milliseconds store_age);
+    /// \param watches this VM watches the store itself
+    void send_beat(milliseconds store_age, bool watches);
 
     /// Enters what another member holds.
     void take_reservations(const std::vector<kept_reservation>& rows);
@@ -76,6 +83,8 @@
     {
         std::string m_name;
         std::shared_ptr<frame_link> m_link;
+        /// It wants to be told every change.
+        bool m_wants_news = false;
         /// What it is being told, if it copies.
         std::shared_ptr<const holdings> m_holdings;
     };
@@ -86,6 +95,10 @@
     };
 
     [[nodiscard]] std::shared_ptr<const holdings> list_holdings();
+    /// Writes what is known before anything is done under a new own view.
+    void save_own_view();
+    void take_hello(const std::shared_ptr<peer>& from,
+                    const hello_message& hello);
     task<> accept_links();
     void add_link(tcp::socket socket);
     void take_frame(const std::shared_ptr<peer>& from, frame value);
@@ -114,6 +127,7 @@
     asio::thread_pool m_writer{1};
     tcp::acceptor m_acceptor;
     cluster_state m_state;
+    cluster_view m_own_view;
     std::function<void(const state_change&)> m_on_change;
     std::set<std::shared_ptr<peer>> m_peers;
     /// Answers for what is queued, and for what is being written.
--- a/src/cluster/config_fetcher.cpp
+++ b/src/cluster/config_fetcher.cpp
@@ -27,9 +27,11 @@
       m_take(std::move(take)), m_changed(io)
 {}
 
-void config_fetcher::follow(const cluster_view& view)
+void config_fetcher::follow(const std::vector<member>& members)
 {
-    m_view = view;
+    m_zones.clear();
+    for (const auto& row : members)
+        m_zones[row.m_name] = row.m_availability_zone;
 }
 
 void config_fetcher::note_known(std::uint64_t revision)
@@ -55,8 +57,8 @@
 
 bool config_fetcher::is_near(const std::string& member) const
 {
-    const auto* row = find_member(m_view, member);
-    return row != nullptr && row->m_availability_zone == m_availability_zone;
+    const auto found = m_zones.find(member);
+    return found != m_zones.end() && found->second == m_availability_zone;
 }
 
 std::vector<std::string> config_fetcher::sources(bool near_only) const
@@ -108,7 +110,8 @@
 {
     LOG(INFO) << "event=config_asked vm=" << member
               << " revision=" << m_announced[member] << " known=" << m_known;
-    m_links.call(member, want_config_message{},
+    // Answered whatever the asker's epoch is.
+    m_links.call(member, 0, want_config_message{},
                  [this](const std::optional<frame>& answer) {
                      const auto* told =
                          answer ? std::get_if<cluster_state>(&answer->m_body)
--- a/src/cluster/member_links.cpp
+++ b/src/cluster/member_links.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "pepperturn/cluster/member_links.hpp"
 
+#include <algorithm>
 #include <glog/logging.h>
 
 namespace pepperturn {
@@ -13,7 +14,7 @@
 constexpr milliseconds first_backoff{50};
 constexpr milliseconds longest_backoff{400};
 /// A beat that tells of the platform's store within this is good news.
-constexpr std::uint32_t fresh_store_ms = 2500;
+constexpr milliseconds fresh_store{2500};
 
 } // namespace
 
@@ -32,23 +33,25 @@
 {
     auto fresh = std::make_shared<link_row>();
     fresh->m_address = address;
+    // Silence counts from now on.
+    fresh->m_heard = m_time.now();
     m_rows[name] = fresh;
     spawn(m_io, "member_links.connect", keep_connected(name, fresh));
 }
 
 void member_links::seek(const std::vector<std::string>& addresses)
 {
-    if (!m_view.m_members.empty())
+    if (m_following)
         return;
     for (const auto& address : addresses)
         add_row(address, address);
 }
 
-void member_links::follow(const cluster_view& view)
+void member_links::follow(const std::vector<member>& members)
 {
-    m_view = view;
+    m_following = true;
     auto before = std::exchange(m_rows, {});
-    for (const auto& row : view.m_members)
+    for (const auto& row : members)
     {
         if (row.m_name == m_self_name)
             continue;
@@ -62,10 +65,36 @@
     {
         row->m_dropped = true;
         if (const auto link = row->m_link)
-            link->close("not in the view");
+            link->close("not followed any more");
     }
 }
 
+void member_links::subscribe(std::vector<std::string> sources)
+{
+    if (m_sources == sources)
+        return;
+    const auto before = std::exchange(m_sources, std::move(sources));
+    for (const auto& [name, row] : m_rows)
+    {
+        const bool heard = !before || std::find(before->begin(), before->end(),
+                                                name) != before->end();
+        if (row->m_link && heard != wants_news_of(name))
+            greet(name, *row);
+    }
+}
+
+bool member_links::wants_news_of(const std::string& name) const
+{
+    return !m_sources || std::find(m_sources->begin(), m_sources->end(),
+                                   name) != m_sources->end();
+}
+
+void member_links::greet(const std::string& name, const link_row& row)
+{
+    row.m_link->send({0, 0, frame_status::ok,
+                      hello_message{m_self_name, wants_news_of(name)}});
+}
+
 void member_links::stop()
 {
     m_stopped = true;
@@ -84,6 +113,7 @@
                                             connect_patience, reason);
         if (row->m_dropped || m_stopped)
             co_return;
+        row->m_failed = !link;
         if (!link)
         {
             if (!std::exchange(reported, true))
@@ -108,13 +138,13 @@
                 closed_reason = why;
                 closed.notify();
             });
-        link->send(
-            {0, m_view.m_epoch, frame_status::ok, hello_message{m_self_name}});
+        greet(name, *row);
         LOG(INFO) << "event=storage_connected vm=" << name
                   << " address=" << row->m_address;
         while (link->open())
             co_await closed.wait_until(instant::max());
         row->m_link = nullptr;
+        row->m_failed = true;
         end_calls(*row);
         LOG(WARNING) << "event=storage_lost vm=" << name << " reason=\""
                      << closed_reason << '"';
@@ -141,12 +171,27 @@
             m_on_state(name, *state);
     }
     else if (const auto* beat = std::get_if<beat_message>(&value.m_body))
-    {
-        if (beat->m_store_age_ms <= fresh_store_ms)
-            m_store_heard =
-                std::max(m_store_heard,
-                         m_time.now() - milliseconds(beat->m_store_age_ms));
-    }
+        take_beat(row, *beat);
+}
+
+void member_links::take_beat(link_row& row, const beat_message& beat)
+{
+    const milliseconds age{beat.m_store_age_ms};
+    if (age > fresh_store)
+        return;
+    const auto heard = m_time.now() - age;
+    m_store_heard = std::max(m_store_heard, heard);
+    if (!beat.m_watches)
+        return;
+    row.m_watched = std::max(row.m_watched, heard);
+    m_store_watched = std::max(m_store_watched, heard);
+}
+
+bool member_links::watches_store(const std::string& name) const
+{
+    const auto found = m_rows.find(name);
+    return found != m_rows.end() && found->second->m_link &&
+           m_time.now() - found->second->m_watched <= fresh_store;
 }
 
 void member_links::end_calls(link_row& row)
@@ -155,8 +200,8 @@
         done(std::nullopt);
 }
 
-void member_links::call(const std::string& name, frame_body body,
-                        frame_done done)
+void member_links::call(const std::string& name, std::uint64_t epoch,
+                        frame_body body, frame_done done)
 {
     const auto found = m_rows.find(name);
     if (found == m_rows.end() || !found->second->m_link)
@@ -167,11 +212,12 @@
     const auto call = m_next_call++;
     found->second->m_calls[call] = std::move(done);
     found->second->m_link->send(
-        {call, m_view.m_epoch, frame_status::ok, std::move(body)});
+        {call, epoch, frame_status::ok, std::move(body)});
 }
 
-task<std::optional<frame>> member_links::ask(std::string name, frame_body body,
-                                             instant until)
+task<std::optional<frame>> member_links::ask(std::string name,
+                                             std::uint64_t epoch,
+                                             frame_body body, instant until)
 {
     struct asked
     {
@@ -181,7 +227,7 @@
         std::optional<frame> m_answer;
     };
     const auto state = std::make_shared<asked>(m_io);
-    call(name, std::move(body), [state](std::optional<frame> answer) {
+    call(name, epoch, std::move(body), [state](std::optional<frame> answer) {
         state->m_done = true;
         state->m_answer = std::move(answer);
         state->m_changed.notify();
@@ -191,15 +237,15 @@
     co_return std::move(state->m_answer);
 }
 
-void member_links::tell_view(const std::string& name)
+void member_links::tell_view(const std::string& name, const cluster_view& view)
 {
     const auto found = m_rows.find(name);
     if (found == m_rows.end() || !found->second->m_link)
         return;
     cluster_state told;
-    told.m_view = m_view;
+    told.m_views = {view};
     found->second->m_link->send(
-        {0, m_view.m_epoch, frame_status::ok, std::move(told)});
+        {0, view.m_epoch, frame_status::ok, std::move(told)});
 }
 
 bool member_links::connected(const std::string& name) const
@@ -208,6 +254,12 @@
     return found != m_rows.end() && found->second->m_link != nullptr;
 }
 
+bool member_links::hopeful(const std::string& name) const
+{
+    const auto found = m_rows.find(name);
+    return found != m_rows.end() && !found->second->m_failed;
+}
+
 instant member_links::last_heard(const std::string& name) const
 {
     const auto found = m_rows.find(name);
--- a/src/cluster/membership.cpp
+++ b/src/cluster/membership.cpp
@@ -80,6 +80,49 @@
     return copies_elsewhere(view, facts).has_value();
 }
 
+/// Some member to copy from is heard, or there is none.
+bool hears_any(const cluster_view& view, const membership_facts& facts)
+{
+    bool any = false;
+    for (const auto& row : view.m_members)
+    {
+        if (row.m_name == facts.m_self.m_name || !takes_writes(row.m_state))
+            continue;
+        if (!facts.m_unheard.contains(row.m_name))
+            return true;
+        any = true;
+    }
+    return !any;
+}
+
+/// The copies of this member are out of reach or gone.
+bool lacks_copies(const member& row)
+{
+    return row.m_state == member_state::lost ||
+           (row.m_state == member_state::joining && !row.m_intact);
+}
+
+/// Members that hold every acknowledged write between them, if there are
+/// enough: each write was on one more disk than may be lost, and no more than
+/// that lack their copies.
+std::optional<std::vector<std::string>>
+holders_of_all(const cluster_view& view, const std::string& self,
+               std::uint32_t disk_losses)
+{
+    const auto lacking = std::count_if(view.m_members.begin(),
+                                       view.m_members.end(), lacks_copies);
+    if (lacking > static_cast<std::ptrdiff_t>(disk_losses))
+        return std::nullopt;
+    std::vector<std::string> out;
+    for (const auto& row : view.m_members)
+    {
+        if (row.m_name != self && takes_writes(row.m_state) &&
+            !lacks_copies(row))
+            out.push_back(row.m_name);
+    }
+    return out;
+}
+
 bool another_joins(const cluster_view& view, const std::string& self)
 {
     return std::any_of(
@@ -137,7 +180,13 @@
     }
     // It took no writes meanwhile, so it copies like a new one.
     if (!takes_writes(own->m_state))
-        return with_state(view, self.m_name, member_state::joining);
+    {
+        // Cut off from the others it could not copy, and they would put it
+        // out again at once.
+        if (!hears_any(view, facts))
+            return std::nullopt;
+        return with_return(view, self.m_name);
+    }
     if (own->m_state == member_state::joining)
     {
         if (facts.m_caught_up_at != view.m_epoch)
@@ -192,14 +241,27 @@
     }
     if (joins)
     {
-        // Any read quorum knows all. Writes since a new member joined reach a
-        // quorum in which it counts; those before did without it.
+        // Any read quorum knows all. Writes since a member joined reach a
+        // quorum in which it counts; those before did without it, or it has
+        // its part of them.
         const auto quorums =
-            quorums_of(own->m_is_new ? without(view, self) : view, disk_losses);
+            quorums_of(own->m_intact ? without(view, self) : view, disk_losses);
         const auto leaving = static_cast<std::uint32_t>(plan.m_required.size());
         plan.m_enough =
             std::max(quorums.m_read, quorums.m_read_all -
                                          std::min(quorums.m_read_all, leaving));
+        // Several joined side by side after overlapping losses: the full ones
+        // may be too few for ever.
+        const auto holders = plan.m_enough > plan.m_any.size()
+                                 ? holders_of_all(view, self, disk_losses)
+                                 : std::nullopt;
+        if (holders)
+        {
+            plan.m_required.insert(plan.m_required.end(), holders->begin(),
+                                   holders->end());
+            plan.m_any.clear();
+            plan.m_enough = 0;
+        }
     }
     if (collector != nullptr && !collects)
     {
--- /dev/null
+++ b/src/cluster/news_sources.cpp
@@ -0,0 +1,81 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/cluster/news_sources.hpp"
+
+#include "pepperturn/base/hash.hpp"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+
+namespace pepperturn {
+
+namespace {
+
+/// Between one VM in the order and the next: more than a beat, so that the
+/// next one sees that somebody has begun.
+constexpr milliseconds takeover_step{700};
+/// Those further back wait no longer than this, since the first ones may all
+/// be gone.
+constexpr std::size_t most_steps = 4;
+
+} // namespace
+
+std::vector<std::string> watch_order(const std::vector<member>& members)
+{
+    std::map<std::string, std::vector<std::pair<std::uint64_t, std::string>>>
+        zones;
+    for (const auto& row : members)
+    {
+        if (row.m_state != member_state::lost)
+            zones[row.m_availability_zone].emplace_back(hash64(row.m_name),
+                                                        row.m_name);
+    }
+    // Place within the zone first, so that the zones take turns.
+    std::vector<std::tuple<std::size_t, std::string, std::string>> places;
+    for (auto& [zone, rows] : zones)
+    {
+        std::sort(rows.begin(), rows.end());
+        for (std::size_t place = 0; place < rows.size(); ++place)
+            places.emplace_back(place, zone, rows[place].second);
+    }
+    std::sort(places.begin(), places.end());
+    std::vector<std::string> out;
+    out.reserve(places.size());
+    for (auto& [place, zone, name] : places)
+        out.push_back(std::move(name));
+    return out;
+}
+
+bool should_watch(const watch_facts& facts)
+{
+    const auto position = facts.m_position.value_or(SIZE_MAX);
+    if (position < watcher_count)
+        return true;
+    if (facts.m_fresh >= least_watchers)
+        return false;
+    const auto steps = std::min(position - watcher_count + 1, most_steps);
+    return facts.m_too_few_for >= steps * takeover_step;
+}
+
+std::vector<std::string>
+choose_sources(const std::vector<member>& members, const std::string& self,
+               const std::string& availability_zone,
+               const std::function<bool(const std::string&)>& usable)
+{
+    std::vector<std::tuple<bool, std::uint64_t, std::string>> ranked;
+    for (const auto& row : members)
+    {
+        if (row.m_name != self && usable(row.m_name))
+            ranked.emplace_back(row.m_availability_zone != availability_zone,
+                                hash64(row.m_name, hash64(self)), row.m_name);
+    }
+    std::sort(ranked.begin(), ranked.end());
+    ranked.resize(std::min(ranked.size(), source_count));
+    std::vector<std::string> out;
+    out.reserve(ranked.size());
+    for (auto& [far, draw, name] : ranked)
+        out.push_back(std::move(name));
+    return out;
+}
+
+} // namespace pepperturn
--- /dev/null
+++ b/src/cluster/replica_sets.cpp
@@ -0,0 +1,126 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/cluster/replica_sets.hpp"
+
+#include "pepperturn/base/hash.hpp"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+
+namespace pepperturn {
+
+namespace {
+
+/// All first views are written by one transaction, and stores bound those (32
+/// writes and conditions in etcd-like ones).
+constexpr std::size_t most_sets = 30;
+
+/// A write reaches a majority, and that many losses leave one.
+std::size_t least_members(std::uint32_t disk_losses)
+{
+    return 2 * std::size_t{disk_losses} + 1;
+}
+
+/// Each member beyond makes writes dearer and bears no further loss; a set
+/// grows to this while the successors of lost members come in.
+std::size_t most_members(std::uint32_t disk_losses)
+{
+    return 2 * least_members(disk_losses) - 1;
+}
+
+std::size_t count_voters(const cluster_view& view)
+{
+    return static_cast<std::size_t>(std::count_if(
+        view.m_members.begin(), view.m_members.end(),
+        [](const member& row) { return takes_writes(row.m_state); }));
+}
+
+std::size_t count_in_zone(const cluster_view& view, const std::string& zone)
+{
+    return static_cast<std::size_t>(std::count_if(
+        view.m_members.begin(), view.m_members.end(), [&](const member& row) {
+            return takes_writes(row.m_state) && row.m_availability_zone == zone;
+        }));
+}
+
+} // namespace
+
+std::uint32_t set_count_for(std::size_t vms, std::uint32_t disk_losses)
+{
+    const auto sets =
+        std::clamp<std::size_t>(vms / least_members(disk_losses), 1, most_sets);
+    return static_cast<std::uint32_t>(sets);
+}
+
+std::uint32_t set_of(std::uint64_t hash, std::uint32_t set_count)
+{
+    return set_count == 0 ? 0 : static_cast<std::uint32_t>(hash % set_count);
+}
+
+std::vector<cluster_view> found_sets(std::vector<member> vms,
+                                     std::uint32_t disk_losses)
+{
+    const auto count = set_count_for(vms.size(), disk_losses);
+    std::vector<cluster_view> views(count);
+    for (std::uint32_t set = 0; set < count; ++set)
+    {
+        views[set].m_set = set;
+        views[set].m_set_count = count;
+    }
+    // Dealt out zone by zone: neighbours in the order go to different sets.
+    std::sort(vms.begin(), vms.end(), [](const member& a, const member& b) {
+        return std::tie(a.m_availability_zone, a.m_name) <
+               std::tie(b.m_availability_zone, b.m_name);
+    });
+    std::size_t next = 0;
+    for (auto& vm : vms)
+    {
+        vm.m_state = member_state::full;
+        vm.m_intact = false;
+        views[next++ % count].m_members.push_back(std::move(vm));
+    }
+    return views;
+}
+
+const cluster_view* find_home(const std::vector<cluster_view>& views,
+                              const std::string& vm)
+{
+    const auto found =
+        std::find_if(views.begin(), views.end(), [&](const cluster_view& view) {
+            return find_member(view, vm) != nullptr;
+        });
+    return found == views.end() ? nullptr : &*found;
+}
+
+std::vector<member> members_of(const std::vector<cluster_view>& views)
+{
+    std::vector<member> out;
+    for (const auto& view : views)
+        out.insert(out.end(), view.m_members.begin(), view.m_members.end());
+    return out;
+}
+
+std::optional<std::uint32_t> set_to_join(const std::vector<cluster_view>& views,
+                                         const member& self,
+                                         std::uint32_t disk_losses)
+{
+    using rank = std::tuple<std::size_t, std::size_t, std::uint64_t>;
+    std::optional<std::uint32_t> best;
+    rank best_rank;
+    for (const auto& view : views)
+    {
+        const auto voters = count_voters(view);
+        if (voters >= most_members(disk_losses))
+            continue;
+        // The draw spreads VMs that come at the same time.
+        const rank next{voters, count_in_zone(view, self.m_availability_zone),
+                        hash64(self.m_name, view.m_set)};
+        if (best && next >= best_rank)
+            continue;
+        best = view.m_set;
+        best_rank = next;
+    }
+    return best;
+}
+
+} // namespace pepperturn
--- a/src/cluster/state.cpp
+++ b/src/cluster/state.cpp
@@ -2,6 +2,7 @@
 #include "pepperturn/cluster/state.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 
 namespace pepperturn {
@@ -102,6 +103,49 @@
         out.m_config = state.m_config;
 }
 
+/// True if \p news is newer than what is known of its set.
+bool take_view(std::vector<cluster_view>& views, const cluster_view& news)
+{
+    const auto at =
+        std::lower_bound(views.begin(), views.end(), news.m_set,
+                         [](const cluster_view& row, std::uint32_t set) {
+                             return row.m_set < set;
+                         });
+    if (at == views.end() || at->m_set != news.m_set)
+    {
+        views.insert(at, news);
+        return true;
+    }
+    if (news.m_epoch <= at->m_epoch)
+        return false;
+    *at = news;
+    return true;
+}
+
+bool take_retirement(std::vector<retirement>& rows, const retirement& news)
+{
+    const auto at =
+        std::lower_bound(rows.begin(), rows.end(), news.m_vm,
+                         [](const retirement& row, const std::string& vm) {
+                             return row.m_vm < vm;
+                         });
+    if (at == rows.end() || at->m_vm != news.m_vm)
+    {
+        rows.insert(at, news);
+        return true;
+    }
+    if (news.m_revision <= at->m_revision)
+        return false;
+    *at = news;
+    return true;
+}
+
+template <class Value>
+bool contains(const std::vector<Value>& values, const Value& wanted)
+{
+    return std::find(values.begin(), values.end(), wanted) != values.end();
+}
+
 } // namespace
 
 state_change merge_state(cluster_state& state, const cluster_state& news)
@@ -116,10 +160,15 @@
     }
     if (!news.m_runners.empty() || news.m_runners_revision > 0)
         change.m_runners = merge_runners(state, news);
-    if (news.m_view.m_epoch > state.m_view.m_epoch)
+    for (const auto& view : news.m_views)
     {
-        state.m_view = news.m_view;
-        change.m_view = true;
+        if (take_view(state.m_views, view))
+            change.m_views.push_back(view.m_set);
+    }
+    for (const auto& row : news.m_retirements)
+    {
+        if (take_retirement(state.m_retirements, row))
+            change.m_retirements.push_back(row.m_vm);
     }
     return change;
 }
@@ -131,12 +180,19 @@
         tell_config(state, out);
     for (const auto& row : state.m_runners)
     {
-        if (std::find(change.m_runners.begin(), change.m_runners.end(),
-                      row.m_name) != change.m_runners.end())
+        if (contains(change.m_runners, row.m_name))
             out.m_runners.push_back(row);
     }
-    if (change.m_view)
-        out.m_view = state.m_view;
+    std::copy_if(state.m_views.begin(), state.m_views.end(),
+                 std::back_inserter(out.m_views),
+                 [&](const cluster_view& view) {
+                     return contains(change.m_views, view.m_set);
+                 });
+    std::copy_if(state.m_retirements.begin(), state.m_retirements.end(),
+                 std::back_inserter(out.m_retirements),
+                 [&](const retirement& row) {
+                     return contains(change.m_retirements, row.m_vm);
+                 });
     return out;
 }
 
@@ -150,10 +206,19 @@
         if (!row.m_gone)
             out.m_runners.push_back(row);
     }
-    out.m_view = state.m_view;
+    out.m_views = state.m_views;
+    out.m_retirements = state.m_retirements;
     return out;
 }
 
+bool is_retired(const cluster_state& state, const std::string& vm)
+{
+    return std::any_of(state.m_retirements.begin(), state.m_retirements.end(),
+                       [&](const retirement& row) {
+                           return row.m_vm == vm && !row.m_withdrawn;
+                       });
+}
+
 std::size_t count_runners(const cluster_state& state)
 {
     return static_cast<std::size_t>(
--- a/src/cluster/view.cpp
+++ b/src/cluster/view.cpp
@@ -73,7 +73,7 @@
     self.m_state =
         view.m_members.empty() ? member_state::full : member_state::joining;
     const auto found = locate(view.m_members, self.m_name);
-    self.m_is_new = found == view.m_members.end() && !view.m_members.empty();
+    self.m_intact = found == view.m_members.end() && !view.m_members.empty();
     if (found == view.m_members.end())
         view.m_members.push_back(std::move(self));
     else
@@ -88,11 +88,20 @@
     if (found != view.m_members.end())
     {
         found->m_state = state;
-        found->m_is_new = false;
+        found->m_intact = false;
     }
     return view;
 }
 
+cluster_view with_return(cluster_view view, const std::string& name)
+{
+    view = with_state(std::move(view), name, member_state::joining);
+    const auto found = locate(view.m_members, name);
+    if (found != view.m_members.end())
+        found->m_intact = true;
+    return view;
+}
+
 cluster_view without(cluster_view view, const std::string& name)
 {
     const auto found = locate(view.m_members, name);
--- a/src/fleet/edge_node.cpp
+++ b/src/fleet/edge_node.cpp
@@ -92,14 +92,33 @@
     }
     if (!change.m_runners.empty())
         take_runners(change.m_runners);
-    if (change.m_view)
-    {
-        LOG(INFO) << "event=view_taken epoch=" << m_state.m_view.m_epoch
-                  << " members=" << m_state.m_view.m_members.size();
-        m_links.follow(m_state.m_view);
-        m_config_fetcher.follow(m_state.m_view);
-        m_turns.follow(m_state.m_view);
-    }
+    if (!change.m_views.empty())
+        follow_views();
+}
+
+void edge_node::follow_views()
+{
+    m_members = members_of(m_state.m_views);
+    LOG(INFO) << "event=views_taken sets=" << m_state.m_views.size()
+              << " members=" << m_members.size();
+    // Whoever is connected to first must already know whether it is heard.
+    if (!std::exchange(m_subscribed, true))
+        m_links.subscribe(choose_sources(
+            m_members, m_settings.m_name, m_settings.m_availability_zone,
+            [](const std::string&) { return true; }));
+    m_links.follow(m_members);
+    choose_news();
+    m_config_fetcher.follow(m_members);
+    m_turns.follow(m_state.m_views);
+}
+
+void edge_node::choose_news()
+{
+    if (!m_subscribed)
+        return;
+    m_links.subscribe(choose_sources(
+        m_members, m_settings.m_name, m_settings.m_availability_zone,
+        [this](const std::string& name) { return m_links.hopeful(name); }));
 }
 
 void edge_node::take_runners(const std::vector<std::string>& moved)
@@ -153,6 +172,7 @@
 void edge_node::tick()
 {
     choose_source();
+    choose_news();
 }
 
 void edge_node::stop()
--- a/src/fleet/storage_node.cpp
+++ b/src/fleet/storage_node.cpp
@@ -22,6 +22,14 @@
 constexpr std::size_t read_batch = 128;
 /// Answers under way go out before the process ends.
 constexpr milliseconds stop_linger{150};
+/// The fleet is founded once nobody has announced itself for this long: VMs
+/// start within tenths of a second of each other. Who comes later joins.
+constexpr milliseconds founding_quiet{1000};
+/// VMs found one after the other, so that one of them usually does it.
+constexpr milliseconds founding_step{200};
+/// After a change of view was refused, the view that stands there is usually
+/// heard of within this; each try is a priced call.
+constexpr milliseconds conflict_patience{700};
 
 std::uint64_t draw_identity()
 {
@@ -113,10 +121,12 @@
         write_metric(out, "turns", m_store->turn_count());
         write_metric(out, "programs", m_store->program_count());
     }
-    const auto age = m_time.now() - m_source.last_heard();
-    if (m_source.synced())
+    const auto heard = store_heard();
+    if (heard != instant{})
         write_metric(out, "store_age_ms",
-                     static_cast<std::uint64_t>(age / milliseconds(1)));
+                     static_cast<std::uint64_t>((m_time.now() - heard) /
+                                                milliseconds(1)));
+    write_metric(out, "watching_store", m_source.running() ? 1 : 0);
     m_server->write_metrics(out);
     return out;
 }
@@ -136,11 +146,8 @@
     if (!listen(reason))
         return false;
     m_server->on_change([this](const state_change& change) {
-        if (change.m_view)
-        {
-            m_links.follow(m_server->state().m_view);
-            m_config_fetcher.follow(m_server->state().m_view);
-        }
+        if (!change.m_views.empty())
+            follow_views();
     });
     m_links.on_state(
         [this](const std::string& from, const cluster_state& news) {
@@ -163,27 +170,103 @@
     m_config_fetcher.note_known(m_server->state().m_config_revision);
 }
 
-membership_facts storage_node::gather_facts() const
+void storage_node::follow_views()
+{
+    const auto members = members_of(m_server->state().m_views);
+    m_watch_order = watch_order(members);
+    const auto candidates = std::min(m_watch_order.size(), watch_candidates);
+    const std::vector<std::string> sources(
+        m_watch_order.begin(),
+        m_watch_order.begin() + static_cast<std::ptrdiff_t>(candidates));
+    std::vector<member> wanted;
+    for (const auto& row : members)
+    {
+        if (find_member(m_server->own_view(), row.m_name) != nullptr ||
+            std::find(sources.begin(), sources.end(), row.m_name) !=
+                sources.end())
+            wanted.push_back(row);
+    }
+    m_links.subscribe(sources);
+    m_links.follow(wanted);
+    m_config_fetcher.follow(members);
+}
+
+watch_facts storage_node::gather_watch_facts()
+{
+    watch_facts facts;
+    const auto own = std::find(m_watch_order.begin(), m_watch_order.end(),
+                               m_settings.m_name);
+    if (own != m_watch_order.end())
+        facts.m_position =
+            static_cast<std::size_t>(own - m_watch_order.begin());
+    const auto before =
+        std::min(facts.m_position.value_or(m_watch_order.size()),
+                 std::min(m_watch_order.size(), watch_candidates));
+    for (std::size_t i = 0; i < before; ++i)
+        facts.m_fresh += m_links.watches_store(m_watch_order[i]) ? 1 : 0;
+    const auto now = m_time.now();
+    if (facts.m_fresh >= least_watchers)
+        m_too_few_since.reset();
+    else if (!m_too_few_since)
+        m_too_few_since = now;
+    if (m_too_few_since)
+        facts.m_too_few_for = elapsed(*m_too_few_since, now);
+    return facts;
+}
+
+void storage_node::choose_watching()
+{
+    // Before there are views, nobody can tell whom to hear.
+    const auto facts = gather_watch_facts();
+    const bool wanted = m_watch_order.empty() || should_watch(facts);
+    if (wanted == m_source.running())
+        return;
+    LOG(INFO) << "event=watching_chosen watching=" << wanted
+              << " position=" << facts.m_position.value_or(m_watch_order.size())
+              << " fresh_watchers=" << facts.m_fresh
+              << " too_few_for_ms=" << facts.m_too_few_for.count();
+    if (wanted)
+        m_source.start();
+    else
+        m_source.pause();
+}
+
+instant storage_node::store_heard() const
+{
+    const auto own = m_source.synced() ? m_source.last_heard() : instant{};
+    // Only from those that watch: what others pass on would go in circles.
+    return std::max(own, m_links.store_watched());
+}
+
+member storage_node::self() const
+{
+    return {m_settings.m_name, m_settings.m_frames_address,
+            m_settings.m_availability_zone, m_disk, member_state::joining};
+}
+
+membership_facts storage_node::gather_facts(const cluster_view& view) const
 {
-    const auto& view = m_server->state().m_view;
     membership_facts facts;
-    facts.m_self = {m_settings.m_name, m_settings.m_frames_address,
-                    m_settings.m_availability_zone, m_disk,
-                    member_state::joining};
+    facts.m_self = self();
     facts.m_bootstrap = m_settings.m_bootstrap;
-    facts.m_view_known = m_source.synced();
-    facts.m_retire = m_source.retire_asked(m_settings.m_name);
+    facts.m_view_known = true;
+    facts.m_retire = is_retired(m_server->state(), m_settings.m_name);
     facts.m_caught_up_at = m_caught_up_at;
     facts.m_copied_by = m_server->copied_by(view.m_epoch);
     facts.m_disk_losses = m_settings.m_disk_losses;
     const auto now = m_time.now();
-    if (now < m_isolated_until)
+    // Who is outside the set does not listen to its members.
+    if (find_member(view, m_settings.m_name) == nullptr)
         return facts;
     for (const auto& row : view.m_members)
     {
         const auto heard = std::max(m_started, m_links.last_heard(row.m_name));
-        if (row.m_name != m_settings.m_name && now - heard > silence_limit)
+        if (row.m_name == m_settings.m_name)
+            continue;
+        if (now - heard > silence_limit && now >= m_isolated_until)
             facts.m_silent.insert(row.m_name);
+        if (now - heard > isolation_limit || !m_links.connected(row.m_name))
+            facts.m_unheard.insert(row.m_name);
     }
     return facts;
 }
@@ -192,12 +275,13 @@
 {
     while (!m_stopping)
     {
-        if (m_server->disk_good())
+        if (m_server->disk_good() && m_server->state().m_views.empty())
+            co_await found_fleet();
+        else if (m_server->disk_good())
         {
-            const auto& view = m_server->state().m_view;
             if (!m_copying &&
-                should_copy(view, m_settings.m_name, m_caught_up_at,
-                            m_settings.m_disk_losses))
+                should_copy(m_server->own_view(), m_settings.m_name,
+                            m_caught_up_at, m_settings.m_disk_losses))
             {
                 m_copying = true;
                 spawn(m_io, "storage_node.copy", copy_all());
@@ -208,33 +292,90 @@
     }
 }
 
+task<> storage_node::found_fleet()
+{
+    // Only a first start may begin with nothing; else an empty store means
+    // that it was read wrongly.
+    if (!m_settings.m_bootstrap || !m_source.synced())
+        co_return;
+    if (!m_announced)
+        m_announced = co_await m_source.announce(self());
+    auto vms = m_source.announced();
+    const auto own =
+        std::find_if(vms.begin(), vms.end(), [&](const member& row) {
+            return row.m_name == m_settings.m_name;
+        });
+    if (own == vms.end())
+        co_return;
+    const auto turn = m_source.last_announced() + founding_quiet +
+                      (own - vms.begin()) * founding_step;
+    if (m_time.now() < turn)
+        co_return;
+    auto views = found_sets(std::move(vms), m_settings.m_disk_losses);
+    const auto sets = views.size();
+    const auto result = co_await m_source.found(std::move(views));
+    LOG(INFO) << "event=fleet_founded sets=" << sets
+              << " outcome=" << result.m_reason;
+    m_next_change = m_time.now() + conflict_patience;
+}
+
+std::optional<cluster_view> storage_node::view_to_look_after() const
+{
+    const auto& own = m_server->own_view();
+    if (!own.m_members.empty())
+        return own;
+    const auto& views = m_server->state().m_views;
+    const auto set = set_to_join(views, self(), m_settings.m_disk_losses);
+    const auto found =
+        std::find_if(views.begin(), views.end(), [&](const cluster_view& row) {
+            return set && row.m_set == *set;
+        });
+    if (found == views.end())
+        return std::nullopt;
+    return *found;
+}
+
+task<> storage_node::report_emptied()
+{
+    if (!m_emptied_reported)
+        m_emptied_reported =
+            co_await m_source.report_emptying(m_settings.m_name, true);
+}
+
 task<> storage_node::change_view()
 {
-    const auto view = m_server->state().m_view;
-    const auto facts = gather_facts();
-    if (facts.m_retire && !m_emptying_reported)
+    if (is_retired(m_server->state(), m_settings.m_name) &&
+        !m_emptying_reported)
         m_emptying_reported =
             co_await m_source.report_emptying(m_settings.m_name, false);
-    if (is_emptied(view, facts))
+    const auto view = view_to_look_after();
+    if (!view)
+        co_return;
+    const auto facts = gather_facts(*view);
+    if (is_emptied(*view, facts))
     {
-        if (!m_emptied_reported)
-            m_emptied_reported =
-                co_await m_source.report_emptying(m_settings.m_name, true);
+        co_await report_emptied();
         co_return;
     }
-    auto next = wanted_view(view, facts);
-    if (!next)
+    auto next = wanted_view(*view, facts);
+    const bool outdated = view->m_epoch <= m_outdated_epoch;
+    if (!next || (outdated && m_time.now() < m_next_change))
         co_return;
-    const auto result = co_await m_source.swap_view(*next, view.m_epoch);
-    LOG(INFO) << "event=view_swap epoch=" << view.m_epoch
+    const auto result = co_await m_source.swap_view(*next, view->m_epoch);
+    LOG(INFO) << "event=view_swap set=" << view->m_set
+              << " epoch=" << view->m_epoch
               << " members=" << next->m_members.size()
               << " outcome=" << result.m_reason
               << " next_epoch=" << result.m_epoch;
     if (result.m_outcome != swap_outcome::written)
+    {
+        m_outdated_epoch = std::max(m_outdated_epoch, view->m_epoch);
+        m_next_change = m_time.now() + conflict_patience;
         co_return;
+    }
     cluster_state news;
-    news.m_view = std::move(*next);
-    news.m_view.m_epoch = result.m_epoch;
+    next->m_epoch = result.m_epoch;
+    news.m_views = {std::move(*next)};
     take_state(news);
 }
 
@@ -248,7 +389,8 @@
             {positions.begin() + static_cast<std::ptrdiff_t>(begin),
              positions.begin() + static_cast<std::ptrdiff_t>(end)}};
         const auto answer =
-            co_await m_links.ask(name, question, m_time.now() + copy_patience);
+            co_await m_links.ask(name, m_server->own_view().m_epoch, question,
+                                 m_time.now() + copy_patience);
         const auto* entries =
             answer && answer->m_status == frame_status::ok
                 ? std::get_if<entries_message>(&answer->m_body)
@@ -273,14 +415,15 @@
     {
         const frame_body question = list_message{from, gathered};
         const auto answer =
-            co_await m_links.ask(name, question, m_time.now() + copy_patience);
+            co_await m_links.ask(name, m_server->own_view().m_epoch, question,
+                                 m_time.now() + copy_patience);
         if (answer && answer->m_status == frame_status::stale &&
             answer->m_epoch < epoch)
-            m_links.tell_view(name);
+            m_links.tell_view(name, m_server->own_view());
         const auto* page = answer && answer->m_status == frame_status::ok
                                ? std::get_if<listed_message>(&answer->m_body)
                                : nullptr;
-        if (page == nullptr || m_server->state().m_view.m_epoch != epoch)
+        if (page == nullptr || m_server->own_view().m_epoch != epoch)
             co_return false;
         std::vector<std::uint64_t> missing;
         for (const auto& turn : page->m_turns)
@@ -299,7 +442,7 @@
         co_return false;
     const frame_body done = copied_message{};
     const auto answer =
-        co_await m_links.ask(name, done, m_time.now() + copy_patience);
+        co_await m_links.ask(name, epoch, done, m_time.now() + copy_patience);
     if (!answer || answer->m_status != frame_status::ok)
         co_return false;
     LOG(INFO) << "event=copied_all from=" << name << " epoch=" << epoch
@@ -323,7 +466,7 @@
 
 task<> storage_node::copy_all()
 {
-    const auto view = m_server->state().m_view;
+    const auto view = m_server->own_view();
     const auto plan =
         plan_copy(view, m_settings.m_name, m_settings.m_disk_losses);
     bool all_required = true;
@@ -342,7 +485,7 @@
         count += done ? 1 : 0;
     }
     if (count >= plan.m_enough && all_required &&
-        m_server->state().m_view.m_epoch == view.m_epoch)
+        m_server->own_view().m_epoch == view.m_epoch)
     {
         m_caught_up_at = view.m_epoch;
         m_server->note_gathered(view.m_epoch);
@@ -354,7 +497,7 @@
 {
     std::uint32_t unheard = 0;
     const auto now = m_time.now();
-    for (const auto& row : m_server->state().m_view.m_members)
+    for (const auto& row : m_server->own_view().m_members)
     {
         if (row.m_name != m_settings.m_name &&
             row.m_state != member_state::lost &&
@@ -370,14 +513,15 @@
 {
     const auto now = m_time.now();
     note_isolation();
+    choose_watching();
     if (now >= m_next_beat)
     {
         m_next_beat = now + beat_interval;
-        m_source.note_heard_elsewhere(m_links.store_heard());
-        const auto age = std::chrono::duration_cast<milliseconds>(
-            now - m_source.last_heard());
+        m_source.note_heard_elsewhere(m_links.store_watched());
+        const auto age =
+            std::chrono::duration_cast<milliseconds>(now - store_heard());
         constexpr milliseconds most{UINT32_MAX};
-        m_server->send_beat(m_source.synced() ? std::min(age, most) : most);
+        m_server->send_beat(std::min(age, most), m_source.running());
     }
     if (now >= m_next_expiry)
     {
--- a/src/turns/messages.cpp
+++ b/src/turns/messages.cpp
@@ -119,6 +119,44 @@
     return entry;
 }
 
+void fill(turns_wire::Member::Builder out, const member& row)
+{
+    out.setName(row.m_name);
+    out.setAddress(row.m_address);
+    out.setZone(row.m_availability_zone);
+    out.setDisk(row.m_disk);
+    out.setState(static_cast<std::uint8_t>(row.m_state));
+    out.setIntact(row.m_intact);
+}
+
+void fill(turns_wire::Retirement::Builder out, const retirement& row)
+{
+    out.setVm(row.m_vm);
+    out.setRevision(row.m_revision);
+    out.setWithdrawn(row.m_withdrawn);
+}
+
+retirement read(turns_wire::Retirement::Reader in)
+{
+    return {text_of(in.getVm()), in.getRevision(), in.getWithdrawn()};
+}
+
+void fill(turns_wire::View::Builder out, const cluster_view& view)
+{
+    out.setEpoch(view.m_epoch);
+    auto members = out.initMembers(view.m_members.size());
+    for (unsigned i = 0; i < members.size(); ++i)
+        fill(members[i], view.m_members[i]);
+    out.setSet(view.m_set);
+    out.setSetCount(view.m_set_count);
+}
+
+template <class List, class Rows> void fill_all(List out, const Rows& rows)
+{
+    for (unsigned i = 0; i < out.size(); ++i)
+        fill(out[i], rows[i]);
+}
+
 void fill(turns_wire::State::Builder out, const cluster_state& state)
 {
     out.setConfigRevision(state.m_config_revision);
@@ -132,18 +170,9 @@
         runners[i].setRevision(state.m_runners[i].m_revision);
         runners[i].setGone(state.m_runners[i].m_gone);
     }
-    out.setViewRevision(state.m_view.m_epoch);
-    auto members = out.initView(state.m_view.m_members.size());
-    for (unsigned i = 0; i < members.size(); ++i)
-    {
-        const auto& row = state.m_view.m_members[i];
-        members[i].setName(row.m_name);
-        members[i].setAddress(row.m_address);
-        members[i].setZone(row.m_availability_zone);
-        members[i].setDisk(row.m_disk);
-        members[i].setState(static_cast<std::uint8_t>(row.m_state));
-        members[i].setIsNew(row.m_is_new);
-    }
+    fill_all(out.initViews(state.m_views.size()), state.m_views);
+    fill_all(out.initRetirements(state.m_retirements.size()),
+             state.m_retirements);
 }
 
 member read(turns_wire::Member::Reader in)
@@ -154,10 +183,30 @@
     row.m_availability_zone = text_of(in.getZone());
     row.m_disk = in.getDisk();
     row.m_state = static_cast<member_state>(in.getState());
-    row.m_is_new = in.getIsNew();
+    row.m_intact = in.getIntact();
     return row;
 }
 
+cluster_view read(turns_wire::View::Reader in)
+{
+    cluster_view view;
+    view.m_epoch = in.getEpoch();
+    for (const auto row : in.getMembers())
+        view.m_members.push_back(read(row));
+    view.m_set = in.getSet();
+    view.m_set_count = in.getSetCount();
+    return view;
+}
+
+template <class Row, class List> std::vector<Row> read_all(List in)
+{
+    std::vector<Row> rows;
+    rows.reserve(in.size());
+    for (const auto row : in)
+        rows.push_back(read(row));
+    return rows;
+}
+
 cluster_state read(turns_wire::State::Reader in)
 {
     cluster_state state;
@@ -168,27 +217,11 @@
         state.m_runners.push_back({text_of(row.getName()),
                                    text_of(row.getText()), row.getRevision(),
                                    row.getGone()});
-    state.m_view.m_epoch = in.getViewRevision();
-    for (const auto row : in.getView())
-        state.m_view.m_members.push_back(read(row));
+    state.m_views = read_all<cluster_view>(in.getViews());
+    state.m_retirements = read_all<retirement>(in.getRetirements());
     return state;
 }
 
-template <class List, class Rows> void fill_all(List out, const Rows& rows)
-{
-    for (unsigned i = 0; i < out.size(); ++i)
-        fill(out[i], rows[i]);
-}
-
-template <class Row, class List> std::vector<Row> read_all(List in)
-{
-    std::vector<Row> rows;
-    rows.reserve(in.size());
-    for (const auto row : in)
-        rows.push_back(read(row));
-    return rows;
-}
-
 /// Writes each kind of body into its member of the union.
 struct body_writer
 {
@@ -196,7 +229,9 @@
 
     void operator()(const hello_message& body)
     {
-        m_out.setHello(body.m_name);
+        auto out = m_out.initHello();
+        out.setName(body.m_name);
+        out.setWantsNews(body.m_wants_news);
     }
     void operator()(const cluster_state& body)
     {
@@ -204,7 +239,9 @@
     }
     void operator()(const beat_message& body)
     {
-        m_out.setBeat(body.m_store_age_ms);
+        auto out = m_out.initBeat();
+        out.setStoreAgeMs(body.m_store_age_ms);
+        out.setWatches(body.m_watches);
     }
     void operator()(const begin_message& body)
     {
@@ -231,7 +268,9 @@
     }
     void operator()(const fetch_message& body)
     {
-        m_out.setFetch(body.m_turn);
+        auto out = m_out.initFetch();
+        out.setTurn(body.m_turn);
+        out.setRetentionMs(body.m_retention_ms);
     }
     void operator()(const fetched_message& body)
     {
@@ -324,11 +363,13 @@
     switch (in.which())
     {
     case kind::HELLO:
-        return hello_message{text_of(in.getHello())};
+        return hello_message{text_of(in.getHello().getName()),
+                             in.getHello().getWantsNews()};
     case kind::STATE:
         return read(in.getState());
     case kind::BEAT:
-        return beat_message{in.getBeat()};
+        return beat_message{in.getBeat().getStoreAgeMs(),
+                            in.getBeat().getWatches()};
     case kind::BEGIN:
         return read_begin(in.getBegin());
     case kind::BEGUN:
@@ -338,7 +379,8 @@
     case kind::APPENDED:
         return appended_message{};
     case kind::FETCH:
-        return fetch_message{text_of(in.getFetch())};
+        return fetch_message{text_of(in.getFetch().getTurn()),
+                             in.getFetch().getRetentionMs()};
     case kind::FETCHED:
         return fetched_message{read_all<turn_record>(in.getFetched())};
     case kind::LIST:
--- a/src/turns/turn_client.cpp
+++ b/src/turns/turn_client.cpp
@@ -25,10 +25,14 @@
 /// Without a word of any member for this long after it was asked, this VM is
 /// cut off: they send beats twice a second, and the next VM may hear them.
 constexpr milliseconds cut_off_patience{800};
+/// How long all other replica sets may take over the search for a turn:
+/// a hundred times what they usually take.
+constexpr milliseconds search_patience{400};
 
 } // namespace
 
-/// One question to all members, repeated until enough have answered.
+/// One question to the members of a replica set, repeated until enough have
+/// answered.
 struct turn_client::round
 {
     struct row
@@ -37,10 +41,11 @@
         std::optional<frame> m_answer;
     };
 
-    round(asio::io_context& io, frame_body body)
-        : m_body(std::move(body)), m_changed(io)
+    round(asio::io_context& io, id_key program, frame_body body)
+        : m_program(program), m_body(std::move(body)), m_changed(io)
     {}
 
+    id_key m_program;
     frame_body m_body;
     /// The one member that is asked for the chain as well.
     std::string m_chain_from;
@@ -65,6 +70,13 @@
             return nullptr;
         return std::get_if<begun_message>(&found->second.m_answer->m_body);
     }
+    [[nodiscard]] bool parent_found() const
+    {
+        return std::any_of(m_rows.begin(), m_rows.end(), [&](const auto& row) {
+            const auto* answer = begun(row.first);
+            return answer != nullptr && answer->m_parent_found;
+        });
+    }
 };
 
 turn_client::turn_client(asio::io_context& io, const clock& time,
@@ -75,34 +87,56 @@
       m_disk_losses(disk_losses)
 {}
 
-void turn_client::follow(const cluster_view& view)
+void turn_client::follow(const std::vector<cluster_view>& views)
+{
+    m_sets.clear();
+    for (const auto& view : views)
+        m_sets.push_back({view, quorums_of(view, m_disk_losses)});
+}
+
+const turn_client::set_row* turn_client::find_set(std::uint32_t set) const
 {
-    m_view = view;
-    m_quorums = quorums_of(view, m_disk_losses);
+    const auto found =
+        std::find_if(m_sets.begin(), m_sets.end(), [&](const set_row& row) {
+            return row.m_view.m_set == set;
+        });
+    return found == m_sets.end() ? nullptr : &*found;
+}
+
+const turn_client::set_row* turn_client::set_for(const id_key& program) const
+{
+    if (m_sets.empty())
+        return nullptr;
+    return find_set(set_of(program.m_low, m_sets.front().m_view.m_set_count));
 }
 
 bool turn_client::connected() const
 {
     const auto now = m_time.now();
-    return std::any_of(m_view.m_members.begin(), m_view.m_members.end(),
-                       [&](const member& row) {
-                           return m_links.connected(row.m_name) &&
-                                  now - m_links.last_heard(row.m_name) <
-                                      heard_within;
-                       });
+    return std::any_of(m_sets.begin(), m_sets.end(), [&](const set_row& set) {
+        return std::any_of(set.m_view.m_members.begin(),
+                           set.m_view.m_members.end(), [&](const member& row) {
+                               return m_links.connected(row.m_name) &&
+                                      now - m_links.last_heard(row.m_name) <
+                                          heard_within;
+                           });
+    });
 }
 
 bool turn_client::cut_off_since(instant asked) const
 {
     if (m_time.now() - asked < cut_off_patience)
         return false;
-    return std::none_of(m_view.m_members.begin(), m_view.m_members.end(),
-                        [&](const member& row) {
-                            return m_links.last_heard(row.m_name) > asked;
-                        });
+    return std::none_of(m_sets.begin(), m_sets.end(), [&](const set_row& set) {
+        return std::any_of(set.m_view.m_members.begin(),
+                           set.m_view.m_members.end(), [&](const member& row) {
+                               return m_links.last_heard(row.m_name) > asked;
+                           });
+    });
 }
 
-std::vector<std::string> turn_client::first_members(std::uint64_t draw) const
+std::vector<std::string> turn_client::first_members(const set_row& set,
+                                                    std::uint64_t draw) const
 {
     struct candidate
     {
@@ -117,7 +151,7 @@
     };
     std::vector<candidate> candidates;
     const auto now = m_time.now();
-    for (const auto& row : m_view.m_members)
+    for (const auto& row : set.m_view.m_members)
     {
         if (takes_writes(row.m_state) && m_links.connected(row.m_name) &&
             now - m_links.last_heard(row.m_name) < heard_within)
@@ -128,7 +162,7 @@
     }
     std::sort(candidates.begin(), candidates.end());
     const std::size_t enough =
-        std::max(m_quorums.m_write, m_quorums.m_read_all);
+        std::max(set.m_quorums.m_write, set.m_quorums.m_read_all);
     candidates.resize(std::min(candidates.size(), enough));
     std::vector<std::string> out;
     out.reserve(candidates.size());
@@ -137,10 +171,10 @@
     return out;
 }
 
-std::string turn_client::nearest_member() const
+std::string turn_client::nearest_member(const set_row& set) const
 {
     std::string best;
-    for (const auto& row : m_view.m_members)
+    for (const auto& row : set.m_view.m_members)
     {
         if (row.m_state != member_state::full || !m_links.connected(row.m_name))
             continue;
@@ -152,84 +186,100 @@
     return best;
 }
 
+void turn_client::ask_member(const std::shared_ptr<round>& work,
+                             const member& target)
+{
+    work->m_rows[target.m_name].m_pending = true;
+    auto body = work->m_body;
+    if (auto* begin = std::get_if<begin_message>(&body))
+        begin->m_want_chain = target.m_name == work->m_chain_from;
+    const auto take = [this, work, name = target.m_name,
+                       epoch = work->m_epoch](std::optional<frame> answer) {
+        if (work->m_closed || work->m_epoch != epoch)
+            return;
+        auto& asked = work->m_rows[name];
+        asked.m_pending = false;
+        const auto* set = set_for(work->m_program);
+        if (answer && answer->m_status == frame_status::stale &&
+            set != nullptr && answer->m_epoch < set->m_view.m_epoch)
+            m_links.tell_view(name, set->m_view);
+        if (answer && answer->m_status == frame_status::ok)
+            asked.m_answer = std::move(answer);
+        work->m_changed.notify();
+    };
+    m_links.call(target.m_name, work->m_epoch, std::move(body), take);
+}
+
 void turn_client::send_round(const std::shared_ptr<round>& work)
 {
-    if (work->m_epoch != m_view.m_epoch)
+    const auto* set = set_for(work->m_program);
+    if (set == nullptr)
+        return;
+    if (work->m_epoch != set->m_view.m_epoch)
     {
         // Answers under another view do not add up with those of this one.
-        work->m_epoch = m_view.m_epoch;
+        work->m_epoch = set->m_view.m_epoch;
         work->m_rows.clear();
-        work->m_chain_from = nearest_member();
+        work->m_chain_from = nearest_member(*set);
     }
     const bool ask_all = m_time.now() >= work->m_ask_all_at;
-    const auto first =
-        ask_all ? std::vector<std::string>{} : first_members(work->m_draw);
-    for (const auto& target : m_view.m_members)
+    const auto first = ask_all ? std::vector<std::string>{}
+                               : first_members(*set, work->m_draw);
+    // What leaves still tells what it holds.
+    const bool reads = std::holds_alternative<begin_message>(work->m_body);
+    const auto members = set->m_view.m_members;
+    for (const auto& target : members)
     {
-        auto& row = work->m_rows[target.m_name];
+        const auto& row = work->m_rows[target.m_name];
+        const bool writes = takes_writes(target.m_state);
         const bool wanted = ask_all || std::find(first.begin(), first.end(),
                                                  target.m_name) != first.end();
-        // What leaves still tells what it holds.
         const bool useful =
-            takes_writes(target.m_state) ||
-            (target.m_state == member_state::leaving &&
-             std::holds_alternative<begin_message>(work->m_body));
-        if (!useful || row.m_pending || row.m_answer ||
-            (!wanted && takes_writes(target.m_state)) ||
-            !m_links.connected(target.m_name))
-            continue;
-        row.m_pending = true;
-        auto body = work->m_body;
-        if (auto* begin = std::get_if<begin_message>(&body))
-            begin->m_want_chain = target.m_name == work->m_chain_from;
-        m_links.call(target.m_name, std::move(body),
-                     [this, work, name = target.m_name,
-                      epoch = work->m_epoch](std::optional<frame> answer) {
-                         if (work->m_closed || work->m_epoch != epoch)
-                             return;
-                         auto& asked = work->m_rows[name];
-                         asked.m_pending = false;
-                         if (answer &&
-                             answer->m_status == frame_status::stale &&
-                             answer->m_epoch < m_view.m_epoch)
-                             m_links.tell_view(name);
-                         if (answer && answer->m_status == frame_status::ok)
-                             asked.m_answer = std::move(answer);
-                         work->m_changed.notify();
-                     });
+            writes ? wanted : reads && target.m_state == member_state::leaving;
+        if (useful && !row.m_pending && !row.m_answer &&
+            m_links.connected(target.m_name))
+            ask_member(work, target);
     }
 }
 
 bool turn_client::wrote_enough(const round& work) const
 {
-    if (work.m_epoch != m_view.m_epoch)
+    const auto* set = set_for(work.m_program);
+    if (set == nullptr || work.m_epoch != set->m_view.m_epoch)
         return false;
     std::uint32_t count = 0;
-    for (const auto& row : m_view.m_members)
+    for (const auto& row : set->m_view.m_members)
     {
         if (takes_writes(row.m_state) && work.answered(row.m_name))
             ++count;
     }
-    return m_quorums.m_write > 0 && count >= m_quorums.m_write;
+    return set->m_quorums.m_write > 0 && count >= set->m_quorums.m_write;
 }
 
 bool turn_client::read_enough(const round& work) const
 {
+    const auto* set = set_for(work.m_program);
+    if (set == nullptr)
+        return false;
     std::uint32_t full = 0;
     std::uint32_t leaving = 0;
-    for (const auto& row : m_view.m_members)
+    for (const auto& row : set->m_view.m_members)
     {
         if (!work.answered(row.m_name))
             continue;
         full += row.m_state == member_state::full ? 1 : 0;
         leaving += row.m_state == member_state::leaving ? 1 : 0;
     }
-    return full >= m_quorums.m_read && full + leaving >= m_quorums.m_read_all;
+    return full >= set->m_quorums.m_read &&
+           full + leaving >= set->m_quorums.m_read_all;
 }
 
 bool turn_client::all_lack_parent(const round& work) const
 {
-    for (const auto& row : m_view.m_members)
+    const auto* set = set_for(work.m_program);
+    if (set == nullptr)
+        return false;
+    for (const auto& row : set->m_view.m_members)
     {
         if (row.m_state == member_state::joining ||
             row.m_state == member_state::lost)
@@ -241,14 +291,86 @@
     return true;
 }
 
-task<bool> turn_client::complete_chain(std::shared_ptr<round> work,
-                                       std::string parent,
+task<turn_client::search_result>
+turn_client::search_elsewhere(std::string turn, std::uint32_t besides,
+                              std::uint32_t retention_ms, instant until)
+{
+    struct search
+    {
+        explicit search(asio::io_context& io) : m_changed(io) {}
+        async_event m_changed;
+        std::size_t m_open = 0;
+        bool m_unsure = false;
+        std::vector<turn_record> m_chain;
+    };
+    const auto state = std::make_shared<search>(m_io);
+    const fetch_message question{turn, retention_ms};
+    const auto take = [state](const std::optional<frame>& answer) {
+        --state->m_open;
+        const auto* fetched =
+            answer && answer->m_status == frame_status::ok
+                ? std::get_if<fetched_message>(&answer->m_body)
+                : nullptr;
+        state->m_unsure = state->m_unsure || fetched == nullptr;
+        if (fetched != nullptr && state->m_chain.empty())
+            state->m_chain = fetched->m_chain;
+        state->m_changed.notify();
+    };
+    for (const auto& set : m_sets)
+    {
+        if (set.m_view.m_set == besides)
+            continue;
+        for (const auto& row : set.m_view.m_members)
+        {
+            if (row.m_state == member_state::joining ||
+                row.m_state == member_state::lost)
+                continue;
+            ++state->m_open;
+            m_links.call(row.m_name, set.m_view.m_epoch, question, take);
+        }
+    }
+    const auto give_up = std::min(until, m_time.now() + search_patience);
+    while (state->m_open > 0 && state->m_chain.empty() &&
+           m_time.now() < give_up)
+        co_await state->m_changed.wait_until(give_up);
+    search_result out;
+    out.m_nowhere = state->m_chain.empty() && state->m_open == 0 &&
+                    !state->m_unsure && !m_sets.empty() &&
+                    m_sets.size() == m_sets.front().m_view.m_set_count;
+    out.m_chain = std::move(state->m_chain);
+    co_return out;
+}
+
+task<std::vector<turn_record>>
+turn_client::fetch_in_set(id_key program, std::string turn,
+                          std::uint32_t retention_ms, instant until)
+{
+    const auto* set = set_for(program);
+    const auto view = set == nullptr ? cluster_view{} : set->m_view;
+    // A local: GCC 12 destroys aggregate temporaries of an awaiting
+    // expression twice.
+    const frame_body question = fetch_message{std::move(turn), retention_ms};
+    for (const auto& row : view.m_members)
+    {
+        if (row.m_state == member_state::joining ||
+            !m_links.connected(row.m_name))
+            continue;
+        const auto answer = co_await m_links.ask(
+            row.m_name, view.m_epoch, question,
+            std::min(until, m_time.now() + fetch_patience));
+        const auto* fetched =
+            answer ? std::get_if<fetched_message>(&answer->m_body) : nullptr;
+        if (fetched != nullptr && !fetched->m_chain.empty())
+            co_return fetched->m_chain;
+    }
+    co_return std::vector<turn_record>{};
+}
+
+task<bool> turn_client::complete_chain(id_key program, std::string parent,
+                                       std::uint32_t retention_ms,
                                        std::vector<turn_record>& chain,
                                        instant until)
 {
-    const auto* near = work->begun(work->m_chain_from);
-    if (near != nullptr)
-        chain = near->m_chain;
     // Newest first until the end, so that what is missing is appended.
     while (true)
     {
@@ -256,72 +378,47 @@
             chain.empty() ? parent : chain.back().m_parent;
         if (missing.empty())
             break;
-        bool grown = false;
-        const auto members = m_view.m_members;
-        for (const auto& row : members)
+        auto more =
+            co_await fetch_in_set(program, missing, retention_ms, until);
+        if (more.empty() && m_time.now() < until)
         {
-            if (row.m_state == member_state::joining ||
-                !m_links.connected(row.m_name))
-                continue;
-            // A local: GCC 12 destroys aggregate temporaries of an awaiting
-            // expression twice.
-            const frame_body question = fetch_message{missing};
-            const auto answer = co_await m_links.ask(
-                row.m_name, question,
-                std::min(until, m_time.now() + fetch_patience));
-            const auto* fetched =
-                answer ? std::get_if<fetched_message>(&answer->m_body)
-                       : nullptr;
-            if (fetched == nullptr || fetched->m_chain.empty())
-                continue;
-            chain.insert(chain.end(), fetched->m_chain.begin(),
-                         fetched->m_chain.end());
-            grown = true;
-            break;
+            // The line began in a program that another set keeps.
+            const auto* home = set_for(program);
+            const auto besides = home == nullptr ? 0 : home->m_view.m_set;
+            auto found = co_await search_elsewhere(missing, besides,
+                                                   retention_ms, until);
+            more = std::move(found.m_chain);
         }
-        if (!grown || m_time.now() >= until)
+        if (more.empty() || m_time.now() >= until)
             co_return false;
+        chain.insert(chain.end(), more.begin(), more.end());
     }
     std::reverse(chain.begin(), chain.end());
     co_return true;
 }
 
-task<begin_result> turn_client::begin(begin_request request, instant until)
+task<> turn_client::ask_quorum(std::shared_ptr<round> work, bool has_parent,
+                               instant until)
 {
-    begin_message question;
-    question.m_reservation = {request.m_program, request.m_attempt,
-                              request.m_tokens, false};
-    question.m_retention_ms = request.m_retention_ms;
-    question.m_parent = request.m_parent;
-    const auto work = std::make_shared<round>(m_io, question);
-    work->m_draw = request.m_attempt.m_low;
     const auto begun_at = m_time.now();
     work->m_ask_all_at = begun_at + quorum_patience;
-    begin_result result;
-    const bool has_parent = !request.m_parent.empty();
     std::optional<instant> quorum_at;
-    bool parent_found = !has_parent;
     while (m_time.now() < until && !cut_off_since(begun_at))
     {
         send_round(work);
         if (wrote_enough(*work) && read_enough(*work))
         {
+            if (!has_parent)
+                co_return;
             if (!quorum_at)
                 quorum_at = m_time.now();
-            for (const auto& [name, row] : work->m_rows)
-            {
-                const auto* begun = work->begun(name);
-                parent_found =
-                    parent_found || (begun != nullptr && begun->m_parent_found);
-            }
+            const bool found = work->parent_found();
             const bool chain_due = work->begun(work->m_chain_from) != nullptr ||
                                    m_time.now() >= *quorum_at + chain_patience;
-            if (parent_found && (!has_parent || chain_due))
-                break;
-            if (all_lack_parent(*work))
-                break;
+            if ((found && chain_due) || all_lack_parent(*work))
+                co_return;
             // Only every member together knows that a turn is not there.
-            if (!parent_found && m_time.now() < work->m_ask_all_at)
+            if (!found && m_time.now() < work->m_ask_all_at)
             {
                 work->m_ask_all_at = m_time.now();
                 continue;
@@ -333,6 +430,51 @@
                 : m_time.now() + retry_interval;
         co_await work->m_changed.wait_until(std::min(until, wake));
     }
+}
+
+task<turn_client::search_result>
+turn_client::find_chain(std::shared_ptr<round> work, begin_request request,
+                        instant until)
+{
+    search_result out;
+    if (work->parent_found())
+    {
+        const auto* near = work->begun(work->m_chain_from);
+        if (near != nullptr)
+            out.m_chain = near->m_chain;
+    }
+    else
+    {
+        if (!all_lack_parent(*work))
+            co_return out;
+        const auto* home = set_for(request.m_program);
+        const auto besides = home == nullptr ? 0 : home->m_view.m_set;
+        out = co_await search_elsewhere(request.m_parent, besides,
+                                        request.m_retention_ms, until);
+        if (out.m_chain.empty())
+            co_return out;
+    }
+    const bool whole =
+        co_await complete_chain(request.m_program, request.m_parent,
+                                request.m_retention_ms, out.m_chain, until);
+    if (!whole)
+        out.m_chain.clear();
+    co_return out;
+}
+
+task<begin_result> turn_client::begin(begin_request request, instant until)
+{
+    begin_message question;
+    question.m_reservation = {request.m_program, request.m_attempt,
+                              request.m_tokens, false};
+    question.m_retention_ms = request.m_retention_ms;
+    question.m_parent = request.m_parent;
+    const auto work =
+        std::make_shared<round>(m_io, request.m_program, question);
+    work->m_draw = request.m_attempt.m_low;
+    const bool has_parent = !request.m_parent.empty();
+    begin_result result;
+    co_await ask_quorum(work, has_parent, until);
     if (!wrote_enough(*work) || !read_enough(*work))
     {
         work->m_closed = true;
@@ -353,28 +495,30 @@
     const auto committed = committed_tokens(ledger, request.m_attempt);
     result.m_reason = "committed=" + std::to_string(committed) +
                       " budget=" + std::to_string(request.m_budget);
-    bool chain_whole = !has_parent;
-    if (has_parent && parent_found)
-        chain_whole = co_await complete_chain(work, request.m_parent,
-                                              result.m_chain, until);
+    search_result found;
+    if (has_parent)
+        found = co_await find_chain(work, request, until);
+    work->m_closed = true;
     if (!fits_budget(ledger, question.m_reservation, request.m_budget))
         result.m_outcome = begin_outcome::over_budget;
-    else if (chain_whole)
+    else if (!has_parent || !found.m_chain.empty())
         result.m_outcome = begin_outcome::granted;
-    else if (!parent_found && all_lack_parent(*work))
+    else if (found.m_nowhere)
         result.m_outcome = begin_outcome::no_such_turn;
     else
         result.m_reason = "the chain is not all within reach";
-    work->m_closed = true;
+    result.m_chain = std::move(found.m_chain);
     co_return result;
 }
 
 task<bool> turn_client::keep(log_entry entry, instant until)
 {
-    const auto id = std::get<turn_record>(entry.m_what).m_attempt.m_low;
-    const auto work =
-        std::make_shared<round>(m_io, append_message{std::move(entry)});
-    work->m_draw = id;
+    const auto& turn = std::get<turn_record>(entry.m_what);
+    const auto program = turn.m_program;
+    const auto draw = turn.m_attempt.m_low;
+    const auto work = std::make_shared<round>(m_io, program,
+                                              append_message{std::move(entry)});
+    work->m_draw = draw;
     const auto begun_at = m_time.now();
     work->m_ask_all_at = begun_at + quorum_patience;
     while (m_time.now() < until && !cut_off_since(begun_at))
@@ -395,13 +539,17 @@
 void turn_client::settle(const begin_request& request, std::uint32_t tokens,
                          const prompt_place& place)
 {
+    const auto* set = set_for(request.m_program);
+    if (set == nullptr)
+        return;
     const append_message body{{request.m_retention_ms,
                                reservation{request.m_program, request.m_attempt,
                                            tokens, true, place}}};
-    for (const auto& row : m_view.m_members)
+    for (const auto& row : set->m_view.m_members)
     {
         if (takes_writes(row.m_state))
-            m_links.call(row.m_name, body, [](const std::optional<frame>&) {});
+            m_links.call(row.m_name, set->m_view.m_epoch, body,
+                         [](const std::optional<frame>&) {});
     }
 }
 
--- a/src/turns/turn_server.cpp
+++ b/src/turns/turn_server.cpp
@@ -1,6 +1,9 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "pepperturn/turns/turn_server.hpp"
 
+#include "pepperturn/cluster/replica_sets.hpp"
+
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <glog/logging.h>
 
@@ -16,8 +19,7 @@
 std::string encode_state(const cluster_state& state)
 {
     constexpr std::size_t length_bytes = 4;
-    return encode_frame({0, state.m_view.m_epoch, frame_status::ok, state})
-        .substr(length_bytes);
+    return encode_frame({0, 0, frame_status::ok, state}).substr(length_bytes);
 }
 
 std::optional<cluster_state> decode_state(const std::string& bytes,
@@ -90,14 +92,27 @@
     from->m_link->start(
         [this, from](frame value) { take_frame(from, std::move(value)); },
         [this, from](const std::string&) { m_peers.erase(from); });
-    answer(from, 0, frame_status::ok, whole_of(m_state));
+}
+
+void turn_server::take_hello(const std::shared_ptr<peer>& from,
+                             const hello_message& hello)
+{
+    from->m_name = hello.m_name;
+    const bool wanted = std::exchange(from->m_wants_news, hello.m_wants_news);
+    if (from->m_wants_news && !wanted)
+        answer(from, 0, frame_status::ok, whole_of(m_state));
 }
 
 void turn_server::write_metrics(std::string& out) const
 {
     write_metric(out, "connected_vms", m_peers.size());
-    write_metric(out, "view_epoch", m_state.m_view.m_epoch);
-    write_metric(out, "view_members", m_state.m_view.m_members.size());
+    write_metric(out, "news_listeners",
+                 static_cast<std::uint64_t>(std::count_if(
+                     m_peers.begin(), m_peers.end(),
+                     [](const auto& row) { return row->m_wants_news; })));
+    write_metric(out, "replica_set", m_own_view.m_set);
+    write_metric(out, "view_epoch", m_own_view.m_epoch);
+    write_metric(out, "view_members", m_own_view.m_members.size());
     write_metric(out, "runners", count_runners(m_state));
     for (const auto& [status, count] : m_answered)
         write_metric(out, std::string("questions_") + to_string(status), count);
@@ -115,29 +130,40 @@
     if (!change.any())
         return;
     m_state_saved = false;
-    if (change.m_view)
+    const auto* home = find_home(m_state.m_views, m_name);
+    const auto own = home == nullptr ? cluster_view{} : *home;
+    if (own != m_own_view)
     {
-        // After a restart it must not act under an older view than before.
-        std::string reason;
-        if (!m_log.write_file(state_file, encode_state(m_state), reason))
-        {
-            m_disk_good = false;
-            LOG(ERROR) << "event=disk_failed reason=\"" << reason << '"';
-        }
+        m_own_view = own;
+        save_own_view();
     }
     LOG(INFO) << "event=state_taken config_revision="
               << m_state.m_config_revision
               << " runners_revision=" << m_state.m_runners_revision
               << " runners=" << count_runners(m_state)
               << " moved=" << change.m_runners.size()
-              << " epoch=" << m_state.m_view.m_epoch;
+              << " views_moved=" << change.m_views.size()
+              << " set=" << m_own_view.m_set << " epoch=" << m_own_view.m_epoch;
     const auto parts = parts_of(m_state, change);
     for (const auto& row : std::set(m_peers))
-        answer(row, 0, frame_status::ok, parts);
+    {
+        if (row->m_wants_news)
+            answer(row, 0, frame_status::ok, parts);
+    }
     if (m_on_change)
         m_on_change(change);
 }
 
+void turn_server::save_own_view()
+{
+    // After a restart it must not act under an older view than before.
+    std::string reason;
+    if (m_log.write_file(state_file, encode_state(m_state), reason))
+        return;
+    m_disk_good = false;
+    LOG(ERROR) << "event=disk_failed reason=\"" << reason << '"';
+}
+
 void turn_server::load_state()
 {
     const auto bytes = m_log.read_file(state_file);
@@ -165,17 +191,17 @@
     });
 }
 
-void turn_server::send_beat(milliseconds store_age)
+void turn_server::send_beat(milliseconds store_age, bool watches)
 {
     const auto age = static_cast<std::uint32_t>(store_age.count());
     for (const auto& row : std::set(m_peers))
-        answer(row, 0, frame_status::ok, beat_message{age});
+        answer(row, 0, frame_status::ok, beat_message{age, watches});
 }
 
 void turn_server::answer(const std::shared_ptr<peer>& from, std::uint64_t call,
                          frame_status status, frame_body body)
 {
-    from->m_link->send({call, m_state.m_view.m_epoch, status, std::move(body)});
+    from->m_link->send({call, m_own_view.m_epoch, status, std::move(body)});
 }
 
 frame_status turn_server::check(const frame& value) const
@@ -185,9 +211,9 @@
         begins || std::holds_alternative<append_message>(value.m_body);
     if (!m_disk)
         return frame_status::failed;
-    if (value.m_epoch != m_state.m_view.m_epoch)
+    if (value.m_epoch != m_own_view.m_epoch)
         return frame_status::stale;
-    const auto* self = find_member(m_state.m_view, m_name);
+    const auto* self = find_member(m_own_view, m_name);
     if (self == nullptr || self->m_disk != m_disk)
         return frame_status::not_member;
     // A leaving member tells what it holds, and keeps nothing new.
@@ -203,7 +229,7 @@
 {
     if (const auto* hello = std::get_if<hello_message>(&value.m_body))
     {
-        from->m_name = hello->m_name;
+        take_hello(from, *hello);
         return;
     }
     if (const auto* news = std::get_if<cluster_state>(&value.m_body))
@@ -226,10 +252,9 @@
     ++m_answered[status];
     if (status != frame_status::ok)
     {
-        if (status == frame_status::stale &&
-            value.m_epoch < m_state.m_view.m_epoch)
+        if (status == frame_status::stale && value.m_epoch < m_own_view.m_epoch)
             answer(from, 0, frame_status::ok,
-                   parts_of(m_state, {.m_view = true}));
+                   parts_of(m_state, {.m_views = {m_own_view.m_set}}));
         answer(from, value.m_call, status, appended_message{});
         return;
     }
@@ -242,15 +267,16 @@
     }
     else if (const auto* fetch = std::get_if<fetch_message>(&value.m_body))
         answer(from, value.m_call, frame_status::ok,
-               fetched_message{m_store.chain(fetch->m_turn, milliseconds(0),
-                                             m_time.now())});
+               fetched_message{m_store.chain(
+                   fetch->m_turn, milliseconds(fetch->m_retention_ms),
+                   m_time.now())});
     else if (const auto* list = std::get_if<list_message>(&value.m_body))
         answer_list(from, value.m_call, *list);
     else if (const auto* read = std::get_if<read_message>(&value.m_body))
         answer_read(from, value.m_call, *read);
     else if (std::holds_alternative<copied_message>(value.m_body))
     {
-        m_copied_at[from->m_name] = m_state.m_view.m_epoch;
+        m_copied_at[from->m_name] = m_own_view.m_epoch;
         answer(from, value.m_call, frame_status::ok, appended_message{});
     }
 }
@@ -260,7 +286,7 @@
                                const begin_message& question)
 {
     const auto now = m_time.now();
-    const auto* self = find_member(m_state.m_view, m_name);
+    const auto* self = find_member(m_own_view, m_name);
     if (self != nullptr && takes_writes(self->m_state))
         m_store.append({question.m_retention_ms, question.m_reservation}, now);
     begun_message body;
@@ -278,11 +304,10 @@
     // Taken under the current epoch: whatever was acknowledged before it is
     // in, and what comes later reaches a quorum of this view by itself.
     auto held = m_holdings.lock();
-    if (held && held->m_epoch == m_state.m_view.m_epoch)
+    if (held && held->m_epoch == m_own_view.m_epoch)
         return held;
-    held = std::make_shared<const holdings>(
-        holdings{m_state.m_view.m_epoch, m_store.list_turns(),
-                 m_store.list_reservations()});
+    held = std::make_shared<const holdings>(holdings{
+        m_own_view.m_epoch, m_store.list_turns(), m_store.list_reservations()});
     m_holdings = held;
     return held;
 }
@@ -290,7 +315,7 @@
 void turn_server::answer_list(const std::shared_ptr<peer>& from,
                               std::uint64_t call, const list_message& question)
 {
-    if (question.m_gathered && m_gathered_at != m_state.m_view.m_epoch)
+    if (question.m_gathered && m_gathered_at != m_own_view.m_epoch)
     {
         answer(from, call, frame_status::failed, listed_message{});
         return;
@@ -391,8 +416,7 @@
 void turn_server::answer_when_synced(const std::shared_ptr<peer>& from,
                                      std::uint64_t call, frame_body body)
 {
-    frame value{call, m_state.m_view.m_epoch, frame_status::ok,
-                std::move(body)};
+    frame value{call, m_own_view.m_epoch, frame_status::ok, std::move(body)};
     if (m_log.has_pending())
         m_queued_answers.push_back({from->m_link, std::move(value)});
     else if (m_writing)
--- a/test/cluster/test_membership.cpp
+++ b/test/cluster/test_membership.cpp
@@ -74,6 +74,10 @@
     gathered.m_caught_up_at = epoch;
     auto retire_beside_silent = retire;
     retire_beside_silent.m_silent = {"b"};
+    auto cut_off = facts_of("b");
+    cut_off.m_unheard = {"a", "c"};
+    auto hears_one = facts_of("b");
+    hears_one.m_unheard = {"a"};
     auto joins_beside_silent = facts_of("e");
     joins_beside_silent.m_silent = {"d"};
 
@@ -131,6 +135,12 @@
          "-"},
         {"a lost one that is back copies like a new one",
          view_of({row("a", full), row("b", lost)}), facts_of("b"), "aFbJ"},
+        {"not while it hears nobody",
+         view_of({row("a", full), row("b", lost), row("c", full)}), cut_off,
+         "-"},
+        {"one to copy from is enough",
+         view_of({row("a", full), row("b", lost), row("c", full)}), hears_one,
+         "aFbJcF"},
         {"a joining one becomes full before it retires",
          view_of({row("a", full), row("b", full), row("c", joining)}),
          retire_caught_up, "aFbFcF"},
@@ -207,7 +217,9 @@
 TEST_CASE("whom to copy from", "[membership]")
 {
     auto new_one = row("j", joining);
-    new_one.m_is_new = true;
+    new_one.m_intact = true;
+    auto returned = row("r", joining);
+    returned.m_intact = true;
     struct sample
     {
         std::string m_what;
@@ -241,6 +253,18 @@
                   row("d", lost)}),
          "a",
          {{"b", "c"}, {}, 0, false}},
+        {"two joined side by side, one with its disk, and one full is left",
+         view_of({row("a", full), returned, row("j", joining)}),
+         "r",
+         {{}, {"a"}, 1, false}},
+        {"the emptied one of them copies from both",
+         view_of({row("a", full), returned, row("j", joining)}),
+         "j",
+         {{"a", "r"}, {}, 0, false}},
+        {"two emptied disks are more than are borne",
+         view_of({row("a", full), row("b", joining), row("j", joining)}),
+         "j",
+         {{}, {"a"}, 2, false}},
         {"the others take it from there",
          view_of({row("a", full), row("b", full), row("d", lost)}),
          "b",
--- /dev/null
+++ b/test/cluster/test_news_sources.cpp
@@ -0,0 +1,120 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/cluster/news_sources.hpp"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+
+namespace {
+
+using namespace pepperturn;
+
+/// VMs of some zones, as many in each.
+std::vector<member> some_members(int zones, int in_zone)
+{
+    std::vector<member> out;
+    for (int zone = 0; zone < zones; ++zone)
+    {
+        for (int i = 0; i < in_zone; ++i)
+        {
+            const auto name = std::string(1, static_cast<char>('a' + zone));
+            out.push_back({name + std::to_string(i), "1.2.3.4:5", name, 1,
+                           member_state::full});
+        }
+    }
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("the first to watch are of different zones", "[news_sources]")
+{
+    auto members = some_members(5, 7);
+    const auto order = watch_order(members);
+    REQUIRE(order.size() == members.size());
+    std::set<char> zones;
+    for (std::size_t i = 0; i < 5; ++i)
+        zones.insert(order[i].front());
+    CHECK(zones.size() == 5);
+    // Whatever order they are told in.
+    std::reverse(members.begin(), members.end());
+    CHECK(watch_order(members) == order);
+}
+
+TEST_CASE("a lost VM does not watch, and the others keep their order",
+          "[news_sources]")
+{
+    auto members = some_members(1, 6);
+    auto expected = watch_order(members);
+    const auto gone = expected[1];
+    std::erase(expected, gone);
+    for (auto& row : members)
+    {
+        if (row.m_name == gone)
+            row.m_state = member_state::lost;
+    }
+    CHECK(watch_order(members) == expected);
+}
+
+TEST_CASE("who watches the store", "[news_sources]")
+{
+    struct row
+    {
+        const char* m_what;
+        watch_facts m_facts;
+        bool m_expected;
+    };
+    const auto each = GENERATE(values<row>({
+        {"the first", {0, 0, milliseconds(0)}, true},
+        {"the last of the watchers", {2, 2, milliseconds(0)}, true},
+        {"the next one, while enough watch", {3, 2, milliseconds(9000)}, false},
+        {"the next one, at once", {3, 1, milliseconds(0)}, false},
+        {"the next one, a little later", {3, 1, milliseconds(700)}, true},
+        {"one further back gives it time", {4, 1, milliseconds(700)}, false},
+        {"and then does it too", {4, 1, milliseconds(1400)}, true},
+        {"far back, soon", {30, 0, milliseconds(2700)}, false},
+        {"far back, after all", {30, 0, milliseconds(2800)}, true},
+        {"outside all sets", {std::nullopt, 2, milliseconds(0)}, false},
+        {"outside all sets, nobody watches",
+         {std::nullopt, 0, milliseconds(2800)},
+         true},
+    }));
+    INFO(each.m_what);
+    CHECK(should_watch(each.m_facts) == each.m_expected);
+}
+
+TEST_CASE("the world is heard from near VMs, each VM's own choice",
+          "[news_sources]")
+{
+    const auto members = some_members(5, 7);
+    const auto all = [](const std::string&) { return true; };
+    std::map<std::string, int> chosen;
+    constexpr int listeners = 52;
+    for (int i = 0; i < listeners; ++i)
+    {
+        const auto sources =
+            choose_sources(members, "edge-" + std::to_string(i), "c", all);
+        REQUIRE(sources.size() == source_count);
+        for (const auto& name : sources)
+        {
+            CHECK(name.front() == 'c');
+            ++chosen[name];
+        }
+    }
+    CHECK(chosen.size() == 7);
+    for (const auto& [name, count] : chosen)
+        CHECK(count < listeners);
+}
+
+TEST_CASE("far VMs stand in for near ones that are away", "[news_sources]")
+{
+    const auto members = some_members(2, 2);
+    const auto sources =
+        choose_sources(members, "edge", "a",
+                       [](const std::string& name) { return name != "a1"; });
+    REQUIRE(sources.size() == 3);
+    CHECK(sources[0] == "a0");
+    CHECK(sources[1].front() == 'b');
+    CHECK(sources[2].front() == 'b');
+}
--- a/test/cluster/test_state.cpp
+++ b/test/cluster/test_state.cpp
@@ -185,7 +185,7 @@
     REQUIRE(parts.m_runners.size() == 1);
     CHECK(parts.m_runners.front() == runner_entry{"r-7", "new", 2});
     CHECK(parts.m_config_revision == 0);
-    CHECK(parts.m_view.m_epoch == 0);
+    CHECK(parts.m_views.empty());
 }
 
 TEST_CASE("a large configuration is announced, a small one told", "[state]")
--- a/test/cluster/test_view.cpp
+++ b/test/cluster/test_view.cpp
@@ -215,14 +215,14 @@
     CHECK(find_member(view, "a")->m_state == full);
     view = with_joining(view, row("b", full));
     CHECK(find_member(view, "b")->m_state == joining);
-    CHECK(find_member(view, "b")->m_is_new);
+    CHECK(find_member(view, "b")->m_intact);
     auto wiped = row("a", full);
     wiped.m_disk = 8;
     view = with_joining(view, wiped);
     CHECK(view.m_members.size() == 2);
     CHECK(find_member(view, "a")->m_state == joining);
     CHECK(find_member(view, "a")->m_disk == 8);
-    CHECK_FALSE(find_member(view, "a")->m_is_new);
+    CHECK_FALSE(find_member(view, "a")->m_intact);
     view = with_state(view, "b", full);
-    CHECK_FALSE(find_member(view, "b")->m_is_new);
+    CHECK_FALSE(find_member(view, "b")->m_intact);
 }
--- a/test/cluster/test_view_histories.cpp
+++ b/test/cluster/test_view_histories.cpp
@@ -20,6 +20,10 @@
 {
     std::uint64_t m_disk = 0;
     bool m_alive = true;
+    /// It hears the platform's store, and no other VM hears it.
+    bool m_cut = false;
+    /// Its disk was emptied, and it has not its copies yet.
+    bool m_wiped = false;
     bool m_retire = false;
     /// Long enough for the others to act on it.
     bool m_silent_long = false;
@@ -69,8 +73,14 @@
         }
         for (const auto& row : m_view.m_members)
         {
-            if (m_vms.at(row.m_name).m_silent_long)
+            const auto& other = m_vms.at(row.m_name);
+            if (row.m_name == name)
+                continue;
+            // Whoever hears nobody takes nobody for silent.
+            if (other.m_silent_long && !vm.m_cut)
                 facts.m_silent.insert(row.m_name);
+            if (vm.m_cut || other.m_cut || !other.m_alive)
+                facts.m_unheard.insert(row.m_name);
         }
         auto next = wanted_view(m_view, facts);
         if (!next)
@@ -94,7 +104,7 @@
         };
         auto& from = m_vms.at(source);
         if ((in(plan.m_required) || in(plan.m_any)) && from.m_alive &&
-            is_member(source) &&
+            !from.m_cut && !vm.m_cut && is_member(source) &&
             (!plan.m_gathered || from.m_gathered_at == epoch))
         {
             vm.m_held.insert(from.m_held.begin(), from.m_held.end());
@@ -147,7 +157,7 @@
             const bool whole = row != nullptr && is_member(name) &&
                                row->m_state == member_state::full;
             const bool leaves = row == nullptr && vm.m_retire;
-            if (!vm.m_alive || (!whole && !leaves))
+            if (!vm.m_alive || vm.m_cut || (!whole && !leaves))
                 ++count;
         }
         // A removed VM counts until it is out of the view.
@@ -159,7 +169,7 @@
     void kill(const std::string& name, bool wipe, bool for_good)
     {
         auto& vm = m_vms.at(name);
-        if (m_gone.contains(name) || losses() >= m_disk_losses)
+        if (m_gone.contains(name) || !may_be_lost(wipe || for_good))
             return;
         vm.m_alive = false;
         vm.m_silent_long = false;
@@ -171,16 +181,29 @@
             add();
         }
     }
+    void cut(const std::string& name)
+    {
+        if (!m_gone.contains(name) && may_be_lost(false))
+            m_vms.at(name).m_cut = true;
+    }
+    /// From now on more may be away at once than are borne, as long as no more
+    /// disks are lost.
+    void allow_overlaps()
+    {
+        m_overlaps = true;
+    }
     void revive(const std::string& name)
     {
         if (m_gone.contains(name))
             return;
         m_vms.at(name).m_alive = true;
+        m_vms.at(name).m_cut = false;
         m_vms.at(name).m_silent_long = false;
     }
     void grow_silent(const std::string& name)
     {
-        m_vms.at(name).m_silent_long = !m_vms.at(name).m_alive;
+        auto& vm = m_vms.at(name);
+        vm.m_silent_long = !vm.m_alive || vm.m_cut;
     }
     void retire(const std::string& name)
     {
@@ -270,7 +293,7 @@
         {
             out += row.m_name;
             out += test::letter_of(row.m_state);
-            out += row.m_is_new ? "n" : "";
+            out += row.m_intact ? "n" : "";
             out += answers(row) ? " " : "! ";
         }
         return out;
@@ -290,7 +313,32 @@
     }
     [[nodiscard]] bool answers(const member& row) const
     {
-        return m_vms.at(row.m_name).m_alive && is_member(row.m_name);
+        const auto& vm = m_vms.at(row.m_name);
+        return vm.m_alive && !vm.m_cut && is_member(row.m_name);
+    }
+    /// Disks whose copies are not made up for yet.
+    [[nodiscard]] std::uint32_t lost_disks() const
+    {
+        std::uint32_t count = 0;
+        for (const auto& [name, vm] : m_vms)
+        {
+            if (m_gone.contains(name))
+                count += find_member(m_view, name) != nullptr ? 1 : 0;
+            else if (vm.m_wiped)
+            {
+                const auto* row = find_member(m_view, name);
+                const bool whole = row != nullptr && is_member(name) &&
+                                   row->m_state == member_state::full;
+                count += whole ? 0 : 1;
+            }
+        }
+        return count;
+    }
+    [[nodiscard]] bool may_be_lost(bool with_disk) const
+    {
+        if (!m_overlaps)
+            return losses() < m_disk_losses;
+        return !with_disk || lost_disks() < m_disk_losses;
     }
     [[nodiscard]] bool
     sees_all(const std::vector<const std::set<int>*>& readers,
@@ -309,6 +357,7 @@
     void wipe_disk(storage_vm& vm)
     {
         vm.m_disk = ++m_last_disk;
+        vm.m_wiped = true;
         vm.m_held.clear();
         vm.m_caught_up_at = 0;
         vm.m_gathered_at = 0;
@@ -324,14 +373,22 @@
     std::set<int> m_acknowledged;
     std::uint64_t m_last_disk = 0;
     int m_next_write = 0;
+    bool m_overlaps = false;
 };
 
 void play_step(fleet& world, std::size_t most_retiring)
 {
     const auto names = world.names();
     const auto name = *rc::gen::elementOf(names);
-    switch (*rc::gen::weightedElement<int>(
-        {{6, 0}, {6, 1}, {6, 2}, {2, 3}, {2, 4}, {3, 5}, {1, 6}, {1, 7}}))
+    switch (*rc::gen::weightedElement<int>({{6, 0},
+                                            {6, 1},
+                                            {6, 2},
+                                            {2, 3},
+                                            {2, 4},
+                                            {3, 5},
+                                            {1, 6},
+                                            {1, 7},
+                                            {1, 8}}))
     {
     case 0:
         world.write(*rc::gen::arbitrary<std::uint32_t>());
@@ -359,6 +416,9 @@
         if (names.size() < 9)
             world.kill(name, *rc::gen::arbitrary<bool>(), true);
         break;
+    case 8:
+        world.cut(name);
+        break;
     }
 }
 
@@ -393,6 +453,36 @@
     }));
 }
 
+TEST_CASE("no history of losses that overlap stands still once they are over",
+          "[membership][property]")
+{
+    const auto losses = GENERATE(1U, 2U);
+    // Fewer members keep no majority through as many losses.
+    const auto size = GENERATE(3U, 4U, 5U, 6U);
+    if (size < 2 * losses + 1)
+        return;
+    INFO("losses " << losses << " size " << size);
+    CHECK(rc::check("views", [&] {
+        fleet world(size, losses);
+        world.allow_overlaps();
+        const auto steps = *rc::gen::inRange(0, 120);
+        for (int i = 0; i < steps; ++i)
+        {
+            play_step(world, 0);
+            if (!world.sees_all())
+                RC_FAIL(world.trace());
+        }
+        for (const auto& name : world.names())
+            world.revive(name);
+        for (const auto& name : world.names())
+            world.grow_silent(name);
+        world.settle();
+        if (!world.serves())
+            RC_FAIL("stands still: " + world.trace());
+        RC_ASSERT(world.sees_all());
+    }));
+}
+
 TEST_CASE("a VM that is emptied, another that is replaced: turns go on",
           "[membership]")
 {
--- /dev/null
+++ b/test/fleet/test_replica_sets.cpp
@@ -0,0 +1,206 @@
+// SPDX-License-Identifier: BSL-1.0
+// Storage VMs in several replica sets, as real nodes on loopback.
+#include "support/fleet/storage_world.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+using namespace pepperturn;
+using namespace pepperturn::test;
+
+constexpr int vm_count = 6;
+
+std::string vm_name(int number)
+{
+    return "vm-" + std::to_string(number);
+}
+
+/// Six VMs that may lose one disk: two sets of three.
+class two_sets : public storage_world
+{
+public:
+    two_sets()
+    {
+        for (int i = 0; i < vm_count; ++i)
+            add(vm_name(i));
+        REQUIRE(wait_for("vm-0Fvm-1Fvm-2Fvm-3Fvm-4Fvm-5F"));
+        REQUIRE(run_until(m_io, [&] {
+            for (int i = 0; i < vm_count; ++i)
+            {
+                if (!m_links.connected(vm_name(i)))
+                    return false;
+            }
+            return true;
+        }));
+        REQUIRE(m_state.m_views.size() == 2);
+    }
+
+    /// The name of a program that the set keeps.
+    static std::string program_in(std::uint32_t set)
+    {
+        for (int i = 0;; ++i)
+        {
+            auto name = "p" + std::to_string(i);
+            if (set_of(key_of(name).m_low, 2) == set)
+                return name;
+        }
+    }
+    begin_result begin_in(const std::string& program, const std::string& id,
+                          const std::string& parent)
+    {
+        auto what = request(id, parent);
+        what.m_program = key_of(program);
+        return begin(what, milliseconds(1500));
+    }
+    bool keep_in(const std::string& program, const std::string& id,
+                 const std::string& parent)
+    {
+        const log_entry entry{retention_ms,
+                              turn_record{id, parent, "in-" + id + ';',
+                                          "out-" + id + ';', "run",
+                                          key_of(program), key_of(id), 30}};
+        return run_task(m_io,
+                        m_client.keep(entry, m_time.now() + usual_patience))
+            .value_or(false);
+    }
+    /// Of the VMs in a set, those that hold the turn.
+    std::size_t holders(std::uint32_t set, const std::string& turn)
+    {
+        std::size_t count = 0;
+        const auto view = m_state.m_views[set];
+        for (const auto& row : view.m_members)
+        {
+            const auto answer = run_task(
+                m_io, m_links.ask(row.m_name, view.m_epoch, fetch_message{turn},
+                                  m_time.now() + usual_patience));
+            REQUIRE(answer.has_value());
+            REQUIRE(answer->has_value());
+            const auto* fetched =
+                std::get_if<fetched_message>(&(*answer)->m_body);
+            count += fetched != nullptr && !fetched->m_chain.empty() ? 1 : 0;
+        }
+        return count;
+    }
+    [[nodiscard]] int watchers() const
+    {
+        int count = 0;
+        for (const auto& [name, vm] : m_vms)
+            count += vm->m_source.running() ? 1 : 0;
+        return count;
+    }
+    void tick_all()
+    {
+        for (const auto& [name, vm] : m_vms)
+            vm->m_node->tick();
+    }
+    /// Ticks as the daemon does until \p done.
+    bool tick_until(const std::function<bool()>& done, milliseconds limit)
+    {
+        auto next = std::chrono::steady_clock::now();
+        return run_until(
+            m_io,
+            [&] {
+                const auto now = std::chrono::steady_clock::now();
+                if (now >= next)
+                {
+                    constexpr milliseconds tick{100};
+                    next = now + tick;
+                    tick_all();
+                }
+                return done();
+            },
+            limit);
+    }
+};
+
+} // namespace
+
+TEST_CASE("a turn is kept by its program's set only", "[fleet][replica_sets]")
+{
+    two_sets fleet;
+    for (std::uint32_t set = 0; set < 2; ++set)
+    {
+        const auto program = two_sets::program_in(set);
+        const auto id = "t" + std::to_string(set);
+        CHECK(fleet.begin_in(program, id, "").m_outcome ==
+              begin_outcome::granted);
+        REQUIRE(fleet.keep_in(program, id, ""));
+        CHECK(fleet.holders(set, id) >= 2);
+        CHECK(fleet.holders(1 - set, id) == 0);
+    }
+}
+
+TEST_CASE("a program goes on from a turn that another set keeps",
+          "[fleet][replica_sets]")
+{
+    // After a final fault new programs go on from turns of earlier ones.
+    two_sets fleet;
+    const auto earlier = two_sets::program_in(0);
+    const auto later = two_sets::program_in(1);
+    REQUIRE(fleet.keep_in(earlier, "a", ""));
+    REQUIRE(fleet.keep_in(earlier, "b", "a"));
+    const auto first = fleet.begin_in(later, "c", "b");
+    CHECK(first.m_outcome == begin_outcome::granted);
+    CHECK(storage_world::text_of(first) == "in-a;out-a;in-b;out-b;");
+    REQUIRE(fleet.keep_in(later, "c", "b"));
+    // Now a part of the chain lies in each set.
+    const auto second = fleet.begin_in(later, "d", "c");
+    CHECK(second.m_outcome == begin_outcome::granted);
+    CHECK(storage_world::text_of(second) ==
+          "in-a;out-a;in-b;out-b;in-c;out-c;");
+}
+
+TEST_CASE("a turn is not there only if no set has it", "[fleet][replica_sets]")
+{
+    two_sets fleet;
+    const auto program = two_sets::program_in(0);
+    CHECK(fleet.begin_in(program, "a", "none").m_outcome ==
+          begin_outcome::no_such_turn);
+    // Some VM that could have it does not answer: nobody knows.
+    const auto away = fleet.m_state.m_views[1].m_members.front().m_name;
+    fleet.lose(away);
+    CHECK(fleet.begin_in(program, "b", "none").m_outcome ==
+          begin_outcome::unavailable);
+}
+
+TEST_CASE("one set goes on while the other one is away",
+          "[fleet][replica_sets]")
+{
+    two_sets fleet;
+    const auto view = fleet.m_state.m_views[1];
+    for (const auto& row : view.m_members)
+        fleet.lose(row.m_name);
+    CHECK(fleet.begin_in(two_sets::program_in(0), "a", "").m_outcome ==
+          begin_outcome::granted);
+    CHECK(fleet.begin_in(two_sets::program_in(1), "b", "").m_outcome ==
+          begin_outcome::unavailable);
+}
+
+TEST_CASE("a few VMs watch the store, and others when these are gone",
+          "[fleet][replica_sets]")
+{
+    two_sets fleet;
+    REQUIRE(fleet.tick_until([&] { return fleet.watchers() == watcher_count; },
+                             milliseconds(8000)));
+    // News reach those that do not watch.
+    fleet.m_store.put("op/retire/vm-9", "{}");
+    const auto everyone_knows = [&] {
+        for (const auto& [name, vm] : fleet.m_vms)
+        {
+            if (!is_retired(vm->m_node->state(), "vm-9"))
+                return false;
+        }
+        return true;
+    };
+    CHECK(fleet.tick_until(everyone_knows, milliseconds(5000)));
+    const auto order = watch_order(members_of(fleet.m_state.m_views));
+    for (std::size_t i = 0; i < watcher_count; ++i)
+    {
+        fleet.lose(order[i]);
+        fleet.m_stopped.push_back(std::move(fleet.m_vms[order[i]]));
+        fleet.m_vms.erase(order[i]);
+    }
+    CHECK(fleet.tick_until([&] { return fleet.watchers() >= 2; },
+                           milliseconds(12000)));
+}
--- a/test/fleet/test_storage_vms.cpp
+++ b/test/fleet/test_storage_vms.cpp
@@ -141,7 +141,8 @@
     bool done = false;
     std::size_t turns = 0;
     fleet.m_links.call(
-        "vm-3", fetch_message{"t39"}, [&](const std::optional<frame>& answer) {
+        "vm-3", fleet.m_state.m_views.front().m_epoch, fetch_message{"t39"},
+        [&](const std::optional<frame>& answer) {
             done = true;
             if (!answer)
                 return;
@@ -176,9 +177,9 @@
         merge_state(heard, news);
     });
     newcomer.seek({"127.0.0.1:" + std::to_string(fleet.m_vms["vm-0"]->m_port)});
-    REQUIRE(run_until(fleet.m_io, [&] { return heard.m_view.m_epoch > 0; }));
+    REQUIRE(run_until(fleet.m_io, [&] { return !heard.m_views.empty(); }));
     CHECK(heard.m_config == R"({"version":4})");
-    CHECK(heard.m_view.m_members.size() == 3);
+    CHECK(heard.m_views.front().m_members.size() == 3);
     REQUIRE(heard.m_runners.size() == 1);
     CHECK(heard.m_runners.front().m_name == "i-1");
 }
@@ -196,22 +197,22 @@
     cluster_state known;
     known.m_config_revision = 3;
     known.m_config = "three";
-    known.m_view = {5,
-                    {{"vm-9", "127.0.0.1:" + std::to_string(port), "z", 7,
-                      member_state::full}}};
+    known.m_views = {{5,
+                      {{"vm-9", "127.0.0.1:" + std::to_string(port), "z", 7,
+                        member_state::full}}}};
     server.take_state(known);
     member_links newcomer(fleet.m_io, fleet.m_time, "edge-2");
     cluster_state heard;
     newcomer.on_state([&](const std::string&, const cluster_state& news) {
-        if (merge_state(heard, news).m_view)
-            newcomer.follow(heard.m_view);
+        if (!merge_state(heard, news).m_views.empty())
+            newcomer.follow(members_of(heard.m_views));
     });
     newcomer.seek({"127.0.0.1:" + std::to_string(port)});
     REQUIRE(run_until(fleet.m_io, [&] { return newcomer.connected("vm-9"); }));
     CHECK(heard.m_config == "three");
     const auto ask = [&] {
         const auto answer = run_task(
-            fleet.m_io, newcomer.ask("vm-9", fetch_message{"a"},
+            fleet.m_io, newcomer.ask("vm-9", 5, fetch_message{"a"},
                                      fleet.m_time.now() + usual_patience));
         REQUIRE(answer.has_value());
         REQUIRE(answer->has_value());
--- a/test/fleet/test_turns.cpp
+++ b/test/fleet/test_turns.cpp
@@ -101,7 +101,8 @@
     for (const char* name : {"vm-1", "vm-2"})
     {
         bool done = false;
-        fleet.m_links.call(name, append_message{middle},
+        fleet.m_links.call(name, fleet.m_state.m_views.front().m_epoch,
+                           append_message{middle},
                            [&](const std::optional<frame>&) { done = true; });
         REQUIRE(run_until(fleet.m_io, [&] { return done; }));
     }
--- a/test/platform/test_cluster_source.cpp
+++ b/test/platform/test_cluster_source.cpp
@@ -69,7 +69,7 @@
     REQUIRE(world.wait_for_runner("i-4", entry("ready", 1)));
     CHECK(world.m_state.m_runners.size() == 5);
     CHECK(world.m_state.m_config == R"({"version":1})");
-    CHECK(world.m_source.retire_asked("vm-9"));
+    CHECK(is_retired(world.m_state, "vm-9"));
     world.m_store.put("servers/i-5", entry("ready", 1));
     CHECK(world.wait_for_runner("i-5", entry("ready", 1)));
     world.m_store.put("op/config", R"({"version":2})");
@@ -164,16 +164,16 @@
     const auto lost = run_task(world.m_io, world.m_source.swap_view(next, 0));
     REQUIRE(lost.has_value());
     CHECK(lost->m_outcome == swap_outcome::failed);
-    REQUIRE(run_until(world.m_io,
-                      [&] { return !world.m_state.m_view.m_members.empty(); }));
-    CHECK(world.m_state.m_view.m_members == next.m_members);
+    REQUIRE(
+        run_until(world.m_io, [&] { return !world.m_state.m_views.empty(); }));
+    CHECK(world.m_state.m_views.front().m_members == next.m_members);
     const auto again = run_task(world.m_io, world.m_source.swap_view(next, 0));
     REQUIRE(again.has_value());
     CHECK(again->m_outcome == swap_outcome::conflict);
-    const auto newer =
-        run_task(world.m_io,
-                 world.m_source.swap_view(next, world.m_state.m_view.m_epoch));
+    const auto newer = run_task(
+        world.m_io,
+        world.m_source.swap_view(next, world.m_state.m_views.front().m_epoch));
     REQUIRE(newer.has_value());
     CHECK(newer->m_outcome == swap_outcome::written);
-    CHECK(newer->m_epoch > world.m_state.m_view.m_epoch);
+    CHECK(newer->m_epoch > world.m_state.m_views.front().m_epoch);
 }
--- a/test/platform/test_decode.cpp
+++ b/test/platform/test_decode.cpp
@@ -90,13 +90,22 @@
     const cluster_view view{
         12,
         {{"a", "1.2.3.4:5", "z", UINT64_MAX >> 1U, member_state::full},
-         {"b", "1.2.3.5:5", "y", 2, member_state::leaving}}};
+         {"b", "1.2.3.5:5", "y", 2, member_state::leaving}},
+        2,
+        7};
     std::string reason;
     const auto back = decode_view(encode_view(view), 12, reason);
     REQUIRE(back.has_value());
     CHECK(*back == view);
     CHECK_FALSE(decode_view("{}", 1, reason));
-    CHECK_FALSE(decode_view(R"({"members":[{"name":"a"}]})", 1, reason));
+    const char* refused =
+        GENERATE(R"({"set":0,"sets":1,"members":[{"name":"a"}]})",
+                 R"({"members":[]})", R"({"set":2,"sets":2,"members":[]})",
+                 R"({"set":-1,"sets":2,"members":[]})",
+                 R"({"set":0,"sets":1,"members":[{"name":"a","address":"b",
+                     "availability_zone":"c","disk":1,"state":9}]})");
+    INFO(refused);
+    CHECK_FALSE(decode_view(refused, 1, reason));
 }
 
 TEST_CASE("random texts are refused, not believed", "[platform][fuzz]")
@@ -106,6 +115,7 @@
         (void)decode_config(text, reason);
         (void)decode_runner("i", text, reason);
         (void)decode_view(text, 1, reason);
+        (void)decode_announcement(text, reason);
         (void)runner_sequence(text);
     }));
 }
--- a/test/support/fleet/storage_world.hpp
+++ b/test/support/fleet/storage_world.hpp
@@ -67,10 +67,10 @@
         m_folder = make_scratch_folder("fleet");
         REQUIRE_FALSE(m_folder.empty());
         m_edge_source.on_state([this](const cluster_state& news) {
-            if (merge_state(m_state, news).m_view)
+            if (!merge_state(m_state, news).m_views.empty())
             {
-                m_links.follow(m_state.m_view);
-                m_client.follow(m_state.m_view);
+                m_links.follow(members_of(m_state.m_views));
+                m_client.follow(m_state.m_views);
             }
         });
         m_edge_source.start();
@@ -92,7 +92,7 @@
     [[nodiscard]] std::string states() const
     {
         std::map<std::string, member_state> sorted;
-        for (const auto& row : m_state.m_view.m_members)
+        for (const auto& row : members_of(m_state.m_views))
             sorted[row.m_name] = row.m_state;
         std::string out;
         for (const auto& [name, state] : sorted)
--- a/test/turns/test_messages.cpp
+++ b/test/turns/test_messages.cpp
@@ -25,14 +25,20 @@
     state.m_config = "{}";
     state.m_runners_revision = 512;
     state.m_runners = {{"r-1", "text", 500, false}, {"r-2", "", 510, true}};
-    state.m_view = {4,
-                    {{"a", "1.2.3.4:5", "z", 9, member_state::leaving},
-                     {"b", "1.2.3.4:6", "z", 8, member_state::lost},
-                     {"c", "1.2.3.4:7", "y", 7, member_state::joining, true}}};
+    state.m_views = {
+        {4,
+         {{"a", "1.2.3.4:5", "z", 9, member_state::leaving},
+          {"b", "1.2.3.4:6", "z", 8, member_state::lost},
+          {"c", "1.2.3.4:7", "y", 7, member_state::joining, true}},
+         0,
+         2},
+        {9, {{"d", "1.2.3.4:8", "z", 6, member_state::full}}, 1, 2}};
+    state.m_retirements = {{"a", 11, false}, {"d", 12, true}};
     const std::vector<frame_body> bodies{
-        hello_message{"vm-1"},
+        hello_message{"vm-1", false},
         state,
-        beat_message{77},
+        beat_message{77, true},
+        beat_message{78, false},
         begin_message{held, 60000, "parent", true},
         begun_message{{held}, true, {some_turn("a"), some_turn("b")}},
         append_message{{60000, some_turn("a")}},
