--- a/src/forward/proxy.cpp
+++ b/src/forward/proxy.cpp
@@ -291,7 +291,7 @@
     {
         // Cut off from all of them: the next VM that is tried may not be.
         work->m_keep_alive = false;
-        co_return refuse(*work, "no storage VM is heard", come_back_soon);
+        co_return refuse(*work, "no storage VM is heard", come_back_cut_off);
     }
     work->m_reserved = true;
     auto result = co_await m_turns.begin(
--- a/test/fleet/test_proxy.cpp
+++ b/test/fleet/test_proxy.cpp
@@ -337,6 +337,24 @@
     CHECK(has(got, "Retry-After: "));
 }
 
+TEST_CASE("a VM that hears no storage VM sends callers on, not too soon",
+          "[proxy]")
+{
+    // Told to come back in 60 ms, callers had used up their tries before the
+    // balancer left a zone's VMs out that were all cut off.
+    world edge;
+    edge.m_first.script({{whole_answer(200, "ok")}});
+    const auto got = edge.ask(world::post("/stream/", "x",
+                                          "Pepperturn-Program: p\r\n"
+                                          "Pepperturn-Token-Budget: 60\r\n"
+                                          "Pepperturn-Token-Count: 100,24\r\n"),
+                              "\r\n\r\n");
+    CHECK(has(got, "HTTP/1.1 503 "));
+    CHECK(has(got, "Retry-After: 0.400"));
+    CHECK(has(got, "Connection: close"));
+    CHECK(edge.m_first.requests().empty());
+}
+
 TEST_CASE("a draining edge answers, then closes", "[proxy]")
 {
     world edge;
