--- a/include/pepperturn/core/systems.hpp
+++ b/include/pepperturn/core/systems.hpp
@@ -46,6 +46,10 @@
 /// Rendezvous choice among live VMs that are not leaving.
 [[nodiscard]] std::string preferred_owner(const core_state& state,
                                           std::uint32_t partition);
+/// The VM that says in its heartbeats that it owns the partition, of the newest
+/// epoch if there are several; empty: none does.
+[[nodiscard]] std::string owner_by_beats(const core_state& state,
+                                         std::uint32_t partition);
 /// Whom to ask about a program: its owner as far as this VM knows, else who
 /// should own it; empty if no VM is known.
 [[nodiscard]] std::string likely_owner(const core_state& state,
--- a/src/core/arrival.cpp
+++ b/src/core/arrival.cpp
@@ -541,11 +541,11 @@
     state.m_counters.m_submitted += 1;
     if (partition.m_role != partition_role::owner)
     {
-        const auto& owner = partition.m_known_owner;
-        const bool useful = owner != state.m_self && vm_alive(state, owner);
-        out.emplace_back(send_decision{
-            request.m_entry_vm,
-            redirect{request.m_id, id, useful ? owner : std::string{}}});
+        const auto& known = partition.m_known_owner;
+        const bool useful = known != state.m_self && vm_alive(state, known);
+        const auto owner = useful ? known : owner_by_beats(state, id);
+        out.emplace_back(send_decision{request.m_entry_vm,
+                                       redirect{request.m_id, id, owner}});
         return;
     }
     if (auto* call = find_call(state, request.m_id))
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -241,6 +241,26 @@
     return best;
 }
 
+std::string owner_by_beats(const core_state& state, std::uint32_t partition)
+{
+    std::string best;
+    std::uint64_t best_epoch = 0;
+    for (const auto& [id, row] : state.m_vms)
+    {
+        if (id == state.m_self || !vm_alive(state, id))
+            continue;
+        for (const auto& hint : row.m_beat.m_owned)
+        {
+            if (hint.m_partition != partition ||
+                (!best.empty() && hint.m_epoch <= best_epoch))
+                continue;
+            best = id;
+            best_epoch = hint.m_epoch;
+        }
+    }
+    return best;
+}
+
 std::string likely_owner(const core_state& state, const program_key& key)
 {
     const auto id = partition_of(
@@ -251,7 +271,10 @@
     const auto& known = partition.m_known_owner;
     if (!known.empty() && known != state.m_self && vm_alive(state, known))
         return known;
-    return preferred_owner(state, id);
+    // A claim of this VM that the store has not answered outdates what is
+    // known; whoever says that it owns the partition still serves it.
+    auto beating = owner_by_beats(state, id);
+    return beating.empty() ? preferred_owner(state, id) : beating;
 }
 
 void on_vms_listed(core_state& state, const vms_listed& listed)
