A VM is emptied also where no set has room for it

The test fails without the change. Ruled out: the copying (0.25 s) and the conflict of two views at 8.80 s.

The reason of a refusal names the replica set.

--- a/src/fleet/storage_node.cpp
+++ b/src/fleet/storage_node.cpp
@@ -348,15 +348,18 @@
         !m_emptying_reported)
         m_emptying_reported =
             co_await m_source.report_emptying(m_settings.m_name, false);
-    const auto view = view_to_look_after();
-    if (!view)
-        co_return;
-    const auto facts = gather_facts(*view);
-    if (is_emptied(*view, facts))
+    // Whether there is a set that it could join is another matter.
+    const auto& views = m_server->state().m_views;
+    if (m_server->own_view().m_members.empty() &&
+        is_emptied(views.front(), gather_facts(views.front())))
     {
         co_await report_emptied();
         co_return;
     }
+    const auto view = view_to_look_after();
+    if (!view)
+        co_return;
+    const auto facts = gather_facts(*view);
     auto next = wanted_view(*view, facts);
     const bool outdated = view->m_epoch <= m_outdated_epoch;
     if (!next || (outdated && m_time.now() < m_next_change))
--- a/src/turns/turn_client.cpp
+++ b/src/turns/turn_client.cpp
@@ -478,7 +478,10 @@
     if (!wrote_enough(*work) || !read_enough(*work))
     {
         work->m_closed = true;
-        result.m_reason = "no quorum of storage VMs";
+        const auto* set = set_for(request.m_program);
+        result.m_reason =
+            "no quorum of storage VMs, set=" +
+            (set == nullptr ? "unknown" : std::to_string(set->m_view.m_set));
         co_return result;
     }
     joint_ledger ledger;
--- a/test/fleet/test_replica_sets.cpp
+++ b/test/fleet/test_replica_sets.cpp
@@ -177,6 +177,24 @@
           begin_outcome::unavailable);
 }
 
+TEST_CASE("a VM is emptied although every set is as large as is of use",
+          "[fleet][replica_sets]")
+{
+    // It looked for a set to join first, found none, and never said that it
+    // was empty.
+    storage_world fleet;
+    for (int i = 0; i < 5; ++i)
+        fleet.add(vm_name(i));
+    REQUIRE(fleet.wait_for("vm-0Fvm-1Fvm-2Fvm-3Fvm-4F"));
+    fleet.add("vm-5", false);
+    fleet.m_store.put("op/retire/vm-1", R"({"duration_s":10})");
+    REQUIRE(run_until(fleet.m_io, [&] {
+        return fleet.m_store.value_of("status/retire/vm-1").find("completed") !=
+               std::string::npos;
+    }));
+    CHECK(fleet.wait_for("vm-0Fvm-2Fvm-3Fvm-4Fvm-5F"));
+}
+
 TEST_CASE("a few VMs watch the store, and others when these are gone",
           "[fleet][replica_sets]")
 {
