--- a/src/cluster/replica_sets.cpp
+++ b/src/cluster/replica_sets.cpp
@@ -15,10 +15,13 @@
 /// writes and conditions in etcd-like ones).
 constexpr std::size_t most_sets = 30;
 
+/// Also where no disk may be lost, a restart should not stop a set.
+constexpr std::size_t least_of_all = 3;
+
 /// A write reaches a majority, and that many losses leave one.
 std::size_t least_members(std::uint32_t disk_losses)
 {
-    return 2 * std::size_t{disk_losses} + 1;
+    return std::max(2 * std::size_t{disk_losses} + 1, least_of_all);
 }
 
 /// Each member beyond makes writes dearer and bears no further loss; a set
