--- /dev/null
+++ b/src/fleet/storage_membership.cpp
@@ -0,0 +1,306 @@
+// SPDX-License-Identifier: BSL-1.0
+// A storage VM's part in its replica set: founding, changes of the view, and
+// copying what other members hold.
+#include "pepperturn/fleet/storage_node.hpp"
+
+#include <algorithm>
+#include <glog/logging.h>
+
+namespace pepperturn {
+
+namespace {
+
+constexpr milliseconds membership_interval{150};
+/// Ten beats: a restart or a freeze is over by then, a loss is not.
+constexpr milliseconds silence_limit{5000};
+/// Three beats.
+constexpr milliseconds isolation_limit{1600};
+constexpr milliseconds copy_patience{2000};
+/// Turns in one question: about a megabyte, a few milliseconds of work.
+constexpr std::size_t read_batch = 128;
+/// The fleet is founded once nobody has announced itself for this long: VMs
+/// start within tenths of a second of each other. Who comes later joins.
+constexpr milliseconds founding_quiet{1000};
+/// VMs found one after the other, so that one of them usually does it.
+constexpr milliseconds founding_step{200};
+/// After a change of view was refused, the view that stands there is usually
+/// heard of within this; each try is a priced call.
+constexpr milliseconds conflict_patience{700};
+
+} // namespace
+
+member storage_node::self() const
+{
+    return {m_settings.m_name, m_settings.m_frames_address,
+            m_settings.m_availability_zone, m_disk, member_state::joining};
+}
+
+membership_facts storage_node::gather_facts(const cluster_view& view) const
+{
+    membership_facts facts;
+    facts.m_self = self();
+    facts.m_bootstrap = m_settings.m_bootstrap;
+    facts.m_view_known = true;
+    facts.m_retire = is_retired(m_server->state(), m_settings.m_name);
+    facts.m_caught_up_at = m_caught_up_at;
+    facts.m_copied_by = m_server->copied_by(view.m_epoch);
+    facts.m_disk_losses = m_settings.m_disk_losses;
+    const auto now = m_time.now();
+    // Who is outside the set does not listen to its members.
+    if (find_member(view, m_settings.m_name) == nullptr)
+        return facts;
+    for (const auto& row : view.m_members)
+    {
+        const auto heard = std::max(m_started, m_links.last_heard(row.m_name));
+        if (row.m_name == m_settings.m_name)
+            continue;
+        if (now - heard > silence_limit && now >= m_isolated_until)
+            facts.m_silent.insert(row.m_name);
+        if (now - heard > isolation_limit || !m_links.connected(row.m_name))
+            facts.m_unheard.insert(row.m_name);
+    }
+    return facts;
+}
+
+task<> storage_node::look_after_membership()
+{
+    while (!m_stopping)
+    {
+        if (m_server->disk_good() && m_server->state().m_views.empty())
+            co_await found_fleet();
+        else if (m_server->disk_good())
+        {
+            if (!m_copying &&
+                should_copy(m_server->own_view(), m_settings.m_name,
+                            m_caught_up_at, m_settings.m_disk_losses))
+            {
+                m_copying = true;
+                spawn(m_io, "storage_node.copy", copy_all());
+            }
+            co_await change_view();
+        }
+        co_await sleep_for(m_io, membership_interval);
+    }
+}
+
+task<> storage_node::found_fleet()
+{
+    // Only a first start may begin with nothing; else an empty store means
+    // that it was read wrongly.
+    if (!m_settings.m_bootstrap || !m_source.synced())
+        co_return;
+    if (!m_announced)
+        m_announced = co_await m_source.announce(self());
+    auto vms = m_source.announced();
+    const auto own =
+        std::find_if(vms.begin(), vms.end(), [&](const member& row) {
+            return row.m_name == m_settings.m_name;
+        });
+    if (own == vms.end())
+        co_return;
+    const auto turn = m_source.last_announced() + founding_quiet +
+                      (own - vms.begin()) * founding_step;
+    if (m_time.now() < turn)
+        co_return;
+    auto views = found_sets(std::move(vms), m_settings.m_disk_losses);
+    const auto sets = views.size();
+    const auto result = co_await m_source.found(std::move(views));
+    LOG(INFO) << "event=fleet_founded sets=" << sets
+              << " outcome=" << result.m_reason;
+    m_next_change = m_time.now() + conflict_patience;
+}
+
+std::optional<cluster_view> storage_node::view_to_look_after() const
+{
+    const auto& own = m_server->own_view();
+    if (!own.m_members.empty())
+        return own;
+    const auto& views = m_server->state().m_views;
+    const auto set = set_to_join(views, self(), m_settings.m_disk_losses);
+    const auto found =
+        std::find_if(views.begin(), views.end(), [&](const cluster_view& row) {
+            return set && row.m_set == *set;
+        });
+    if (found == views.end())
+        return std::nullopt;
+    return *found;
+}
+
+task<> storage_node::report_emptied()
+{
+    if (!m_emptied_reported)
+        m_emptied_reported =
+            co_await m_source.report_emptying(m_settings.m_name, true);
+}
+
+task<> storage_node::change_view()
+{
+    if (is_retired(m_server->state(), m_settings.m_name) &&
+        !m_emptying_reported)
+        m_emptying_reported =
+            co_await m_source.report_emptying(m_settings.m_name, false);
+    // Whether there is a set that it could join is another matter.
+    const auto& views = m_server->state().m_views;
+    if (m_server->own_view().m_members.empty() &&
+        is_emptied(views.front(), gather_facts(views.front())))
+    {
+        co_await report_emptied();
+        co_return;
+    }
+    const auto view = view_to_look_after();
+    if (!view)
+        co_return;
+    const auto facts = gather_facts(*view);
+    auto next = wanted_view(*view, facts);
+    const bool outdated = view->m_epoch <= m_outdated_epoch;
+    if (!next || (outdated && m_time.now() < m_next_change))
+        co_return;
+    const auto result = co_await m_source.swap_view(*next, view->m_epoch);
+    LOG(INFO) << "event=view_swap set=" << view->m_set
+              << " epoch=" << view->m_epoch
+              << " members=" << next->m_members.size()
+              << " outcome=" << result.m_reason
+              << " next_epoch=" << result.m_epoch;
+    if (result.m_outcome != swap_outcome::written)
+    {
+        m_outdated_epoch = std::max(m_outdated_epoch, view->m_epoch);
+        m_next_change = m_time.now() + conflict_patience;
+        co_return;
+    }
+    cluster_state news;
+    next->m_epoch = result.m_epoch;
+    news.m_views = {std::move(*next)};
+    take_state(news);
+}
+
+task<bool> storage_node::copy_turns(std::string name,
+                                    std::vector<std::uint64_t> positions)
+{
+    for (std::size_t begin = 0; begin < positions.size(); begin += read_batch)
+    {
+        const auto end = std::min(begin + read_batch, positions.size());
+        const frame_body question = read_message{
+            {positions.begin() + static_cast<std::ptrdiff_t>(begin),
+             positions.begin() + static_cast<std::ptrdiff_t>(end)}};
+        const auto answer =
+            co_await m_links.ask(name, m_server->own_view().m_epoch, question,
+                                 m_time.now() + copy_patience);
+        const auto* entries =
+            answer && answer->m_status == frame_status::ok
+                ? std::get_if<entries_message>(&answer->m_body)
+                : nullptr;
+        if (entries == nullptr || entries->m_entries.size() < end - begin)
+            co_return false;
+        m_server->take_encoded(entries->m_entries);
+        if (!co_await m_server->synced())
+            co_return false;
+    }
+    co_return true;
+}
+
+task<bool> storage_node::copy_from(std::string name, std::uint64_t epoch,
+                                   bool gathered)
+{
+    std::uint64_t from = 0;
+    bool more = true;
+    std::size_t copied = 0;
+    const auto begun = m_time.now();
+    while (more)
+    {
+        const frame_body question = list_message{from, gathered};
+        const auto answer =
+            co_await m_links.ask(name, m_server->own_view().m_epoch, question,
+                                 m_time.now() + copy_patience);
+        if (answer && answer->m_status == frame_status::stale &&
+            answer->m_epoch < epoch)
+            m_links.tell_view(name, m_server->own_view());
+        const auto* page = answer && answer->m_status == frame_status::ok
+                               ? std::get_if<listed_message>(&answer->m_body)
+                               : nullptr;
+        if (page == nullptr || m_server->own_view().m_epoch != epoch)
+            co_return false;
+        std::vector<std::uint64_t> missing;
+        for (const auto& turn : page->m_turns)
+        {
+            if (!m_store->has_turn(turn.m_key))
+                missing.push_back(turn.m_position);
+        }
+        m_server->take_reservations(page->m_reservations);
+        copied += missing.size();
+        from = page->m_next;
+        more = page->m_more;
+        if (!co_await copy_turns(name, std::move(missing)))
+            co_return false;
+    }
+    if (!co_await m_server->synced())
+        co_return false;
+    const frame_body done = copied_message{};
+    const auto answer =
+        co_await m_links.ask(name, epoch, done, m_time.now() + copy_patience);
+    if (!answer || answer->m_status != frame_status::ok)
+        co_return false;
+    LOG(INFO) << "event=copied_all from=" << name << " epoch=" << epoch
+              << " turns=" << copied
+              << " ms=" << (m_time.now() - begun) / milliseconds(1);
+    co_return true;
+}
+
+task<bool> storage_node::copy_once(std::string name, std::uint64_t epoch,
+                                   bool gathered)
+{
+    if (m_copied_at[name] == epoch)
+        co_return true;
+    if (!m_links.connected(name))
+        co_return false;
+    const bool copied = co_await copy_from(name, epoch, gathered);
+    if (copied)
+        m_copied_at[name] = epoch;
+    co_return copied;
+}
+
+task<> storage_node::copy_all()
+{
+    const auto view = m_server->own_view();
+    const auto plan =
+        plan_copy(view, m_settings.m_name, m_settings.m_disk_losses);
+    bool all_required = true;
+    for (const auto& name : plan.m_required)
+    {
+        const bool done =
+            co_await copy_once(name, view.m_epoch, plan.m_gathered);
+        all_required = all_required && done;
+    }
+    std::uint32_t count = 0;
+    for (const auto& name : plan.m_any)
+    {
+        if (count >= plan.m_enough)
+            break;
+        const bool done = co_await copy_once(name, view.m_epoch, false);
+        count += done ? 1 : 0;
+    }
+    if (count >= plan.m_enough && all_required &&
+        m_server->own_view().m_epoch == view.m_epoch)
+    {
+        m_caught_up_at = view.m_epoch;
+        m_server->note_gathered(view.m_epoch);
+    }
+    m_copying = false;
+}
+
+void storage_node::note_isolation()
+{
+    std::uint32_t unheard = 0;
+    const auto now = m_time.now();
+    for (const auto& row : m_server->own_view().m_members)
+    {
+        if (row.m_name != m_settings.m_name &&
+            row.m_state != member_state::lost &&
+            now - m_links.last_heard(row.m_name) > isolation_limit)
+            ++unheard;
+    }
+    // More than may be lost at once: it is this VM that was cut off.
+    if (unheard > m_settings.m_disk_losses)
+        m_isolated_until = now + silence_limit;
+}
+
+} // namespace pepperturn
--- /dev/null
+++ b/src/turns/turn_round.hpp
@@ -0,0 +1,60 @@
+// SPDX-License-Identifier: BSL-1.0
+/// \file
+/// One question of a turn_client, shared by the files that implement it.
+#pragma once
+
+#include "pepperturn/turns/turn_client.hpp"
+
+#include <algorithm>
+
+namespace pepperturn {
+
+/// One question to the members of a replica set, repeated until enough have
+/// answered.
+struct turn_client::round
+{
+    struct row
+    {
+        bool m_pending = false;
+        std::optional<frame> m_answer;
+    };
+
+    round(asio::io_context& io, id_key program, frame_body body)
+        : m_program(program), m_body(std::move(body)), m_changed(io)
+    {}
+
+    id_key m_program;
+    frame_body m_body;
+    /// The one member that is asked for the chain as well.
+    std::string m_chain_from;
+    /// Spreads the members that are asked first.
+    std::uint64_t m_draw = 0;
+    /// From then on every member is asked.
+    instant m_ask_all_at{};
+    std::uint64_t m_epoch = 0;
+    std::map<std::string, row> m_rows;
+    async_event m_changed;
+    bool m_closed = false;
+
+    [[nodiscard]] bool answered(const std::string& name) const
+    {
+        const auto found = m_rows.find(name);
+        return found != m_rows.end() && found->second.m_answer;
+    }
+    [[nodiscard]] const begun_message* begun(const std::string& name) const
+    {
+        const auto found = m_rows.find(name);
+        if (found == m_rows.end() || !found->second.m_answer)
+            return nullptr;
+        return std::get_if<begun_message>(&found->second.m_answer->m_body);
+    }
+    [[nodiscard]] bool parent_found() const
+    {
+        return std::any_of(m_rows.begin(), m_rows.end(), [&](const auto& row) {
+            const auto* answer = begun(row.first);
+            return answer != nullptr && answer->m_parent_found;
+        });
+    }
+};
+
+} // namespace pepperturn
