--- /dev/null
+++ b/test/fleet/test_member_links.cpp
@@ -0,0 +1,142 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "support/fleet/storage_world.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+using namespace pepperturn;
+using namespace pepperturn::test;
+
+/// A storage VM that is in no set, and one that listens to it.
+struct told_world
+{
+    told_world()
+        : m_log(m_fleet.m_folder + "/told", 1U << 20U), m_store(m_log),
+          m_server(m_fleet.m_io, m_fleet.m_time, "vm-9", m_log, m_store),
+          m_links(m_fleet.m_io, m_fleet.m_time, "edge")
+    {
+        const auto port = free_port(m_fleet.m_io);
+        std::string reason;
+        REQUIRE(m_log.identity(7, reason).has_value());
+        REQUIRE(m_server.listen({asio::ip::make_address("127.0.0.1"), port},
+                                reason));
+        m_members = {{"vm-9", "127.0.0.1:" + std::to_string(port), "z", 7,
+                      member_state::full}};
+        m_links.on_state([this](const std::string&, const cluster_state& news) {
+            ++m_told;
+            merge_state(m_state, news);
+        });
+    }
+    ~told_world()
+    {
+        m_server.stop();
+        m_links.stop();
+    }
+    told_world(const told_world&) = delete;
+    told_world& operator=(const told_world&) = delete;
+
+    void tell(std::uint64_t revision)
+    {
+        cluster_state news;
+        news.m_config_revision = revision;
+        news.m_config = "configuration " + std::to_string(revision);
+        m_server.take_state(news);
+    }
+    bool wait_for(const std::function<bool()>& done)
+    {
+        return run_until(m_fleet.m_io, done, milliseconds(3000));
+    }
+    /// Whatever either side sent before has come: frames keep their order.
+    void sync()
+    {
+        const auto answer = run_task(
+            m_fleet.m_io, m_links.ask("vm-9", 0, fetch_message{"none"},
+                                      m_fleet.m_time.now() + usual_patience));
+        REQUIRE(answer.has_value());
+        REQUIRE(answer->has_value());
+    }
+
+    storage_world m_fleet;
+    turn_log m_log;
+    turn_store m_store;
+    turn_server m_server;
+    member_links m_links;
+    std::vector<member> m_members;
+    cluster_state m_state;
+    int m_told = 0;
+};
+
+} // namespace
+
+TEST_CASE("news come from where they are subscribed to", "[member_links]")
+{
+    told_world world;
+    world.tell(1);
+    world.m_links.subscribe({});
+    world.m_links.follow(world.m_members);
+    REQUIRE(world.wait_for([&] { return world.m_links.connected("vm-9"); }));
+    world.tell(2);
+    world.sync();
+    CHECK(world.m_told == 0);
+    // Whoever subscribes is told all that is known, then each change once.
+    world.m_links.subscribe({"vm-9"});
+    REQUIRE(
+        world.wait_for([&] { return world.m_state.m_config_revision == 2; }));
+    world.tell(3);
+    REQUIRE(
+        world.wait_for([&] { return world.m_state.m_config_revision == 3; }));
+    CHECK(world.m_told == 2);
+    world.m_links.subscribe({});
+    world.sync();
+    world.tell(4);
+    world.sync();
+    CHECK(world.m_told == 2);
+}
+
+TEST_CASE("who watches the store is told by beats", "[member_links]")
+{
+    struct row
+    {
+        const char* m_what;
+        milliseconds m_age;
+        bool m_watches;
+        bool m_heard;
+        bool m_is_watcher;
+    };
+    const auto each = GENERATE(values<row>({
+        {"it watches", milliseconds(100), true, true, true},
+        {"it passes on what a watcher said", milliseconds(100), false, true,
+         false},
+        {"it watches and hears nothing", milliseconds(9000), true, false,
+         false},
+    }));
+    INFO(each.m_what);
+    told_world world;
+    auto& links = world.m_links;
+    links.follow(world.m_members);
+    REQUIRE(world.wait_for([&] { return links.connected("vm-9"); }));
+    world.sync();
+    world.m_server.send_beat(each.m_age, each.m_watches);
+    world.sync();
+    CHECK((links.store_heard() != instant{}) == each.m_heard);
+    CHECK(links.watches_store("vm-9") == each.m_is_watcher);
+    CHECK((links.store_watched() != instant{}) == each.m_is_watcher);
+}
+
+TEST_CASE("silence counts from when a member is followed", "[member_links]")
+{
+    // A VM that had just come into a view counted as silent since the start of
+    // the others' processes, and was put out at once.
+    asio::io_context io(1);
+    const system_clock time;
+    member_links links(io, time, "edge");
+    CHECK(links.last_heard("a") == instant{});
+    const auto before = time.now();
+    links.follow({{"a", "127.0.0.1:1", "z", 1, member_state::joining}});
+    CHECK(links.last_heard("a") >= before);
+    CHECK_FALSE(links.connected("a"));
+    CHECK(links.hopeful("a"));
+    REQUIRE(run_until(io, [&] { return !links.hopeful("a"); }));
+    links.stop();
+}
