--- a/test/turns/test_messages.cpp
+++ b/test/turns/test_messages.cpp
@@ -2,6 +2,10 @@
 #include "pepperturn/turns/ledger.hpp"
 #include "pepperturn/turns/messages.hpp"
 
+#include "turns.capnp.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
@@ -123,3 +127,31 @@
         CHECK_FALSE(fits_budget(ledger, own, each.m_committed + 39));
     }
 }
+
+TEST_CASE(
+    "what a VM of the layout with one view knew is read, but for the view",
+    "[messages]")
+{
+    capnp::MallocMessageBuilder builder;
+    auto root = builder.initRoot<turns_wire::Frame>();
+    auto old = root.initState();
+    old.setConfigRevision(7);
+    old.setConfig("seven");
+    old.setRunnersRevision(9);
+    old.initRunners(1)[0].setName("r-1");
+    old.setOldViewRevision(12);
+    auto member = old.initOldView(1)[0];
+    member.setName("vm-1");
+    member.setAddress("1.2.3.4:5");
+    const auto words = capnp::messageToFlatArray(builder);
+    const auto bytes = words.asChars();
+    std::string reason;
+    const auto read = decode_frame({bytes.begin(), bytes.size()}, reason);
+    REQUIRE(read.has_value());
+    const auto& state = std::get<cluster_state>(read->m_body);
+    CHECK(state.m_config == "seven");
+    REQUIRE(state.m_runners.size() == 1);
+    CHECK(state.m_runners.front().m_name == "r-1");
+    // Its epoch is of no replica set.
+    CHECK(state.m_views.empty());
+}
