--- a/test/support/fleet/storage_world.hpp
+++ b/test/support/fleet/storage_world.hpp
@@ -55,6 +55,21 @@
     std::unique_ptr<storage_node> m_node;
 };
 
+/// Removes a folder at its end.
+struct folder_remover
+{
+    explicit folder_remover(const std::string& folder) : m_folder(folder) {}
+    ~folder_remover()
+    {
+        std::error_code ignored;
+        std::filesystem::remove_all(m_folder, ignored);
+    }
+    folder_remover(const folder_remover&) = delete;
+    folder_remover& operator=(const folder_remover&) = delete;
+
+    const std::string& m_folder;
+};
+
 /// Storage VMs, a store, and an edge VM's client.
 class storage_world
 {
@@ -75,11 +90,7 @@
         });
         m_edge_source.start();
     }
-    ~storage_world()
-    {
-        // Coroutines hold parts of each other: the loop's end frees them.
-        std::filesystem::remove_all(m_folder);
-    }
+    ~storage_world() = default;
     storage_world(const storage_world&) = delete;
     storage_world& operator=(const storage_world&) = delete;
 
@@ -178,6 +189,8 @@
     turn_client m_client;
     cluster_state m_state;
     std::string m_folder;
+    /// Goes after the VMs, whose writers may be at work until they end.
+    folder_remover m_remover{m_folder};
     std::map<std::string, std::unique_ptr<storage_vm>> m_vms;
     std::vector<std::unique_ptr<storage_vm>> m_stopped;
 };
