One watcher looks at the configuration for all; small limits hold programs

Change: a watcher that has a fresh word from another one does not ask the store; whoever's word gets old asks in its place. A further program counts with this owner's share of its calls, the others take the rest; four fifths of the fixed tolerance are given out as burst (half before).

--- a/include/pepperturn/tenancy/limiter.hpp
+++ b/include/pepperturn/tenancy/limiter.hpp
@@ -70,9 +70,11 @@
 struct limiter_settings
 {
     /// Requests above the limit that counting over many VMs may let through,
-    /// half of what the operator allows for it (20): owners hold whole
-    /// requests, and what is granted may be sent a little later.
-    double m_spare = 10;
+    /// four fifths of what the operator allows for it (20): owners hold whole
+    /// requests, and a third of a small limit holds few. The rest, and the
+    /// tenth of the limit that is allowed beside, is for what is sent a little
+    /// later than it was granted.
+    double m_spare = 16;
     /// Above this share of its bucket a limit is far from being reached, and
     /// programs begin without further question: a bucket is nearly full at six
     /// tenths of the limit and never at all of it.
--- a/src/fleet/storage_limits.cpp
+++ b/src/fleet/storage_limits.cpp
@@ -42,9 +42,9 @@
 void storage_node::keep_word()
 {
     // Where callers have no keys, nothing hangs on how old the word is.
-    const bool watches = m_source.running();
-    m_source.keep_word(m_callers_have_keys && watches);
-    m_word_keeper.want(m_callers_have_keys && !watches);
+    m_source.keep_word(m_callers_have_keys && m_source.running(),
+                       [this] { return m_word_keeper.word().m_config_at; });
+    m_word_keeper.want(m_callers_have_keys);
 }
 
 store_word storage_node::word() const
--- a/src/fleet/storage_node.cpp
+++ b/src/fleet/storage_node.cpp
@@ -13,6 +13,8 @@
 constexpr std::uint32_t segment_bytes = 16U << 20U;
 constexpr milliseconds beat_interval{500};
 constexpr milliseconds expiry_interval{2000};
+/// Of the tolerance for limits that is given out, see limiter_settings.
+constexpr double spare_share = 0.8;
 /// Answers under way go out before the process ends.
 constexpr milliseconds stop_linger{150};
 
@@ -47,7 +49,8 @@
                      true}),
       m_word_limits{milliseconds(settings.m_revoke_ms),
                     milliseconds(settings.m_apply_ms)},
-      m_limiter({settings.m_quota_slack / 2.0}), m_owners(unknown_history())
+      m_limiter({spare_share * settings.m_quota_slack}),
+      m_owners(unknown_history())
 {}
 
 storage_node::~storage_node()
--- a/src/tenancy/limiter.cpp
+++ b/src/tenancy/limiter.cpp
@@ -128,7 +128,9 @@
     const double spare =
         std::max(0.0, row.m_tokens - settings.m_reserve * capacity);
     const double room = rate_of(row) + spare / settings.m_spend_s;
-    const auto programs = static_cast<double>(row.m_programs.size()) + 1;
+    // Where there is no room here its calls go to the other owners as well.
+    const auto programs =
+        static_cast<double>(row.m_programs.size()) + row.m_share;
     missing = programs * program_pace(row, settings) - room;
     // One at a time goes on, however small the limit is.
     return (missing <= 0 && spare >= 1) || row.m_programs.empty();
