Watchers look at the configuration one after the other

Change: each waits 0.45 s longer than the one before it in the watch order, by which time it has asked that one.

--- a/src/cluster/word_keeper.cpp
+++ b/src/cluster/word_keeper.cpp
@@ -50,7 +50,7 @@
     const auto sources = m_hooks.m_sources();
     if (sources.empty())
         co_return false;
-    const std::string source = sources[m_next_source % sources.size()];
+    const auto& source = sources[m_next_source % sources.size()];
     const auto asked = m_time.now();
     const auto answer = co_await m_links.ask(source, 0, want_word_message{},
                                              asked + ask_patience);
--- a/src/fleet/edge_node.cpp
+++ b/src/fleet/edge_node.cpp
@@ -99,7 +99,7 @@
         {
             m_config_revision = m_state.m_config_revision;
             m_proxy.take_config(std::move(*config), m_config_revision);
-            m_source.keep_word(m_proxy.asks_keys(), {});
+            m_source.keep_word({m_proxy.asks_keys(), {}, {}});
             m_word_keeper.want(m_proxy.asks_keys());
         }
         else
--- a/src/fleet/storage_limits.cpp
+++ b/src/fleet/storage_limits.cpp
@@ -3,10 +3,22 @@
 // store is, and this VM's shares of the limits of workspaces.
 #include "pepperturn/fleet/storage_node.hpp"
 
+#include <algorithm>
 #include <glog/logging.h>
 
 namespace pepperturn {
 
+namespace {
+
+/// A watcher asks the store this much later than the one before it in the
+/// order: it has asked that one by then.
+constexpr milliseconds word_courtesy{450};
+/// Those further back wait no longer than this many turns: the first ones may
+/// all be gone.
+constexpr std::ptrdiff_t most_turns = 3;
+
+} // namespace
+
 std::vector<std::string> storage_node::word_sources() const
 {
     // All that these know of views comes here before their answers.
@@ -42,8 +54,13 @@
 void storage_node::keep_word()
 {
     // Where callers have no keys, nothing hangs on how old the word is.
-    m_source.keep_word(m_callers_have_keys && m_source.running(),
-                       [this] { return m_word_keeper.word().m_config_at; });
+    const auto own = std::find(m_watch_order.begin(), m_watch_order.end(),
+                               m_settings.m_name);
+    m_source.keep_word(
+        {m_callers_have_keys && m_source.running(),
+         [this] { return m_word_keeper.word().m_config_at; },
+         word_courtesy * std::min<std::ptrdiff_t>(own - m_watch_order.begin(),
+                                                  most_turns)});
     m_word_keeper.want(m_callers_have_keys);
 }
 
