--- a/apps/pepperturnctl.cpp
+++ b/apps/pepperturnctl.cpp
@@ -47,7 +47,7 @@
     std::string m_key;
     bool m_json = false;
     cxxopts::ParseResult m_options;
-    std::vector<std::string> m_words;
+    std::vector<std::string> m_freshness;
 };
 
 pepperturn::http_result ask(const context& with, const std::string& method,
@@ -259,7 +259,7 @@
 
 int config(const context& with)
 {
-    const auto verb = with.m_words.size() > 1 ? with.m_words[1] : "";
+    const auto verb = with.m_freshness.size() > 1 ? with.m_freshness[1] : "";
     if (verb == "history")
         return show(with, "config/history");
     if (verb == "get")
@@ -279,13 +279,13 @@
                       << newest->m_config;
         return 0;
     }
-    if ((verb != "put" && verb != "check") || with.m_words.size() < 3)
+    if ((verb != "put" && verb != "check") || with.m_freshness.size() < 3)
         return fail("config check|put FILE, get or history", exit_usage);
     newest_config candidate;
     bool found = false;
-    candidate.m_config = read_file(with.m_words[2], found);
+    candidate.m_config = read_file(with.m_freshness[2], found);
     if (!found)
-        return fail(with.m_words[2] + ": cannot be read", exit_usage);
+        return fail(with.m_freshness[2] + ": cannot be read", exit_usage);
     const auto policy = with.m_options["policy"].as<std::string>();
     if (!policy.empty())
         candidate.m_policy = read_file(policy, found);
@@ -305,16 +305,16 @@
 
 int policy(const context& with)
 {
-    const auto verb = with.m_words.size() > 1 ? with.m_words[1] : "";
-    if ((verb != "put" && verb != "check") || with.m_words.size() < 3)
+    const auto verb = with.m_freshness.size() > 1 ? with.m_freshness[1] : "";
+    if ((verb != "put" && verb != "check") || with.m_freshness.size() < 3)
         return fail("policy check|put FILE", exit_usage);
     bool found = false;
-    const auto source = read_file(with.m_words[2], found);
+    const auto source = read_file(with.m_freshness[2], found);
     if (!found)
-        return fail(with.m_words[2] + ": cannot be read", exit_usage);
+        return fail(with.m_freshness[2] + ": cannot be read", exit_usage);
     std::string reason;
     if (!pepperturn::make_policy(source, 0, reason))
-        return fail(with.m_words[2] + ": " + reason, exit_usage);
+        return fail(with.m_freshness[2] + ": " + reason, exit_usage);
     if (verb == "check")
     {
         std::cout << "valid\n";
@@ -358,30 +358,30 @@
 
 int drain(const context& with)
 {
-    if (with.m_words.size() != 2)
+    if (with.m_freshness.size() != 2)
         return fail("drain RUNNER", exit_usage);
     int code = 0;
     auto newest = read_newest(with, code);
     if (!newest)
         return code;
-    const auto changed = with_leaving(newest->m_config, with.m_words[1]);
+    const auto changed = with_leaving(newest->m_config, with.m_freshness[1]);
     if (!changed)
-        return fail("no section [runner " + with.m_words[1] + "]");
+        return fail("no section [runner " + with.m_freshness[1] + "]");
     newest->m_config = *changed;
     return put(with, *newest);
 }
 
 int resolve(const context& with)
 {
-    if (with.m_words.size() != 6)
+    if (with.m_freshness.size() != 6)
         return fail("resolve WORKSPACE PROGRAM SESSION SEQ ran|not_run",
                     exit_usage);
     const json body{
-        {"workspace", with.m_words[1]},
-        {"program", with.m_words[2]},
-        {"session", with.m_words[3]},
-        {"seq", std::strtoull(with.m_words[4].c_str(), nullptr, 10)},
-        {"outcome", with.m_words[5]}};
+        {"workspace", with.m_freshness[1]},
+        {"program", with.m_freshness[2]},
+        {"session", with.m_freshness[3]},
+        {"seq", std::strtoull(with.m_freshness[4].c_str(), nullptr, 10)},
+        {"outcome", with.m_freshness[5]}};
     const auto result = ask(with, "POST", "/v1/operator/resolve", body.dump());
     if (!succeeded(result))
         return explain_failure(result);
@@ -391,13 +391,13 @@
 
 int key(const context& with)
 {
-    if (with.m_words.size() != 2)
+    if (with.m_freshness.size() != 2)
         return fail("key WORKSPACE", exit_usage);
     constexpr unsigned salt_bytes = 8;
     constexpr unsigned secret_bytes = 24;
     const auto salt = pepperturn::random_hex(salt_bytes);
     const auto secret =
-        with.m_words[1] + "." + pepperturn::random_hex(secret_bytes);
+        with.m_freshness[1] + "." + pepperturn::random_hex(secret_bytes);
     if (with.m_json)
     {
         std::cout << json{{"key", secret},
@@ -434,12 +434,12 @@
 
 int run(const context& with)
 {
-    const auto& verb = with.m_words.front();
+    const auto& verb = with.m_freshness.front();
     if (verb == "explain")
     {
-        if (with.m_words.size() != 2)
+        if (with.m_freshness.size() != 2)
             return fail("explain CALL", exit_usage);
-        return show(with, verb, "?call=" + with.m_words[1]);
+        return show(with, verb, "?call=" + with.m_freshness[1]);
     }
     if (verb == "top")
         return top(with);
--- a/include/pepperturn/cluster/word_keeper.hpp
+++ b/include/pepperturn/cluster/freshness_keeper.hpp
@@ -1,14 +1,14 @@
 // SPDX-License-Identifier: BSL-1.0
 /// \file
-/// Keeps this VM's word of the platform's store fresh by asking storage VMs
-/// for theirs. What may be believed is in tenancy/store_word.hpp.
+/// Keeps what this VM knows of the platform's store fresh: asks storage VMs
+/// how old theirs is. What may be believed is in tenancy/freshness.hpp.
 #pragma once
 
 #include "pepperturn/cluster/member_links.hpp"
 
 namespace pepperturn {
 
-class word_keeper
+class freshness_keeper
 {
 public:
     /// Whom to ask and what is known here, as of each question.
@@ -26,35 +26,29 @@
         bool m_hears_views = false;
     };
 
-    word_keeper(asio::io_context& io, const clock& time, member_links& links,
-                hooks what);
+    freshness_keeper(asio::io_context& io, const clock& time,
+                     member_links& links, hooks what);
 
     /// Asks from now on, or no longer.
     void want(bool wanted);
     /// Takes what this VM has from the store itself.
-    void note(const store_word& own);
-    [[nodiscard]] const store_word& word() const
+    void note(const freshness_bound& own);
+    [[nodiscard]] const freshness_bound& freshness() const
     {
-        return m_word;
-    }
-    /// Answers that were taken; for the metrics.
-    [[nodiscard]] std::uint64_t answers() const
-    {
-        return m_answers;
+        return m_freshness;
     }
 
 private:
     task<> keep_asking();
-    /// \returns true if the word is fresh now
+    /// \returns true if what is known is fresh now
     task<bool> ask_once();
 
     asio::io_context& m_io;
     const clock& m_time;
     member_links& m_links;
     hooks m_hooks;
-    store_word m_word;
+    freshness_bound m_freshness;
     std::size_t m_next_source = 0;
-    std::uint64_t m_answers = 0;
     bool m_wanted = false;
     bool m_asking = false;
 };
--- a/include/pepperturn/fleet/edge_node.hpp
+++ b/include/pepperturn/fleet/edge_node.hpp
@@ -4,9 +4,9 @@
 #pragma once
 
 #include "pepperturn/cluster/config_fetcher.hpp"
+#include "pepperturn/cluster/freshness_keeper.hpp"
 #include "pepperturn/cluster/news_sources.hpp"
 #include "pepperturn/cluster/replica_sets.hpp"
-#include "pepperturn/cluster/word_keeper.hpp"
 #include "pepperturn/config/fleet_settings.hpp"
 #include "pepperturn/fleet/status_server.hpp"
 #include "pepperturn/fleet/world_source.hpp"
@@ -35,12 +35,12 @@
     void follow_views();
     /// Hears the world from the nearest storage VMs that are there.
     void choose_news();
-    /// Whom to ask for a word of the store, the best first.
-    [[nodiscard]] std::vector<std::string> word_sources() const;
-    /// Age of this VM's word of the configuration in force.
-    [[nodiscard]] milliseconds word_age() const;
+    /// Whom to ask how fresh the configuration is, the best first.
+    [[nodiscard]] std::vector<std::string> freshness_sources() const;
+    /// Time since the configuration in force was surely the newest.
+    [[nodiscard]] milliseconds config_age() const;
     /// Callers have keys and this VM may not act on them any more.
-    [[nodiscard]] bool word_outdated() const;
+    [[nodiscard]] bool config_outdated() const;
     task<> drain();
 
     asio::io_context& m_io;
@@ -51,8 +51,8 @@
     member_links m_links;
     config_fetcher m_config_fetcher;
     turn_client m_turns;
-    word_keeper m_word_keeper;
-    word_limits m_word_limits;
+    freshness_keeper m_freshness_keeper;
+    staleness_limits m_staleness_limits;
     quota_client m_quota;
     proxy m_proxy;
     status_server m_status;
--- a/include/pepperturn/fleet/storage_node.hpp
+++ b/include/pepperturn/fleet/storage_node.hpp
@@ -5,10 +5,10 @@
 #pragma once
 
 #include "pepperturn/cluster/config_fetcher.hpp"
+#include "pepperturn/cluster/freshness_keeper.hpp"
 #include "pepperturn/cluster/membership.hpp"
 #include "pepperturn/cluster/news_sources.hpp"
 #include "pepperturn/cluster/replica_sets.hpp"
-#include "pepperturn/cluster/word_keeper.hpp"
 #include "pepperturn/config/fleet_settings.hpp"
 #include "pepperturn/fleet/status_server.hpp"
 #include "pepperturn/fleet/world_source.hpp"
@@ -62,14 +62,14 @@
     [[nodiscard]] watch_facts gather_watch_facts();
     /// When the store was last heard, by this VM or one that watches it.
     [[nodiscard]] instant store_heard() const;
-    /// Whom to ask for their word of the store.
-    [[nodiscard]] std::vector<std::string> word_sources() const;
+    /// Whom to ask how fresh what they know is.
+    [[nodiscard]] std::vector<std::string> freshness_sources() const;
     /// Whether callers have keys, by the newest configuration.
     void follow_config();
     /// Has the store asked, by this VM or by those that watch it.
-    void keep_word();
+    void keep_fresh();
     /// What this VM knows of the store, and how old that is.
-    [[nodiscard]] store_word word() const;
+    [[nodiscard]] freshness_bound freshness() const;
     [[nodiscard]] std::optional<frame_body> answer(const frame_body& question);
     [[nodiscard]] quota_answer count_request(const quota_question& question);
     task<> copy_all();
@@ -89,8 +89,8 @@
     member_links m_links;
     config_fetcher m_config_fetcher;
     state_decoders m_decoders;
-    word_keeper m_word_keeper;
-    word_limits m_word_limits;
+    freshness_keeper m_freshness_keeper;
+    staleness_limits m_staleness_limits;
     limiter m_limiter;
     owner_history m_owners;
     bool m_callers_have_keys = false;
--- a/include/pepperturn/fleet/world_source.hpp
+++ b/include/pepperturn/fleet/world_source.hpp
@@ -7,7 +7,7 @@
 #include "pepperturn/base/async.hpp"
 #include "pepperturn/cluster/state.hpp"
 #include "pepperturn/forward/routing_config.hpp"
-#include "pepperturn/tenancy/store_word.hpp"
+#include "pepperturn/tenancy/freshness.hpp"
 
 #include <functional>
 
@@ -31,23 +31,24 @@
     std::string m_reason;
 };
 
-/// A source's word of the store, and the configuration that it is about.
-struct source_word
+/// How fresh a source is, and the configuration that this is about.
+struct source_freshness
 {
-    store_word m_word;
+    freshness_bound m_freshness;
     std::uint64_t m_config_revision = 0;
 
-    friend bool operator==(const source_word&, const source_word&) = default;
+    friend bool operator==(const source_freshness&,
+                           const source_freshness&) = default;
 };
 
-/// How a source keeps its word fresh.
-struct word_need
+/// How a source is to stay fresh.
+struct freshness_need
 {
     bool m_wanted = false;
-    /// The word that this VM has from others; empty: it hears none.
+    /// Since when others are known to be fresh; empty: none is asked.
     std::function<instant()> m_heard_at;
     /// Left to others to ask the store before this source does.
-    milliseconds m_courtesy{0};
+    milliseconds m_stagger{0};
 };
 
 class world_source
@@ -87,8 +88,8 @@
 
     /// Asks the store, while this source follows it, how old its news are;
     /// each question is priced.
-    virtual void keep_word(word_need need) = 0;
-    [[nodiscard]] virtual source_word word() const = 0;
+    virtual void keep_fresh(freshness_need need) = 0;
+    [[nodiscard]] virtual source_freshness freshness() const = 0;
     /// The store has been read whole at least once.
     [[nodiscard]] virtual bool synced() const = 0;
     /// When the store last answered.
--- a/include/pepperturn/forward/proxy.hpp
+++ b/include/pepperturn/forward/proxy.hpp
@@ -19,9 +19,9 @@
 /// What the proxy needs where callers have keys.
 struct workspace_guard
 {
-    /// Age of this VM's word of the configuration.
-    std::function<milliseconds()> m_word_age;
-    word_limits m_limits;
+    /// Time since the configuration was surely the newest.
+    std::function<milliseconds()> m_config_age;
+    staleness_limits m_limits;
     /// Null: nothing is limited.
     quota_client* m_quota = nullptr;
 };
@@ -37,7 +37,7 @@
     /// Takes a newer configuration; an older one is refused.
     /// \param revision of the configuration in the platform's store
     bool take_config(routing_config config, std::uint64_t revision = 0);
-    /// Until this is called, words are fresh and nothing is limited.
+    /// Until this is called, configurations are fresh and nothing is limited.
     void guard_workspaces(workspace_guard guard);
     /// Callers need keys, by the configuration in force.
     [[nodiscard]] bool asks_keys() const
@@ -141,9 +141,9 @@
     /// Finds out whose a request is; an answer: it is refused.
     [[nodiscard]] std::optional<upstream_answer> admit_caller(call& work);
     /// This VM has heard how old its configuration is.
-    [[nodiscard]] bool word_known() const;
+    [[nodiscard]] bool config_age_known() const;
     /// This VM may still act on the configuration that the request came under.
-    [[nodiscard]] bool word_good(const call& work) const;
+    [[nodiscard]] bool fresh_enough(const call& work) const;
     /// Asks for leave to run a request, beside what else is done for it; null:
     /// it needs none.
     [[nodiscard]] std::shared_ptr<quota_wait>
--- a/include/pepperturn/tenancy/store_word.hpp
+++ b/include/pepperturn/tenancy/freshness.hpp
@@ -27,7 +27,7 @@
 
 namespace pepperturn {
 
-struct store_word
+struct freshness_bound
 {
     /// The configuration known here was the newest at this time; the epoch of
     /// the clock: never heard.
@@ -35,18 +35,19 @@
     /// The views of all replica sets known here were the newest at this time.
     instant m_views_at{};
 
-    friend bool operator==(const store_word&, const store_word&) = default;
+    friend bool operator==(const freshness_bound&,
+                           const freshness_bound&) = default;
 };
 
-[[nodiscard]] inline store_word newest(const store_word& left,
-                                       const store_word& right)
+[[nodiscard]] inline freshness_bound newest(const freshness_bound& left,
+                                            const freshness_bound& right)
 {
     return {std::max(left.m_config_at, right.m_config_at),
             std::max(left.m_views_at, right.m_views_at)};
 }
 
-/// What one VM tells another of its word.
-struct word_message
+/// What one VM tells another of its freshness.
+struct freshness_message
 {
     /// Of the configuration that was the newest.
     std::uint64_t m_config_revision = 0;
@@ -54,41 +55,45 @@
     std::uint32_t m_config_age_ms = UINT32_MAX;
     std::uint32_t m_views_age_ms = UINT32_MAX;
 
-    friend bool operator==(const word_message&, const word_message&) = default;
+    friend bool operator==(const freshness_message&,
+                           const freshness_message&) = default;
 };
 
-/// The word of \p word as it is told now.
-[[nodiscard]] word_message
-tell_word(const store_word& word, std::uint64_t config_revision, instant now);
+/// \p bound as it is told now.
+[[nodiscard]] freshness_message report_freshness(const freshness_bound& bound,
+                                                 std::uint64_t config_revision,
+                                                 instant now);
 
 /// What an answer says here.
 /// \param asked when its question was sent
 /// \param known_revision of the configuration in force here
 /// \param hears_views all that the other VM knows of views comes here first
-[[nodiscard]] store_word take_word(const word_message& told, instant asked,
-                                   std::uint64_t known_revision,
-                                   bool hears_views);
+[[nodiscard]] freshness_bound derive_freshness(const freshness_message& told,
+                                               instant asked,
+                                               std::uint64_t known_revision,
+                                               bool hears_views);
 
-/// Within which ages of its word a VM acts.
-struct word_limits
+/// Up to which age of what it knows a VM acts.
+struct staleness_limits
 {
     /// A key that was taken away may be used for this long everywhere.
     milliseconds m_revoke{5000};
     /// A new key is to be good after this long at VMs that hear the store.
     milliseconds m_apply{3000};
 
-    friend bool operator==(const word_limits&, const word_limits&) = default;
+    friend bool operator==(const staleness_limits&,
+                           const staleness_limits&) = default;
 };
 
 /// A keyed request may still be sent, and a limiter may grant: a tenth of the
 /// bound is left for the way to the runner.
-[[nodiscard]] milliseconds longest_use(const word_limits& limits);
+[[nodiscard]] milliseconds longest_use(const staleness_limits& limits);
 
 /// Who is not known may be told so, rather than to come back: the bound for
-/// new keys, less the time in which the word comes here.
-[[nodiscard]] milliseconds longest_denial(const word_limits& limits);
+/// new keys, less the time in which news come here.
+[[nodiscard]] milliseconds longest_denial(const staleness_limits& limits);
 
-/// The age of a word; the largest if it was never heard.
+/// Time since \p at; the largest if it was never heard.
 [[nodiscard]] milliseconds age_of(instant at, instant now);
 
 } // namespace pepperturn
--- a/include/pepperturn/tenancy/identity.hpp
+++ b/include/pepperturn/tenancy/identity.hpp
@@ -3,7 +3,7 @@
 /// Whose a request is, and whether this VM may say so.
 #pragma once
 
-#include "pepperturn/tenancy/store_word.hpp"
+#include "pepperturn/tenancy/freshness.hpp"
 #include "pepperturn/tenancy/workspaces.hpp"
 
 namespace pepperturn {
@@ -15,7 +15,7 @@
     malformed,
     /// No workspace has the key.
     unknown,
-    /// This VM's word is too old: another VM may know.
+    /// What this VM knows is too old: another VM may know better.
     uncertain
 };
 
@@ -30,10 +30,11 @@
     friend bool operator==(const identity&, const identity&) = default;
 };
 
-/// \param word_age of the configuration that has the directory
+/// \param config_age of the configuration that has the directory
 [[nodiscard]] identity identify(const workspace_directory& directory,
-                                const credentials& given, milliseconds word_age,
-                                const word_limits& limits);
+                                const credentials& given,
+                                milliseconds config_age,
+                                const staleness_limits& limits);
 
 /// An id as it is kept for one workspace: ids of another one never meet it.
 [[nodiscard]] std::string scoped_id(const workspace* owner,
--- a/include/pepperturn/tenancy/limit_owners.hpp
+++ b/include/pepperturn/tenancy/limit_owners.hpp
@@ -6,10 +6,10 @@
 /// storage VM, its owner: the first few of all members by rendezvous hash.
 /// Members change while VMs are cut off from each other, and no two VMs may
 /// spend the same share. So
-///  - an owner grants only while its word of the views is fresh
+///  - an owner grants only while what it knows of the views is fresh
 ///    (\ref longest_use), which ends before
 ///  - a new owner begins: a VM's share is the smallest that it has in any list
-///    of members which it has known within \ref owner_takeover.
+///    of members that it has known within the takeover time.
 ///
 /// What a lost owner costs is its share: a third of the limit until the views
 /// leave it out, and for the takeover after that.
--- a/include/pepperturn/tenancy/limiter.hpp
+++ b/include/pepperturn/tenancy/limiter.hpp
@@ -38,8 +38,6 @@
     std::uint64_t m_program = 0;
     /// It is the first call of a program.
     bool m_begins = false;
-    /// Until the program should be over.
-    std::uint32_t m_program_left_ms = 0;
     /// A grant that was not used comes back; nothing is asked.
     bool m_returned = false;
 
@@ -52,7 +50,7 @@
     granted,
     /// The limit has nothing left for it.
     over_limit,
-    /// This VM owns no share, or may not act on its word: another may.
+    /// This VM owns no share, or what it knows is too old: another may.
     not_owner
 };
 
--- a/include/pepperturn/turns/messages.hpp
+++ b/include/pepperturn/turns/messages.hpp
@@ -4,8 +4,8 @@
 #pragma once
 
 #include "pepperturn/cluster/state.hpp"
+#include "pepperturn/tenancy/freshness.hpp"
 #include "pepperturn/tenancy/limiter.hpp"
-#include "pepperturn/tenancy/store_word.hpp"
 #include "pepperturn/turns/records.hpp"
 
 #include <optional>
@@ -151,11 +151,12 @@
                            const want_config_message&) = default;
 };
 
-/// Asks for the receiver's word of the store; answered with a word_message.
-struct want_word_message
+/// Asks how fresh what the receiver knows is; answered with a
+/// freshness_message.
+struct want_freshness_message
 {
-    friend bool operator==(const want_word_message&,
-                           const want_word_message&) = default;
+    friend bool operator==(const want_freshness_message&,
+                           const want_freshness_message&) = default;
 };
 
 using frame_body =
@@ -163,7 +164,8 @@
                  begun_message, append_message, appended_message, fetch_message,
                  fetched_message, list_message, listed_message, read_message,
                  entries_message, copied_message, want_config_message,
-                 want_word_message, word_message, quota_question, quota_answer>;
+                 want_freshness_message, freshness_message, quota_question,
+                 quota_answer>;
 
 struct frame
 {
--- a/src/fleet/edge_node.cpp
+++ b/src/fleet/edge_node.cpp
@@ -34,14 +34,15 @@
                        [this](const cluster_state& news) { take_state(news); }),
       m_turns(io, time, m_links, settings.m_availability_zone,
               settings.m_disk_losses),
-      m_word_keeper(io, time, m_links,
-                    {[this] { return word_sources(); },
-                     [this] { return m_config_revision; },
-                     [this](const std::string& source, std::uint64_t revision) {
-                         m_config_fetcher.note_announced(source, revision);
-                     }}),
-      m_word_limits{milliseconds(settings.m_revoke_ms),
-                    milliseconds(settings.m_apply_ms)},
+      m_freshness_keeper(
+          io, time, m_links,
+          {[this] { return freshness_sources(); },
+           [this] { return m_config_revision; },
+           [this](const std::string& source, std::uint64_t revision) {
+               m_config_fetcher.note_announced(source, revision);
+           }}),
+      m_staleness_limits{milliseconds(settings.m_revoke_ms),
+                         milliseconds(settings.m_apply_ms)},
       m_quota(io, time, m_links),
       m_proxy(io, time, std::move(names), settings.m_availability_zone,
               m_turns),
@@ -49,7 +50,7 @@
           io,
           [this] {
               return m_proxy.has_config() && m_turns.connected() &&
-                     !m_stopping && !word_outdated();
+                     !m_stopping && !config_outdated();
           },
           [this] { return m_proxy.metrics().text(); }),
       m_metrics(
@@ -75,7 +76,7 @@
         return false;
     m_metrics.listen_beside(m_settings.m_metrics_address);
     m_proxy.guard_workspaces(
-        {[this] { return word_age(); }, m_word_limits, &m_quota});
+        {[this] { return config_age(); }, m_staleness_limits, &m_quota});
     m_links.on_state(
         [this](const std::string& from, const cluster_state& news) {
             take_state(news);
@@ -99,8 +100,8 @@
         {
             m_config_revision = m_state.m_config_revision;
             m_proxy.take_config(std::move(*config), m_config_revision);
-            m_source.keep_word({m_proxy.asks_keys(), {}, {}});
-            m_word_keeper.want(m_proxy.asks_keys());
+            m_source.keep_fresh({m_proxy.asks_keys(), {}, {}});
+            m_freshness_keeper.want(m_proxy.asks_keys());
         }
         else
             LOG(ERROR) << "event=config_unreadable revision="
@@ -130,7 +131,7 @@
     m_quota.follow(m_members);
 }
 
-std::vector<std::string> edge_node::word_sources() const
+std::vector<std::string> edge_node::freshness_sources() const
 {
     std::vector<std::pair<int, std::string>> ranked;
     for (const auto& row : m_members)
@@ -138,7 +139,7 @@
         if (!m_links.connected(row.m_name))
             continue;
         // A VM that has just started has heard of no watcher yet; every
-        // storage VM has a word, only an older one.
+        // storage VM can answer, only with a greater age.
         const bool watches = m_links.watches_store(row.m_name);
         const bool far =
             row.m_availability_zone != m_settings.m_availability_zone;
@@ -152,18 +153,19 @@
     return out;
 }
 
-milliseconds edge_node::word_age() const
+milliseconds edge_node::config_age() const
 {
-    auto at = m_word_keeper.word().m_config_at;
-    const auto& own = m_source.word();
+    auto at = m_freshness_keeper.freshness().m_config_at;
+    const auto& own = m_source.freshness();
     if (own.m_config_revision <= m_config_revision)
-        at = std::max(at, own.m_word.m_config_at);
+        at = std::max(at, own.m_freshness.m_config_at);
     return age_of(at, m_time.now());
 }
 
-bool edge_node::word_outdated() const
+bool edge_node::config_outdated() const
 {
-    return m_proxy.asks_keys() && word_age() > longest_use(m_word_limits);
+    return m_proxy.asks_keys() &&
+           config_age() > longest_use(m_staleness_limits);
 }
 
 void edge_node::choose_news()
--- a/src/fleet/storage_limits.cpp
+++ b/src/fleet/storage_limits.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSL-1.0
-// A storage VM's part in what callers may do: how old the fleet's word of the
+// A storage VM's part in what callers may do: how fresh what it knows of the
 // store is, and this VM's shares of the limits of workspaces.
 #include "pepperturn/fleet/storage_node.hpp"
 
@@ -12,14 +12,14 @@
 
 /// A watcher asks the store this much later than the one before it in the
 /// order: it has asked that one by then.
-constexpr milliseconds word_courtesy{450};
+constexpr milliseconds check_stagger{450};
 /// Those further back wait no longer than this many turns: the first ones may
 /// all be gone.
 constexpr std::ptrdiff_t most_turns = 3;
 
 } // namespace
 
-std::vector<std::string> storage_node::word_sources() const
+std::vector<std::string> storage_node::freshness_sources() const
 {
     // All that these know of views comes here before their answers.
     std::vector<std::string> out;
@@ -48,35 +48,35 @@
                        << state.m_config_revision << " reason=\"" << reason
                        << '"';
     }
-    keep_word();
+    keep_fresh();
 }
 
-void storage_node::keep_word()
+void storage_node::keep_fresh()
 {
-    // Where callers have no keys, nothing hangs on how old the word is.
+    // Where callers have no keys, nothing hangs on its age.
     const auto own = std::find(m_watch_order.begin(), m_watch_order.end(),
                                m_settings.m_name);
-    m_source.keep_word(
+    m_source.keep_fresh(
         {m_callers_have_keys && m_source.running(),
-         [this] { return m_word_keeper.word().m_config_at; },
-         word_courtesy * std::min<std::ptrdiff_t>(own - m_watch_order.begin(),
+         [this] { return m_freshness_keeper.freshness().m_config_at; },
+         check_stagger * std::min<std::ptrdiff_t>(own - m_watch_order.begin(),
                                                   most_turns)});
-    m_word_keeper.want(m_callers_have_keys);
+    m_freshness_keeper.want(m_callers_have_keys);
 }
 
-store_word storage_node::word() const
+freshness_bound storage_node::freshness() const
 {
-    const auto& own = m_source.word();
+    const auto& own = m_source.freshness();
     if (own.m_config_revision > m_server->state().m_config_revision)
-        return m_word_keeper.word();
-    return newest(own.m_word, m_word_keeper.word());
+        return m_freshness_keeper.freshness();
+    return newest(own.m_freshness, m_freshness_keeper.freshness());
 }
 
 std::optional<frame_body> storage_node::answer(const frame_body& question)
 {
-    if (std::holds_alternative<want_word_message>(question))
-        return tell_word(word(), m_server->state().m_config_revision,
-                         m_time.now());
+    if (std::holds_alternative<want_freshness_message>(question))
+        return report_freshness(
+            freshness(), m_server->state().m_config_revision, m_time.now());
     if (const auto* asked = std::get_if<quota_question>(&question))
         return count_request(*asked);
     return std::nullopt;
@@ -86,9 +86,9 @@
 {
     const auto now = m_time.now();
     const auto& self = m_settings.m_name;
-    const auto takeover = m_word_limits.m_revoke;
+    const auto takeover = m_staleness_limits.m_revoke;
     const bool fresh =
-        age_of(word().m_views_at, now) <= longest_use(m_word_limits);
+        age_of(freshness().m_views_at, now) <= longest_use(m_staleness_limits);
     const double share =
         fresh ? share_of(m_owners, self, question.m_workspace, now, takeover)
               : 0;
--- a/src/fleet/storage_node.cpp
+++ b/src/fleet/storage_node.cpp
@@ -40,15 +40,16 @@
       m_config_fetcher(io, time, m_links, settings.m_availability_zone,
                        [this](const cluster_state& news) { take_state(news); }),
       m_decoders(std::move(decoders)),
-      m_word_keeper(io, time, m_links,
-                    {[this] { return word_sources(); },
-                     [this] { return m_server->state().m_config_revision; },
-                     [this](const std::string& source, std::uint64_t revision) {
-                         m_config_fetcher.note_announced(source, revision);
-                     },
-                     true}),
-      m_word_limits{milliseconds(settings.m_revoke_ms),
-                    milliseconds(settings.m_apply_ms)},
+      m_freshness_keeper(
+          io, time, m_links,
+          {[this] { return freshness_sources(); },
+           [this] { return m_server->state().m_config_revision; },
+           [this](const std::string& source, std::uint64_t revision) {
+               m_config_fetcher.note_announced(source, revision);
+           },
+           true}),
+      m_staleness_limits{milliseconds(settings.m_revoke_ms),
+                         milliseconds(settings.m_apply_ms)},
       m_limiter({spare_share * settings.m_quota_slack}),
       m_owners(unknown_history())
 {}
@@ -174,7 +175,7 @@
     // An entry that lapsed while every VM was down has time to come back.
     m_source.learn(m_server->state());
     m_source.start();
-    keep_word();
+    keep_fresh();
     load_disk();
     return true;
 }
@@ -208,7 +209,7 @@
             counting.push_back(row.m_name);
     }
     note_members(m_owners, std::move(counting), m_time.now(),
-                 m_word_limits.m_revoke);
+                 m_staleness_limits.m_revoke);
     m_links.subscribe(sources);
     m_links.follow(wanted);
     m_config_fetcher.follow(members);
@@ -266,7 +267,7 @@
     const auto now = m_time.now();
     note_isolation();
     choose_watching();
-    keep_word();
+    keep_fresh();
     if (now >= m_next_beat)
     {
         m_next_beat = now + beat_interval;
--- a/src/forward/proxy.cpp
+++ b/src/forward/proxy.cpp
@@ -252,8 +252,8 @@
         co_return out;
     }
     const auto& route = *work->m_route;
-    if (asks_keys() && !word_known())
-        co_await wait_for([this] { return word_known(); });
+    if (asks_keys() && !config_age_known())
+        co_await wait_for([this] { return config_age_known(); });
     out.m_answer = admit_caller(*work);
     if (out.m_answer)
         co_return out;
--- a/src/forward/proxy_attempts.cpp
+++ b/src/forward/proxy_attempts.cpp
@@ -75,7 +75,7 @@
         out.m_answer = std::move(state.m_reserve);
     else if (state.m_may_have_run > 0)
         out.m_answer = fail(work, given_up ? 504 : 502, "no whole answer");
-    else if (!word_good(work))
+    else if (!fresh_enough(work))
         out.m_answer = refuse_stale(work);
     else
         out.m_answer = refuse(work, given_up ? "timeout" : "no runner took it",
@@ -189,7 +189,7 @@
                                   work->m_workspace != nullptr
                                       ? work->m_workspace->m_name
                                       : std::string{},
-                                  [this, work] { return word_good(*work); }};
+                                  [this, work] { return fresh_enough(*work); }};
     auto result = co_await run_attempt(m_io, m_time, m_pool, m_runners, m_names,
                                        runner, request, sink, work->m_aborter);
     work->m_runs += result.m_outcome == attempt_outcome::not_run ? 0 : 1;
@@ -297,7 +297,7 @@
     {
         const bool given_up = work->m_aborter->cause() != abort_cause::none ||
                               m_time.now() >= work->m_deadline ||
-                              !word_good(*work);
+                              !fresh_enough(*work);
         choice.m_draw = ++m_draw;
         bool may_go_on = !given_up && state.m_refusals < most_refusals;
         if (may_go_on && work->m_runs > 0)
--- a/src/forward/proxy_workspaces.cpp
+++ b/src/forward/proxy_workspaces.cpp
@@ -23,23 +23,24 @@
     m_guard = std::move(guard);
 }
 
-bool proxy::word_known() const
+bool proxy::config_age_known() const
 {
-    return !m_guard.m_word_age || m_guard.m_word_age() != milliseconds::max();
+    return !m_guard.m_config_age ||
+           m_guard.m_config_age() != milliseconds::max();
 }
 
-bool proxy::word_good(const call& work) const
+bool proxy::fresh_enough(const call& work) const
 {
-    if (work.m_workspace == nullptr || !m_guard.m_word_age)
+    if (work.m_workspace == nullptr || !m_guard.m_config_age)
         return true;
-    return m_guard.m_word_age() <= longest_use(m_guard.m_limits);
+    return m_guard.m_config_age() <= longest_use(m_guard.m_limits);
 }
 
 upstream_answer proxy::refuse_stale(call& work)
 {
     // The next VM that is tried may hear the store.
     work.m_keep_alive = false;
-    m_metrics.count("refused_old_word");
+    m_metrics.count("refused_stale_config");
     return refuse(work, "the configuration may be outdated here",
                   come_back_cut_off);
 }
@@ -52,14 +53,14 @@
         return std::nullopt;
     const auto given = decode_credentials(work.m_request, m_names);
     const auto age =
-        m_guard.m_word_age ? m_guard.m_word_age() : milliseconds(0);
+        m_guard.m_config_age ? m_guard.m_config_age() : milliseconds(0);
     const auto found = identify(*directory, given, age, m_guard.m_limits);
     if (found.m_verdict == identity_verdict::known)
     {
         work.m_workspace = found.m_workspace;
         return std::nullopt;
     }
-    work.m_why = "word_ms=" + std::to_string(age.count()) + ' ';
+    work.m_why = "config_age_ms=" + std::to_string(age.count()) + ' ';
     m_metrics.count(std::string("callers_") + to_string(found.m_verdict));
     if (found.m_verdict == identity_verdict::uncertain)
         return refuse_stale(work);
@@ -86,9 +87,6 @@
     question.m_begins = work->m_route->m_stateful &&
                         fields.m_parent_turn.empty() &&
                         fields.m_program_left.has_value();
-    const auto left = fields.m_program_left.value_or(milliseconds(0)).count();
-    question.m_program_left_ms = static_cast<std::uint32_t>(
-        std::min<milliseconds::rep>(left, UINT32_MAX));
     const auto asked = std::make_shared<quota_wait>(m_io);
     spawn(m_io, "proxy.quota",
           [](quota_client& quota, quota_question what,
--- a/src/tenancy/store_word.cpp
+++ b/src/tenancy/freshness.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSL-1.0
-#include "pepperturn/tenancy/store_word.hpp"
+#include "pepperturn/tenancy/freshness.hpp"
 
 namespace pepperturn {
 
@@ -25,17 +25,17 @@
 
 } // namespace
 
-word_message tell_word(const store_word& word, std::uint64_t config_revision,
-                       instant now)
+freshness_message report_freshness(const freshness_bound& bound,
+                                   std::uint64_t config_revision, instant now)
 {
-    return {config_revision, told_age(word.m_config_at, now),
-            told_age(word.m_views_at, now)};
+    return {config_revision, told_age(bound.m_config_at, now),
+            told_age(bound.m_views_at, now)};
 }
 
-store_word take_word(const word_message& told, instant asked,
-                     std::uint64_t known_revision, bool hears_views)
+freshness_bound derive_freshness(const freshness_message& told, instant asked,
+                                 std::uint64_t known_revision, bool hears_views)
 {
-    store_word out;
+    freshness_bound out;
     // A newer one than is in force here says that this VM is behind.
     if (told.m_config_revision <= known_revision)
         out.m_config_at = told_at(told.m_config_age_ms, asked);
@@ -44,13 +44,13 @@
     return out;
 }
 
-milliseconds longest_use(const word_limits& limits)
+milliseconds longest_use(const staleness_limits& limits)
 {
     constexpr int tenths = 9;
     return limits.m_revoke * tenths / 10;
 }
 
-milliseconds longest_denial(const word_limits& limits)
+milliseconds longest_denial(const staleness_limits& limits)
 {
     constexpr int tenths = 8;
     return limits.m_apply * tenths / 10;
--- a/src/tenancy/identity.cpp
+++ b/src/tenancy/identity.cpp
@@ -20,15 +20,15 @@
 }
 
 identity identify(const workspace_directory& directory,
-                  const credentials& given, milliseconds word_age,
-                  const word_limits& limits)
+                  const credentials& given, milliseconds config_age,
+                  const staleness_limits& limits)
 {
     if (!given.m_fault.empty())
         return {identity_verdict::malformed};
     const auto* owner = find_workspace(directory, given.m_key);
-    if (owner != nullptr && word_age <= longest_use(limits))
+    if (owner != nullptr && config_age <= longest_use(limits))
         return {identity_verdict::known, owner};
-    if (owner == nullptr && word_age <= longest_denial(limits))
+    if (owner == nullptr && config_age <= longest_denial(limits))
         return {identity_verdict::unknown};
     return {};
 }
--- a/src/turns/messages.cpp
+++ b/src/turns/messages.cpp
@@ -317,13 +317,13 @@
     {
         m_out.setWantConfig();
     }
-    void operator()(const want_word_message&)
+    void operator()(const want_freshness_message&)
     {
-        m_out.setWantWord();
+        m_out.setWantFreshness();
     }
-    void operator()(const word_message& body)
+    void operator()(const freshness_message& body)
     {
-        auto out = m_out.initWord();
+        auto out = m_out.initFreshness();
         out.setConfigRevision(body.m_config_revision);
         out.setConfigAgeMs(body.m_config_age_ms);
         out.setViewsAgeMs(body.m_views_age_ms);
@@ -336,7 +336,6 @@
         out.setBurst(body.m_limit.m_burst);
         out.setConfigRevision(body.m_config_revision);
         out.setBegins(body.m_begins);
-        out.setProgramLeftMs(body.m_program_left_ms);
         out.setReturned(body.m_returned);
         out.setProgram(body.m_program);
     }
@@ -391,8 +390,7 @@
 {
     return {in.getWorkspace(),      {in.getRatePerS(), in.getBurst()},
             in.getConfigRevision(), in.getProgram(),
-            in.getBegins(),         in.getProgramLeftMs(),
-            in.getReturned()};
+            in.getBegins(),         in.getReturned()};
 }
 
 quota_answer read_answer(turns_wire::QuotaAnswer::Reader in)
@@ -441,12 +439,12 @@
         return copied_message{};
     case kind::WANT_CONFIG:
         return want_config_message{};
-    case kind::WANT_WORD:
-        return want_word_message{};
-    case kind::WORD:
-        return word_message{in.getWord().getConfigRevision(),
-                            in.getWord().getConfigAgeMs(),
-                            in.getWord().getViewsAgeMs()};
+    case kind::WANT_FRESHNESS:
+        return want_freshness_message{};
+    case kind::FRESHNESS:
+        return freshness_message{in.getFreshness().getConfigRevision(),
+                                 in.getFreshness().getConfigAgeMs(),
+                                 in.getFreshness().getViewsAgeMs()};
     case kind::QUOTA_QUESTION:
         return read_question(in.getQuotaQuestion());
     case kind::QUOTA_ANSWER:
--- a/test/fleet/test_proxy_workspaces.cpp
+++ b/test/fleet/test_proxy_workspaces.cpp
@@ -7,7 +7,7 @@
 using namespace pepperturn;
 using namespace pepperturn::test;
 
-/// An edge VM whose callers have keys, and whose word has an age.
+/// An edge VM whose callers have keys, and whose configuration has an age.
 class keyed_edge : public lonely_edge
 {
 public:
@@ -20,12 +20,12 @@
         next.m_routes.front().m_public = true;
         m_proxy.take_config(std::move(next), 2);
         m_proxy.guard_workspaces({[this] {
-                                      ++m_word_asked;
-                                      return m_word_asked > m_fresh_answers
+                                      ++m_age_asked;
+                                      return m_age_asked > m_fresh_answers
                                                  ? milliseconds(60000)
-                                                 : m_word_age;
+                                                 : m_config_age;
                                   },
-                                  word_limits{}, nullptr});
+                                  staleness_limits{}, nullptr});
         m_first.script({{whole_answer(200, "body")}});
         m_second.script({{whole_answer(200, "body")}});
     }
@@ -38,8 +38,8 @@
         return m_first.requests().size() + m_second.requests().size();
     }
 
-    milliseconds m_word_age{0};
-    int m_word_asked = 0;
+    milliseconds m_config_age{0};
+    int m_age_asked = 0;
     int m_fresh_answers = 1000;
 };
 
@@ -61,11 +61,12 @@
     CHECK_FALSE(has(sent, "Authorization"));
 }
 
-TEST_CASE("a public route takes callers without keys, and no one's word",
+TEST_CASE("a public route takes callers without keys, however old the "
+          "configuration is",
           "[proxy][tenancy]")
 {
     keyed_edge edge;
-    edge.m_word_age = milliseconds(60000);
+    edge.m_config_age = milliseconds(60000);
     const auto got = edge.ask_with("/get/", "Pepperturn-Workspace: another\r\n"
                                             "Authorization: bearer key-1\r\n");
     CHECK(has(got, "HTTP/1.1 200 "));
@@ -95,7 +96,7 @@
     }));
     INFO(each.m_headers << each.m_word_age_ms);
     keyed_edge edge;
-    edge.m_word_age = milliseconds(each.m_word_age_ms);
+    edge.m_config_age = milliseconds(each.m_word_age_ms);
     const auto got = edge.ask_with("/once/", each.m_headers);
     CHECK(has(got, "HTTP/1.1 " + each.m_status + ' '));
     CHECK(has(got, "WWW-Authenticate: Bearer") == (each.m_status == "401"));
@@ -104,8 +105,9 @@
     CHECK(edge.runs() == 0);
 }
 
-TEST_CASE("a word that grows old while a request waits: it is not sent",
-          "[proxy][tenancy]")
+TEST_CASE(
+    "a configuration that grows old while a request waits: it is not sent",
+    "[proxy][tenancy]")
 {
     keyed_edge edge;
     // At the door, before a runner is chosen; not just before it is sent.
--- a/test/fleet/test_workspace_limits.cpp
+++ b/test/fleet/test_workspace_limits.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: BSL-1.0
-// Words of the store and limits of workspaces over real connections: storage
+// Freshness and limits of workspaces over real connections: storage
 // VMs, the store's stand-in, and an edge VM's questions.
-#include "pepperturn/cluster/word_keeper.hpp"
+#include "pepperturn/cluster/freshness_keeper.hpp"
 #include "pepperturn/forward/quota_client.hpp"
 
 #include "support/fleet/storage_world.hpp"
@@ -14,7 +14,7 @@
 constexpr const char* keyed_config =
     R"({"version":1,"routes":[],"services":[],"tenants":[
         {"name":"a","api_keys":["k"],"rate_per_s":40,"burst":40}]})";
-constexpr quota_question one_request{7, {40, 40}, 1, 0, false, 0, false};
+constexpr quota_question one_request{7, {40, 40}, 1, 0, false, false};
 /// Short, so that a takeover is waited for in the test.
 constexpr std::uint32_t short_revoke_ms = 2500;
 
@@ -24,16 +24,16 @@
 public:
     keyed_fleet()
         : m_quota(m_io, m_time, m_links),
-          m_words(m_io, m_time, m_links,
-                  {[this] { return watching(); },
-                   [this] { return m_state.m_config_revision; },
-                   [](const std::string&, std::uint64_t) {}})
+          m_freshness(m_io, m_time, m_links,
+                      {[this] { return watching(); },
+                       [this] { return m_state.m_config_revision; },
+                       [](const std::string&, std::uint64_t) {}})
     {
         m_revoke_ms = short_revoke_ms;
         m_store.put("op/config", keyed_config);
         for (const char* name : {"vm-0", "vm-1", "vm-2"})
             add(name);
-        m_words.want(true);
+        m_freshness.want(true);
     }
 
     [[nodiscard]] std::vector<std::string> watching() const
@@ -62,9 +62,9 @@
             return done();
         });
     }
-    [[nodiscard]] bool word_younger_than(milliseconds age) const
+    [[nodiscard]] bool fresher_than(milliseconds age) const
     {
-        return age_of(m_words.word().m_config_at, m_time.now()) < age;
+        return age_of(m_freshness.freshness().m_config_at, m_time.now()) < age;
     }
     quota_grant take()
     {
@@ -95,28 +95,29 @@
     }
 
     quota_client m_quota;
-    word_keeper m_words;
+    freshness_keeper m_freshness;
 };
 
 } // namespace
 
-TEST_CASE("an edge VM's word is fresh, also after all VMs were restarted",
+TEST_CASE("an edge VM is fresh, also after all VMs were restarted",
           "[fleet][tenancy]")
 {
     keyed_fleet fleet;
     const milliseconds fresh{1500};
-    REQUIRE(fleet.run([&] { return fleet.word_younger_than(fresh); }));
-    // Without the store nobody's word gets younger.
+    REQUIRE(fleet.run([&] { return fleet.fresher_than(fresh); }));
+    // Without the store nobody gets younger.
     fleet.m_store.set_down(true);
-    const auto before = fleet.m_words.word().m_config_at;
-    REQUIRE(fleet.run([&] { return !fleet.word_younger_than(fresh); }));
-    CHECK(fleet.m_words.word().m_config_at - before < milliseconds(1200));
+    const auto before = fleet.m_freshness.freshness().m_config_at;
+    REQUIRE(fleet.run([&] { return !fleet.fresher_than(fresh); }));
+    CHECK(fleet.m_freshness.freshness().m_config_at - before <
+          milliseconds(1200));
     fleet.m_store.set_down(false);
-    REQUIRE(fleet.run([&] { return fleet.word_younger_than(fresh); }));
+    REQUIRE(fleet.run([&] { return fleet.fresher_than(fresh); }));
     fleet.restart_all();
     const auto restarted = fleet.m_time.now();
     CHECK(fleet.run(
-        [&] { return fleet.m_words.word().m_config_at > restarted; }));
+        [&] { return fleet.m_freshness.freshness().m_config_at > restarted; }));
 }
 
 TEST_CASE("a limit over three owners, and one that is lost", "[fleet][tenancy]")
--- a/test/platform/test_cluster_source.cpp
+++ b/test/platform/test_cluster_source.cpp
@@ -128,51 +128,52 @@
     CHECK(world.wait_for_runner("i-1", entry("ready", 5)));
 }
 
-TEST_CASE("the word of the store is as old as the question", "[cluster_source]")
+TEST_CASE("what the store says is as old as the question", "[cluster_source]")
 {
     followed world;
     world.m_store.put("op/config", "one");
     world.m_source.start();
     REQUIRE(run_until(world.m_io, [&] { return world.m_source.synced(); }));
-    CHECK(world.m_source.word().m_word == store_word{});
-    world.m_source.keep_word({true, {}, {}});
+    CHECK(world.m_source.freshness().m_freshness == freshness_bound{});
+    world.m_source.keep_fresh({true, {}, {}});
     REQUIRE(run_until(world.m_io, [&] {
-        return world.m_source.word().m_word.m_views_at != instant{};
+        return world.m_source.freshness().m_freshness.m_views_at != instant{};
     }));
-    const auto first = world.m_source.word();
-    CHECK(first.m_word.m_config_at <= world.m_time.now());
+    const auto first = world.m_source.freshness();
+    CHECK(first.m_freshness.m_config_at <= world.m_time.now());
     // While the store is away nothing refreshes it.
     world.m_store.set_down(true);
     run_until(
         world.m_io, [] { return false; }, milliseconds(1500));
-    CHECK(world.m_source.word() == first);
+    CHECK(world.m_source.freshness() == first);
     world.m_store.set_down(false);
     world.m_store.put("op/config", "two");
     REQUIRE(run_until(world.m_io, [&] {
-        return world.m_source.word().m_config_revision >
+        return world.m_source.freshness().m_config_revision >
                first.m_config_revision;
     }));
-    CHECK(world.m_source.word().m_word.m_config_at >
-          first.m_word.m_config_at + milliseconds(1400));
+    CHECK(world.m_source.freshness().m_freshness.m_config_at >
+          first.m_freshness.m_config_at + milliseconds(1400));
 }
 
-TEST_CASE("a word that others have spares the question", "[cluster_source]")
+TEST_CASE("a fresh answer that others have spares the question",
+          "[cluster_source]")
 {
     followed world;
     world.m_store.put("op/config", "one");
     world.m_source.start();
     REQUIRE(run_until(world.m_io, [&] { return world.m_source.synced(); }));
     instant heard = world.m_time.now();
-    const milliseconds courtesy{300};
-    world.m_source.keep_word({true, [&] { return heard; }, courtesy});
+    const milliseconds stagger{300};
+    world.m_source.keep_fresh({true, [&] { return heard; }, stagger});
     world.settle(milliseconds(700));
-    CHECK(world.m_source.word().m_word == store_word{});
+    CHECK(world.m_source.freshness().m_freshness == freshness_bound{});
     // Nobody has asked for a while: this one does.
     REQUIRE(run_until(world.m_io, [&] {
-        return world.m_source.word().m_word.m_config_at != instant{};
+        return world.m_source.freshness().m_freshness.m_config_at != instant{};
     }));
-    CHECK(world.m_source.word().m_word.m_config_at >=
-          heard + milliseconds(600) + courtesy);
+    CHECK(world.m_source.freshness().m_freshness.m_config_at >=
+          heard + milliseconds(600) + stagger);
 }
 
 TEST_CASE("forgotten history is read anew", "[cluster_source]")
--- a/test/tenancy/test_store_word.cpp
+++ b/test/tenancy/test_freshness.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: BSL-1.0
-// Ages of what VMs know of the store: a VM must never take its word for
+// Ages of what VMs know of the store: a VM must never take it for
 // younger than it is, whatever is held up, frozen or answered late.
-#include "pepperturn/tenancy/store_word.hpp"
+#include "pepperturn/tenancy/freshness.hpp"
 
 #include <catch2/catch.hpp>
 #include <map>
@@ -18,7 +18,7 @@
 struct vm_row
 {
     std::uint64_t m_revision = 0;
-    store_word m_word;
+    freshness_bound m_freshness;
     /// Offset of its steady clock.
     milliseconds m_offset{0};
     struct question
@@ -26,7 +26,7 @@
         std::size_t m_of = 0;
         instant m_asked{};
         /// Set once it has been answered.
-        std::optional<word_message> m_told;
+        std::optional<freshness_message> m_told;
     };
     std::optional<question> m_question;
 };
@@ -56,17 +56,17 @@
         m_now += late;
         vm.m_revision = std::max(vm.m_revision, seen);
         if (seen == vm.m_revision)
-            vm.m_word.m_config_at = asked;
+            vm.m_freshness.m_config_at = asked;
     }
     /// What this VM may believe is true: a configuration newer than its own
-    /// is younger than its word.
+    /// is younger than its bound.
     [[nodiscard]] bool is_sound(const vm_row& vm) const
     {
-        if (vm.m_word.m_config_at == instant{})
+        if (vm.m_freshness.m_config_at == instant{})
             return true;
         const auto next = m_changed_at.find(vm.m_revision + 1);
         return next == m_changed_at.end() ||
-               vm.m_word.m_config_at <= next->second + vm.m_offset;
+               vm.m_freshness.m_config_at <= next->second + vm.m_offset;
     }
 
     instant m_now{};
@@ -79,7 +79,8 @@
 {
     auto& question = *from.m_question;
     const auto& to = all.m_vms[question.m_of];
-    question.m_told = tell_word(to.m_word, to.m_revision, all.now_at(to));
+    question.m_told =
+        report_freshness(to.m_freshness, to.m_revision, all.now_at(to));
 }
 
 void receive(vm_row& vm, bool with_news, std::uint64_t revision)
@@ -88,8 +89,8 @@
     if (with_news)
         vm.m_revision = std::max(vm.m_revision, revision);
     const auto heard =
-        take_word(told, vm.m_question->m_asked, vm.m_revision, true);
-    vm.m_word = newest(vm.m_word, heard);
+        derive_freshness(told, vm.m_question->m_asked, vm.m_revision, true);
+    vm.m_freshness = newest(vm.m_freshness, heard);
     vm.m_question.reset();
 }
 
@@ -98,24 +99,24 @@
 TEST_CASE("ages are told and taken on the old side", "[tenancy]")
 {
     const instant now = instant{} + milliseconds(9000);
-    const store_word word{now - milliseconds(700), instant{}};
-    const auto told = tell_word(word, 8, now);
-    CHECK(told == word_message{8, 701, UINT32_MAX});
+    const freshness_bound bound{now - milliseconds(700), instant{}};
+    const auto told = report_freshness(bound, 8, now);
+    CHECK(told == freshness_message{8, 701, UINT32_MAX});
     const auto asked = instant{} + milliseconds(50000);
-    CHECK(take_word(told, asked, 8, true).m_config_at ==
+    CHECK(derive_freshness(told, asked, 8, true).m_config_at ==
           asked - milliseconds(701));
     // Never heard stays so.
-    CHECK(take_word(told, asked, 8, true).m_views_at == instant{});
-    // This VM is behind: the word is of a configuration that it lacks.
-    CHECK(take_word(told, asked, 7, true).m_config_at == instant{});
+    CHECK(derive_freshness(told, asked, 8, true).m_views_at == instant{});
+    // This VM is behind: the answer is of a configuration that it lacks.
+    CHECK(derive_freshness(told, asked, 7, true).m_config_at == instant{});
     CHECK(age_of(instant{}, now) == milliseconds::max());
     CHECK(age_of(now, now + milliseconds(3)) == milliseconds(3));
 }
 
-TEST_CASE("no history of late answers makes a word too young",
+TEST_CASE("no history of late answers makes a bound too young",
           "[tenancy][property]")
 {
-    CHECK(rc::check("words", [] {
+    CHECK(rc::check("answers", [] {
         world all(3);
         const auto steps = *rc::gen::inRange(0, 120);
         for (int i = 0; i < steps; ++i)
--- a/test/tenancy/test_limit_histories.cpp
+++ b/test/tenancy/test_limit_histories.cpp
@@ -2,9 +2,9 @@
 // Random histories of owners that are cut off, frozen, replaced and restarted:
 // in no span of five seconds may a workspace be granted more than its limit
 // and the tolerance that counting over many VMs has.
+#include "pepperturn/tenancy/freshness.hpp"
 #include "pepperturn/tenancy/limit_owners.hpp"
 #include "pepperturn/tenancy/limiter.hpp"
-#include "pepperturn/tenancy/store_word.hpp"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -16,7 +16,7 @@
 using namespace pepperturn;
 
 constexpr milliseconds takeover{5000};
-constexpr word_limits bounds{takeover, milliseconds(3000)};
+constexpr staleness_limits bounds{takeover, milliseconds(3000)};
 constexpr std::uint64_t some_workspace = 77;
 constexpr request_limit usual_limit{100, 100};
 constexpr milliseconds window{5000};
@@ -42,8 +42,8 @@
 enum class broken : std::uint8_t
 {
     nothing,
-    /// Owners grant however old their word is.
-    word,
+    /// Owners grant however old what they know is.
+    freshness,
     /// New owners do not wait for the ones before.
     takeover
 };
@@ -105,7 +105,7 @@
             std::uint64_t revision = 1)
     {
         const bool fresh =
-            m_broken == broken::word ||
+            m_broken == broken::freshness ||
             (vm.m_views_at != instant{} &&
              age_of(vm.m_views_at, m_now) <= longest_use(bounds));
         const auto share = fresh
@@ -119,7 +119,7 @@
         for (int i = 0; i < count; ++i)
         {
             const auto told = vm.m_limiter.ask(
-                {some_workspace, limit, revision, 0, false, 0, false}, share,
+                {some_workspace, limit, revision, 0, false, false}, share,
                 since, m_now);
             if (told.m_outcome != quota_outcome::granted)
                 break;
@@ -298,7 +298,7 @@
     CHECK(static_cast<double>(grants_around_a_cut(broken::nothing)) <=
           most_in_window(usual_limit));
     // The check catches either part left out.
-    CHECK(static_cast<double>(grants_around_a_cut(broken::word)) >
+    CHECK(static_cast<double>(grants_around_a_cut(broken::freshness)) >
           most_in_window(usual_limit));
     CHECK(static_cast<double>(grants_around_a_cut(broken::takeover)) >
           most_in_window(usual_limit));
--- a/test/tenancy/test_limiter.cpp
+++ b/test/tenancy/test_limiter.cpp
@@ -20,7 +20,6 @@
     std::uint64_t m_id = 0;
     int m_calls_left = 0;
     instant m_next{};
-    instant m_due{};
     bool m_begun = false;
     bool m_came_back = false;
 };
@@ -35,7 +34,6 @@
 
 constexpr int calls_a_program = 16;
 constexpr milliseconds between_calls{250};
-constexpr milliseconds program_time{8000};
 
 /// \param times how many times what the limit bears is begun
 tally play(double times, const request_limit& limit)
@@ -51,18 +49,14 @@
          now += tick)
     {
         for (due += begun_per_tick; due >= 1; --due)
-            programs.push_back({programs.size() + 1, calls_a_program, now,
-                                now + program_time});
+            programs.push_back({programs.size() + 1, calls_a_program, now});
         for (auto& row : programs)
         {
             if (row.m_calls_left == 0 || now < row.m_next)
                 continue;
-            const auto left =
-                std::max<milliseconds::rep>(0, elapsed(now, row.m_due).count());
-            const auto told =
-                counting.ask({some_workspace, limit, 1, row.m_id, !row.m_begun,
-                              static_cast<std::uint32_t>(left), false},
-                             1.0, instant{} + milliseconds(1), now);
+            const auto told = counting.ask(
+                {some_workspace, limit, 1, row.m_id, !row.m_begun, false}, 1.0,
+                instant{} + milliseconds(1), now);
             if (told.m_outcome == quota_outcome::granted)
             {
                 out.m_begun += row.m_begun ? 0 : 1;
@@ -130,7 +124,7 @@
     limiter counting;
     const instant now = instant{} + std::chrono::seconds(100);
     const instant since = instant{} + std::chrono::seconds(1);
-    quota_question question{some_workspace, {10, 10}, 1, 0, false, 0, false};
+    quota_question question{some_workspace, {10, 10}, 1, 0, false, false};
     int granted = 0;
     while (counting.ask(question, 1.0, since, now).m_outcome ==
            quota_outcome::granted)
--- a/test/tenancy/test_workspaces.cpp
+++ b/test/tenancy/test_workspaces.cpp
@@ -80,10 +80,10 @@
     CHECK(add_workspace(directory, {"f", {}, {}}, {"k", "k"}).empty());
 }
 
-TEST_CASE("whose a request is, by the age of the word", "[tenancy]")
+TEST_CASE("whose a request is, by the age of the configuration", "[tenancy]")
 {
     const auto directory = two_workspaces();
-    const word_limits limits{milliseconds(5000), milliseconds(3000)};
+    const staleness_limits limits{milliseconds(5000), milliseconds(3000)};
     struct sample
     {
         std::string m_key;
