--- a/src/forward/proxy_workspaces.cpp
+++ b/src/forward/proxy_workspaces.cpp
@@ -87,7 +87,7 @@
     question.m_begins = work->m_route->m_stateful &&
                         fields.m_parent_turn.empty() &&
                         fields.m_program_left.has_value();
-    const auto asked = std::make_shared<quota_wait>(m_io);
+    auto asked = std::make_shared<quota_wait>(m_io);
     spawn(m_io, "proxy.quota",
           [](quota_client& quota, quota_question what,
              std::shared_ptr<quota_wait> state) -> task<> {
