--- a/test/fleet/test_workspace_limits.cpp
+++ b/test/fleet/test_workspace_limits.cpp
@@ -69,9 +69,10 @@
     quota_grant take()
     {
         std::optional<quota_grant> out;
-        asio::co_spawn(
-            m_io, m_quota.take(one_request),
-            [&](const std::exception_ptr&, quota_grant got) { out = got; });
+        asio::co_spawn(m_io, m_quota.take(one_request),
+                       [&](const std::exception_ptr&, const quota_grant& got) {
+                           out = got;
+                       });
         run([&] { return out.has_value(); });
         return out.value_or(quota_grant{});
     }
