Interfaces of the parts for hard load

Frames and types that the parts share, before they are built: places at engines (scheduling/engine_places), asks that are passed on by another edge VM, the wait in front of a limit; settings for a relay address, the memory of a VM and the prompts from which on places are asked for. Nothing uses them yet. Rows of frames have a file of their own (turns/wire_rows).

--- a/include/pepperturn/config/fleet_settings.hpp
+++ b/include/pepperturn/config/fleet_settings.hpp
@@ -22,6 +22,9 @@
     std::string m_metrics_address;
     /// IP:PORT for frames; storage VMs only.
     std::string m_frames_address;
+    /// IP:PORT where an edge VM passes on what others ask of storage VMs that
+    /// they do not hear; empty: it does not, and asks nobody to.
+    std::string m_relay_address;
     /// Frame addresses of some storage VMs, by commas; they may be stale.
     std::vector<std::string> m_seeds;
     /// Where turns are kept; storage VMs only.
@@ -36,6 +39,11 @@
     std::uint32_t m_apply_ms = 3000;
     /// Requests that counting over many VMs may let through above a limit.
     std::uint32_t m_quota_slack = 20;
+    /// A turn whose prompt has a shared part of this many tokens asks a storage
+    /// VM for a place at an engine; 0: edge VMs choose by themselves.
+    std::uint32_t m_place_from_tokens = 0;
+    /// Of the VM, for this process; 0: not told.
+    std::uint32_t m_memory_mb = 0;
     /// From the order to stop until the process is killed.
     std::uint32_t m_grace_s = 8;
 
--- /dev/null
+++ b/include/pepperturn/scheduling/engine_places.hpp
@@ -0,0 +1,181 @@
+// SPDX-License-Identifier: BSL-1.0
+/// \file
+/// Places at engines, handed out by one VM for all callers.
+///
+/// Load pattern: some dozens of edge VMs that each send an engine a call every
+/// few seconds. None of them sees from its own calls which engine is busy,
+/// which one is slow at the moment, or which one has read the long prompt part
+/// that many programs share. A storage VM that is asked before each turn sees
+/// all calls: it counts those under way at each engine, learns how fast each
+/// one reads and generates, and knows which prompt parts each has in memory.
+///
+/// What is lost with that VM is no more than this knowledge: the next one
+/// starts without any and learns it from the calls that follow, and edge VMs
+/// choose by themselves while nobody answers.
+#pragma once
+
+#include "pepperturn/base/time.hpp"
+#include "pepperturn/scheduling/admission.hpp"
+#include "pepperturn/scheduling/prompt_home.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace pepperturn {
+
+/// An engine as the configuration and the list of runners tell it.
+struct engine_facts
+{
+    /// Hash of the runner's incarnation.
+    std::uint64_t m_runner = 0;
+    std::string m_availability_zone;
+    /// Calls that run at once; more wait in its queue.
+    std::uint32_t m_slots = 1;
+    /// Prompt and output tokens that fit into its memory; 0: not told.
+    std::uint64_t m_token_capacity = 0;
+    /// It takes no new calls.
+    bool m_draining = false;
+
+    friend bool operator==(const engine_facts&, const engine_facts&) = default;
+};
+
+/// Asks for a place for one call.
+struct place_question
+{
+    /// Hash of the service's name.
+    std::uint64_t m_service = 0;
+    /// Hash of the request's id; asked again for another attempt, the place
+    /// of before is given up.
+    std::uint64_t m_call = 0;
+    /// Hash of the workspace's name; 0: of none.
+    std::uint64_t m_workspace = 0;
+    /// The prompt in order, as far as its caller names it.
+    std::vector<prompt_part> m_parts;
+    /// Tokens of the whole prompt.
+    std::uint32_t m_prompt_tokens = 0;
+    /// The most tokens that it generates.
+    std::uint32_t m_most_tokens = 0;
+    call_rank m_rank = call_rank::first;
+    /// Priority of its route or workspace; 0 is the most urgent.
+    std::uint32_t m_priority = 0;
+    /// Longest wait in line for a place, in milliseconds.
+    std::uint32_t m_patience_ms = 0;
+    /// Until its program should be over, in milliseconds; 0: not told.
+    std::uint32_t m_program_left_ms = 0;
+    /// Of the VM that asks.
+    std::string m_availability_zone;
+    /// Hashes of runners that have refused it.
+    std::vector<std::uint64_t> m_excluded;
+
+    friend bool operator==(const place_question&,
+                           const place_question&) = default;
+};
+
+enum class place_outcome : std::uint8_t
+{
+    placed,
+    /// All engines are full, and its turn does not come in time.
+    no_room,
+    /// This VM hands out no places for that service: another may, or the
+    /// asking VM chooses by itself.
+    not_placing
+};
+
+[[nodiscard]] const char* to_string(place_outcome outcome);
+
+struct place_answer
+{
+    place_outcome m_outcome = place_outcome::not_placing;
+    /// Hash of the runner's incarnation.
+    std::uint64_t m_runner = 0;
+    /// Tokens of the prompt that are thought to be in its memory.
+    std::uint32_t m_cached_tokens = 0;
+    /// Calls under way there, this one among them.
+    std::uint32_t m_under_way = 0;
+    /// Expected time to the last token, in milliseconds.
+    std::uint32_t m_expected_ms = 0;
+    /// No room: when there is some again, in milliseconds.
+    std::uint32_t m_retry_ms = 0;
+
+    friend bool operator==(const place_answer&, const place_answer&) = default;
+};
+
+/// How a call that had a place ended.
+enum class place_end : std::uint8_t
+{
+    /// With its whole answer.
+    whole,
+    /// Without; what it had read is in the engine's memory or not.
+    broken,
+    /// The runner never ran it.
+    not_run
+};
+
+[[nodiscard]] const char* to_string(place_end end);
+
+/// Tells the end of a call that had a place. Its times count from when the
+/// runner was sent the call.
+struct place_report
+{
+    std::uint64_t m_service = 0;
+    std::uint64_t m_call = 0;
+    /// The runner that was used in the end, should it be another one.
+    std::uint64_t m_runner = 0;
+    place_end m_end = place_end::not_run;
+    /// To the first byte, in milliseconds.
+    std::uint32_t m_first_byte_ms = 0;
+    /// From the first byte to the end, in milliseconds.
+    std::uint32_t m_run_ms = 0;
+    /// Tokens that were generated.
+    std::uint32_t m_tokens = 0;
+
+    friend bool operator==(const place_report&, const place_report&) = default;
+};
+
+/// The answer to a question that had to wait in line.
+struct decided_place
+{
+    std::uint64_t m_call = 0;
+    place_answer m_answer;
+
+    friend bool operator==(const decided_place&,
+                           const decided_place&) = default;
+};
+
+/// Places at the engines of all services that one VM hands them out for.
+class engine_places
+{
+public:
+    engine_places();
+    ~engine_places();
+    engine_places(const engine_places&) = delete;
+    engine_places& operator=(const engine_places&) = delete;
+
+    /// Takes the engines of a service as they are now; what was learnt of
+    /// those that stay is kept.
+    /// \param service hash of its name
+    void follow(std::uint64_t service, const std::vector<engine_facts>& engines,
+                instant now);
+    /// Drops every service that is not in \p services.
+    void retain(const std::vector<std::uint64_t>& services);
+
+    /// Empty: the call waits in line; its answer comes from \ref take_decided.
+    [[nodiscard]] std::optional<place_answer>
+    ask(const place_question& question, instant now);
+    void report(const place_report& report, instant now);
+    /// Calls that waited and have a place now, or need not wait any longer.
+    /// Places whose end was never told come back, too.
+    [[nodiscard]] std::vector<decided_place> take_decided(instant now);
+
+    /// Figures for operators, one line each.
+    void write_metrics(std::string& out) const;
+
+private:
+    struct state;
+    std::unique_ptr<state> m_state;
+};
+
+} // namespace pepperturn
--- a/include/pepperturn/tenancy/limiter.hpp
+++ b/include/pepperturn/tenancy/limiter.hpp
@@ -40,6 +40,8 @@
     bool m_begins = false;
     /// A grant that was not used comes back; nothing is asked.
     bool m_returned = false;
+    /// Longest wait in line for room below the limit, in milliseconds.
+    std::uint32_t m_patience_ms = 0;
 
     friend bool operator==(const quota_question&,
                            const quota_question&) = default;
--- a/include/pepperturn/turns/messages.hpp
+++ b/include/pepperturn/turns/messages.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "pepperturn/cluster/state.hpp"
+#include "pepperturn/scheduling/engine_places.hpp"
 #include "pepperturn/tenancy/freshness.hpp"
 #include "pepperturn/tenancy/limiter.hpp"
 #include "pepperturn/turns/records.hpp"
@@ -33,6 +34,9 @@
     /// Every change of the world is to be told on this connection, and all
     /// that is known first.
     bool m_wants_news = true;
+    /// IP:PORT where it passes on what others ask; empty: it does not.
+    std::string m_relay_address = {};
+    std::string m_availability_zone = {};
     friend bool operator==(const hello_message&,
                            const hello_message&) = default;
 };
@@ -159,13 +163,51 @@
                            const want_freshness_message&) = default;
 };
 
+/// Asks a storage VM for edge VMs that hear it; answered with a
+/// neighbours_message.
+struct want_neighbours_message
+{
+    friend bool operator==(const want_neighbours_message&,
+                           const want_neighbours_message&) = default;
+};
+
+/// An edge VM that passes on what others ask.
+struct neighbour
+{
+    std::string m_name;
+    /// IP:PORT.
+    std::string m_address;
+    std::string m_availability_zone;
+    friend bool operator==(const neighbour&, const neighbour&) = default;
+};
+
+struct neighbours_message
+{
+    std::vector<neighbour> m_neighbours;
+    friend bool operator==(const neighbours_message&,
+                           const neighbours_message&) = default;
+};
+
+/// A question to a storage VM that goes through another edge VM, and the
+/// answer to it.
+struct relayed_message
+{
+    /// The storage VM's name.
+    std::string m_member;
+    /// The frame that is passed on, without its length.
+    std::string m_frame;
+    friend bool operator==(const relayed_message&,
+                           const relayed_message&) = default;
+};
+
 using frame_body =
     std::variant<hello_message, cluster_state, beat_message, begin_message,
                  begun_message, append_message, appended_message, fetch_message,
                  fetched_message, list_message, listed_message, read_message,
                  entries_message, copied_message, want_config_message,
                  want_freshness_message, freshness_message, quota_question,
-                 quota_answer>;
+                 quota_answer, want_neighbours_message, neighbours_message,
+                 relayed_message, place_question, place_answer, place_report>;
 
 struct frame
 {
--- a/src/config/fleet_settings.cpp
+++ b/src/config/fleet_settings.cpp
@@ -15,6 +15,8 @@
 constexpr std::uint32_t least_bound_ms = 100;
 constexpr std::uint32_t most_bound_ms = 3600000;
 constexpr std::uint32_t most_quota_slack = 1000000;
+constexpr std::uint32_t most_prompt_tokens = 100000000;
+constexpr std::uint32_t most_memory_mb = 16U << 20U;
 
 } // namespace
 
@@ -41,12 +43,14 @@
             reader.read("availability_zone", out.m_availability_zone);
             reader.read("bootstrap", out.m_bootstrap);
             reader.read("grace_s", out.m_grace_s, 1, most_grace_s);
+            reader.read("memory_mb", out.m_memory_mb, 0, most_memory_mb);
         }
         else if (name == "listen")
         {
             reader.read("callers", out.m_callers_address);
             reader.read("ready", out.m_ready_address);
             reader.read("metrics", out.m_metrics_address);
+            reader.read("relay", out.m_relay_address);
             reader.read("frames", out.m_frames_address);
             std::string seeds;
             if (reader.read("seeds", seeds) && !seeds.empty())
@@ -66,6 +70,9 @@
                         most_bound_ms);
             reader.read("quota_slack", out.m_quota_slack, 0, most_quota_slack);
         }
+        else if (name == "placement")
+            reader.read("from_shared_tokens", out.m_place_from_tokens, 0,
+                        most_prompt_tokens);
         else if (name == "store")
             reader.read("address", out.m_store_address);
         else
--- a/src/turns/messages.cpp
+++ b/src/turns/messages.cpp
@@ -2,7 +2,7 @@
 #include "pepperturn/turns/messages.hpp"
 
 #include "pepperturn/base/hash.hpp"
-#include "turns.capnp.h"
+#include "wire_rows.hpp"
 
 #include <algorithm>
 #include <capnp/message.h>
@@ -14,215 +14,11 @@
 
 namespace {
 
+using namespace detail;
+
 constexpr std::uint64_t second_hash_seed = 0x9e3779b97f4a7c15ULL;
 constexpr std::size_t length_bytes = 4;
 
-std::string text_of(capnp::Text::Reader reader)
-{
-    return {reader.begin(), reader.size()};
-}
-
-std::string data_of(capnp::Data::Reader reader)
-{
-    return {reinterpret_cast<const char*>(reader.begin()), reader.size()};
-}
-
-capnp::Data::Reader data_from(const std::string& text)
-{
-    return {reinterpret_cast<const kj::byte*>(text.data()), text.size()};
-}
-
-void fill(turns_wire::Key::Builder out, const id_key& key)
-{
-    out.setHigh(key.m_high);
-    out.setLow(key.m_low);
-}
-
-id_key read(turns_wire::Key::Reader in)
-{
-    return {in.getHigh(), in.getLow()};
-}
-
-void fill(turns_wire::Reservation::Builder out, const reservation& row)
-{
-    fill(out.initProgram(), row.m_program);
-    fill(out.initAttempt(), row.m_attempt);
-    out.setTokens(row.m_tokens);
-    out.setSettled(row.m_settled);
-    out.setPromptPart(row.m_place.m_part);
-    out.setPromptTokens(row.m_place.m_tokens);
-    out.setPromptRunner(row.m_place.m_runner);
-}
-
-reservation read(turns_wire::Reservation::Reader in)
-{
-    return {read(in.getProgram()),
-            read(in.getAttempt()),
-            in.getTokens(),
-            in.getSettled(),
-            {in.getPromptPart(), in.getPromptTokens(), in.getPromptRunner()}};
-}
-
-void fill(turns_wire::Turn::Builder out, const turn_record& turn)
-{
-    out.setId(turn.m_id);
-    out.setParent(turn.m_parent);
-    out.setInput(data_from(turn.m_input));
-    out.setOutput(data_from(turn.m_output));
-    out.setRunner(turn.m_runner);
-    fill(out.initProgram(), turn.m_program);
-    fill(out.initAttempt(), turn.m_attempt);
-    out.setTokens(turn.m_tokens);
-}
-
-turn_record read(turns_wire::Turn::Reader in)
-{
-    turn_record turn;
-    turn.m_id = text_of(in.getId());
-    turn.m_parent = text_of(in.getParent());
-    turn.m_input = data_of(in.getInput());
-    turn.m_output = data_of(in.getOutput());
-    turn.m_runner = text_of(in.getRunner());
-    turn.m_program = read(in.getProgram());
-    turn.m_attempt = read(in.getAttempt());
-    turn.m_tokens = in.getTokens();
-    return turn;
-}
-
-void fill(turns_wire::Entry::Builder out, const log_entry& entry)
-{
-    out.setRetentionMs(entry.m_retention_ms);
-    if (const auto* turn = std::get_if<turn_record>(&entry.m_what))
-        fill(out.initTurn(), *turn);
-    else
-        fill(out.initReservation(), std::get<reservation>(entry.m_what));
-}
-
-void fill(turns_wire::Kept::Builder out, const kept_reservation& kept)
-{
-    out.setRetentionMs(kept.m_retention_ms);
-    fill(out.initReservation(), kept.m_row);
-}
-
-kept_reservation read(turns_wire::Kept::Reader in)
-{
-    return {in.getRetentionMs(), read(in.getReservation())};
-}
-
-log_entry read(turns_wire::Entry::Reader in)
-{
-    log_entry entry;
-    entry.m_retention_ms = in.getRetentionMs();
-    if (in.isTurn())
-        entry.m_what = read(in.getTurn());
-    else
-        entry.m_what = read(in.getReservation());
-    return entry;
-}
-
-void fill(turns_wire::Member::Builder out, const member& row)
-{
-    out.setName(row.m_name);
-    out.setAddress(row.m_address);
-    out.setZone(row.m_availability_zone);
-    out.setDisk(row.m_disk);
-    out.setState(static_cast<std::uint8_t>(row.m_state));
-    out.setIntact(row.m_intact);
-}
-
-void fill(turns_wire::Retirement::Builder out, const retirement& row)
-{
-    out.setVm(row.m_vm);
-    out.setRevision(row.m_revision);
-    out.setWithdrawn(row.m_withdrawn);
-}
-
-retirement read(turns_wire::Retirement::Reader in)
-{
-    return {text_of(in.getVm()), in.getRevision(), in.getWithdrawn()};
-}
-
-void fill(turns_wire::View::Builder out, const cluster_view& view)
-{
-    out.setEpoch(view.m_epoch);
-    auto members = out.initMembers(view.m_members.size());
-    for (unsigned i = 0; i < members.size(); ++i)
-        fill(members[i], view.m_members[i]);
-    out.setSet(view.m_set);
-    out.setSetCount(view.m_set_count);
-}
-
-template <class List, class Rows> void fill_all(List out, const Rows& rows)
-{
-    for (unsigned i = 0; i < out.size(); ++i)
-        fill(out[i], rows[i]);
-}
-
-void fill(turns_wire::State::Builder out, const cluster_state& state)
-{
-    out.setConfigRevision(state.m_config_revision);
-    out.setConfig(state.m_config);
-    out.setRunnersRevision(state.m_runners_revision);
-    auto runners = out.initRunners(state.m_runners.size());
-    for (unsigned i = 0; i < runners.size(); ++i)
-    {
-        runners[i].setName(state.m_runners[i].m_name);
-        runners[i].setText(state.m_runners[i].m_text);
-        runners[i].setRevision(state.m_runners[i].m_revision);
-        runners[i].setGone(state.m_runners[i].m_gone);
-    }
-    fill_all(out.initViews(state.m_views.size()), state.m_views);
-    fill_all(out.initRetirements(state.m_retirements.size()),
-             state.m_retirements);
-}
-
-member read(turns_wire::Member::Reader in)
-{
-    member row;
-    row.m_name = text_of(in.getName());
-    row.m_address = text_of(in.getAddress());
-    row.m_availability_zone = text_of(in.getZone());
-    row.m_disk = in.getDisk();
-    row.m_state = static_cast<member_state>(in.getState());
-    row.m_intact = in.getIntact();
-    return row;
-}
-
-cluster_view read(turns_wire::View::Reader in)
-{
-    cluster_view view;
-    view.m_epoch = in.getEpoch();
-    for (const auto row : in.getMembers())
-        view.m_members.push_back(read(row));
-    view.m_set = in.getSet();
-    view.m_set_count = in.getSetCount();
-    return view;
-}
-
-template <class Row, class List> std::vector<Row> read_all(List in)
-{
-    std::vector<Row> rows;
-    rows.reserve(in.size());
-    for (const auto row : in)
-        rows.push_back(read(row));
-    return rows;
-}
-
-cluster_state read(turns_wire::State::Reader in)
-{
-    cluster_state state;
-    state.m_config_revision = in.getConfigRevision();
-    state.m_config = text_of(in.getConfig());
-    state.m_runners_revision = in.getRunnersRevision();
-    for (const auto row : in.getRunners())
-        state.m_runners.push_back({text_of(row.getName()),
-                                   text_of(row.getText()), row.getRevision(),
-                                   row.getGone()});
-    state.m_views = read_all<cluster_view>(in.getViews());
-    state.m_retirements = read_all<retirement>(in.getRetirements());
-    return state;
-}
-
 /// Writes each kind of body into its member of the union.
 struct body_writer
 {
@@ -233,6 +29,8 @@
         auto out = m_out.initHello();
         out.setName(body.m_name);
         out.setWantsNews(body.m_wants_news);
+        out.setRelayAddress(body.m_relay_address);
+        out.setZone(body.m_availability_zone);
     }
     void operator()(const cluster_state& body)
     {
@@ -338,6 +136,7 @@
         out.setBegins(body.m_begins);
         out.setReturned(body.m_returned);
         out.setProgram(body.m_program);
+        out.setPatienceMs(body.m_patience_ms);
     }
     void operator()(const quota_answer& body)
     {
@@ -345,8 +144,79 @@
         out.setOutcome(static_cast<std::uint8_t>(body.m_outcome));
         out.setRetryMs(body.m_retry_ms);
     }
+    void operator()(const want_neighbours_message&)
+    {
+        m_out.setWantNeighbours();
+    }
+    void operator()(const neighbours_message& body)
+    {
+        auto out = m_out.initNeighbours(body.m_neighbours.size());
+        for (unsigned i = 0; i < out.size(); ++i)
+        {
+            out[i].setName(body.m_neighbours[i].m_name);
+            out[i].setAddress(body.m_neighbours[i].m_address);
+            out[i].setZone(body.m_neighbours[i].m_availability_zone);
+        }
+    }
+    void operator()(const relayed_message& body)
+    {
+        auto out = m_out.initRelayed();
+        out.setMember(body.m_member);
+        out.setFrame(data_from(body.m_frame));
+    }
+    void operator()(const place_question& body)
+    {
+        auto out = m_out.initPlaceQuestion();
+        out.setService(body.m_service);
+        out.setCall(body.m_call);
+        out.setWorkspace(body.m_workspace);
+        auto parts = out.initParts(body.m_parts.size());
+        for (unsigned i = 0; i < parts.size(); ++i)
+        {
+            parts[i].setId(body.m_parts[i].m_id);
+            parts[i].setTokens(body.m_parts[i].m_tokens);
+        }
+        out.setPromptTokens(body.m_prompt_tokens);
+        out.setMostTokens(body.m_most_tokens);
+        out.setRank(static_cast<std::uint8_t>(body.m_rank));
+        out.setPriority(body.m_priority);
+        out.setPatienceMs(body.m_patience_ms);
+        out.setProgramLeftMs(body.m_program_left_ms);
+        out.setZone(body.m_availability_zone);
+        auto excluded = out.initExcluded(body.m_excluded.size());
+        for (unsigned i = 0; i < excluded.size(); ++i)
+            excluded.set(i, body.m_excluded[i]);
+    }
+    void operator()(const place_answer& body)
+    {
+        auto out = m_out.initPlaceAnswer();
+        out.setOutcome(static_cast<std::uint8_t>(body.m_outcome));
+        out.setRunner(body.m_runner);
+        out.setCachedTokens(body.m_cached_tokens);
+        out.setUnderWay(body.m_under_way);
+        out.setExpectedMs(body.m_expected_ms);
+        out.setRetryMs(body.m_retry_ms);
+    }
+    void operator()(const place_report& body)
+    {
+        auto out = m_out.initPlaceReport();
+        out.setService(body.m_service);
+        out.setCall(body.m_call);
+        out.setRunner(body.m_runner);
+        out.setEnd(static_cast<std::uint8_t>(body.m_end));
+        out.setFirstByteMs(body.m_first_byte_ms);
+        out.setRunMs(body.m_run_ms);
+        out.setTokens(body.m_tokens);
+    }
 };
 
+/// What a newer VM may say counts as \p unknown, the last value known here.
+template <class Enum> Enum read_enum(std::uint8_t value, Enum unknown)
+{
+    return static_cast<Enum>(
+        std::min(value, static_cast<std::uint8_t>(unknown)));
+}
+
 begin_message read_begin(turns_wire::Begin::Reader in)
 {
     return {read(in.getReservation()), in.getRetentionMs(),
@@ -390,15 +260,70 @@
 {
     return {in.getWorkspace(),      {in.getRatePerS(), in.getBurst()},
             in.getConfigRevision(), in.getProgram(),
-            in.getBegins(),         in.getReturned()};
+            in.getBegins(),         in.getReturned(),
+            in.getPatienceMs()};
 }
 
 quota_answer read_answer(turns_wire::QuotaAnswer::Reader in)
 {
     // What is not known here grants nothing.
-    const auto outcome = std::min(
-        in.getOutcome(), static_cast<std::uint8_t>(quota_outcome::not_owner));
-    return {static_cast<quota_outcome>(outcome), in.getRetryMs()};
+    return {read_enum(in.getOutcome(), quota_outcome::not_owner),
+            in.getRetryMs()};
+}
+
+hello_message read_hello(turns_wire::Hello::Reader in)
+{
+    return {text_of(in.getName()), in.getWantsNews(),
+            text_of(in.getRelayAddress()), text_of(in.getZone())};
+}
+
+neighbours_message
+read_neighbours(capnp::List<turns_wire::Neighbour>::Reader in)
+{
+    neighbours_message out;
+    for (const auto row : in)
+        out.m_neighbours.push_back({text_of(row.getName()),
+                                    text_of(row.getAddress()),
+                                    text_of(row.getZone())});
+    return out;
+}
+
+place_question read_place_question(turns_wire::PlaceQuestion::Reader in)
+{
+    place_question out;
+    out.m_service = in.getService();
+    out.m_call = in.getCall();
+    out.m_workspace = in.getWorkspace();
+    for (const auto part : in.getParts())
+        out.m_parts.push_back({part.getId(), part.getTokens()});
+    out.m_prompt_tokens = in.getPromptTokens();
+    out.m_most_tokens = in.getMostTokens();
+    out.m_rank = read_enum(in.getRank(), call_rank::late);
+    out.m_priority = in.getPriority();
+    out.m_patience_ms = in.getPatienceMs();
+    out.m_program_left_ms = in.getProgramLeftMs();
+    out.m_availability_zone = text_of(in.getZone());
+    for (const auto runner : in.getExcluded())
+        out.m_excluded.push_back(runner);
+    return out;
+}
+
+place_answer read_place_answer(turns_wire::PlaceAnswer::Reader in)
+{
+    return {read_enum(in.getOutcome(), place_outcome::not_placing),
+            in.getRunner(),
+            in.getCachedTokens(),
+            in.getUnderWay(),
+            in.getExpectedMs(),
+            in.getRetryMs()};
+}
+
+place_report read_place_report(turns_wire::PlaceReport::Reader in)
+{
+    return {in.getService(),     in.getCall(),
+            in.getRunner(),      read_enum(in.getEnd(), place_end::not_run),
+            in.getFirstByteMs(), in.getRunMs(),
+            in.getTokens()};
 }
 
 std::optional<frame_body> read_body(turns_wire::Frame::Reader in)
@@ -407,8 +332,7 @@
     switch (in.which())
     {
     case kind::HELLO:
-        return hello_message{text_of(in.getHello().getName()),
-                             in.getHello().getWantsNews()};
+        return read_hello(in.getHello());
     case kind::STATE:
         return read(in.getState());
     case kind::BEAT:
@@ -449,6 +373,19 @@
         return read_question(in.getQuotaQuestion());
     case kind::QUOTA_ANSWER:
         return read_answer(in.getQuotaAnswer());
+    case kind::WANT_NEIGHBOURS:
+        return want_neighbours_message{};
+    case kind::NEIGHBOURS:
+        return read_neighbours(in.getNeighbours());
+    case kind::RELAYED:
+        return relayed_message{text_of(in.getRelayed().getMember()),
+                               data_of(in.getRelayed().getFrame())};
+    case kind::PLACE_QUESTION:
+        return read_place_question(in.getPlaceQuestion());
+    case kind::PLACE_ANSWER:
+        return read_place_answer(in.getPlaceAnswer());
+    case kind::PLACE_REPORT:
+        return read_place_report(in.getPlaceReport());
     }
     return std::nullopt;
 }
--- a/test/turns/test_messages.cpp
+++ b/test/turns/test_messages.cpp
@@ -55,7 +55,26 @@
         read_message{{5, 6}},
         entries_message{{"raw", "bytes"}},
         copied_message{},
-        want_config_message{}};
+        want_config_message{},
+        hello_message{"vm-2", true, "1.2.3.4:7380", "z"},
+        quota_question{7, {2.5, 10}, 3, 8, true, false, 40},
+        want_neighbours_message{},
+        neighbours_message{{{"vm-2", "1.2.3.4:7380", "z"}}},
+        relayed_message{"a", std::string("\0frame", 6)},
+        place_question{1,
+                       2,
+                       3,
+                       {{4, 12600}, {5, 1680}},
+                       14280,
+                       600,
+                       call_rank::under_way,
+                       2,
+                       150,
+                       4000,
+                       "z",
+                       {9, 10}},
+        place_answer{place_outcome::no_room, 9, 12600, 4, 350, 80},
+        place_report{1, 2, 9, place_end::broken, 34, 270, 245}};
     for (const auto& body : bodies)
     {
         const frame sent{12, 34, frame_status::stale, body};
