Questions to a storage VM may be answered later; waiting for a place

A call that waits in line for a place is told so at once and asks again for the decision, so that an asker tells a line from a VM that has gone silent.

--- a/include/pepperturn/fleet/storage_node.hpp
+++ b/include/pepperturn/fleet/storage_node.hpp
@@ -70,7 +70,9 @@
     void keep_fresh();
     /// What this VM knows of the store, and how old that is.
     [[nodiscard]] freshness_bound freshness() const;
-    [[nodiscard]] std::optional<frame_body> answer(const frame_body& question);
+    /// False: the question is about turns.
+    [[nodiscard]] bool answer(const frame_body& question,
+                              const turn_server::reply& reply);
     [[nodiscard]] quota_answer count_request(const quota_question& question);
     task<> copy_all();
     /// \param gathered only if the member has gathered what others hold
--- a/include/pepperturn/scheduling/engine_places.hpp
+++ b/include/pepperturn/scheduling/engine_places.hpp
@@ -69,6 +69,8 @@
     std::string m_availability_zone;
     /// Hashes of runners that have refused it.
     std::vector<std::uint64_t> m_excluded;
+    /// It waits in line already; answered once that is decided.
+    bool m_collects = false;
 
     friend bool operator==(const place_question&,
                            const place_question&) = default;
@@ -77,6 +79,8 @@
 enum class place_outcome : std::uint8_t
 {
     placed,
+    /// All engines are full; it waits in line.
+    waiting,
     /// All engines are full, and its turn does not come in time.
     no_room,
     /// This VM hands out no places for that service: another may, or the
--- a/include/pepperturn/turns/turn_server.hpp
+++ b/include/pepperturn/turns/turn_server.hpp
@@ -37,10 +37,13 @@
     /// Merges what is newer and passes it on; \p on_change comes after each.
     void take_state(const cluster_state& news);
     void on_change(std::function<void(const state_change&)> handler);
-    /// Answers questions that are not about turns, whatever the asker's view
-    /// is; empty: it is none of these.
-    void on_question(
-        std::function<std::optional<frame_body>(const frame_body&)> handler);
+    /// Sends the answer to a question, at once or later; of no effect if the
+    /// asker is gone.
+    using reply = std::function<void(frame_body)>;
+    /// Takes questions and notices that are not about turns, whatever the
+    /// asker's view is; false: it is none of these.
+    void
+    on_question(std::function<bool(const frame_body&, const reply&)> handler);
     [[nodiscard]] const cluster_state& state() const
     {
         return m_state;
@@ -133,7 +136,7 @@
     cluster_state m_state;
     cluster_view m_own_view;
     std::function<void(const state_change&)> m_on_change;
-    std::function<std::optional<frame_body>(const frame_body&)> m_on_question;
+    std::function<bool(const frame_body&, const reply&)> m_on_question;
     std::set<std::shared_ptr<peer>> m_peers;
     /// Answers for what is queued, and for what is being written.
     std::vector<waiting_answer> m_queued_answers;
--- a/src/fleet/storage_limits.cpp
+++ b/src/fleet/storage_limits.cpp
@@ -72,14 +72,17 @@
     return newest(own.m_freshness, m_freshness_keeper.freshness());
 }
 
-std::optional<frame_body> storage_node::answer(const frame_body& question)
+bool storage_node::answer(const frame_body& question,
+                          const turn_server::reply& reply)
 {
     if (std::holds_alternative<want_freshness_message>(question))
-        return report_freshness(
-            freshness(), m_server->state().m_config_revision, m_time.now());
-    if (const auto* asked = std::get_if<quota_question>(&question))
-        return count_request(*asked);
-    return std::nullopt;
+        reply(report_freshness(freshness(), m_server->state().m_config_revision,
+                               m_time.now()));
+    else if (const auto* asked = std::get_if<quota_question>(&question))
+        reply(count_request(*asked));
+    else
+        return false;
+    return true;
 }
 
 quota_answer storage_node::count_request(const quota_question& question)
--- a/src/fleet/storage_node.cpp
+++ b/src/fleet/storage_node.cpp
@@ -159,7 +159,9 @@
             follow_config();
     });
     m_server->on_question(
-        [this](const frame_body& question) { return answer(question); });
+        [this](const frame_body& question, const turn_server::reply& reply) {
+            return answer(question, reply);
+        });
     m_links.on_state(
         [this](const std::string& from, const cluster_state& news) {
             take_state(news);
--- a/src/scheduling/engine_places.cpp
+++ b/src/scheduling/engine_places.cpp
@@ -16,6 +16,8 @@
     {
     case place_outcome::placed:
         return "placed";
+    case place_outcome::waiting:
+        return "waiting";
     case place_outcome::no_room:
         return "no_room";
     case place_outcome::not_placing:
--- a/src/turns/messages.cpp
+++ b/src/turns/messages.cpp
@@ -186,6 +186,7 @@
         auto excluded = out.initExcluded(body.m_excluded.size());
         for (unsigned i = 0; i < excluded.size(); ++i)
             excluded.set(i, body.m_excluded[i]);
+        out.setCollects(body.m_collects);
     }
     void operator()(const place_answer& body)
     {
@@ -305,6 +306,7 @@
     out.m_availability_zone = text_of(in.getZone());
     for (const auto runner : in.getExcluded())
         out.m_excluded.push_back(runner);
+    out.m_collects = in.getCollects();
     return out;
 }
 
--- a/src/turns/turn_server.cpp
+++ b/src/turns/turn_server.cpp
@@ -125,7 +125,7 @@
 }
 
 void turn_server::on_question(
-    std::function<std::optional<frame_body>(const frame_body&)> handler)
+    std::function<bool(const frame_body&, const reply&)> handler)
 {
     m_on_question = std::move(handler);
 }
@@ -243,6 +243,16 @@
         take_state(*news);
         return;
     }
+    if (m_on_question)
+    {
+        const auto reply = [this, link = from->m_link,
+                            call = value.m_call](frame_body body) {
+            link->send(
+                {call, m_own_view.m_epoch, frame_status::ok, std::move(body)});
+        };
+        if (m_on_question(value.m_body, reply))
+            return;
+    }
     if (value.m_call == 0)
         return;
     // Whatever the asker's view is.
@@ -254,14 +264,6 @@
         answer(from, value.m_call, frame_status::ok, std::move(told));
         return;
     }
-    if (m_on_question)
-    {
-        if (auto told = m_on_question(value.m_body))
-        {
-            answer(from, value.m_call, frame_status::ok, std::move(*told));
-            return;
-        }
-    }
     const auto status = check(value);
     ++m_answered[status];
     if (status != frame_status::ok)
--- a/test/turns/test_messages.cpp
+++ b/test/turns/test_messages.cpp
@@ -72,7 +72,8 @@
                        150,
                        4000,
                        "z",
-                       {9, 10}},
+                       {9, 10},
+                       true},
         place_answer{place_outcome::no_room, 9, 12600, 4, 350, 80},
         place_report{1, 2, 9, place_end::broken, 34, 270, 245}};
     for (const auto& body : bodies)
