Places at engines: who runs where, how fast, with what in memory

Cause: an edge VM knows of one call in fifty that an engine runs, so none sees which engine is busy, slow now, or holds a shared prompt part.

The VM that is asked counts calls under way, learns a lasting pace and one of the last moments, takes overdue calls for a sign of a hang, keeps the parts that each engine holds, and chooses by predicted finish and what it costs the others.

Ruled out: one cost in shares of slots, as placement.hpp has; speed and reading are times and do not compare with shares.

--- /dev/null
+++ b/include/pepperturn/scheduling/engine_record.hpp
@@ -0,0 +1,122 @@
+// SPDX-License-Identifier: BSL-1.0
+/// \file
+/// What the VM that hands out places knows of one engine: the calls under
+/// way there, its pace, its trouble and its memory.
+///
+/// Load pattern: an engine that slows down or hangs. Its calls that have not
+/// ended tell it before any report does: one that is overdue makes the engine
+/// count as slower at once.
+#pragma once
+
+#include "pepperturn/base/time.hpp"
+#include "pepperturn/scheduling/engine_cost.hpp"
+#include "pepperturn/scheduling/engine_memory.hpp"
+#include "pepperturn/scheduling/engine_pace.hpp"
+#include "pepperturn/scheduling/engine_places.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace pepperturn {
+
+/// What is usual for the engines and the calls of a service.
+struct service_norm
+{
+    /// Milliseconds for a token generated alone, in the median.
+    running_quantile m_token_ms;
+    /// Milliseconds for a prompt token read, in the median.
+    running_quantile m_read_token_ms;
+    /// Time to the first byte of a prompt in memory, in the median.
+    running_quantile m_first_byte_ms;
+    /// Tokens generated, in the median, and in one of ten calls.
+    running_quantile m_tokens;
+    running_quantile m_long_tokens;
+    /// Milliseconds that a call holds a slot, in the median.
+    running_quantile m_slot_ms;
+
+    friend bool operator==(const service_norm&, const service_norm&) = default;
+};
+
+/// Usual values; until something is learnt, those of a middling engine.
+[[nodiscard]] double usual_token_ms(const service_norm& norm);
+[[nodiscard]] double usual_read_token_ms(const service_norm& norm);
+[[nodiscard]] double usual_slot_ms(const service_norm& norm);
+/// \param most bound that the caller gives; 0: none
+[[nodiscard]] double usual_tokens(const service_norm& norm, std::uint32_t most);
+
+/// A call under way at an engine.
+struct running_call
+{
+    std::uint64_t m_call = 0;
+    instant m_since{};
+    std::vector<prompt_part> m_parts;
+    std::uint32_t m_fresh_tokens = 0;
+    /// Calls under way when it came.
+    std::uint32_t m_beside = 0;
+    /// What a token was thought to take when it came.
+    double m_token_ms = 0;
+    double m_wait_ms = 0;
+    double m_read_ms = 0;
+    /// To its end, as expected, and if it is a long one.
+    double m_expected_ms = 0;
+    double m_long_ms = 0;
+    /// The engine's total when it came.
+    double m_total_read_ms = 0;
+
+    friend bool operator==(const running_call&, const running_call&) = default;
+};
+
+struct engine_record
+{
+    engine_facts m_facts;
+    std::vector<running_call> m_calls;
+    token_pace m_generating;
+    token_pace m_reading;
+    engine_trouble m_trouble;
+    engine_memory m_memory;
+    /// When the prompts placed so far will have been read.
+    instant m_reading_until{};
+    /// Reading expected of all calls so far, in milliseconds.
+    double m_total_read_ms = 0;
+    /// Start of the latest call that has ended whole.
+    instant m_proven_since{};
+
+    friend bool operator==(const engine_record&,
+                           const engine_record&) = default;
+};
+
+/// How many times slower than expected the calls under way show it to be;
+/// 1: none is overdue.
+[[nodiscard]] double overdue_factor(const engine_record& engine, instant now);
+
+/// The engine as a call finds it.
+[[nodiscard]] engine_outlook look_at_engine(const engine_record& engine,
+                                            const service_norm& norm,
+                                            const place_question& question,
+                                            instant now);
+
+/// True if calls rather wait for another engine than go there: it seems to
+/// hang, or fails most calls.
+[[nodiscard]] bool is_shunned(const engine_outlook& outlook,
+                              const service_norm& norm);
+
+/// Counts the call as under way there.
+void start_call(engine_record& engine, const service_norm& norm,
+                const place_question& question, const engine_outlook& outlook,
+                instant now);
+
+/// Takes the call out; empty: it isn't there.
+[[nodiscard]] std::optional<running_call> take_call(engine_record& engine,
+                                                    std::uint64_t call);
+
+/// Learns from the end of a call that was taken out.
+void learn_end(engine_record& engine, service_norm& norm,
+               const running_call& call, const place_report& report,
+               instant now);
+
+/// Takes the calls out whose end was never told.
+[[nodiscard]] std::vector<running_call> take_lost_calls(engine_record& engine,
+                                                        instant now);
+
+} // namespace pepperturn
--- /dev/null
+++ b/src/scheduling/engine_cost.cpp
@@ -0,0 +1,80 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/scheduling/engine_cost.hpp"
+
+#include <algorithm>
+
+namespace pepperturn {
+
+namespace {
+
+/// How much longer a token takes with all other slots taken.
+constexpr double full_batch_share = 0.3;
+/// On average the others have half of their tokens left.
+constexpr double others_left = 0.5;
+/// Way to another zone and back, and its bytes.
+constexpr double other_zone_ms = 1.5;
+/// What a call that goes wrong loses before its next try.
+constexpr double failure_ms = 150;
+/// Trouble beyond counts alike: an engine that only fails is still an engine.
+constexpr double most_trouble = 0.9;
+/// Costs that differ by less count as equal.
+constexpr double equal_ms = 1;
+constexpr double equal_share = 0.02;
+/// Calls beyond the slots that keep an engine busy while the end of one and
+/// the next call are on their way.
+constexpr std::uint32_t spare_calls = 1;
+
+} // namespace
+
+double batch_factor(double beside, std::uint32_t slots)
+{
+    const double most = std::max(slots, 1U);
+    return 1 + full_batch_share * std::clamp(beside, 0.0, most) / most;
+}
+
+predicted_run predict_run(const engine_outlook& outlook)
+{
+    const std::uint32_t slots = std::max(outlook.m_slots, 1U);
+    const double beside = std::min(outlook.m_under_way, slots - 1);
+    predicted_run run;
+    run.m_wait_ms = outlook.m_reading_ms;
+    if (outlook.m_under_way >= slots)
+        run.m_wait_ms +=
+            (outlook.m_under_way - slots + 1.0) * outlook.m_slot_ms / slots;
+    run.m_read_ms = outlook.m_fresh_tokens * outlook.m_read_token_ms;
+    run.m_generate_ms =
+        outlook.m_tokens * outlook.m_token_ms * batch_factor(beside, slots);
+    const double slower = full_batch_share / slots;
+    run.m_others_ms =
+        beside * (run.m_read_ms +
+                  others_left * slower * outlook.m_tokens * outlook.m_token_ms);
+    return run;
+}
+
+double finish_ms(const predicted_run& run)
+{
+    return run.m_wait_ms + run.m_read_ms + run.m_generate_ms;
+}
+
+double engine_cost(const engine_outlook& outlook, const predicted_run& run)
+{
+    const double trouble = std::clamp(outlook.m_trouble, 0.0, most_trouble);
+    double cost = finish_ms(run) + run.m_others_ms;
+    // Each failure costs its time, and the call is to be run again.
+    cost += trouble / (1 - trouble) * (failure_ms + finish_ms(run));
+    if (outlook.m_other_zone)
+        cost += other_zone_ms;
+    return cost;
+}
+
+bool nearly_equal(double cost_ms, double best_ms)
+{
+    return cost_ms <= best_ms + equal_ms + equal_share * best_ms;
+}
+
+bool is_full(std::uint32_t under_way, std::uint32_t slots)
+{
+    return under_way >= std::max(slots, 1U) + spare_calls;
+}
+
+} // namespace pepperturn
--- /dev/null
+++ b/src/scheduling/engine_memory.cpp
@@ -0,0 +1,106 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/scheduling/engine_memory.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace pepperturn {
+
+namespace {
+
+const held_part* find(const engine_memory& memory, std::uint64_t id)
+{
+    // What is asked for again was mostly used lately.
+    const auto row =
+        std::find_if(memory.m_parts.rbegin(), memory.m_parts.rend(),
+                     [id](const held_part& held) { return held.m_id == id; });
+    return row == memory.m_parts.rend() ? nullptr : &*row;
+}
+
+/// Moves a part to the recently used end.
+void use(engine_memory& memory, const held_part& part)
+{
+    std::erase_if(memory.m_parts, [&part](const held_part& held) {
+        return held.m_id == part.m_id;
+    });
+    memory.m_parts.push_back(part);
+}
+
+void drop_oldest(engine_memory& memory, std::uint64_t capacity)
+{
+    std::uint64_t tokens = 0;
+    std::size_t kept = 0;
+    for (auto row = memory.m_parts.rbegin(); row != memory.m_parts.rend();
+         ++row)
+    {
+        tokens += row->m_tokens;
+        if (kept == most_memory_rows || (capacity != 0 && tokens > capacity))
+            break;
+        ++kept;
+    }
+    memory.m_parts.erase(memory.m_parts.begin(),
+                         memory.m_parts.end() -
+                             static_cast<std::ptrdiff_t>(kept));
+}
+
+} // namespace
+
+std::uint32_t held_tokens(const engine_memory& memory,
+                          const std::vector<prompt_part>& parts)
+{
+    // Tokens as told may add up to more than fits.
+    std::uint64_t tokens = 0;
+    for (const auto& part : parts)
+    {
+        const auto* held = find(memory, part.m_id);
+        if (held == nullptr)
+            break;
+        tokens += std::min(held->m_tokens, part.m_tokens);
+        if (held->m_tokens < part.m_tokens)
+            break;
+    }
+    return static_cast<std::uint32_t>(std::min<std::uint64_t>(
+        tokens, std::numeric_limits<std::uint32_t>::max()));
+}
+
+void expect_parts(engine_memory& memory, const std::vector<prompt_part>& parts,
+                  std::uint64_t call, std::uint64_t capacity)
+{
+    // From the last to the first: of one prompt the end is dropped first, as
+    // it is of no use without its beginning.
+    for (auto part = parts.rbegin(); part != parts.rend(); ++part)
+    {
+        const auto* held = find(memory, part->m_id);
+        if (held != nullptr && held->m_tokens >= part->m_tokens)
+            use(memory, held_part(*held));
+        else
+            use(memory, {.m_id = part->m_id,
+                         .m_tokens = part->m_tokens,
+                         .m_expected = true,
+                         .m_call = call});
+    }
+    drop_oldest(memory, capacity);
+}
+
+void confirm_parts(engine_memory& memory, const std::vector<prompt_part>& parts,
+                   std::uint64_t capacity)
+{
+    for (auto part = parts.rbegin(); part != parts.rend(); ++part)
+    {
+        const auto* held = find(memory, part->m_id);
+        const auto tokens = held == nullptr
+                                ? part->m_tokens
+                                : std::max(held->m_tokens, part->m_tokens);
+        use(memory, {.m_id = part->m_id, .m_tokens = tokens});
+    }
+    drop_oldest(memory, capacity);
+}
+
+void forget_parts(engine_memory& memory, std::uint64_t call)
+{
+    std::erase_if(memory.m_parts, [call](const held_part& held) {
+        return held.m_expected && held.m_call == call;
+    });
+}
+
+} // namespace pepperturn
--- /dev/null
+++ b/src/scheduling/engine_pace.cpp
@@ -0,0 +1,127 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/scheduling/engine_pace.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pepperturn {
+
+namespace {
+
+/// Milliseconds for a token outside of which a report is taken for wrong.
+constexpr double least_token_ms = 1e-4;
+constexpr double most_token_ms = 1000;
+/// Smallest and largest step of a quantile, as a share of its value.
+constexpr double least_step = 0.02;
+constexpr double most_step = 0.5;
+/// Share of a new value in the lasting pace once it has settled: a quarter
+/// of a minute's calls make up most of it.
+constexpr double lasting_share = 0.08;
+/// Values further off, as logarithms, count as if they were only so far off:
+/// a call that hung does not make a good engine a slow one for long.
+constexpr double lasting_reach = 0.4;
+/// Share of a new value in the pace of the last moments.
+constexpr double lately_share = 0.6;
+/// Logarithm of how much slower than lastingly counts as slow.
+constexpr double slow_margin = 0.4;
+/// Seconds in which the pace of the last moments fades by a factor e. Each
+/// slow call in a row adds as much, up to the bound: an engine that stays
+/// slow is not tried again every moment.
+constexpr double fade_s = 0.4;
+constexpr std::uint32_t most_fades = 6;
+/// Seconds after which the lasting pace of an unused engine begins to fade
+/// towards the usual one, and in which it does: what was true once is tried
+/// again now and then.
+constexpr double idle_s = 3;
+constexpr double forget_s = 10;
+/// Share of a new end in the trouble, and seconds in which it fades.
+constexpr double trouble_share = 0.3;
+constexpr double trouble_fade_s = 2;
+
+double seconds_since(instant then, instant now)
+{
+    return std::max(to_seconds(now - then), 0.0);
+}
+
+double present_lately(const token_pace& pace, instant now)
+{
+    const double fades = 1 + std::min(pace.m_slow_in_row, most_fades);
+    return pace.m_lately *
+           std::exp(-seconds_since(pace.m_last, now) / (fades * fade_s));
+}
+
+} // namespace
+
+running_quantile add_value(running_quantile tracked, double value,
+                           double quantile)
+{
+    if (!std::isfinite(value) || value <= 0)
+        return tracked;
+    ++tracked.m_samples;
+    if (tracked.m_samples == 1)
+    {
+        tracked.m_value = value;
+        return tracked;
+    }
+    const double step =
+        std::clamp(1.0 / tracked.m_samples, least_step, most_step);
+    const double target =
+        value > tracked.m_value
+            ? tracked.m_value * (1 + 2 * step * quantile)
+            : tracked.m_value * (1 - 2 * step * (1 - quantile));
+    // Not past the value itself.
+    tracked.m_value = value > tracked.m_value ? std::min(target, value)
+                                              : std::max(target, value);
+    return tracked;
+}
+
+token_pace add_token_time(token_pace pace, double token_ms, instant now)
+{
+    // Not a number compares false.
+    if (!(token_ms >= least_token_ms && token_ms <= most_token_ms))
+        return pace;
+    const double seen = std::log(token_ms);
+    const double lately = present_lately(pace, now);
+    ++pace.m_samples;
+    pace.m_last = std::max(pace.m_last, now);
+    if (pace.m_samples == 1)
+    {
+        pace.m_lasting = seen;
+        return pace;
+    }
+    const double apart = seen - pace.m_lasting;
+    const double share =
+        std::max(1.0 / static_cast<double>(pace.m_samples), lasting_share);
+    pace.m_lasting += share * std::clamp(apart, -lasting_reach, lasting_reach);
+    pace.m_lately = lately + lately_share * (apart - lately);
+    pace.m_slow_in_row =
+        apart > slow_margin ? std::min(pace.m_slow_in_row + 1, most_fades) : 0;
+    return pace;
+}
+
+double present_token_ms(const token_pace& pace, double usual_ms, instant now)
+{
+    if (pace.m_samples == 0)
+        return usual_ms;
+    const double idle = seconds_since(pace.m_last, now) - idle_s;
+    const double kept = idle > 0 ? std::exp(-idle / forget_s) : 1;
+    const double usual = std::log(usual_ms);
+    return std::exp(usual + kept * (pace.m_lasting - usual) +
+                    present_lately(pace, now));
+}
+
+engine_trouble add_end(engine_trouble trouble, bool failed, instant now)
+{
+    trouble.m_share = present_trouble(trouble, now);
+    trouble.m_share += trouble_share * ((failed ? 1 : 0) - trouble.m_share);
+    trouble.m_last = std::max(trouble.m_last, now);
+    return trouble;
+}
+
+double present_trouble(const engine_trouble& trouble, instant now)
+{
+    return trouble.m_share *
+           std::exp(-seconds_since(trouble.m_last, now) / trouble_fade_s);
+}
+
+} // namespace pepperturn
--- /dev/null
+++ b/src/scheduling/engine_record.cpp
@@ -0,0 +1,278 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/scheduling/engine_record.hpp"
+
+#include <algorithm>
+
+namespace pepperturn {
+
+namespace {
+
+/// Until something is learnt: a middling engine and answer.
+constexpr double first_token_ms = 1;
+constexpr double first_read_token_ms = 0.004;
+constexpr double first_tokens = 100;
+constexpr double first_slot_ms = 200;
+/// Ended calls from which on the usual values are trusted.
+constexpr std::uint32_t enough_calls = 20;
+/// Share of the calls that generate less than a long one.
+constexpr double long_quantile = 0.9;
+/// A long call is overdue after so many times its expected time, and some
+/// milliseconds for the way of its report.
+constexpr double overdue_share = 1.25;
+constexpr double overdue_ms = 10;
+/// Beyond, the engine hangs; how long it has done so says no more.
+constexpr double most_overdue = 20;
+/// Prompts of fewer fresh tokens count as being in memory, and only longer
+/// ones tell how fast an engine reads.
+constexpr std::uint32_t short_read_tokens = 500;
+constexpr std::uint32_t long_read_tokens = 4000;
+constexpr double short_wait_ms = 1;
+/// An engine that takes so many times the usual for a token seems to hang.
+/// Engines of a service may well differ by half of that.
+constexpr double shunned_slowness = 4;
+constexpr double shunned_trouble = 0.5;
+/// A call whose end is not told gives its place back after this time, and
+/// after so many times what it was expected to take: its caller has died.
+constexpr milliseconds lost_after{6000};
+constexpr double lost_share = 4;
+/// Reports beyond these are taken for wrong.
+constexpr std::uint32_t most_report_ms = 600'000;
+constexpr std::uint32_t most_report_tokens = 1'000'000;
+/// Least share of a run that is taken for generating, whatever was read
+/// beside it.
+constexpr double least_generating = 0.3;
+
+double milliseconds_since(instant then, instant now)
+{
+    return std::max(to_seconds(now - then) * 1e3, 0.0);
+}
+
+double read_token_ms(const engine_record& engine, const service_norm& norm,
+                     double token_ms, instant now)
+{
+    const double usual = usual_read_token_ms(norm);
+    // An engine that generates slowly reads slowly.
+    const double slowness = token_ms / usual_token_ms(norm);
+    if (engine.m_reading.m_samples == 0)
+        return usual * slowness;
+    return present_token_ms(engine.m_reading, usual * slowness, now);
+}
+
+double slowest_token_ms(const engine_record& engine, const service_norm& norm,
+                        instant now)
+{
+    const double told =
+        present_token_ms(engine.m_generating, usual_token_ms(norm), now);
+    const double overdue = overdue_factor(engine, now);
+    if (overdue <= 1)
+        return told;
+    const double lasting =
+        present_token_ms({.m_lasting = engine.m_generating.m_lasting,
+                          .m_samples = engine.m_generating.m_samples,
+                          .m_last = now},
+                         usual_token_ms(norm), now);
+    return std::max(told, lasting * overdue);
+}
+
+void learn_reading(engine_record& engine, service_norm& norm,
+                   const running_call& call, const place_report& report,
+                   instant now)
+{
+    // The wait for a slot or for other prompts tells nothing of its own.
+    if (call.m_wait_ms > short_wait_ms)
+        return;
+    const double first_byte = report.m_first_byte_ms;
+    if (call.m_fresh_tokens < short_read_tokens)
+        norm.m_first_byte_ms = add_value(norm.m_first_byte_ms, first_byte, 0.5);
+    if (call.m_fresh_tokens < long_read_tokens)
+        return;
+    const double reading = first_byte - norm.m_first_byte_ms.m_value;
+    const double token_ms = reading / call.m_fresh_tokens;
+    norm.m_read_token_ms = add_value(norm.m_read_token_ms, token_ms, 0.5);
+    engine.m_reading = add_token_time(engine.m_reading, token_ms, now);
+}
+
+void learn_generating(engine_record& engine, service_norm& norm,
+                      const running_call& call, const place_report& report,
+                      instant now)
+{
+    if (report.m_run_ms == 0 || report.m_tokens == 0)
+        return;
+    // Prompts of others that were read meanwhile stopped it.
+    const double stopped = std::max(
+        engine.m_total_read_ms - call.m_total_read_ms - call.m_read_ms, 0.0);
+    const double run =
+        std::max(report.m_run_ms - stopped, least_generating * report.m_run_ms);
+    const auto at_end = static_cast<double>(engine.m_calls.size());
+    const double beside = (call.m_beside + at_end) / 2;
+    const double token_ms =
+        run / report.m_tokens / batch_factor(beside, engine.m_facts.m_slots);
+    norm.m_token_ms = add_value(norm.m_token_ms, token_ms, 0.5);
+    engine.m_generating = add_token_time(engine.m_generating, token_ms, now);
+}
+
+bool is_sane(const place_report& report)
+{
+    return report.m_first_byte_ms <= most_report_ms &&
+           report.m_run_ms <= most_report_ms &&
+           report.m_tokens <= most_report_tokens;
+}
+
+} // namespace
+
+double usual_token_ms(const service_norm& norm)
+{
+    return norm.m_token_ms.m_samples == 0 ? first_token_ms
+                                          : norm.m_token_ms.m_value;
+}
+
+double usual_read_token_ms(const service_norm& norm)
+{
+    return norm.m_read_token_ms.m_samples == 0 ? first_read_token_ms
+                                               : norm.m_read_token_ms.m_value;
+}
+
+double usual_slot_ms(const service_norm& norm)
+{
+    return norm.m_slot_ms.m_samples == 0 ? first_slot_ms
+                                         : norm.m_slot_ms.m_value;
+}
+
+double usual_tokens(const service_norm& norm, std::uint32_t most)
+{
+    const double tokens =
+        norm.m_tokens.m_samples == 0 ? first_tokens : norm.m_tokens.m_value;
+    return most == 0 ? tokens : std::min<double>(tokens, most);
+}
+
+double overdue_factor(const engine_record& engine, instant now)
+{
+    double factor = 1;
+    for (const auto& call : engine.m_calls)
+    {
+        // A call that came later has ended: this one is merely long, or its
+        // end was not told.
+        if (call.m_since < engine.m_proven_since || call.m_long_ms <= 0)
+            continue;
+        const double elapsed = milliseconds_since(call.m_since, now);
+        if (elapsed > overdue_share * call.m_long_ms + overdue_ms)
+            factor = std::max(factor, elapsed / call.m_expected_ms);
+    }
+    return std::min(factor, most_overdue);
+}
+
+engine_outlook look_at_engine(const engine_record& engine,
+                              const service_norm& norm,
+                              const place_question& question, instant now)
+{
+    engine_outlook outlook;
+    outlook.m_under_way = static_cast<std::uint32_t>(engine.m_calls.size());
+    outlook.m_slots = engine.m_facts.m_slots;
+    const auto held = held_tokens(engine.m_memory, question.m_parts);
+    outlook.m_fresh_tokens =
+        question.m_prompt_tokens - std::min(held, question.m_prompt_tokens);
+    outlook.m_tokens = usual_tokens(norm, question.m_most_tokens);
+    outlook.m_token_ms = slowest_token_ms(engine, norm, now);
+    outlook.m_read_token_ms =
+        read_token_ms(engine, norm, outlook.m_token_ms, now);
+    outlook.m_reading_ms = milliseconds_since(now, engine.m_reading_until);
+    outlook.m_slot_ms = usual_slot_ms(norm);
+    outlook.m_trouble = present_trouble(engine.m_trouble, now);
+    outlook.m_other_zone =
+        engine.m_facts.m_availability_zone != question.m_availability_zone;
+    return outlook;
+}
+
+bool is_shunned(const engine_outlook& outlook, const service_norm& norm)
+{
+    return outlook.m_token_ms > shunned_slowness * usual_token_ms(norm) ||
+           outlook.m_trouble > shunned_trouble;
+}
+
+void start_call(engine_record& engine, const service_norm& norm,
+                const place_question& question, const engine_outlook& outlook,
+                instant now)
+{
+    const auto run = predict_run(outlook);
+    running_call call;
+    call.m_call = question.m_call;
+    call.m_since = now;
+    call.m_parts = question.m_parts;
+    call.m_fresh_tokens = outlook.m_fresh_tokens;
+    call.m_beside = outlook.m_under_way;
+    call.m_token_ms = outlook.m_token_ms;
+    call.m_wait_ms = run.m_wait_ms;
+    call.m_read_ms = run.m_read_ms;
+    call.m_expected_ms = finish_ms(run) + norm.m_first_byte_ms.m_value;
+    if (norm.m_tokens.m_samples >= enough_calls)
+    {
+        const double more =
+            std::max(norm.m_long_tokens.m_value / norm.m_tokens.m_value, 1.0);
+        call.m_long_ms = call.m_expected_ms + (more - 1) * run.m_generate_ms;
+    }
+    engine.m_total_read_ms += run.m_read_ms;
+    call.m_total_read_ms = engine.m_total_read_ms;
+    engine.m_reading_until = std::max(engine.m_reading_until, now) +
+                             from_seconds(run.m_read_ms / 1e3);
+    expect_parts(engine.m_memory, question.m_parts, question.m_call,
+                 engine.m_facts.m_token_capacity);
+    engine.m_calls.push_back(std::move(call));
+}
+
+std::optional<running_call> take_call(engine_record& engine, std::uint64_t call)
+{
+    const auto row = std::find_if(
+        engine.m_calls.begin(), engine.m_calls.end(),
+        [call](const running_call& each) { return each.m_call == call; });
+    if (row == engine.m_calls.end())
+        return std::nullopt;
+    std::optional<running_call> taken(std::move(*row));
+    engine.m_calls.erase(row);
+    return taken;
+}
+
+void learn_end(engine_record& engine, service_norm& norm,
+               const running_call& call, const place_report& report,
+               instant now)
+{
+    engine.m_trouble =
+        add_end(engine.m_trouble, report.m_end != place_end::whole, now);
+    if (report.m_end != place_end::whole)
+    {
+        forget_parts(engine.m_memory, call.m_call);
+        return;
+    }
+    confirm_parts(engine.m_memory, call.m_parts,
+                  engine.m_facts.m_token_capacity);
+    engine.m_proven_since = std::max(engine.m_proven_since, call.m_since);
+    if (!is_sane(report))
+        return;
+    learn_reading(engine, norm, call, report, now);
+    learn_generating(engine, norm, call, report, now);
+    norm.m_tokens = add_value(norm.m_tokens, report.m_tokens, 0.5);
+    norm.m_long_tokens =
+        add_value(norm.m_long_tokens, report.m_tokens, long_quantile);
+    norm.m_slot_ms = add_value(
+        norm.m_slot_ms, 1.0 * report.m_first_byte_ms + report.m_run_ms, 0.5);
+}
+
+std::vector<running_call> take_lost_calls(engine_record& engine, instant now)
+{
+    std::vector<running_call> lost;
+    const auto is_lost = [now](const running_call& call) {
+        const auto expected =
+            from_seconds(lost_share * call.m_expected_ms / 1e3);
+        return now - call.m_since >
+               std::max<microseconds>(lost_after, expected);
+    };
+    for (auto& call : engine.m_calls)
+    {
+        if (is_lost(call))
+            lost.push_back(call);
+    }
+    if (!lost.empty())
+        std::erase_if(engine.m_calls, is_lost);
+    return lost;
+}
+
+} // namespace pepperturn
