Places at engines are asked for, used and ended

A turn whose prompt has a shared part of [placement] from_shared_tokens asks the storage VM that hands out its service's places, beside its begin; the engine named there is used if this VM can use it, and how the call ended is told. The caller's guess of the answer's length goes with the question.

--- a/include/pepperturn/cluster/member_links.hpp
+++ b/include/pepperturn/cluster/member_links.hpp
@@ -41,6 +41,9 @@
     /// The same as a task; empty if no answer comes before \p until.
     [[nodiscard]] task<std::optional<frame>>
     ask(std::string name, std::uint64_t epoch, frame_body body, instant until);
+    /// Sends a notice, which nobody answers; lost if the member is not
+    /// connected.
+    void tell(const std::string& name, frame_body body);
     /// Tells a member the view, which it seems not to know.
     void tell_view(const std::string& name, const cluster_view& view);
 
--- a/include/pepperturn/fleet/edge_node.hpp
+++ b/include/pepperturn/fleet/edge_node.hpp
@@ -8,6 +8,7 @@
 #include "pepperturn/cluster/news_sources.hpp"
 #include "pepperturn/cluster/replica_sets.hpp"
 #include "pepperturn/config/fleet_settings.hpp"
+#include "pepperturn/fleet/runner_list.hpp"
 #include "pepperturn/fleet/status_server.hpp"
 #include "pepperturn/fleet/world_source.hpp"
 #include "pepperturn/forward/proxy.hpp"
@@ -54,6 +55,7 @@
     freshness_keeper m_freshness_keeper;
     staleness_limits m_staleness_limits;
     quota_client m_quota;
+    place_client m_places;
     proxy m_proxy;
     status_server m_status;
     status_server m_metrics;
@@ -63,7 +65,7 @@
     bool m_subscribed = false;
     /// Revision of the last configuration that could be read.
     std::uint64_t m_config_revision = 0;
-    std::map<std::string, runner_info> m_runners;
+    runner_list m_runners;
     bool m_stopping = false;
     bool m_own_source = false;
     instant m_started{};
--- /dev/null
+++ b/include/pepperturn/fleet/runner_list.hpp
@@ -0,0 +1,21 @@
+// SPDX-License-Identifier: BSL-1.0
+/// \file
+/// The runners of the fleet, decoded from what is known of the world.
+#pragma once
+
+#include "pepperturn/fleet/world_source.hpp"
+
+#include <map>
+
+namespace pepperturn {
+
+/// By id.
+using runner_list = std::map<std::string, runner_info>;
+
+/// Decodes the entries that moved; what cannot be read is left out.
+/// \param moved ids of entries that are new, changed or gone
+void update_runners(runner_list& runners, const cluster_state& state,
+                    const std::vector<std::string>& moved,
+                    const state_decoders& decoders);
+
+} // namespace pepperturn
--- a/include/pepperturn/fleet/storage_node.hpp
+++ b/include/pepperturn/fleet/storage_node.hpp
@@ -10,7 +10,9 @@
 #include "pepperturn/cluster/news_sources.hpp"
 #include "pepperturn/cluster/replica_sets.hpp"
 #include "pepperturn/config/fleet_settings.hpp"
+#include "pepperturn/fleet/runner_list.hpp"
 #include "pepperturn/fleet/status_server.hpp"
+#include "pepperturn/fleet/storage_places.hpp"
 #include "pepperturn/fleet/world_source.hpp"
 #include "pepperturn/tenancy/limit_owners.hpp"
 #include "pepperturn/turns/turn_server.hpp"
@@ -95,6 +97,8 @@
     staleness_limits m_staleness_limits;
     limiter m_limiter;
     owner_history m_owners;
+    storage_places m_places;
+    runner_list m_runners;
     bool m_callers_have_keys = false;
     /// Revision of the configuration that says so.
     std::uint64_t m_config_looked_at = 0;
--- a/include/pepperturn/forward/exchange.hpp
+++ b/include/pepperturn/forward/exchange.hpp
@@ -67,6 +67,8 @@
     upstream_answer m_answer;
     /// From sending to the first byte of the answer; empty: none came.
     std::optional<milliseconds> m_first_byte;
+    /// From its begin to its end, a connect among it.
+    milliseconds m_took{0};
     /// Parts of a stream were passed on.
     bool m_streamed = false;
     /// For a runner that said it is full: when it thinks to have room.
--- a/include/pepperturn/forward/proxy.hpp
+++ b/include/pepperturn/forward/proxy.hpp
@@ -6,6 +6,7 @@
 
 #include "pepperturn/forward/caller_connection.hpp"
 #include "pepperturn/forward/engine_gate.hpp"
+#include "pepperturn/forward/place_client.hpp"
 #include "pepperturn/forward/quota_client.hpp"
 #include "pepperturn/forward/stream_relay.hpp"
 #include "pepperturn/forward/traffic_metrics.hpp"
@@ -39,6 +40,9 @@
     bool take_config(routing_config config, std::uint64_t revision = 0);
     /// Until this is called, configurations are fresh and nothing is limited.
     void guard_workspaces(workspace_guard guard);
+    /// Asks \p places for engines; until this is called, this VM chooses them
+    /// by itself.
+    void place_by(place_client& places);
     /// Callers need keys, by the configuration in force.
     [[nodiscard]] bool asks_keys() const
     {
@@ -68,6 +72,16 @@
     }
 
 private:
+    /// A question for a place while it is under way.
+    struct place_wait
+    {
+        explicit place_wait(asio::io_context& io) : m_changed(io) {}
+        async_event m_changed;
+        bool m_done = false;
+        /// Nobody waits for it any more: the place goes back.
+        bool m_abandoned = false;
+        place_grant m_grant;
+    };
     /// One request while it is worked on.
     struct call
     {
@@ -93,6 +107,12 @@
         bool m_goes_on = false;
         /// It counts at the engine gate.
         bool m_has_place = false;
+        /// Asked before it is known whether the call may run; null: not.
+        std::shared_ptr<place_wait> m_place_asked;
+        /// Its place at an engine.
+        place_grant m_place;
+        /// The end of that place has not been told.
+        bool m_place_open = false;
         begin_request m_begin;
         bool m_reserved = false;
         std::uint32_t m_tokens_per_event = 1;
@@ -159,6 +179,27 @@
     [[nodiscard]] call_rank rank_of(const call& work) const;
     /// Waits for a place at the engines; an answer: it is refused.
     task<std::optional<verdict>> wait_for_place(std::shared_ptr<call> work);
+    /// Asks for a place at an engine, beside what else is done for a request.
+    void ask_place(const std::shared_ptr<call>& work);
+    [[nodiscard]] place_question place_question_of(const call& work,
+                                                   const std::string& service);
+    /// Waits for the place that was asked for, or asks for one now; an answer:
+    /// the request is refused.
+    task<std::optional<verdict>>
+    await_place(std::shared_ptr<call> work,
+                std::shared_ptr<runner_choice> choice);
+    /// Asks for a place at another engine than those that refused it.
+    task<> move_place(std::shared_ptr<call> work,
+                      std::shared_ptr<runner_choice> choice);
+    /// The engine of the place, if this VM can use it; null: it chooses.
+    [[nodiscard]] const runner_row*
+    placed_runner(const call& work, const runner_choice& choice) const;
+    /// Tells how the attempt ended.
+    /// \param events that came
+    void end_place(call& work, const attempt_result& result,
+                   std::uint32_t events);
+    /// What was not used goes back.
+    void give_back_place(call& work);
     task<verdict> forward(std::shared_ptr<caller_connection> caller,
                           std::shared_ptr<call> work);
     /// Passes a stream on to the caller.
@@ -205,6 +246,8 @@
     runner_table m_runners;
     engine_gate m_gate;
     workspace_guard m_guard;
+    /// Null: this VM chooses engines by itself.
+    place_client* m_places = nullptr;
     std::shared_ptr<const routing_config> m_config;
     std::uint64_t m_config_revision = 0;
     std::set<std::shared_ptr<caller_connection>> m_callers;
--- a/include/pepperturn/forward/request_head.hpp
+++ b/include/pepperturn/forward/request_head.hpp
@@ -39,6 +39,8 @@
     std::optional<std::uint64_t> m_token_budget;
     std::uint32_t m_prompt_tokens = 0;
     std::uint32_t m_most_tokens = 0;
+    /// Tokens that its caller expects to be generated; 0: not told.
+    std::uint32_t m_expected_tokens = 0;
     std::string m_parent_turn;
     /// In order; empty if they are unknown or do not read as parts.
     std::vector<prompt_part> m_prompt_parts;
--- a/include/pepperturn/forward/wire_names.hpp
+++ b/include/pepperturn/forward/wire_names.hpp
@@ -22,6 +22,8 @@
     std::string m_token_budget = "Pepperturn-Token-Budget";
     /// Tokens of the prompt, a comma, and the most that are generated.
     std::string m_token_count = "Pepperturn-Token-Count";
+    /// The caller's guess of the tokens that will be generated.
+    std::string m_length_hint = "Pepperturn-Length-Hint";
     /// Parts of the prompt in order, as ID:TOKENS by commas.
     std::string m_prompt_parts = "Pepperturn-Prompt-Parts";
     /// Id of the turn that this one goes on from.
--- a/include/pepperturn/scheduling/engine_places.hpp
+++ b/include/pepperturn/scheduling/engine_places.hpp
@@ -58,6 +58,8 @@
     std::uint32_t m_prompt_tokens = 0;
     /// The most tokens that it generates.
     std::uint32_t m_most_tokens = 0;
+    /// What its caller expects of these, right in the median; 0: not told.
+    std::uint32_t m_expected_tokens = 0;
     call_rank m_rank = call_rank::first;
     /// Priority of its route or workspace; 0 is the most urgent.
     std::uint32_t m_priority = 0;
--- a/include/pepperturn/scheduling/engine_record.hpp
+++ b/include/pepperturn/scheduling/engine_record.hpp
@@ -43,6 +43,9 @@
 [[nodiscard]] double usual_read_token_ms(const service_norm& norm);
 [[nodiscard]] double usual_slot_ms(const service_norm& norm);
 /// \param most bound that the caller gives; 0: none
+/// Tokens that a call is expected to generate.
+[[nodiscard]] double expected_tokens(const service_norm& norm,
+                                     const place_question& question);
 [[nodiscard]] double usual_tokens(const service_norm& norm, std::uint32_t most);
 
 /// A call under way at an engine.
--- a/src/cluster/member_links.cpp
+++ b/src/cluster/member_links.cpp
@@ -237,6 +237,13 @@
     co_return std::move(state->m_answer);
 }
 
+void member_links::tell(const std::string& name, frame_body body)
+{
+    const auto found = m_rows.find(name);
+    if (found != m_rows.end() && found->second->m_link)
+        found->second->m_link->send({0, 0, frame_status::ok, std::move(body)});
+}
+
 void member_links::tell_view(const std::string& name, const cluster_view& view)
 {
     const auto found = m_rows.find(name);
--- a/src/fleet/edge_node.cpp
+++ b/src/fleet/edge_node.cpp
@@ -44,6 +44,7 @@
       m_staleness_limits{milliseconds(settings.m_revoke_ms),
                          milliseconds(settings.m_apply_ms)},
       m_quota(io, time, m_links),
+      m_places(io, time, m_links, settings.m_place_from_tokens),
       m_proxy(io, time, std::move(names), settings.m_availability_zone,
               m_turns),
       m_status(
@@ -77,6 +78,7 @@
     m_metrics.listen_beside(m_settings.m_metrics_address);
     m_proxy.guard_workspaces(
         {[this] { return config_age(); }, m_staleness_limits, &m_quota});
+    m_proxy.place_by(m_places);
     m_links.on_state(
         [this](const std::string& from, const cluster_state& news) {
             take_state(news);
@@ -129,6 +131,7 @@
     m_config_fetcher.follow(m_members);
     m_turns.follow(m_state.m_views);
     m_quota.follow(m_members);
+    m_places.follow(m_members);
 }
 
 std::vector<std::string> edge_node::freshness_sources() const
@@ -179,33 +182,11 @@
 
 void edge_node::take_runners(const std::vector<std::string>& moved)
 {
-    std::uint64_t newest = 0;
-    for (const auto& row : m_state.m_runners)
-    {
-        newest = std::max(newest, row.m_revision);
-        if (std::find(moved.begin(), moved.end(), row.m_name) == moved.end())
-            continue;
-        std::string reason;
-        auto info = row.m_gone
-                        ? std::nullopt
-                        : m_decoders.m_runner(row.m_name, row.m_text, reason);
-        if (!row.m_gone && !info)
-            LOG(ERROR) << "event=runner_unreadable runner=" << row.m_name
-                       << " reason=\"" << reason << '"';
-        m_runners.erase(row.m_name);
-        if (info)
-            m_runners.emplace(row.m_name, std::move(*info));
-    }
+    update_runners(m_runners, m_state, moved, m_decoders);
     std::vector<runner_info> runners;
-    std::size_t draining = 0;
+    runners.reserve(m_runners.size());
     for (const auto& [name, info] : m_runners)
-    {
-        draining += info.m_draining ? 1 : 0;
         runners.push_back(info);
-    }
-    LOG(INFO) << "event=runners_taken revision=" << newest
-              << " runners=" << runners.size() << " draining=" << draining
-              << " moved=" << moved.size();
     m_proxy.take_runners(runners);
 }
 
--- a/src/fleet/storage_limits.cpp
+++ b/src/fleet/storage_limits.cpp
@@ -42,7 +42,10 @@
         std::string reason;
         const auto config = m_decoders.m_config(state.m_config, reason);
         if (config)
+        {
             m_callers_have_keys = config->m_directory.has_value();
+            m_places.take_config(*config);
+        }
         else
             LOG(ERROR) << "event=config_unreadable revision="
                        << state.m_config_revision << " reason=\"" << reason
@@ -80,6 +83,10 @@
                                m_time.now()));
     else if (const auto* asked = std::get_if<quota_question>(&question))
         reply(count_request(*asked));
+    else if (const auto* place = std::get_if<place_question>(&question))
+        m_places.ask(*place, reply);
+    else if (const auto* ended = std::get_if<place_report>(&question))
+        m_places.report(*ended);
     else
         return false;
     return true;
--- a/src/fleet/storage_node.cpp
+++ b/src/fleet/storage_node.cpp
@@ -51,7 +51,7 @@
       m_staleness_limits{milliseconds(settings.m_revoke_ms),
                          milliseconds(settings.m_apply_ms)},
       m_limiter({spare_share * settings.m_quota_slack}),
-      m_owners(unknown_history())
+      m_owners(unknown_history()), m_places(time)
 {}
 
 storage_node::~storage_node()
@@ -134,6 +134,7 @@
           quota_outcome::not_owner})
         write_metric(out, std::string("quota_") + to_string(outcome),
                      m_limiter.count(outcome));
+    m_places.write_metrics(out);
     m_server->write_metrics(out);
     return out;
 }
@@ -157,6 +158,12 @@
             follow_views();
         if (change.m_config)
             follow_config();
+        if (!change.m_runners.empty())
+        {
+            update_runners(m_runners, m_server->state(), change.m_runners,
+                           m_decoders);
+            m_places.take_runners(m_runners);
+        }
     });
     m_server->on_question(
         [this](const frame_body& question, const turn_server::reply& reply) {
@@ -270,6 +277,7 @@
     note_isolation();
     choose_watching();
     keep_fresh();
+    m_places.tick();
     if (now >= m_next_beat)
     {
         m_next_beat = now + beat_interval;
--- a/src/forward/proxy.cpp
+++ b/src/forward/proxy.cpp
@@ -157,6 +157,7 @@
     auto result = co_await handle(caller, work);
     if (work->m_has_place)
         m_gate.leave();
+    give_back_place(*work);
     give_back_quota(*work);
     caller->stop_watching();
     const bool keep_alive = work->m_keep_alive && !m_draining && !result.m_cut;
@@ -271,7 +272,9 @@
     // taken back, and its answer may be asked for.
     if (route.m_kind != route_kind::unrepeatable)
         caller->watch(work->m_aborter);
+    work->m_goes_on = !work->m_fields.m_parent_turn.empty();
     const auto quota = ask_quota(work);
+    ask_place(work);
     // Callers that bring their whole history have a budget too.
     if (route.m_stateful || work->m_fields.m_token_budget)
         out.m_answer = co_await begin_turn(work);
@@ -321,7 +324,7 @@
         begin, std::min(work->m_deadline, m_time.now() + begin_patience));
     m_metrics.note_turn_begin(elapsed(work->m_arrived, m_time.now()));
     work->m_why = result.m_reason + ' ';
-    work->m_goes_on = !result.m_chain.empty() || !result.m_places.empty();
+    work->m_goes_on = work->m_goes_on || !result.m_places.empty();
     if (result.m_outcome == begin_outcome::granted)
     {
         for (const auto& turn : result.m_chain)
--- a/src/forward/proxy_attempts.cpp
+++ b/src/forward/proxy_attempts.cpp
@@ -193,18 +193,24 @@
     auto result = co_await run_attempt(m_io, m_time, m_pool, m_runners, m_names,
                                        runner, request, sink, work->m_aborter);
     work->m_runs += result.m_outcome == attempt_outcome::not_run ? 0 : 1;
+    result.m_took = elapsed(sent_at, m_time.now());
     const double load =
         static_cast<double>(target.m_in_flight) / runner.m_slots;
     LOG(INFO) << "event=attempt id=" << work->m_fields.m_id
               << " runner=" << runner.m_id << " service=" << runner.m_service
               << " load=" << load << " preferred=" << work->m_preferred
+              << " place=" << to_string(work->m_place.m_answer.m_outcome)
+              << " place_load=" << work->m_place.m_answer.m_under_way
+              << " cached=" << work->m_place.m_answer.m_cached_tokens
+              << " prompt=" << work->m_fields.m_prompt_tokens
+              << " expected_ms=" << work->m_place.m_answer.m_expected_ms
               << " outcome=" << to_string(result.m_outcome) << " first_byte_ms="
               << result.m_first_byte.value_or(milliseconds(-1)).count()
-              << " ms=" << elapsed(sent_at, m_time.now()).count()
-              << " reason=\"" << result.m_reason << '"';
+              << " ms=" << result.m_took.count() << " reason=\""
+              << result.m_reason << '"';
     if (work->m_has_place && result.m_first_byte)
         m_gate.note_call(route.m_name, *result.m_first_byte,
-                         elapsed(sent_at, m_time.now()) - *result.m_first_byte);
+                         result.m_took - *result.m_first_byte);
     m_metrics.count(std::string("attempts_") + to_string(result.m_outcome));
     co_return result;
 }
@@ -280,11 +286,15 @@
                                     std::shared_ptr<call> work)
 {
     const auto& route = *work->m_route;
-    auto choice = begin_choice(*work);
+    const auto shared_choice =
+        std::make_shared<runner_choice>(begin_choice(*work));
+    auto& choice = *shared_choice;
     const bool engine = work->m_urgency.has_value();
     if (engine)
     {
-        auto refused = co_await wait_for_place(work);
+        auto refused = co_await await_place(work, shared_choice);
+        if (!refused && placed_runner(*work, choice) == nullptr)
+            refused = co_await wait_for_place(work);
         if (refused)
             co_return std::move(*refused);
     }
@@ -302,16 +312,22 @@
         bool may_go_on = !given_up && state.m_refusals < most_refusals;
         if (may_go_on && work->m_runs > 0)
             may_go_on = co_await take_another_grant(work);
-        const auto* row =
-            may_go_on ? m_runners.choose(choice, m_time.now()) : nullptr;
+        if (may_go_on && !choice.m_excluded.empty())
+            co_await move_place(work, shared_choice);
+        const auto* row = may_go_on ? placed_runner(*work, choice) : nullptr;
+        if (may_go_on && row == nullptr)
+            row = m_runners.choose(choice, m_time.now());
         if (row == nullptr && relay->begun())
             co_return co_await finish_stream(caller, work, cut, *relay);
         if (row == nullptr)
             co_return give_up(*work, state, given_up);
         choice.m_excluded.insert(row->m_info.m_id);
         state.m_may_repeat = may_repeat(*work, state);
+        const auto events_before = relay->events().whole_events();
         auto result = co_await attempt(work, *row, state.m_may_repeat,
                                        relay->last_event(), sink);
+        end_place(*work, result,
+                  relay->events().whole_events() - events_before);
         const bool cut_off = result.m_outcome == attempt_outcome::unknown;
         if (relay->begun() && result.m_outcome == attempt_outcome::not_run)
         {
--- a/src/forward/request_head.cpp
+++ b/src/forward/request_head.cpp
@@ -230,6 +230,10 @@
         else if (request.count(names.m_token_count) == 0)
             out.m_fault = "a token budget without a token count";
     }
+    // A guess that does not read is none.
+    const auto expected = parse_number(text(names.m_length_hint));
+    if (expected && *expected <= UINT32_MAX)
+        out.m_expected_tokens = static_cast<std::uint32_t>(*expected);
     out.m_prompt_parts = read_prompt_parts(text(names.m_prompt_parts));
     out.m_parent_turn = text(names.m_parent_turn);
     if (request.count(names.m_last_event) > 0)
--- a/src/scheduling/engine_record.cpp
+++ b/src/scheduling/engine_record.cpp
@@ -145,6 +145,16 @@
     return most == 0 ? tokens : std::min<double>(tokens, most);
 }
 
+double expected_tokens(const service_norm& norm, const place_question& question)
+{
+    if (question.m_expected_tokens == 0)
+        return usual_tokens(norm, question.m_most_tokens);
+    // A caller knows what it asks for better than the mean of all calls does.
+    return question.m_most_tokens == 0
+               ? question.m_expected_tokens
+               : std::min(question.m_expected_tokens, question.m_most_tokens);
+}
+
 double overdue_factor(const engine_record& engine, instant now)
 {
     double factor = 1;
@@ -171,7 +181,7 @@
     const auto held = held_tokens(engine.m_memory, question.m_parts);
     outlook.m_fresh_tokens =
         question.m_prompt_tokens - std::min(held, question.m_prompt_tokens);
-    outlook.m_tokens = usual_tokens(norm, question.m_most_tokens);
+    outlook.m_tokens = expected_tokens(norm, question);
     outlook.m_token_ms = slowest_token_ms(engine, norm, now);
     outlook.m_read_token_ms =
         read_token_ms(engine, norm, outlook.m_token_ms, now);
--- a/src/turns/messages.cpp
+++ b/src/turns/messages.cpp
@@ -178,6 +178,7 @@
         }
         out.setPromptTokens(body.m_prompt_tokens);
         out.setMostTokens(body.m_most_tokens);
+        out.setExpectedTokens(body.m_expected_tokens);
         out.setRank(static_cast<std::uint8_t>(body.m_rank));
         out.setPriority(body.m_priority);
         out.setPatienceMs(body.m_patience_ms);
@@ -299,6 +300,7 @@
         out.m_parts.push_back({part.getId(), part.getTokens()});
     out.m_prompt_tokens = in.getPromptTokens();
     out.m_most_tokens = in.getMostTokens();
+    out.m_expected_tokens = in.getExpectedTokens();
     out.m_rank = read_enum(in.getRank(), call_rank::late);
     out.m_priority = in.getPriority();
     out.m_patience_ms = in.getPatienceMs();
