--- a/test/forward/test_request_head.cpp
+++ b/test/forward/test_request_head.cpp
@@ -105,6 +105,7 @@
                                "Pepperturn-Program-Deadline-Ms: 5200\r\n"
                                "Pepperturn-Token-Budget: 900\r\n"
                                "Pepperturn-Token-Count: 1840, 136\r\n"
+                               "Pepperturn-Length-Hint: 75\r\n"
                                "Pepperturn-Prompt-Parts: 5c1e:1600, e4:240\r\n"
                                "Last-Event-Id: 12\r\n"
                                "Pepperturn-Parent-Turn: t\r\n\r\n");
@@ -116,6 +117,7 @@
                                   900,
                                   1840,
                                   136,
+                                  75,
                                   "t",
                                   {{hash64("5c1e"), 1600}, {hash64("e4"), 240}},
                                   12,
--- a/test/turns/test_messages.cpp
+++ b/test/turns/test_messages.cpp
@@ -67,6 +67,7 @@
                        {{4, 12600}, {5, 1680}},
                        14280,
                        600,
+                       240,
                        call_rank::under_way,
                        2,
                        150,
