Places: loads on a virtual clock, and what they showed

Cause: with all slots of an engine taken the choice was between free engines only, so a call read a shared prompt anew at one that held another, stopped all runs there, and at three times the site's load more programs were late than with choice by own calls.

Engines now take calls up to one and a half times their slots while another has room, if the wait is cheaper than the reading; reading and a place in an engine's queue count twice, for those that come meanwhile. First calls are turned away at once by how fast their workspace opens programs.

--- a/include/pepperturn/scheduling/engine_cost.hpp
+++ b/include/pepperturn/scheduling/engine_cost.hpp
@@ -68,7 +68,10 @@
 /// that know the same should not all act alike.
 [[nodiscard]] bool nearly_equal(double cost_ms, double best_ms);
 
-/// True if calls are to wait rather than to go there.
+/// True if calls are to wait in line rather than to go there.
 [[nodiscard]] bool is_full(std::uint32_t under_way, std::uint32_t slots);
 
+/// True if calls go elsewhere, whatever the engine has in memory.
+[[nodiscard]] bool is_overfull(std::uint32_t under_way, std::uint32_t slots);
+
 } // namespace pepperturn
--- a/include/pepperturn/scheduling/place_line.hpp
+++ b/include/pepperturn/scheduling/place_line.hpp
@@ -46,6 +46,8 @@
     std::uint64_t m_workspace = 0;
     /// Work that it may still have in its turn.
     double m_credit_ms = 0;
+    /// How fast its calls go that open programs, while it has a line.
+    drain_rate m_opening;
     /// In the order in which they go.
     std::vector<line_entry> m_entries;
 
@@ -71,7 +73,7 @@
 [[nodiscard]] const line_entry* next_waiting(place_line& line);
 
 /// Takes that call out; its work counts against its workspace.
-void drop_next(place_line& line);
+void drop_next(place_line& line, instant now);
 
 /// Takes the calls out whose patience is over.
 [[nodiscard]] std::vector<line_entry> take_expired(place_line& line,
@@ -82,4 +84,13 @@
 [[nodiscard]] double work_before(const place_line& line,
                                  const line_entry& entry, bool begun_only);
 
+/// How long the entry waits if it joins the line now, in milliseconds. A call
+/// of a program under way waits for its like only; one that opens a program
+/// also for those under way that are yet to come, which shows in how fast
+/// such calls of its workspace go now.
+/// \param places that the engines have for calls
+[[nodiscard]] double expected_line_wait(const place_line& line,
+                                        const line_entry& entry, double places,
+                                        instant now);
+
 } // namespace pepperturn
--- a/include/pepperturn/scheduling/place_service.hpp
+++ b/include/pepperturn/scheduling/place_service.hpp
@@ -92,7 +92,7 @@
     choose_engine(const place_question& question) const;
     [[nodiscard]] std::optional<place_answer>
     join_line(const place_question& question, instant now);
-    [[nodiscard]] double wait_ms(const line_entry& entry) const;
+    [[nodiscard]] double wait_ms(const line_entry& entry, instant now) const;
     [[nodiscard]] double work_ms(const place_question& question) const;
     void advance_line(instant now);
     void end_patience(instant now);
--- a/src/scheduling/engine_cost.cpp
+++ b/src/scheduling/engine_cost.cpp
@@ -9,8 +9,6 @@
 
 /// How much longer a token takes with all other slots taken.
 constexpr double full_batch_share = 0.3;
-/// On average the others have half of their tokens left.
-constexpr double others_left = 0.5;
 /// Way to another zone and back, and its bytes.
 constexpr double other_zone_ms = 1.5;
 /// What a call that goes wrong loses before its next try.
@@ -20,9 +18,19 @@
 /// Costs that differ by less count as equal.
 constexpr double equal_ms = 1;
 constexpr double equal_share = 0.02;
+/// Those that run there stop while a prompt is read; so do those that come
+/// meanwhile, and what it displaces in memory is read again elsewhere.
+constexpr double read_weight = 2;
+/// A call in an engine's queue delays all that come behind it until the queue
+/// is empty.
+constexpr double queue_weight = 2;
 /// Calls beyond the slots that keep an engine busy while the end of one and
 /// the next call are on their way.
 constexpr std::uint32_t spare_calls = 1;
+/// Calls for each slot beyond which an engine's queue is left alone. Up to
+/// there a short wait for the engine with the prompt is better than reading it
+/// elsewhere, which stops all others.
+constexpr double most_calls_a_slot = 1.5;
 
 } // namespace
 
@@ -37,17 +45,18 @@
     const std::uint32_t slots = std::max(outlook.m_slots, 1U);
     const double beside = std::min(outlook.m_under_way, slots - 1);
     predicted_run run;
-    run.m_wait_ms = outlook.m_reading_ms;
+    double queue_ms = 0;
     if (outlook.m_under_way >= slots)
-        run.m_wait_ms +=
+        queue_ms =
             (outlook.m_under_way - slots + 1.0) * outlook.m_slot_ms / slots;
+    run.m_wait_ms = outlook.m_reading_ms + queue_ms;
     run.m_read_ms = outlook.m_fresh_tokens * outlook.m_read_token_ms;
     run.m_generate_ms =
         outlook.m_tokens * outlook.m_token_ms * batch_factor(beside, slots);
     const double slower = full_batch_share / slots;
-    run.m_others_ms =
-        beside * (run.m_read_ms +
-                  others_left * slower * outlook.m_tokens * outlook.m_token_ms);
+    run.m_others_ms = read_weight * outlook.m_under_way * run.m_read_ms +
+                      beside * slower * outlook.m_tokens * outlook.m_token_ms +
+                      queue_weight * queue_ms;
     return run;
 }
 
@@ -77,4 +86,9 @@
     return under_way >= std::max(slots, 1U) + spare_calls;
 }
 
+bool is_overfull(std::uint32_t under_way, std::uint32_t slots)
+{
+    return under_way >= most_calls_a_slot * std::max(slots, 1U) + spare_calls;
+}
+
 } // namespace pepperturn
--- a/src/scheduling/place_line.cpp
+++ b/src/scheduling/place_line.cpp
@@ -17,6 +17,9 @@
 constexpr milliseconds priority_head_start{100};
 /// Priorities beyond count alike: all of them stay less than a rank.
 constexpr std::uint32_t lowest_priority = 16;
+/// Rates of a few calls swing: a call is turned away for them only if they
+/// make it wait twice as long as it may.
+constexpr double rate_share = 0.5;
 /// Least and most work that a call counts for, against absurd figures.
 constexpr double least_work_ms = 1;
 constexpr double most_work_ms = 60'000;
@@ -36,6 +39,16 @@
     return std::min(entry.m_work_ms, most_work_ms);
 }
 
+const workspace_line* find_line(const place_line& line, std::uint64_t workspace)
+{
+    const auto row =
+        std::find_if(line.m_workspaces.begin(), line.m_workspaces.end(),
+                     [workspace](const workspace_line& each) {
+                         return each.m_workspace == workspace;
+                     });
+    return row == line.m_workspaces.end() ? nullptr : &*row;
+}
+
 void drop_empty(place_line& line)
 {
     std::erase_if(line.m_workspaces, [](const workspace_line& row) {
@@ -57,7 +70,8 @@
                                 return each.m_workspace == entry.m_workspace;
                             });
     if (row == line.m_workspaces.end())
-        row = line.m_workspaces.insert(row, {entry.m_workspace, 0, {}});
+        row = line.m_workspaces.insert(
+            row, {entry.m_workspace, 0, {.m_last = entry.m_since}, {}});
     const auto at =
         std::upper_bound(row->m_entries.begin(), row->m_entries.end(), entry,
                          [](const line_entry& left, const line_entry& right) {
@@ -100,12 +114,14 @@
     }
 }
 
-void drop_next(place_line& line)
+void drop_next(place_line& line, instant now)
 {
     if (next_waiting(line) == nullptr)
         return;
     auto& row = line.m_workspaces.front();
     row.m_credit_ms -= work_of(row.m_entries.front());
+    if (row.m_entries.front().m_rank != call_rank::under_way)
+        row.m_opening = add_admission(row.m_opening, now);
     row.m_entries.erase(row.m_entries.begin());
     --line.m_size;
     drop_empty(line);
@@ -137,11 +153,9 @@
         return !begun_only || row.m_rank == call_rank::under_way;
     };
     double own = work_of(entry);
-    for (const auto& row : line.m_workspaces)
+    if (const auto* row = find_line(line, entry.m_workspace))
     {
-        if (row.m_workspace != entry.m_workspace)
-            continue;
-        for (const auto& before : row.m_entries)
+        for (const auto& before : row->m_entries)
         {
             if (counts(before) && !goes_before(entry, before))
                 own += work_of(before);
@@ -165,4 +179,23 @@
     return all - work_of(entry);
 }
 
+double expected_line_wait(const place_line& line, const line_entry& entry,
+                          double places, instant now)
+{
+    const bool begun = entry.m_rank == call_rank::under_way;
+    const double by_work =
+        work_before(line, entry, begun) / std::max(places, 1.0);
+    const auto* row = find_line(line, entry.m_workspace);
+    if (begun || row == nullptr)
+        return by_work;
+    const auto ahead = static_cast<std::size_t>(
+        std::count_if(row->m_entries.begin(), row->m_entries.end(),
+                      [&entry](const line_entry& before) {
+                          return before.m_rank != call_rank::under_way &&
+                                 !goes_before(entry, before);
+                      }));
+    const auto by_rate = expected_wait(row->m_opening, ahead, now);
+    return std::max(by_work, rate_share * static_cast<double>(by_rate.count()));
+}
+
 } // namespace pepperturn
--- a/src/scheduling/place_service.cpp
+++ b/src/scheduling/place_service.cpp
@@ -13,9 +13,6 @@
 
 /// Longest time in line, whatever patience the caller tells.
 constexpr std::uint32_t most_patience_ms = 10'000;
-/// Calls of programs under way go into an engine's own queue, once they have
-/// waited in vain, up to this many times its slots.
-constexpr std::uint32_t queue_depth = 2;
 
 std::uint32_t to_count(double value)
 {
@@ -96,7 +93,7 @@
                            .m_since = now,
                            .m_until = now + patience,
                            .m_work_ms = work_ms(question)};
-    const double wait = wait_ms(entry);
+    const double wait = wait_ms(entry, now);
     if (wait > static_cast<double>(patience.count()))
     {
         ++m_counters.m_no_room;
@@ -181,11 +178,12 @@
 
 void place_service::close(std::vector<decided_place>& out)
 {
-    while (const auto* next = next_waiting(m_line))
+    for (const auto& row : m_line.m_workspaces)
     {
-        out.push_back({.m_call = next->m_call, .m_answer = {}});
-        drop_next(m_line);
+        for (const auto& entry : row.m_entries)
+            out.push_back({.m_call = entry.m_call, .m_answer = {}});
     }
+    m_line = {};
     m_waiting.clear();
 }
 
@@ -197,7 +195,7 @@
         const auto answer = place(m_waiting.at(call), reach::open, now);
         if (!answer)
             return;
-        drop_next(m_line);
+        drop_next(m_line, now);
         m_waiting.erase(call);
         decide(call, *answer);
     }
@@ -219,9 +217,10 @@
             ++m_counters.m_forced;
         else
             ++m_counters.m_no_room;
-        decide(entry.m_call, answer.value_or(place_answer{
-                                 .m_outcome = place_outcome::no_room,
-                                 .m_retry_ms = to_count(wait_ms(entry)) + 1}));
+        decide(entry.m_call,
+               answer.value_or(place_answer{
+                   .m_outcome = place_outcome::no_room,
+                   .m_retry_ms = to_count(wait_ms(entry, now)) + 1}));
     }
 }
 
@@ -278,12 +277,14 @@
     };
     keep_if_any(&choice::m_excluded);
     keep_if_any(&choice::m_shunned);
-    std::erase_if(m_choices, [reach](const choice& row) {
-        const auto& outlook = row.m_outlook;
-        const std::uint32_t slots = std::max(outlook.m_slots, 1U);
-        if (reach == reach::queue)
-            return outlook.m_under_way / queue_depth >= slots;
-        return is_full(outlook.m_under_way, slots);
+    const auto has_room = [](const choice& row) {
+        return !is_full(row.m_outlook.m_under_way, row.m_outlook.m_slots);
+    };
+    if (reach == reach::open &&
+        std::none_of(m_choices.begin(), m_choices.end(), has_room))
+        return m_choices.clear();
+    std::erase_if(m_choices, [](const choice& row) {
+        return is_overfull(row.m_outlook.m_under_way, row.m_outlook.m_slots);
     });
 }
 
@@ -320,7 +321,7 @@
     return tokens * usual_token_ms(m_norm) + own * usual_read_token_ms(m_norm);
 }
 
-double place_service::wait_ms(const line_entry& entry) const
+double place_service::wait_ms(const line_entry& entry, instant now) const
 {
     double places = 0;
     for (const auto& engine : m_engines)
@@ -328,9 +329,7 @@
         if (!engine.m_facts.m_draining)
             places += std::max(engine.m_facts.m_slots, 1U);
     }
-    const bool begun = entry.m_rank == call_rank::under_way;
-    const double work = work_before(m_line, entry, begun);
-    return work / std::max(places, 1.0);
+    return expected_line_wait(m_line, entry, places, now);
 }
 
 void place_service::give_up(std::uint64_t call)
--- /dev/null
+++ b/test/scheduling/place_site.cpp
@@ -0,0 +1,437 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "scheduling/place_site.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pepperturn::test {
+
+namespace {
+
+constexpr std::uint32_t shared_tokens = 12'600;
+constexpr std::uint32_t shared_parts = 8;
+/// Tokens that a turn adds to the next one's prompt beside its answer.
+constexpr std::uint32_t grown_tokens = 100;
+constexpr std::uint32_t most_event_tokens = 31;
+/// Between a VM and an engine, one way; client and VM, granted and real.
+constexpr int way_ms = 1;
+constexpr int client_ms = 8;
+constexpr double granted_ms = 27;
+constexpr int pause_ms = 20;
+constexpr int deadline_ms = 3000;
+constexpr std::uint64_t service = 1;
+
+} // namespace
+
+site_result::counts site_result::counts::operator+(const counts& other) const
+{
+    counts sum = *this;
+    sum.m_programs += other.m_programs;
+    sum.m_late += other.m_late;
+    sum.m_refused += other.m_refused;
+    sum.m_refused_waited += other.m_refused_waited;
+    sum.m_refused_begun += other.m_refused_begun;
+    sum.m_stretch += other.m_stretch;
+    sum.m_wait_ms += other.m_wait_ms;
+    sum.m_asks += other.m_asks;
+    return sum;
+}
+
+double site_result::counts::late_share() const
+{
+    return m_programs == 0 ? 0 : 1.0 * m_late / m_programs;
+}
+
+double site_result::counts::refused_share() const
+{
+    return m_programs == 0 ? 0 : 1.0 * m_refused / m_programs;
+}
+
+double site_result::counts::mean_stretch() const
+{
+    const auto served = m_programs - m_refused;
+    return served == 0 ? 0 : m_stretch / served;
+}
+
+double site_result::counts::mean_wait_ms() const
+{
+    return m_asks == 0 ? 0 : m_wait_ms / m_asks;
+}
+
+place_site::place_site(site_shape shape, std::uint64_t seed)
+    : m_shape(std::move(shape)), m_arrivals(seed), m_noise(seed + 1),
+      m_engines(m_shape.m_engines)
+{
+    for (std::uint32_t i = 0; i < m_engines.size(); ++i)
+    {
+        const bool slow =
+            m_shape.m_one_slow_in != 0 && i % m_shape.m_one_slow_in == 0;
+        m_engines[i].m_speed = m_shape.m_one_slow_in == 0 ? 1
+                               : slow                     ? m_shape.m_slow_speed
+                                      : m_shape.m_usual_speed;
+    }
+    m_result.m_begun.resize(m_engines.size());
+}
+
+void place_site::slow(std::uint32_t engine, double factor)
+{
+    m_engines[engine].m_fault = factor;
+}
+
+std::vector<engine_facts> place_site::facts() const
+{
+    std::vector<engine_facts> facts;
+    for (std::size_t i = 0; i < m_engines.size(); ++i)
+        facts.push_back({.m_runner = i + 1,
+                         .m_availability_zone = std::to_string(i / 4 % 3),
+                         .m_slots = m_shape.m_slots,
+                         .m_token_capacity = m_shape.m_token_capacity});
+    return facts;
+}
+
+site_result place_site::run(site_policy& policy, std::uint32_t vms, int from_ms,
+                            int until_ms)
+{
+    m_policy = &policy;
+    m_vms = vms;
+    m_from = from_ms;
+    for (m_now = 0; m_now < until_ms; ++m_now)
+    {
+        m_at(m_now);
+        begin_programs();
+        while (!m_events.empty() && m_events.begin()->first <= m_now)
+        {
+            const auto next = m_events.begin()->second;
+            m_events.erase(m_events.begin());
+            if (next.m_step == step::turn)
+                begin_turn(next.m_id);
+            else if (next.m_step == step::report)
+                policy.report(next.m_report, next.m_vm, now());
+            else if (const auto row = m_calls.find(next.m_id);
+                     row != m_calls.end())
+                m_engines[row->second.m_engine].m_queue.push_back(next.m_id);
+        }
+        for (std::uint32_t i = 0; i < m_engines.size(); ++i)
+            run_engine(i);
+        give_up_hung();
+        for (const auto& row : policy.take_decided(now()))
+            take_answer(row.m_call, row.m_answer);
+        sample();
+    }
+    m_result.m_busiest /= std::max(m_samples, 1.0);
+    return m_result;
+}
+
+double place_site::draw(std::mt19937_64& random)
+{
+    return static_cast<double>(random() >> 11) * 0x1p-53;
+}
+
+std::uint64_t place_site::draw_shared()
+{
+    // The n-th is asked for 1/n as often as the first.
+    double sum = 0;
+    for (std::uint32_t i = 1; i <= shared_parts; ++i)
+        sum += 1.0 / i;
+    double left = draw(m_arrivals) * sum;
+    std::uint64_t chosen = 1;
+    while (chosen < shared_parts && (left -= 1.0 / chosen) > 0)
+        ++chosen;
+    return chosen;
+}
+
+instant place_site::now() const
+{
+    return instant(seconds(1000) + milliseconds(m_now));
+}
+
+void place_site::begin_programs()
+{
+    const double first = m_shape.m_first_workspace(m_now);
+    const double others = m_shape.m_workspaces - 1;
+    const double extra =
+        m_shape.m_workspaces == 1 ? 1 : (first + others) / m_shape.m_workspaces;
+    for (std::uint32_t kind = 0; kind < m_shape.m_kinds.size(); ++kind)
+    {
+        const double expected = m_shape.m_kinds[kind].m_per_second / 1000 *
+                                m_shape.m_demand(m_now) * extra;
+        // Poisson, by its intervals.
+        for (double at = -std::log(1 - draw(m_arrivals)); at < expected;
+             at -= std::log(1 - draw(m_arrivals)))
+        {
+            program next;
+            next.m_kind = kind;
+            next.m_shared = kind * shared_parts + draw_shared();
+            next.m_begun = m_now;
+            const double share = first / (first + others);
+            next.m_workspace =
+                draw(m_arrivals) < share
+                    ? 1
+                    : 2 + static_cast<std::uint64_t>(draw(m_arrivals) * others);
+            next.m_random.seed(m_arrivals());
+            m_programs.emplace(++m_last_id, next);
+            begin_turn(m_last_id);
+        }
+    }
+}
+
+void place_site::begin_turn(std::uint64_t id)
+{
+    auto& program = m_programs.at(id);
+    const auto& kind = m_shape.m_kinds[program.m_kind];
+    turn_call call;
+    for (std::uint32_t i = 0; i < m_shape.m_events; ++i)
+        call.m_tokens += 1 + static_cast<std::uint32_t>(draw(program.m_random) *
+                                                        most_event_tokens);
+    const auto own =
+        kind.m_own_tokens + program.m_turn * (grown_tokens + call.m_tokens);
+    const double aim =
+        m_shape.m_aim_factor * (program.m_alone_ms + 200) + m_shape.m_aim_ms;
+    call.m_program = id;
+    call.m_vm = static_cast<std::uint32_t>(draw(program.m_random) * m_vms);
+    call.m_asked = m_now;
+    call.m_question = {
+        .m_service = service,
+        .m_call = ++m_last_id,
+        .m_workspace = program.m_workspace,
+        .m_parts = {{program.m_shared, shared_tokens}, {1'000'000 + id, own}},
+        .m_prompt_tokens = shared_tokens + own,
+        .m_most_tokens = m_shape.m_events * most_event_tokens,
+        .m_rank = program.m_turn == 0 ? call_rank::first : call_rank::under_way,
+        .m_priority = 0,
+        .m_patience_ms = m_shape.m_patience_ms,
+        .m_program_left_ms = static_cast<std::uint32_t>(
+            std::max(1.0, program.m_begun + aim - m_now)),
+        .m_availability_zone = std::to_string(call.m_vm % 3),
+        .m_excluded = {}};
+    const auto fresh = program.m_turn == 0 ? own : grown_tokens + call.m_tokens;
+    program.m_alone_ms +=
+        granted_ms + pause_ms + fresh / m_shape.m_read_per_ms +
+        call.m_tokens * m_shape.m_token_ms *
+            (1 + m_shape.m_batch_token_share * (shared_tokens + own));
+    const auto number = call.m_question.m_call;
+    const auto question = call.m_question;
+    const auto vm = call.m_vm;
+    m_calls.emplace(number, std::move(call));
+    if (const auto answer = m_policy->ask(question, vm, now()))
+        take_answer(number, *answer);
+}
+
+void place_site::take_answer(std::uint64_t number, const place_answer& answer)
+{
+    const auto row = m_calls.find(number);
+    if (row == m_calls.end())
+        return;
+    auto& call = row->second;
+    auto& counts = m_result.m_by_workspace[call.m_question.m_workspace];
+    if (m_programs.at(call.m_program).m_begun >= m_from)
+    {
+        counts.m_wait_ms += m_now - call.m_asked;
+        ++counts.m_asks;
+    }
+    if (answer.m_outcome != place_outcome::placed)
+    {
+        const auto program = call.m_program;
+        const bool waited = m_now > call.m_asked;
+        m_calls.erase(row);
+        end_program(program, true, waited);
+        return;
+    }
+    call.m_sent = m_now;
+    call.m_engine = static_cast<std::uint32_t>(answer.m_runner - 1);
+    auto& begun = m_result.m_begun[call.m_engine];
+    begun.resize(std::max<std::size_t>(begun.size(), m_now / 100 + 1));
+    ++begun.back();
+    m_events.emplace(m_now + way_ms, event{step::arrive, number, {}, 0});
+}
+
+double place_site::read_memory(engine& engine, const place_question& question)
+{
+    double fresh = 0;
+    bool held = true;
+    for (const auto& part : question.m_parts)
+    {
+        const auto row =
+            std::find_if(engine.m_memory.begin(), engine.m_memory.end(),
+                         [&part](const prompt_part& each) {
+                             return each.m_id == part.m_id;
+                         });
+        const double has =
+            held && row != engine.m_memory.end() ? row->m_tokens : 0;
+        fresh += std::max(part.m_tokens - has, 0.0);
+        if (has == 0 && part.m_tokens == shared_tokens)
+            m_result.m_shared_tokens_read += part.m_tokens;
+        held = held && has >= part.m_tokens;
+        if (row != engine.m_memory.end())
+            engine.m_memory.erase(row);
+    }
+    engine.m_memory.insert(engine.m_memory.end(), question.m_parts.rbegin(),
+                           question.m_parts.rend());
+    std::uint64_t sum = 0;
+    for (const auto& part : engine.m_memory)
+        sum += part.m_tokens;
+    while (sum > m_shape.m_token_capacity)
+    {
+        sum -= engine.m_memory.front().m_tokens;
+        engine.m_memory.erase(engine.m_memory.begin());
+    }
+    return fresh;
+}
+
+void place_site::fill_slots(std::uint32_t index)
+{
+    auto& engine = m_engines[index];
+    while (!engine.m_queue.empty() && engine.m_running.size() < m_shape.m_slots)
+    {
+        const auto number = engine.m_queue.front();
+        engine.m_queue.pop_front();
+        const auto row = m_calls.find(number);
+        if (row == m_calls.end())
+            continue;
+        const auto& call = row->second;
+        engine.m_running.push_back(
+            {.m_call = number,
+             .m_read_left = read_memory(engine, call.m_question),
+             .m_tokens_left = 1.0 * call.m_tokens,
+             .m_context = 1.0 * call.m_question.m_prompt_tokens});
+    }
+}
+
+void place_site::run_engine(std::uint32_t index)
+{
+    auto& engine = m_engines[index];
+    if (m_now >= engine.m_noise_until)
+    {
+        engine.m_noisy = !engine.m_noisy && m_shape.m_noise_share > 0;
+        const double share = m_shape.m_noise_share;
+        const double mean = engine.m_noisy ? m_shape.m_noise_ms
+                                           : m_shape.m_noise_ms * (1 - share) /
+                                                 std::max(share, 1e-3);
+        const bool first = engine.m_noise_until == 0;
+        if (first)
+            engine.m_noisy = draw(m_noise) < share;
+        engine.m_noise_until =
+            m_now + 1 + static_cast<int>(-mean * std::log(1 - draw(m_noise)));
+    }
+    fill_slots(index);
+    const double speed = engine.m_speed / engine.m_fault /
+                         (engine.m_noisy ? m_shape.m_noise_factor : 1);
+    double left_ms = speed;
+    for (auto& run : engine.m_running)
+    {
+        const double read =
+            std::min(run.m_read_left, left_ms * m_shape.m_read_per_ms);
+        run.m_read_left -= read;
+        left_ms -= read / m_shape.m_read_per_ms;
+    }
+    double context = 0;
+    for (const auto& run : engine.m_running)
+        context += run.m_context;
+    const auto beside =
+        engine.m_running.empty() ? 0.0 : engine.m_running.size() - 1.0;
+    const double tokens = std::max(left_ms, 0.0) / m_shape.m_token_ms /
+                          (1 + m_shape.m_batch_token_share * context +
+                           m_shape.m_beside_share * beside);
+    std::vector<engine_run> ended;
+    for (auto& run : engine.m_running)
+    {
+        if (run.m_read_left > 0)
+            continue;
+        if (run.m_first_ms < 0)
+            run.m_first_ms = m_now;
+        run.m_tokens_left -= tokens;
+        if (run.m_tokens_left <= 0)
+            ended.push_back(run);
+    }
+    std::erase_if(engine.m_running, [](const engine_run& run) {
+        return run.m_read_left <= 0 && run.m_tokens_left <= 0;
+    });
+    for (const auto& run : ended)
+        end_call(run.m_call, place_end::whole, run.m_first_ms);
+}
+
+void place_site::end_call(std::uint64_t number, place_end end, int first_ms)
+{
+    const auto row = m_calls.find(number);
+    if (row == m_calls.end())
+        return;
+    const auto call = std::move(row->second);
+    m_calls.erase(row);
+    const auto ms = [](int value) {
+        return static_cast<std::uint32_t>(std::max(value, 0));
+    };
+    place_report report{.m_service = service,
+                        .m_call = number,
+                        .m_runner = call.m_engine + 1,
+                        .m_end = end};
+    if (end == place_end::whole)
+    {
+        report.m_first_byte_ms = ms(first_ms + way_ms - call.m_sent);
+        report.m_run_ms = ms(m_now - first_ms);
+        report.m_tokens = call.m_tokens;
+    }
+    m_events.emplace(m_now + 2 * way_ms,
+                     event{step::report, number, report, call.m_vm});
+    auto& program = m_programs.at(call.m_program);
+    const auto& kind = m_shape.m_kinds[program.m_kind];
+    if (end == place_end::whole && ++program.m_turn == kind.m_turns)
+        return end_program(call.m_program, false);
+    m_events.emplace(m_now + way_ms + client_ms + pause_ms,
+                     event{step::turn, call.m_program, {}, 0});
+}
+
+void place_site::give_up_hung()
+{
+    // Calls go by their number, which is their order.
+    while (!m_calls.empty() &&
+           m_calls.begin()->second.m_asked + deadline_ms <= m_now)
+        end_call(m_calls.begin()->first, place_end::broken, 0);
+    for (auto& engine : m_engines)
+        std::erase_if(engine.m_running, [this](const engine_run& run) {
+            return m_calls.count(run.m_call) == 0;
+        });
+}
+
+void place_site::end_program(std::uint64_t id, bool refused, bool waited)
+{
+    const auto program = m_programs.at(id);
+    m_programs.erase(id);
+    if (program.m_begun < m_from)
+        return;
+    const double aim =
+        m_shape.m_aim_factor * program.m_alone_ms + m_shape.m_aim_ms;
+    const int taken = m_now + client_ms - program.m_begun;
+    const bool late = refused || taken > aim;
+    for (auto* counts :
+         {&m_result.m_all, &m_result.m_by_second[program.m_begun / 1000],
+          &m_result.m_by_workspace[program.m_workspace]})
+    {
+        ++counts->m_programs;
+        counts->m_late += late ? 1 : 0;
+        counts->m_refused += refused ? 1 : 0;
+        counts->m_refused_waited += waited ? 1 : 0;
+        counts->m_refused_begun += refused && program.m_turn > 0 ? 1 : 0;
+        counts->m_stretch += refused ? 0 : taken / program.m_alone_ms;
+    }
+}
+
+void place_site::sample()
+{
+    if (m_now < m_from)
+        return;
+    double most = 0;
+    double sum = 0;
+    for (const auto& engine : m_engines)
+    {
+        const auto calls =
+            1.0 * (engine.m_running.size() + engine.m_queue.size());
+        most = std::max(most, calls);
+        sum += calls;
+    }
+    if (sum == 0)
+        return;
+    m_result.m_busiest += most / (sum / static_cast<double>(m_engines.size()));
+    ++m_samples;
+}
+
+} // namespace pepperturn::test
--- /dev/null
+++ b/test/scheduling/test_place_loads.cpp
@@ -0,0 +1,322 @@
+// SPDX-License-Identifier: BSL-1.0
+// Loads of hard sites, replayed on a virtual clock.
+#include "pepperturn/forward/runner_table.hpp"
+#include "scheduling/place_site.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <memory>
+#include <sstream>
+
+namespace {
+
+using namespace pepperturn;
+using namespace pepperturn::test;
+
+constexpr std::uint64_t service = 1;
+
+/// One VM that is asked by all.
+class placing_policy final : public site_policy
+{
+public:
+    explicit placing_policy(const place_site& site) : m_site(site)
+    {
+        start_anew(instant(seconds(1000)));
+    }
+    /// Another VM takes over: it knows nothing.
+    void start_anew(instant now)
+    {
+        m_places = std::make_unique<engine_places>();
+        m_places->follow(service, m_site.facts(), now);
+    }
+    std::optional<place_answer> ask(const place_question& question,
+                                    std::uint32_t, instant now) override
+    {
+        return m_places->ask(question, now);
+    }
+    void report(const place_report& report, std::uint32_t, instant now) override
+    {
+        m_places->report(report, now);
+    }
+    std::vector<decided_place> take_decided(instant now) override
+    {
+        return m_places->take_decided(now);
+    }
+    [[nodiscard]] std::string metrics() const
+    {
+        std::string out;
+        m_places->write_metrics(out);
+        return out;
+    }
+
+private:
+    const place_site& m_site;
+    std::unique_ptr<engine_places> m_places;
+};
+
+/// Each VM chooses by the calls that it sends itself.
+class own_calls_policy final : public site_policy
+{
+public:
+    own_calls_policy(const place_site& site, std::uint32_t vms) : m_tables(vms)
+    {
+        std::vector<runner_info> runners;
+        for (const auto& facts : site.facts())
+        {
+            runner_info info;
+            info.m_id = std::to_string(facts.m_runner);
+            info.m_service = "engines";
+            info.m_slots = facts.m_slots;
+            info.m_availability_zone = facts.m_availability_zone;
+            runners.push_back(info);
+        }
+        for (auto& table : m_tables)
+            (void)table.replace(runners);
+    }
+    std::optional<place_answer> ask(const place_question& question,
+                                    std::uint32_t vm, instant now) override
+    {
+        auto& table = m_tables.at(vm);
+        runner_choice choice;
+        choice.m_service = "engines";
+        choice.m_preferred = m_homes[question.m_parts.back().m_id];
+        choice.m_availability_zone = question.m_availability_zone;
+        choice.m_draw = question.m_call;
+        const auto* row = table.choose(choice, now);
+        if (row == nullptr)
+            return place_answer{};
+        m_homes[question.m_parts.back().m_id] = row->m_incarnation;
+        table.note_sent(row->m_info.m_id);
+        return place_answer{.m_outcome = place_outcome::placed,
+                            .m_runner = std::stoull(row->m_info.m_id)};
+    }
+    void report(const place_report& report, std::uint32_t vm,
+                instant now) override
+    {
+        auto& table = m_tables.at(vm);
+        const auto id = std::to_string(report.m_runner);
+        table.note_ended(id);
+        if (report.m_end == place_end::whole)
+            table.note_first_byte(id, "route",
+                                  milliseconds(report.m_first_byte_ms));
+        else
+            table.note_failure(id, now);
+        table.note_result(id, report.m_end == place_end::whole, now);
+    }
+    std::vector<decided_place> take_decided(instant) override
+    {
+        return {};
+    }
+
+private:
+    std::vector<runner_table> m_tables;
+    std::map<std::uint64_t, std::string> m_homes;
+};
+
+site_shape make_uneven_site()
+{
+    site_shape shape;
+    shape.m_kinds = {{69, 4, 1680}, {29.5, 7, 840}};
+    // Bursts of a second and a half.
+    shape.m_demand = [](int ms) { return ms % 6000 < 1500 ? 1.8 : 1.0; };
+    return shape;
+}
+
+site_shape with_load(site_shape shape, double factor)
+{
+    for (auto& kind : shape.m_kinds)
+        kind.m_per_second *= factor;
+    return shape;
+}
+
+std::string describe(const std::string& name, const site_result& result)
+{
+    std::ostringstream out;
+    out << name << ": programs " << result.m_all.m_programs << ", late "
+        << result.m_all.late_share() << ", refused "
+        << result.m_all.refused_share() << ", stretch "
+        << result.m_all.mean_stretch() << ", shared tokens read "
+        << result.m_shared_tokens_read << ", busiest over mean "
+        << result.m_busiest;
+    return out.str();
+}
+
+site_result run_placed(const site_shape& shape, std::uint64_t seed,
+                       std::uint32_t vms, int until_ms)
+{
+    place_site site(shape, seed);
+    placing_policy policy(site);
+    return site.run(policy, vms, 2000, until_ms);
+}
+
+site_result run_own(const site_shape& shape, std::uint64_t seed,
+                    std::uint32_t vms, int until_ms)
+{
+    place_site site(shape, seed);
+    own_calls_policy policy(site, vms);
+    return site.run(policy, vms, 2000, until_ms);
+}
+
+site_shape make_even_site()
+{
+    auto shape = make_uneven_site();
+    shape.m_one_slow_in = 0;
+    shape.m_noise_share = 0;
+    return shape;
+}
+
+/// Every fourth engine is slow, the one before it is not.
+constexpr int hurt_engines = 6;
+
+std::uint32_t hurt_engine(int number)
+{
+    return static_cast<std::uint32_t>(4 * number + 3);
+}
+
+/// Calls a second that begin at the engines that are hurt.
+double hurt_rate(const site_result& result, int from_ms, int until_ms)
+{
+    double sum = 0;
+    for (int i = 0; i < hurt_engines; ++i)
+    {
+        const auto& begun = result.m_begun.at(hurt_engine(i));
+        for (int at = from_ms / 100; at < until_ms / 100; ++at)
+            sum += at < static_cast<int>(begun.size()) ? begun.at(at) : 0;
+    }
+    return sum * 1000 / (until_ms - from_ms);
+}
+
+site_shape make_tenants_site()
+{
+    site_shape shape;
+    shape.m_engines = 48;
+    shape.m_slots = 8;
+    shape.m_token_capacity = 220'527;
+    shape.m_token_ms = 1.09;
+    shape.m_read_per_ms = 374;
+    shape.m_batch_token_share = 0;
+    shape.m_beside_share = 0.027;
+    shape.m_one_slow_in = 0;
+    shape.m_noise_share = 0;
+    shape.m_kinds = {{48.7, 4, 1680}, {28.7, 9, 840}};
+    shape.m_events = 7;
+    shape.m_workspaces = 86;
+    return shape;
+}
+
+} // namespace
+
+TEST_CASE("uneven engines: one who places serves more in time", "[places]")
+{
+    const auto seed = GENERATE(1U, 2U);
+    const double load = GENERATE(1.0, 3.0);
+    const auto shape = with_load(make_uneven_site(), load);
+    const auto placed = run_placed(shape, seed, 51, 14'000);
+    const auto own = run_own(shape, seed, 51, 14'000);
+    CAPTURE(seed, load, describe("placed", placed), describe("own", own));
+    CHECK(placed.m_all.late_share() < own.m_all.late_share() / 3);
+    CHECK(placed.m_all.m_refused == 0);
+    CHECK(placed.m_shared_tokens_read <= own.m_shared_tokens_read / 3);
+}
+
+TEST_CASE("even engines: however many ask, none is herded to", "[places]")
+{
+    const std::uint32_t vms = GENERATE(50U, 300U);
+    const double load = GENERATE(2.0, 4.0);
+    const auto shape = with_load(make_even_site(), load);
+    const auto placed = run_placed(shape, 1, vms, 10'000);
+    const auto own = run_own(shape, 1, vms, 10'000);
+    CAPTURE(vms, load, describe("placed", placed), describe("own", own));
+    CHECK(placed.m_busiest < 2);
+    CHECK(placed.m_busiest < own.m_busiest);
+}
+
+TEST_CASE("engines that turn slow or hang lose their calls and get them back",
+          "[places]")
+{
+    struct sample
+    {
+        std::string m_name;
+        double m_factor;
+    };
+    const auto each = GENERATE(values<sample>({
+        {"five times slower", 5},
+        {"hang", 1e9},
+    }));
+    INFO(each.m_name);
+    // Enough load that the engines are needed again.
+    auto shape = with_load(make_uneven_site(), 3);
+    shape.m_demand = [](int) { return 1.0; };
+    place_site site(shape, 1);
+    placing_policy policy(site);
+    site.m_at = [&site, &each](int ms) {
+        for (int i = 0; i < hurt_engines; ++i)
+        {
+            if (ms == 6000)
+                site.slow(hurt_engine(i), each.m_factor);
+            if (ms == 9000)
+                site.slow(hurt_engine(i), 1);
+        }
+    };
+    const auto result = site.run(policy, 51, 2000, 15'000);
+    const double before = hurt_rate(result, 4000, 6000);
+    const double hurt = hurt_rate(result, 6300, 9000);
+    const double after = hurt_rate(result, 11'000, 14'000);
+    CAPTURE(describe("placed", result), before, hurt, after);
+    CHECK(hurt < before / 5);
+    CHECK(after > before / 2);
+}
+
+TEST_CASE("a VM that takes over learns within two seconds", "[places]")
+{
+    const auto seed = GENERATE(1U, 2U, 3U);
+    auto shape = with_load(make_uneven_site(), 2);
+    shape.m_demand = [](int) { return 1.0; };
+    place_site site(shape, seed);
+    placing_policy policy(site);
+    site.m_at = [&policy](int ms) {
+        if (ms == 6000)
+            policy.start_anew(instant(seconds(1006)));
+    };
+    const auto result = site.run(policy, 51, 2000, 12'000);
+    CAPTURE(seed, describe("placed", result));
+    for (const auto& [second, counts] : result.m_by_second)
+    {
+        CAPTURE(second, counts.m_programs, counts.m_late);
+        if (second < 5 || (second >= 8 && second < 11))
+            CHECK(counts.late_share() < 0.02);
+        else
+            CHECK(counts.late_share() < 0.2);
+    }
+}
+
+TEST_CASE("a burst of one workspace is its own affair", "[places]")
+{
+    const auto seed = GENERATE(1U, 2U, 3U);
+    auto shape = make_tenants_site();
+    // A quarter of the engines is left, and the largest workspace asks for
+    // 7.5 times its usual.
+    shape.m_engines = 12;
+    shape.m_first_workspace = [](int ms) {
+        return ms > 4000 && ms < 8000 ? 7.5 * 5 : 5;
+    };
+    place_site site(shape, seed);
+    placing_policy policy(site);
+    const auto result = site.run(policy, 76, 4000, 12'000);
+    site_result::counts others;
+    for (const auto& [workspace, counts] : result.m_by_workspace)
+    {
+        if (workspace != 1)
+            others = others + counts;
+    }
+    const auto& first = result.m_by_workspace.at(1);
+    CAPTURE(seed, describe("placed", result), first.refused_share(),
+            first.late_share(), first.mean_wait_ms(), others.refused_share(),
+            others.late_share(), others.mean_wait_ms());
+    CHECK(others.m_refused == 0);
+    CHECK(others.late_share() < 0.05);
+    CHECK(others.mean_wait_ms() < 20);
+    CHECK(first.refused_share() < 0.5);
+    CHECK(result.m_all.m_refused_begun == 0);
+}
