--- a/src/scheduling/place_service.cpp
+++ b/src/scheduling/place_service.cpp
@@ -314,7 +314,7 @@
 {
     // What the engine has in memory is not known before one is chosen; the
     // last part is the conversation's own, and new in some of its tokens.
-    const double tokens = usual_tokens(m_norm, question.m_most_tokens);
+    const double tokens = expected_tokens(m_norm, question);
     const double own = question.m_parts.empty()
                            ? question.m_prompt_tokens
                            : question.m_parts.back().m_tokens;
