An edge VM that hears no storage VM goes through one that does

Cause: where a partition takes edge VMs from the storage VMs, they refuse what needs a turn, a limit or a place, though other edge VMs hear both sides.

Storage VMs name a few relaying edge VMs to each edge VM; a question whose member is silent or not connected goes through one of them. Off without [listen] relay.

--- /dev/null
+++ b/include/pepperturn/cluster/detours.hpp
@@ -0,0 +1,139 @@
+// SPDX-License-Identifier: BSL-1.0
+/// \file
+/// Questions to storage VMs through neighbours: the asking side.
+///
+/// Load pattern: an edge VM is separated from some or all storage VMs while
+/// other edge VMs hear both it and them. Without another way it would refuse
+/// every request that needs a turn, a limit or a place, for as long as the
+/// partition lasts.
+///
+/// One hop only: a neighbour passes a question on over its own link, or says
+/// at once that it cannot, and the next one is asked. The first answer is
+/// taken. Connections to neighbours are made when they are first needed.
+#pragma once
+
+#include "pepperturn/cluster/frame_link.hpp"
+#include "pepperturn/cluster/neighbours.hpp"
+
+#include <map>
+#include <set>
+
+namespace pepperturn {
+
+/// What went through neighbours so far.
+struct detour_counts
+{
+    std::uint64_t m_asked = 0;
+    /// No neighbour brought an answer.
+    std::uint64_t m_unanswered = 0;
+
+    friend bool operator==(const detour_counts&,
+                           const detour_counts&) = default;
+};
+
+class detours
+{
+public:
+    detours(asio::io_context& io, const clock& time, std::string self_name,
+            std::string availability_zone);
+
+    /// Takes the neighbours to ask from now on. An empty list is passed over:
+    /// a VM that tells it has just started.
+    void follow(std::vector<neighbour> neighbours);
+    void stop();
+
+    /// Some neighbour may reach \p member.
+    [[nodiscard]] bool hopeful(const std::string& member) const;
+    /// Asks \p member through a neighbour.
+    /// \param question its epoch goes with it as it is
+    /// \param done comes exactly once; at once if nobody can be asked
+    void ask(const std::string& member, const frame& question, frame_done done);
+    /// Asks a member that is not reached directly for a sign of life, unless
+    /// it was heard a moment ago; at ever longer intervals while there is none.
+    /// \param reason why it is not reached, for the log
+    void probe(const std::string& member, const char* reason);
+    /// The member is reached directly again.
+    void end(const std::string& member);
+
+    /// When the member last answered through a neighbour; the epoch of the
+    /// clock: never.
+    [[nodiscard]] instant last_heard(const std::string& member) const;
+    [[nodiscard]] const detour_counts& counts() const
+    {
+        return m_counts;
+    }
+
+private:
+    struct neighbour_row
+    {
+        neighbour m_who;
+        std::shared_ptr<frame_link> m_link;
+        bool m_connecting = false;
+        bool m_dropped = false;
+        instant m_heard{};
+        instant m_avoid_until{};
+        /// Failures in a row to connect or to answer.
+        std::uint32_t m_failures = 0;
+        /// Members that it does not reach, by its own word.
+        std::map<std::string, instant> m_cannot_until;
+        /// Questions that wait for the connection.
+        std::vector<std::uint64_t> m_queued;
+    };
+    struct open_question
+    {
+        std::string m_member;
+        frame m_frame;
+        frame_done m_done;
+        std::set<std::string> m_tried;
+        /// Neighbours that have not answered yet.
+        std::set<std::string> m_asked;
+        instant m_until{};
+        /// When the last neighbour was asked.
+        instant m_last_try{};
+        std::string m_last_neighbour;
+    };
+    /// A member that is asked through neighbours.
+    struct member_row
+    {
+        instant m_heard{};
+        instant m_next_probe{};
+        milliseconds m_probe_interval{};
+        bool m_probing = false;
+        /// An answer has come since it was last reached directly.
+        bool m_begun = false;
+        const char* m_reason = "";
+    };
+
+    [[nodiscard]] std::vector<neighbour_facts>
+    facts_for(const std::string& member,
+              const std::set<std::string>& tried) const;
+    void try_next(std::uint64_t id);
+    void send(neighbour_row& row, std::uint64_t id);
+    task<> connect(std::shared_ptr<neighbour_row> row);
+    void take_frame(const std::shared_ptr<neighbour_row>& row,
+                    const frame& value);
+    void take_answer(neighbour_row& row, std::uint64_t id, frame answer);
+    void lose(neighbour_row& row);
+    void avoid(neighbour_row& row);
+    /// One neighbour has no answer to a question.
+    void give_up(const std::string& neighbour, std::uint64_t id);
+    void finish(std::uint64_t id, std::optional<frame> answer);
+    void start_watch();
+    /// Goes on to the next neighbour where one says nothing.
+    task<> watch_questions();
+    void look_at(std::uint64_t id);
+
+    asio::io_context& m_io;
+    const clock& m_time;
+    std::string m_self_name;
+    std::string m_availability_zone;
+    std::vector<std::shared_ptr<neighbour_row>> m_rows;
+    std::map<std::uint64_t, open_question> m_questions;
+    std::map<std::string, member_row> m_members;
+    std::uint64_t m_next_question = 1;
+    bool m_watching = false;
+    bool m_stopped = false;
+    detour_counts m_counts;
+};
+
+} // namespace pepperturn
--- a/include/pepperturn/cluster/frame_link.hpp
+++ b/include/pepperturn/cluster/frame_link.hpp
@@ -15,10 +15,15 @@
 /// under the time that a caller waits, far above a pause of its scheduler.
 constexpr milliseconds frame_peer_silence{1500};
 
+/// Empty: the connection ended before an answer came.
+using frame_done = std::function<void(std::optional<frame>)>;
+
 class frame_link : public std::enable_shared_from_this<frame_link>
 {
 public:
-    frame_link(asio::io_context& io, tcp::socket socket);
+    /// \param most_bytes largest frame that the peer may send
+    frame_link(asio::io_context& io, tcp::socket socket,
+               std::size_t most_bytes = max_frame_bytes);
 
     /// Reads until the connection ends. \p on_closed comes exactly once.
     void start(std::function<void(frame)> on_frame,
@@ -29,6 +34,11 @@
     {
         return m_open;
     }
+    /// It was closed since the peer sent what is no frame, or too large a one.
+    [[nodiscard]] bool violated() const
+    {
+        return m_violated;
+    }
 
 private:
     // A coroutine starts later than it is made: it holds the link from the
@@ -40,16 +50,18 @@
 
     asio::io_context& m_io;
     tcp::socket m_socket;
+    std::size_t m_most_bytes;
     std::function<void(frame)> m_on_frame;
     std::function<void(const std::string&)> m_on_closed;
     std::string m_queue;
     bool m_writing = false;
     bool m_open = true;
+    bool m_violated = false;
 };
 
 /// Connects within \p patience; null with \p reason set if that fails.
 [[nodiscard]] task<std::shared_ptr<frame_link>>
 connect_frames(asio::io_context& io, std::string address, milliseconds patience,
-               std::string& reason);
+               std::string& reason, std::size_t most_bytes = max_frame_bytes);
 
 } // namespace pepperturn
--- a/include/pepperturn/cluster/member_links.hpp
+++ b/include/pepperturn/cluster/member_links.hpp
@@ -4,15 +4,14 @@
 /// that some of them tell.
 #pragma once
 
+#include "pepperturn/cluster/detours.hpp"
 #include "pepperturn/cluster/frame_link.hpp"
+#include "pepperturn/cluster/link_silence.hpp"
 
 #include <map>
 
 namespace pepperturn {
 
-/// Empty: the connection ended before an answer came.
-using frame_done = std::function<void(std::optional<frame>)>;
-
 class member_links
 {
 public:
@@ -34,21 +33,47 @@
     void subscribe(std::vector<std::string> sources);
     void stop();
 
+    /// Questions to members that say nothing go through neighbours from now
+    /// on.
+    /// \param ways must outlive this
+    void use_detours(detours& ways)
+    {
+        m_detours = &ways;
+    }
+    /// Told to storage VMs on each connection from now on.
+    /// \param relay_address where this VM passes on what others ask
+    void offer_relay(std::string relay_address, std::string availability_zone);
+    /// Looks after members that are not reached directly; wanted a few times a
+    /// second where there are detours.
+    void tick();
+
     /// Asks one member; \p done may come at once if it is not connected.
     /// \param epoch of the view that the question goes by
+    /// \param patience of the asker: what waits for less goes through a
+    /// neighbour sooner
     void call(const std::string& name, std::uint64_t epoch, frame_body body,
-              frame_done done);
+              frame_done done, milliseconds patience = 2 * usual_silence);
     /// The same as a task; empty if no answer comes before \p until.
     [[nodiscard]] task<std::optional<frame>>
     ask(std::string name, std::uint64_t epoch, frame_body body, instant until);
+    /// Asks on the member's own link only; empty at once when that link ends
+    /// or falls silent.
+    [[nodiscard]] task<std::optional<frame>> ask_directly(std::string name,
+                                                          std::uint64_t epoch,
+                                                          frame_body body,
+                                                          instant until);
     /// Tells a member the view, which it seems not to know.
     void tell_view(const std::string& name, const cluster_view& view);
 
+    /// It is connected to, or answered through a neighbour lately.
     [[nodiscard]] bool connected(const std::string& name) const;
+    /// It is heard on its own link.
+    [[nodiscard]] bool reached_directly(const std::string& name) const;
     /// False once a connection to the member has failed, until one is up again.
     [[nodiscard]] bool hopeful(const std::string& name) const;
-    /// When the member last sent anything, or was first connected to if it has
-    /// not yet; the epoch of the clock: it is none that is connected to.
+    /// When the member last sent anything, also through a neighbour, or was
+    /// first connected to if it has not yet; the epoch of the clock: it is none
+    /// that is connected to.
     [[nodiscard]] instant last_heard(const std::string& name) const;
     /// When a member last heard the platform's store, as far as members said.
     [[nodiscard]] instant store_heard() const
@@ -62,14 +87,33 @@
     }
     /// The member said lately that it watches the store and hears it.
     [[nodiscard]] bool watches_store(const std::string& name) const;
+    /// Questions that went out on members' own links.
+    [[nodiscard]] std::uint64_t asked_directly() const
+    {
+        return m_asked_directly;
+    }
 
 private:
+    /// A question on a member's own link.
+    struct direct_call
+    {
+        frame_done m_done;
+        instant m_asked{};
+        milliseconds m_patience{};
+        /// May go through a neighbour; kept for that.
+        std::optional<frame> m_question;
+        /// No answer is waited for once the link is silent.
+        bool m_direct_only = false;
+    };
     struct link_row
     {
         std::string m_address;
         std::shared_ptr<frame_link> m_link;
-        std::map<std::uint64_t, frame_done> m_calls;
+        std::map<std::uint64_t, direct_call> m_calls;
         instant m_heard{};
+        instant m_answered{};
+        /// A question went unanswered, and nothing was heard since.
+        bool m_silent = false;
         /// When it last heard the store by its own watch.
         instant m_watched{};
         /// The last try to connect failed, or the connection ended.
@@ -81,13 +125,32 @@
     task<> keep_connected(std::string name, std::shared_ptr<link_row> row);
     void take_frame(const std::string& name, link_row& row, frame value);
     void take_beat(link_row& row, const beat_message& beat);
-    void end_calls(link_row& row);
+    [[nodiscard]] static link_facts facts_of(const link_row& row);
+    [[nodiscard]] task<std::optional<frame>>
+    await_answer(std::string name, std::uint64_t epoch, frame_body body,
+                 instant until, bool direct_only);
+    void ask_link(link_row& row, frame question, direct_call asked);
+    /// Ends the calls, or passes them on to neighbours.
+    void end_calls(const std::string& name, link_row& row);
+    /// Asks a neighbour what the member's own link leaves open.
+    void go_round(const std::string& name, direct_call& asked);
+    void note_heard(const std::string& name, link_row& row);
+    void note_silent(const std::string& name, link_row& row);
+    task<> watch_silence();
+    /// False: no question waits for a sign of life.
+    [[nodiscard]] bool look_for_silence();
     [[nodiscard]] bool wants_news_of(const std::string& name) const;
     void greet(const std::string& name, const link_row& row);
 
     asio::io_context& m_io;
     const clock& m_time;
     std::string m_self_name;
+    std::string m_relay_address;
+    std::string m_availability_zone;
+    /// Null: there are none.
+    detours* m_detours = nullptr;
+    bool m_watching_silence = false;
+    std::uint64_t m_asked_directly = 0;
     std::function<void(const std::string&, const cluster_state&)> m_on_state;
     std::map<std::string, std::shared_ptr<link_row>> m_rows;
     /// Empty: everybody.
--- /dev/null
+++ b/include/pepperturn/cluster/neighbours.hpp
@@ -0,0 +1,62 @@
+// SPDX-License-Identifier: BSL-1.0
+/// \file
+/// Which edge VMs stand in for the link of another edge VM to a storage VM:
+/// a storage VM names a few to each asker, who then tries them one by one.
+///
+/// Load pattern: a network partition separates some edge VMs from the storage
+/// VMs, often a good part of them and at times a whole availability zone,
+/// while all others hear both sides. Candidates are drawn so that each asker
+/// knows some outside its zone, and that no VM relays for a large part of the
+/// fleet.
+#pragma once
+
+#include "pepperturn/base/time.hpp"
+#include "pepperturn/turns/messages.hpp"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace pepperturn {
+
+/// Neighbours that one VM is told in its own zone: the nearest way.
+constexpr std::size_t near_neighbours = 2;
+/// Neighbours in other zones. All candidates are out of reach together only if
+/// a partition takes six VMs that were drawn independently.
+constexpr std::size_t far_neighbours = 4;
+
+/// Draws neighbours for one VM by rendezvous hashing: the same ones as long as
+/// they are there, and every VM is drawn by about as many others.
+/// \param candidates edge VMs that relay; those of the asker's name and those
+/// without an address are passed over, as is a name that came before
+[[nodiscard]] std::vector<neighbour>
+choose_neighbours(const std::vector<neighbour>& candidates,
+                  const std::string& asker,
+                  const std::string& availability_zone);
+
+/// What an asker knows of a neighbour when a question goes out.
+struct neighbour_facts
+{
+    std::string m_name;
+    std::string m_availability_zone;
+    /// It was asked this question already.
+    bool m_tried = false;
+    /// It has failed to connect or to answer, and is left alone until then.
+    instant m_avoid_until{};
+    /// It does not reach the member in question, by its own word.
+    instant m_cannot_until{};
+
+    friend bool operator==(const neighbour_facts&,
+                           const neighbour_facts&) = default;
+};
+
+/// Position of the neighbour to ask next about \p member; empty: none is left.
+/// The first try stays in the own zone and the second leaves it, since a
+/// partition often takes a zone as a whole. Members are spread over the
+/// neighbours.
+[[nodiscard]] std::optional<std::size_t>
+next_neighbour(const std::vector<neighbour_facts>& rows,
+               const std::string& member, const std::string& availability_zone,
+               instant now);
+
+} // namespace pepperturn
--- a/include/pepperturn/fleet/edge_node.hpp
+++ b/include/pepperturn/fleet/edge_node.hpp
@@ -8,6 +8,7 @@
 #include "pepperturn/cluster/news_sources.hpp"
 #include "pepperturn/cluster/replica_sets.hpp"
 #include "pepperturn/config/fleet_settings.hpp"
+#include "pepperturn/fleet/edge_reach.hpp"
 #include "pepperturn/fleet/status_server.hpp"
 #include "pepperturn/fleet/world_source.hpp"
 #include "pepperturn/forward/proxy.hpp"
@@ -41,6 +42,7 @@
     [[nodiscard]] milliseconds config_age() const;
     /// Callers have keys and this VM may not act on them any more.
     [[nodiscard]] bool config_outdated() const;
+    [[nodiscard]] std::string metrics_text() const;
     task<> drain();
 
     asio::io_context& m_io;
@@ -49,6 +51,7 @@
     state_decoders m_decoders;
     world_source& m_source;
     member_links m_links;
+    edge_reach m_reach;
     config_fetcher m_config_fetcher;
     turn_client m_turns;
     freshness_keeper m_freshness_keeper;
--- /dev/null
+++ b/include/pepperturn/fleet/edge_reach.hpp
@@ -0,0 +1,49 @@
+// SPDX-License-Identifier: BSL-1.0
+/// \file
+/// An edge VM's ways to storage VMs beside its own links: it learns neighbours
+/// while it hears storage VMs, turns to them while it does not, and passes on
+/// what they ask. Nothing of it runs without `[listen] relay`.
+#pragma once
+
+#include "pepperturn/cluster/member_links.hpp"
+#include "pepperturn/cluster/relay_server.hpp"
+#include "pepperturn/config/fleet_settings.hpp"
+
+namespace pepperturn {
+
+class edge_reach
+{
+public:
+    edge_reach(asio::io_context& io, const clock& time,
+               const fleet_settings& settings, member_links& links);
+
+    /// Before the links connect, as their greeting says where this VM relays.
+    [[nodiscard]] bool start(std::string& reason);
+    /// Storage VMs that tell neighbours.
+    void follow(const std::vector<member>& members);
+    /// Periodic work, a few times a second.
+    void tick();
+    /// Relays for nobody any more; askers turn to others at once.
+    void stop_relaying();
+    void write_metrics(std::string& out) const;
+
+private:
+    [[nodiscard]] bool enabled() const
+    {
+        return !m_relay_address.empty();
+    }
+    void ask_neighbours();
+
+    const clock& m_time;
+    member_links& m_links;
+    std::string m_relay_address;
+    std::string m_availability_zone;
+    detours m_detours;
+    relay_server m_server;
+    std::vector<std::string> m_members;
+    /// Takes turns at whom to ask.
+    std::size_t m_next_member = 0;
+    instant m_next_ask{};
+};
+
+} // namespace pepperturn
--- a/include/pepperturn/turns/turn_server.hpp
+++ b/include/pepperturn/turns/turn_server.hpp
@@ -87,6 +87,8 @@
     {
         std::string m_name;
         std::shared_ptr<frame_link> m_link;
+        /// Where it passes on what others ask, if it does.
+        neighbour m_relay;
         /// It wants to be told every change.
         bool m_wants_news = false;
         /// What it is being told, if it copies.
@@ -103,6 +105,8 @@
     void save_own_view();
     void take_hello(const std::shared_ptr<peer>& from,
                     const hello_message& hello);
+    /// Connected edge VMs that may stand in for the link of \p asker.
+    [[nodiscard]] neighbours_message neighbours_of(const peer& asker) const;
     task<> accept_links();
     void add_link(tcp::socket socket);
     void take_frame(const std::shared_ptr<peer>& from, frame value);
--- a/src/cluster/frame_link.cpp
+++ b/src/cluster/frame_link.cpp
@@ -27,8 +27,9 @@
 
 } // namespace
 
-frame_link::frame_link(asio::io_context& io, tcp::socket socket)
-    : m_io(io), m_socket(std::move(socket))
+frame_link::frame_link(asio::io_context& io, tcp::socket socket,
+                       std::size_t most_bytes)
+    : m_io(io), m_socket(std::move(socket)), m_most_bytes(most_bytes)
 {
     tune_socket(m_socket, frame_peer_silence);
 }
@@ -76,8 +77,9 @@
     while (m_open && buffer.size() - used >= length_bytes)
     {
         const std::size_t length = length_of(buffer, used);
-        if (length > max_frame_bytes)
+        if (length > m_most_bytes)
         {
+            m_violated = true;
             close("frame of " + std::to_string(length) + " bytes");
             return;
         }
@@ -89,6 +91,7 @@
             reason);
         if (!value)
         {
+            m_violated = true;
             close("bad frame: " + reason);
             return;
         }
@@ -136,10 +139,9 @@
     self->m_writing = false;
 }
 
-task<std::shared_ptr<frame_link>> connect_frames(asio::io_context& io,
-                                                 std::string address,
-                                                 milliseconds patience,
-                                                 std::string& reason)
+task<std::shared_ptr<frame_link>>
+connect_frames(asio::io_context& io, std::string address, milliseconds patience,
+               std::string& reason, std::size_t most_bytes)
 {
     error_code ec;
     const auto endpoint = parse_endpoint(address, ec);
@@ -149,7 +151,8 @@
         stream.expires_after(patience);
         co_await stream.async_connect(endpoint, into(ec));
         if (!ec)
-            co_return std::make_shared<frame_link>(io, stream.release_socket());
+            co_return std::make_shared<frame_link>(io, stream.release_socket(),
+                                                   most_bytes);
     }
     reason = ec.message();
     co_return nullptr;
--- a/src/cluster/member_links.cpp
+++ b/src/cluster/member_links.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "pepperturn/cluster/member_links.hpp"
 
+#include "pepperturn/cluster/relay_limits.hpp"
+
 #include <algorithm>
 #include <glog/logging.h>
 
@@ -15,6 +17,29 @@
 constexpr milliseconds longest_backoff{400};
 /// A beat that tells of the platform's store within this is good news.
 constexpr milliseconds fresh_store{2500};
+/// How often questions under way are looked at for a sign of life: half of what
+/// the least patient asker waits before it takes the other way.
+constexpr milliseconds silence_check{15};
+
+/// Takes the first answer of several ways; none once all have ended.
+class first_answer
+{
+public:
+    first_answer(frame_done done, int ways)
+        : m_done(std::move(done)), m_ways(ways)
+    {}
+    void take(std::optional<frame> answer)
+    {
+        --m_ways;
+        if (!m_done || (!answer && m_ways > 0))
+            return;
+        std::exchange(m_done, nullptr)(std::move(answer));
+    }
+
+private:
+    frame_done m_done;
+    int m_ways;
+};
 
 } // namespace
 
@@ -64,6 +89,8 @@
     for (const auto& [name, row] : before)
     {
         row->m_dropped = true;
+        if (m_detours != nullptr)
+            m_detours->end(name);
         if (const auto link = row->m_link)
             link->close("not followed any more");
     }
@@ -92,7 +119,8 @@
 void member_links::greet(const std::string& name, const link_row& row)
 {
     row.m_link->send({0, 0, frame_status::ok,
-                      hello_message{m_self_name, wants_news_of(name)}});
+                      hello_message{m_self_name, wants_news_of(name),
+                                    m_relay_address, m_availability_zone}});
 }
 
 void member_links::stop()
@@ -129,7 +157,7 @@
         async_event closed(m_io);
         std::string closed_reason;
         row->m_link = link;
-        row->m_heard = m_time.now();
+        note_heard(name, *row);
         link->start(
             [this, name, row](frame value) {
                 take_frame(name, *row, std::move(value));
@@ -145,7 +173,7 @@
             co_await closed.wait_until(instant::max());
         row->m_link = nullptr;
         row->m_failed = true;
-        end_calls(*row);
+        end_calls(name, *row);
         LOG(WARNING) << "event=storage_lost vm=" << name << " reason=\""
                      << closed_reason << '"';
     }
@@ -154,13 +182,14 @@
 void member_links::take_frame(const std::string& name, link_row& row,
                               frame value)
 {
-    row.m_heard = m_time.now();
+    note_heard(name, row);
     if (value.m_call != 0)
     {
+        row.m_answered = row.m_heard;
         const auto found = row.m_calls.find(value.m_call);
         if (found == row.m_calls.end())
             return;
-        const auto done = std::move(found->second);
+        const auto done = std::move(found->second.m_done);
         row.m_calls.erase(found);
         done(std::move(value));
         return;
@@ -194,30 +223,182 @@
            m_time.now() - found->second->m_watched <= fresh_store;
 }
 
-void member_links::end_calls(link_row& row)
+link_facts member_links::facts_of(const link_row& row)
 {
-    for (const auto& [call, done] : std::exchange(row.m_calls, {}))
-        done(std::nullopt);
+    return {row.m_link != nullptr, row.m_silent, row.m_heard, row.m_answered};
+}
+
+void member_links::note_heard(const std::string& name, link_row& row)
+{
+    row.m_heard = m_time.now();
+    row.m_silent = false;
+    if (m_detours != nullptr)
+        m_detours->end(name);
+}
+
+void member_links::note_silent(const std::string& name, link_row& row)
+{
+    row.m_silent = true;
+    if (m_detours == nullptr)
+        return;
+    std::vector<std::uint64_t> waiting;
+    for (const auto& [call, asked] : row.m_calls)
+        waiting.push_back(call);
+    for (const auto call : waiting)
+    {
+        const auto found = row.m_calls.find(call);
+        if (found == row.m_calls.end())
+            continue;
+        if (found->second.m_direct_only)
+        {
+            const auto done = std::move(found->second.m_done);
+            row.m_calls.erase(found);
+            done(std::nullopt);
+        }
+        else if (found->second.m_question)
+            go_round(name, found->second);
+    }
+}
+
+void member_links::go_round(const std::string& name, direct_call& asked)
+{
+    const auto question = *std::exchange(asked.m_question, std::nullopt);
+    const auto first =
+        std::make_shared<first_answer>(std::move(asked.m_done), 2);
+    const auto take = [first](std::optional<frame> answer) {
+        first->take(std::move(answer));
+    };
+    asked.m_done = take;
+    m_detours->ask(name, question, take);
+}
+
+void member_links::end_calls(const std::string& name, link_row& row)
+{
+    for (auto& [call, asked] : std::exchange(row.m_calls, {}))
+    {
+        if (asked.m_question && !row.m_dropped && !m_stopped &&
+            m_detours->hopeful(name))
+            m_detours->ask(name, *asked.m_question, std::move(asked.m_done));
+        else
+            asked.m_done(std::nullopt);
+    }
+}
+
+void member_links::offer_relay(std::string relay_address,
+                               std::string availability_zone)
+{
+    m_relay_address = std::move(relay_address);
+    m_availability_zone = std::move(availability_zone);
 }
 
 void member_links::call(const std::string& name, std::uint64_t epoch,
-                        frame_body body, frame_done done)
+                        frame_body body, frame_done done, milliseconds patience)
 {
     const auto found = m_rows.find(name);
-    if (found == m_rows.end() || !found->second->m_link)
+    if (found == m_rows.end())
     {
         done(std::nullopt);
         return;
     }
-    const auto call = m_next_call++;
-    found->second->m_calls[call] = std::move(done);
-    found->second->m_link->send(
-        {call, epoch, frame_status::ok, std::move(body)});
+    const auto row = found->second;
+    const bool may_go_round = m_detours != nullptr && may_be_relayed(body);
+    frame question{0, epoch, frame_status::ok, std::move(body)};
+    if (may_go_round && !reached(facts_of(*row), m_time.now()) &&
+        m_detours->hopeful(name))
+    {
+        m_detours->ask(name, question, std::move(done));
+        return;
+    }
+    direct_call asked{std::move(done), m_time.now(),
+                      silence_before_detour(patience), std::nullopt, false};
+    if (may_go_round)
+        asked.m_question.emplace();
+    ask_link(*row, std::move(question), std::move(asked));
+}
+
+void member_links::ask_link(link_row& row, frame question, direct_call asked)
+{
+    if (!row.m_link)
+    {
+        asked.m_done(std::nullopt);
+        return;
+    }
+    ++m_asked_directly;
+    const bool watched = asked.m_question || asked.m_direct_only;
+    question.m_call = m_next_call++;
+    const auto call = question.m_call;
+    row.m_calls[call] = std::move(asked);
+    row.m_link->send(question);
+    if (row.m_calls[call].m_question)
+        row.m_calls[call].m_question = std::move(question);
+    if (watched && !std::exchange(m_watching_silence, true))
+        spawn(m_io, "member_links.watch", watch_silence());
+}
+
+task<> member_links::watch_silence()
+{
+    do
+        co_await sleep_for(m_io, silence_check);
+    while (look_for_silence());
+    m_watching_silence = false;
+}
+
+bool member_links::look_for_silence()
+{
+    const auto now = m_time.now();
+    bool waits = false;
+    std::vector<std::pair<std::string, std::shared_ptr<link_row>>> silent;
+    for (const auto& [name, row] : m_rows)
+    {
+        if (!row->m_link || row->m_silent)
+            continue;
+        const auto facts = facts_of(*row);
+        for (const auto& [call, asked] : row->m_calls)
+        {
+            if (!asked.m_question && !asked.m_direct_only)
+                continue;
+            waits |= row->m_answered <= asked.m_asked;
+            if (!is_silent(facts, asked.m_asked, asked.m_patience, now))
+                continue;
+            silent.emplace_back(name, row);
+            break;
+        }
+    }
+    for (const auto& [name, row] : silent)
+        note_silent(name, *row);
+    return waits;
+}
+
+void member_links::tick()
+{
+    if (m_detours == nullptr || !m_following)
+        return;
+    const auto now = m_time.now();
+    for (const auto& [name, row] : std::map(m_rows))
+    {
+        if (!reached(facts_of(*row), now))
+            m_detours->probe(name, row->m_link ? "link_silent" : "link_lost");
+    }
 }
 
 task<std::optional<frame>> member_links::ask(std::string name,
                                              std::uint64_t epoch,
                                              frame_body body, instant until)
+{
+    return await_answer(std::move(name), epoch, std::move(body), until, false);
+}
+
+task<std::optional<frame>> member_links::ask_directly(std::string name,
+                                                      std::uint64_t epoch,
+                                                      frame_body body,
+                                                      instant until)
+{
+    return await_answer(std::move(name), epoch, std::move(body), until, true);
+}
+
+task<std::optional<frame>>
+member_links::await_answer(std::string name, std::uint64_t epoch,
+                           frame_body body, instant until, bool direct_only)
 {
     struct asked
     {
@@ -227,11 +408,20 @@
         std::optional<frame> m_answer;
     };
     const auto state = std::make_shared<asked>(m_io);
-    call(name, epoch, std::move(body), [state](std::optional<frame> answer) {
+    const auto take = [state](std::optional<frame> answer) {
         state->m_done = true;
         state->m_answer = std::move(answer);
         state->m_changed.notify();
-    });
+    };
+    const auto found = m_rows.find(name);
+    if (!direct_only)
+        call(name, epoch, std::move(body), take,
+             std::chrono::duration_cast<milliseconds>(until - m_time.now()));
+    else if (found != m_rows.end())
+        ask_link(*found->second, {0, epoch, frame_status::ok, std::move(body)},
+                 {take, m_time.now(), usual_silence, std::nullopt, true});
+    else
+        co_return std::nullopt;
     while (!state->m_done && m_time.now() < until)
         co_await state->m_changed.wait_until(until);
     co_return std::move(state->m_answer);
@@ -251,7 +441,18 @@
 bool member_links::connected(const std::string& name) const
 {
     const auto found = m_rows.find(name);
-    return found != m_rows.end() && found->second->m_link != nullptr;
+    if (found == m_rows.end())
+        return false;
+    return found->second->m_link != nullptr ||
+           (m_detours != nullptr &&
+            m_time.now() - m_detours->last_heard(name) < heard_within);
+}
+
+bool member_links::reached_directly(const std::string& name) const
+{
+    const auto found = m_rows.find(name);
+    return found != m_rows.end() &&
+           reached(facts_of(*found->second), m_time.now());
 }
 
 bool member_links::hopeful(const std::string& name) const
@@ -263,7 +464,11 @@
 instant member_links::last_heard(const std::string& name) const
 {
     const auto found = m_rows.find(name);
-    return found == m_rows.end() ? instant{} : found->second->m_heard;
+    if (found == m_rows.end())
+        return {};
+    const auto round =
+        m_detours == nullptr ? instant{} : m_detours->last_heard(name);
+    return std::max(found->second->m_heard, round);
 }
 
 } // namespace pepperturn
--- /dev/null
+++ b/src/cluster/neighbours.cpp
@@ -0,0 +1,84 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/cluster/neighbours.hpp"
+
+#include "pepperturn/base/hash.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace pepperturn {
+
+namespace {
+
+struct ranked_neighbour
+{
+    std::uint64_t m_draw = 0;
+    const neighbour* m_row = nullptr;
+};
+
+/// Moves the first \p count of \p rows by their draw to \p out.
+void take_first(std::vector<ranked_neighbour>& rows, std::size_t count,
+                std::vector<neighbour>& out)
+{
+    std::sort(rows.begin(), rows.end(),
+              [](const ranked_neighbour& left, const ranked_neighbour& right) {
+                  return left.m_draw < right.m_draw;
+              });
+    rows.resize(std::min(rows.size(), count));
+    for (const auto& row : rows)
+        out.push_back(*row.m_row);
+}
+
+} // namespace
+
+std::vector<neighbour>
+choose_neighbours(const std::vector<neighbour>& candidates,
+                  const std::string& asker,
+                  const std::string& availability_zone)
+{
+    std::vector<ranked_neighbour> near;
+    std::vector<ranked_neighbour> far;
+    std::set<std::string> seen{asker};
+    const auto asker_hash = hash64(asker);
+    for (const auto& row : candidates)
+    {
+        if (row.m_address.empty() || !seen.insert(row.m_name).second)
+            continue;
+        auto& rows = row.m_availability_zone == availability_zone ? near : far;
+        rows.push_back({hash64(row.m_name, asker_hash), &row});
+    }
+    std::vector<neighbour> out;
+    take_first(near, near_neighbours, out);
+    take_first(far, far_neighbours, out);
+    return out;
+}
+
+std::optional<std::size_t>
+next_neighbour(const std::vector<neighbour_facts>& rows,
+               const std::string& member, const std::string& availability_zone,
+               instant now)
+{
+    const bool tried_near =
+        std::any_of(rows.begin(), rows.end(), [&](const auto& row) {
+            return row.m_tried && row.m_availability_zone == availability_zone;
+        });
+    const auto member_hash = hash64(member);
+    std::optional<std::size_t> best;
+    std::pair<bool, std::uint64_t> best_rank;
+    for (std::size_t i = 0; i < rows.size(); ++i)
+    {
+        const auto& row = rows[i];
+        if (row.m_tried || row.m_avoid_until > now || row.m_cannot_until > now)
+            continue;
+        const bool near = row.m_availability_zone == availability_zone;
+        const std::pair rank{near == tried_near,
+                             hash64(row.m_name, member_hash)};
+        if (best && best_rank <= rank)
+            continue;
+        best = i;
+        best_rank = rank;
+    }
+    return best;
+}
+
+} // namespace pepperturn
--- /dev/null
+++ b/src/cluster/relay_server.cpp
@@ -0,0 +1,171 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/cluster/relay_server.hpp"
+
+#include <glog/logging.h>
+
+namespace pepperturn {
+
+namespace {
+
+/// Longest time that an answer is waited for: as long as the asker waits.
+constexpr milliseconds pass_patience{1500};
+/// Askers that connect beside these are closed: several times those that draw
+/// one VM as their neighbour.
+constexpr std::size_t most_links = 64;
+/// One line for violations in this time: a faulty peer connects again at once.
+constexpr milliseconds line_interval{1000};
+constexpr milliseconds accept_pause{100};
+constexpr std::size_t length_bytes = 4;
+
+} // namespace
+
+relay_server::relay_server(asio::io_context& io, const clock& time, hooks what,
+                           const relay_limits& limits)
+    : m_io(io), m_time(time), m_hooks(std::move(what)), m_limits(limits),
+      m_acceptor(io)
+{}
+
+bool relay_server::listen(const tcp::endpoint& at, std::string& reason)
+{
+    if (!open_listener(m_acceptor, at, reason))
+        return false;
+    spawn(m_io, "relay_server.accept", accept_links());
+    return true;
+}
+
+void relay_server::stop()
+{
+    error_code ignored;
+    m_acceptor.close(ignored);
+    for (const auto& link : std::set(m_links))
+        link->close("stopping");
+}
+
+task<> relay_server::accept_links()
+{
+    while (m_acceptor.is_open())
+    {
+        error_code ec;
+        auto socket = co_await m_acceptor.async_accept(into(ec));
+        if (ec == asio::error::operation_aborted)
+            co_return;
+        if (ec)
+            co_await sleep_for(m_io, accept_pause);
+        else if (m_links.size() < most_links)
+            add_link(std::move(socket));
+    }
+}
+
+void relay_server::add_link(tcp::socket socket)
+{
+    const auto link = std::make_shared<frame_link>(
+        m_io, std::move(socket), most_relayed_ask_bytes + relay_frame_overhead);
+    m_links.insert(link);
+    const std::weak_ptr<frame_link> weak = link;
+    link->start(
+        [this, weak](frame value) {
+            if (const auto from = weak.lock())
+                take_frame(from, std::move(value));
+        },
+        [this, weak](const std::string& reason) {
+            const auto from = weak.lock();
+            if (from && from->violated())
+                note_violation(reason);
+            m_links.erase(from);
+        });
+}
+
+void relay_server::note_violation(const std::string& reason)
+{
+    ++m_counts.m_violations;
+    const auto now = m_time.now();
+    if (now < m_next_line)
+        return;
+    m_next_line = now + line_interval;
+    LOG(WARNING) << "event=relay_violated reason=\"" << reason
+                 << "\" violations=" << m_counts.m_violations;
+}
+
+void relay_server::close(const std::shared_ptr<frame_link>& link,
+                         const std::string& reason)
+{
+    note_violation(reason);
+    link->close(reason);
+}
+
+std::optional<frame> relay_server::read_question(const relayed_message& value,
+                                                 std::string& reason) const
+{
+    auto question = decode_frame(value.m_frame, reason);
+    if (!question || may_be_relayed(question->m_body))
+        return question;
+    reason = "kind " + std::to_string(question->m_body.index()) +
+             " may not be relayed";
+    return std::nullopt;
+}
+
+void relay_server::take_frame(const std::shared_ptr<frame_link>& link,
+                              frame value)
+{
+    if (std::holds_alternative<hello_message>(value.m_body))
+        return;
+    auto* relayed = std::get_if<relayed_message>(&value.m_body);
+    if (relayed == nullptr || value.m_call == 0)
+    {
+        close(link, "no question to relay");
+        return;
+    }
+    std::string reason;
+    auto question = read_question(*relayed, reason);
+    if (!question)
+    {
+        close(link, reason);
+        return;
+    }
+    const auto bytes = relayed->m_frame.size();
+    if (m_under_way >= m_limits.m_under_way ||
+        !m_hooks.m_reaches(relayed->m_member) ||
+        !take_ask(m_budget, m_limits, bytes, m_time.now()))
+    {
+        refuse(*link, value.m_call, relayed->m_member);
+        return;
+    }
+    ++m_counts.m_asks;
+    m_counts.m_bytes += bytes;
+    ++m_under_way;
+    spawn(m_io, "relay_server.pass_on",
+          pass_on(link, value.m_call, std::move(relayed->m_member),
+                  std::move(*question)));
+}
+
+void relay_server::refuse(frame_link& link, std::uint64_t call,
+                          const std::string& member)
+{
+    ++m_counts.m_refused;
+    link.send({call, 0, frame_status::failed, relayed_message{member, {}}});
+}
+
+task<> relay_server::pass_on(std::shared_ptr<frame_link> link,
+                             std::uint64_t call, std::string member,
+                             frame question)
+{
+    const auto answer = co_await m_hooks.m_ask(member, question.m_epoch,
+                                               std::move(question.m_body),
+                                               m_time.now() + pass_patience);
+    --m_under_way;
+    if (!link->open())
+        co_return;
+    auto bytes =
+        answer ? encode_frame(*answer).substr(length_bytes) : std::string{};
+    if (bytes.empty() || bytes.size() > most_relayed_answer_bytes)
+    {
+        refuse(*link, call, member);
+        co_return;
+    }
+    m_counts.m_bytes += bytes.size();
+    note_answer(m_budget, bytes.size());
+    link->send({call, 0, frame_status::ok,
+                relayed_message{std::move(member), std::move(bytes)}});
+}
+
+} // namespace pepperturn
--- a/src/fleet/edge_node.cpp
+++ b/src/fleet/edge_node.cpp
@@ -29,7 +29,7 @@
                      state_decoders decoders, world_source& source)
     : m_io(io), m_time(time), m_settings(settings),
       m_decoders(std::move(decoders)), m_source(source),
-      m_links(io, time, settings.m_name),
+      m_links(io, time, settings.m_name), m_reach(io, time, settings, m_links),
       m_config_fetcher(io, time, m_links, settings.m_availability_zone,
                        [this](const cluster_state& news) { take_state(news); }),
       m_turns(io, time, m_links, settings.m_availability_zone,
@@ -52,11 +52,18 @@
               return m_proxy.has_config() && m_turns.connected() &&
                      !m_stopping && !config_outdated();
           },
-          [this] { return m_proxy.metrics().text(); }),
+          [this] { return metrics_text(); }),
       m_metrics(
-          io, [] { return true; }, [this] { return m_proxy.metrics().text(); })
+          io, [] { return true; }, [this] { return metrics_text(); })
 {}
 
+std::string edge_node::metrics_text() const
+{
+    auto out = m_proxy.metrics().text();
+    m_reach.write_metrics(out);
+    return out;
+}
+
 bool edge_node::start(std::string& reason)
 {
     error_code ec;
@@ -72,7 +79,8 @@
         reason = "[listen] ready: " + ec.message();
         return false;
     }
-    if (!m_proxy.listen(callers, reason) || !m_status.listen(ready, reason))
+    if (!m_proxy.listen(callers, reason) || !m_status.listen(ready, reason) ||
+        !m_reach.start(reason))
         return false;
     m_metrics.listen_beside(m_settings.m_metrics_address);
     m_proxy.guard_workspaces(
@@ -125,6 +133,7 @@
             m_members, m_settings.m_name, m_settings.m_availability_zone,
             [](const std::string&) { return true; }));
     m_links.follow(m_members);
+    m_reach.follow(m_members);
     choose_news();
     m_config_fetcher.follow(m_members);
     m_turns.follow(m_state.m_views);
@@ -229,6 +238,7 @@
 {
     choose_source();
     choose_news();
+    m_reach.tick();
 }
 
 void edge_node::stop()
@@ -237,6 +247,7 @@
         return;
     LOG(INFO) << "event=stop_begun active=" << m_proxy.active();
     m_proxy.begin_drain();
+    m_reach.stop_relaying();
     spawn(m_io, "edge_node.drain", drain());
 }
 
--- a/src/turns/turn_client.cpp
+++ b/src/turns/turn_client.cpp
@@ -17,8 +17,6 @@
 /// Members beyond a quorum are asked only if it has not answered by then:
 /// several times what it usually takes.
 constexpr milliseconds quorum_patience{25};
-/// A member that has missed two beats is not heard.
-constexpr milliseconds heard_within{1200};
 /// Without a word of any member for this long after it was asked, this VM is
 /// cut off: they send beats twice a second, and the next VM may hear them.
 constexpr milliseconds cut_off_patience{800};
--- a/src/turns/turn_server.cpp
+++ b/src/turns/turn_server.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "pepperturn/turns/turn_server.hpp"
 
+#include "pepperturn/cluster/neighbours.hpp"
 #include "pepperturn/cluster/replica_sets.hpp"
 
 #include <algorithm>
@@ -98,11 +99,22 @@
                              const hello_message& hello)
 {
     from->m_name = hello.m_name;
+    from->m_relay = {hello.m_name, hello.m_relay_address,
+                     hello.m_availability_zone};
     const bool wanted = std::exchange(from->m_wants_news, hello.m_wants_news);
     if (from->m_wants_news && !wanted)
         answer(from, 0, frame_status::ok, whole_of(m_state));
 }
 
+neighbours_message turn_server::neighbours_of(const peer& asker) const
+{
+    std::vector<neighbour> candidates;
+    for (const auto& row : m_peers)
+        candidates.push_back(row->m_relay);
+    return {choose_neighbours(candidates, asker.m_name,
+                              asker.m_relay.m_availability_zone)};
+}
+
 void turn_server::write_metrics(std::string& out) const
 {
     write_metric(out, "connected_vms", m_peers.size());
@@ -254,6 +266,11 @@
         answer(from, value.m_call, frame_status::ok, std::move(told));
         return;
     }
+    if (std::holds_alternative<want_neighbours_message>(value.m_body))
+    {
+        answer(from, value.m_call, frame_status::ok, neighbours_of(*from));
+        return;
+    }
     if (m_on_question)
     {
         if (auto told = m_on_question(value.m_body))
