--- a/include/pepperturn/cluster/detours.hpp
+++ b/include/pepperturn/cluster/detours.hpp
@@ -45,12 +45,13 @@
     /// Some neighbour may reach \p member.
     [[nodiscard]] bool hopeful(const std::string& member) const;
     /// Asks \p member through a neighbour.
+    /// \param reason why it is not reached directly, for the log
     /// \param question its epoch goes with it as it is
     /// \param done comes exactly once; at once if nobody can be asked
-    void ask(const std::string& member, const frame& question, frame_done done);
+    void ask(const std::string& member, const char* reason,
+             const frame& question, frame_done done);
     /// Asks a member that is not reached directly for a sign of life, unless
     /// it was heard a moment ago; at ever longer intervals while there is none.
-    /// \param reason why it is not reached, for the log
     void probe(const std::string& member, const char* reason);
     /// The member is reached directly again.
     void end(const std::string& member);
--- a/include/pepperturn/cluster/member_links.hpp
+++ b/include/pepperturn/cluster/member_links.hpp
@@ -126,6 +126,7 @@
     void take_frame(const std::string& name, link_row& row, frame value);
     void take_beat(link_row& row, const beat_message& beat);
     [[nodiscard]] static link_facts facts_of(const link_row& row);
+    [[nodiscard]] static const char* reason_of(const link_row& row);
     [[nodiscard]] task<std::optional<frame>>
     await_answer(std::string name, std::uint64_t epoch, frame_body body,
                  instant until, bool direct_only);
--- a/src/cluster/detours.cpp
+++ b/src/cluster/detours.cpp
@@ -100,8 +100,8 @@
         .has_value();
 }
 
-void detours::ask(const std::string& member, const frame& question,
-                  frame_done done)
+void detours::ask(const std::string& member, const char* reason,
+                  const frame& question, frame_done done)
 {
     constexpr std::size_t length_bytes = 4;
     auto bytes = encode_frame(question).substr(length_bytes);
@@ -110,6 +110,7 @@
         done(std::nullopt);
         return;
     }
+    m_members[member].m_reason = reason;
     const auto id = m_next_question++;
     auto& row = m_questions[id];
     row.m_member = member;
@@ -314,13 +315,12 @@
 void detours::probe(const std::string& member, const char* reason)
 {
     auto& row = m_members[member];
-    row.m_reason = reason;
     const auto now = m_time.now();
     if (row.m_probing || now < row.m_next_probe ||
         now - row.m_heard < probe_interval || !hopeful(member))
         return;
     row.m_probing = true;
-    ask(member, {0, 0, frame_status::ok, want_freshness_message{}},
+    ask(member, reason, {0, 0, frame_status::ok, want_freshness_message{}},
         [this, member](const std::optional<frame>& answer) {
             auto& asked = m_members[member];
             asked.m_probing = false;
--- a/src/cluster/member_links.cpp
+++ b/src/cluster/member_links.cpp
@@ -20,6 +20,9 @@
 /// How often questions under way are looked at for a sign of life: half of what
 /// the least patient asker waits before it takes the other way.
 constexpr milliseconds silence_check{15};
+/// Why a member is asked through neighbours, as the log tells it.
+constexpr const char* link_silent = "link_silent";
+constexpr const char* link_lost = "link_lost";
 
 /// Takes the first answer of several ways; none once all have ended.
 class first_answer
@@ -228,6 +231,11 @@
     return {row.m_link != nullptr, row.m_silent, row.m_heard, row.m_answered};
 }
 
+const char* member_links::reason_of(const link_row& row)
+{
+    return row.m_link ? link_silent : link_lost;
+}
+
 void member_links::note_heard(const std::string& name, link_row& row)
 {
     row.m_heard = m_time.now();
@@ -269,7 +277,7 @@
         first->take(std::move(answer));
     };
     asked.m_done = take;
-    m_detours->ask(name, question, take);
+    m_detours->ask(name, link_silent, question, take);
 }
 
 void member_links::end_calls(const std::string& name, link_row& row)
@@ -278,7 +286,8 @@
     {
         if (asked.m_question && !row.m_dropped && !m_stopped &&
             m_detours->hopeful(name))
-            m_detours->ask(name, *asked.m_question, std::move(asked.m_done));
+            m_detours->ask(name, link_lost, *asked.m_question,
+                           std::move(asked.m_done));
         else
             asked.m_done(std::nullopt);
     }
@@ -306,7 +315,7 @@
     if (may_go_round && !reached(facts_of(*row), m_time.now()) &&
         m_detours->hopeful(name))
     {
-        m_detours->ask(name, question, std::move(done));
+        m_detours->ask(name, reason_of(*row), question, std::move(done));
         return;
     }
     direct_call asked{std::move(done), m_time.now(),
@@ -377,7 +386,7 @@
     for (const auto& [name, row] : std::map(m_rows))
     {
         if (!reached(facts_of(*row), now))
-            m_detours->probe(name, row->m_link ? "link_silent" : "link_lost");
+            m_detours->probe(name, reason_of(*row));
     }
 }
 
