Reach: tests, a sign of life for idle VMs, no grant given back twice

Cause: a VM without callers asked nothing, so no answer came through a neighbour and it was not ready 1.2 s after the cut; the new test failed. A member that owes a beat is now asked for a sign of life. A grant given back went both ways and could have come back twice; it takes no detour any more. A process that was held up itself reads what came before it finds others silent.

--- a/include/pepperturn/cluster/detours.hpp
+++ b/include/pepperturn/cluster/detours.hpp
@@ -59,6 +59,11 @@
     /// When the member last answered through a neighbour; the epoch of the
     /// clock: never.
     [[nodiscard]] instant last_heard(const std::string& member) const;
+    /// Neighbours that may be asked.
+    [[nodiscard]] std::size_t size() const
+    {
+        return m_rows.size();
+    }
     [[nodiscard]] const detour_counts& counts() const
     {
         return m_counts;
@@ -105,6 +110,7 @@
         const char* m_reason = "";
     };
 
+    void note_probe(member_row& row, bool answered) const;
     [[nodiscard]] std::vector<neighbour_facts>
     facts_for(const std::string& member,
               const std::set<std::string>& tried) const;
--- a/include/pepperturn/cluster/link_silence.hpp
+++ b/include/pepperturn/cluster/link_silence.hpp
@@ -13,10 +13,17 @@
 
 /// Members send beats twice a second: one that has missed two is not heard.
 constexpr milliseconds heard_within{1200};
+/// A member that was not heard for this long is asked for a sign of life
+/// through a neighbour, soon enough that it never counts as not heard in
+/// between.
+constexpr milliseconds probe_after{800};
 /// A question that waits this long while its member answers none goes through
 /// a neighbour, too: many times what an answer usually takes, and a
 /// tenth of what a caller waits.
 constexpr milliseconds usual_silence{120};
+/// A process that slept longer than this between two looks at its questions was
+/// itself held up, and has answers to read before it finds others silent.
+constexpr milliseconds longest_lag{60};
 
 struct link_facts
 {
@@ -40,6 +47,12 @@
            now - facts.m_heard < heard_within;
 }
 
+/// The member owes a sign of life.
+[[nodiscard]] inline bool wants_probe(const link_facts& facts, instant now)
+{
+    return !reached(facts, now) || now - facts.m_heard >= probe_after;
+}
+
 /// How long a question waits for a sign of life.
 /// \param patience of the asker, who needs time for the other way
 [[nodiscard]] inline milliseconds silence_before_detour(milliseconds patience)
--- a/include/pepperturn/cluster/relay_limits.hpp
+++ b/include/pepperturn/cluster/relay_limits.hpp
@@ -21,7 +21,8 @@
 /// True for questions that one caller's request needs and that may come twice:
 /// a member that sees the same turn, reservation, report or place again keeps
 /// one of it, reads have no effect, and a limit that counts a request twice
-/// lets through less, not more.
+/// lets through less, not more. A grant that is given back is not among them:
+/// given back twice, it would let through more.
 [[nodiscard]] bool may_be_relayed(const frame_body& body);
 
 struct relay_limits
--- a/src/cluster/detours.cpp
+++ b/src/cluster/detours.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "pepperturn/cluster/detours.hpp"
 
+#include "pepperturn/cluster/link_silence.hpp"
 #include "pepperturn/cluster/relay_limits.hpp"
 
 #include <algorithm>
@@ -276,7 +277,11 @@
 {
     while (!m_questions.empty())
     {
+        const auto before = m_time.now();
         co_await sleep_for(m_io, watch_interval);
+        // What came while this process did not run is read first.
+        if (m_time.now() - before >= longest_lag)
+            co_await sleep_for(m_io, watch_interval);
         std::vector<std::uint64_t> ids;
         for (const auto& [id, question] : m_questions)
             ids.push_back(id);
@@ -322,16 +327,22 @@
     row.m_probing = true;
     ask(member, reason, {0, 0, frame_status::ok, want_freshness_message{}},
         [this, member](const std::optional<frame>& answer) {
-            auto& asked = m_members[member];
-            asked.m_probing = false;
-            asked.m_probe_interval =
-                answer ? probe_interval
-                       : std::clamp(2 * asked.m_probe_interval, probe_interval,
-                                    longest_probe_interval);
-            asked.m_next_probe = m_time.now() + asked.m_probe_interval;
+            const auto found = m_members.find(member);
+            if (found != m_members.end())
+                note_probe(found->second, answer.has_value());
         });
 }
 
+void detours::note_probe(member_row& row, bool answered) const
+{
+    row.m_probing = false;
+    row.m_probe_interval =
+        answered ? probe_interval
+                 : std::clamp(2 * row.m_probe_interval, probe_interval,
+                              longest_probe_interval);
+    row.m_next_probe = m_time.now() + row.m_probe_interval;
+}
+
 void detours::end(const std::string& member)
 {
     const auto found = m_members.find(member);
--- a/src/cluster/member_links.cpp
+++ b/src/cluster/member_links.cpp
@@ -347,8 +347,13 @@
 task<> member_links::watch_silence()
 {
     do
+    {
+        const auto before = m_time.now();
         co_await sleep_for(m_io, silence_check);
-    while (look_for_silence());
+        // What came while this process did not run is read first.
+        if (m_time.now() - before >= longest_lag)
+            co_await sleep_for(m_io, silence_check);
+    } while (look_for_silence());
     m_watching_silence = false;
 }
 
@@ -385,7 +390,7 @@
     const auto now = m_time.now();
     for (const auto& [name, row] : std::map(m_rows))
     {
-        if (!reached(facts_of(*row), now))
+        if (wants_probe(facts_of(*row), now))
             m_detours->probe(name, reason_of(*row));
     }
 }
--- a/src/cluster/relay_limits.cpp
+++ b/src/cluster/relay_limits.cpp
@@ -27,12 +27,14 @@
 
 bool may_be_relayed(const frame_body& body)
 {
+    // A grant that came back twice would be granted twice.
+    if (const auto* question = std::get_if<quota_question>(&body))
+        return !question->m_returned;
     return std::holds_alternative<begin_message>(body) ||
            std::holds_alternative<append_message>(body) ||
            std::holds_alternative<fetch_message>(body) ||
            std::holds_alternative<want_freshness_message>(body) ||
            std::holds_alternative<want_config_message>(body) ||
-           std::holds_alternative<quota_question>(body) ||
            std::holds_alternative<place_question>(body) ||
            std::holds_alternative<place_report>(body);
 }
--- a/src/fleet/edge_reach.cpp
+++ b/src/fleet/edge_reach.cpp
@@ -97,6 +97,7 @@
 {
     if (!enabled())
         return;
+    write_metric(out, "neighbours_known", m_detours.size());
     write_metric(out, "asks_direct", m_links.asked_directly());
     write_metric(out, "asks_relayed", m_detours.counts().m_asked);
     write_metric(out, "asks_unanswered", m_detours.counts().m_unanswered);
--- /dev/null
+++ b/test/cluster/test_reach_decisions.cpp
@@ -0,0 +1,260 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/cluster/link_silence.hpp"
+#include "pepperturn/cluster/neighbours.hpp"
+#include "pepperturn/cluster/relay_limits.hpp"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+
+namespace {
+
+using namespace pepperturn;
+
+constexpr instant at(int ms)
+{
+    return instant{} + milliseconds(1000000 + ms);
+}
+
+std::vector<neighbour> make_fleet(int zones, int vms)
+{
+    std::vector<neighbour> out;
+    for (int i = 0; i < vms; ++i)
+    {
+        const auto zone = std::string(1, static_cast<char>('a' + i % zones));
+        out.push_back({"edge-" + std::to_string(i), "1.2.3.4:1", zone});
+    }
+    return out;
+}
+
+quota_question returned_grant()
+{
+    quota_question out;
+    out.m_returned = true;
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("neighbours are drawn in the own zone and outside", "[reach]")
+{
+    struct row
+    {
+        const char* m_what;
+        std::vector<neighbour> m_candidates;
+        std::size_t m_near;
+        std::size_t m_far;
+    };
+    const auto each = GENERATE(values<row>({
+        {"nobody", {}, 0, 0},
+        {"itself", {{"edge-0", "1.2.3.4:1", "a"}}, 0, 0},
+        {"one that does not relay", {{"edge-1", "", "a"}}, 0, 0},
+        {"one with two connections",
+         {{"edge-1", "1.2.3.4:1", "a"}, {"edge-1", "1.2.3.4:1", "a"}},
+         1,
+         0},
+        {"its zone only", make_fleet(1, 9), 2, 0},
+        {"many in four zones", make_fleet(4, 76), 2, 4},
+        {"two in each of two zones", make_fleet(2, 4), 1, 2},
+    }));
+    INFO(each.m_what);
+    const auto drawn = choose_neighbours(each.m_candidates, "edge-0", "a");
+    const auto near =
+        std::count_if(drawn.begin(), drawn.end(), [](const neighbour& who) {
+            return who.m_availability_zone == "a";
+        });
+    CHECK(static_cast<std::size_t>(near) == each.m_near);
+    CHECK(drawn.size() == each.m_near + each.m_far);
+    CHECK(std::none_of(drawn.begin(), drawn.end(), [](const neighbour& who) {
+        return who.m_name == "edge-0" || who.m_address.empty();
+    }));
+}
+
+TEST_CASE("no VM is drawn by a large part of the fleet", "[reach]")
+{
+    const auto fleet = make_fleet(4, 76);
+    std::map<std::string, int> drawn;
+    for (const auto& asker : fleet)
+    {
+        for (const auto& who :
+             choose_neighbours(fleet, asker.m_name, asker.m_availability_zone))
+            ++drawn[who.m_name];
+    }
+    for (const auto& [name, count] : drawn)
+    {
+        INFO(name);
+        // Six on average; a fifth of the fleet is far from that.
+        CHECK(count <= 15);
+    }
+}
+
+TEST_CASE("who else is there changes few of the drawn neighbours", "[reach]")
+{
+    auto fleet = make_fleet(4, 76);
+    const auto before = choose_neighbours(fleet, "edge-0", "a");
+    std::erase_if(fleet, [&](const neighbour& who) {
+        return who.m_name == before.front().m_name;
+    });
+    const auto after = choose_neighbours(fleet, "edge-0", "a");
+    const auto kept =
+        std::count_if(before.begin(), before.end(), [&](const neighbour& who) {
+            return std::find(after.begin(), after.end(), who) != after.end();
+        });
+    CHECK(static_cast<std::size_t>(kept) == before.size() - 1);
+}
+
+TEST_CASE("which neighbour is asked next", "[reach]")
+{
+    struct row
+    {
+        const char* m_what;
+        std::vector<neighbour_facts> m_rows;
+        std::string m_zone_of_next;
+    };
+    const auto each = GENERATE(values<row>({
+        {"nobody is known", {}, ""},
+        {"the own zone first", {{"x", "b"}, {"y", "a"}}, "a"},
+        {"then another zone, though its own has more",
+         {{"x", "a", true}, {"y", "a"}, {"z", "b"}},
+         "b"},
+        {"its own again where no other is left",
+         {{"x", "a", true}, {"y", "a"}, {"z", "b", true}},
+         "a"},
+        {"one that failed is left alone",
+         {{"x", "a", false, at(1)}, {"y", "b"}},
+         "b"},
+        {"one that does not reach the member, too",
+         {{"x", "a", false, {}, at(1)}, {"y", "b"}},
+         "b"},
+        {"both for a moment only",
+         {{"x", "a", false, at(0), at(-5)}, {"y", "b"}},
+         "a"},
+        {"none is left", {{"x", "a", true}, {"y", "b", false, at(9)}}, ""},
+    }));
+    INFO(each.m_what);
+    const auto next = next_neighbour(each.m_rows, "member", "a", at(0));
+    CHECK((next ? each.m_rows[*next].m_availability_zone : "") ==
+          each.m_zone_of_next);
+}
+
+TEST_CASE("members are spread over the neighbours of a zone", "[reach]")
+{
+    const std::vector<neighbour_facts> rows{{"x", "a"}, {"y", "a"}};
+    std::size_t first = 0;
+    for (int i = 0; i < 100; ++i)
+        first += next_neighbour(rows, "member-" + std::to_string(i), "a",
+                                at(0)) == std::size_t{0}
+                     ? 1
+                     : 0;
+    CHECK(first > 25);
+    CHECK(first < 75);
+}
+
+TEST_CASE("when a member is asked on its own link", "[reach]")
+{
+    struct row
+    {
+        const char* m_what;
+        link_facts m_facts;
+        bool m_reached;
+        bool m_probed;
+    };
+    const auto each = GENERATE(values<row>({
+        {"heard", {true, false, at(-700)}, true, false},
+        {"a beat is late", {true, false, at(-900)}, true, true},
+        {"no connection", {false, false, at(-10)}, false, true},
+        {"a question went unanswered", {true, true, at(-300)}, false, true},
+        {"two beats missed", {true, false, at(-1200)}, false, true},
+    }));
+    INFO(each.m_what);
+    CHECK(reached(each.m_facts, at(0)) == each.m_reached);
+    CHECK(wants_probe(each.m_facts, at(0)) == each.m_probed);
+}
+
+TEST_CASE("when a question goes round a silent link", "[reach]")
+{
+    struct row
+    {
+        const char* m_what;
+        instant m_answered;
+        milliseconds m_patience;
+        bool m_silent;
+    };
+    // Asked 100 ms ago; a beat came 10 ms ago each time.
+    const auto each = GENERATE(values<row>({
+        {"a caller has time", at(-200), milliseconds(3000), false},
+        {"a grant is waited for shortly", at(-200), milliseconds(50), true},
+        {"another question was answered since", at(-50), milliseconds(50),
+         false},
+        {"just long enough", at(-200), milliseconds(200), true},
+    }));
+    INFO(each.m_what);
+    const link_facts facts{true, false, at(-10), each.m_answered};
+    CHECK(is_silent(facts, at(-100), silence_before_detour(each.m_patience),
+                    at(0)) == each.m_silent);
+}
+
+TEST_CASE("only what a caller's request needs is relayed", "[reach]")
+{
+    struct row
+    {
+        frame_body m_body;
+        bool m_may;
+    };
+    const auto each = GENERATE(values<row>({
+        {begin_message{}, true},
+        {append_message{}, true},
+        {fetch_message{}, true},
+        {want_freshness_message{}, true},
+        {want_config_message{}, true},
+        {quota_question{}, true},
+        {returned_grant(), false},
+        {place_question{}, true},
+        {place_report{}, true},
+        {hello_message{}, false},
+        {cluster_state{}, false},
+        {beat_message{}, false},
+        {list_message{}, false},
+        {read_message{}, false},
+        {copied_message{}, false},
+        {want_neighbours_message{}, false},
+        {relayed_message{}, false},
+        {quota_answer{}, false},
+    }));
+    INFO(each.m_body.index());
+    CHECK(may_be_relayed(each.m_body) == each.m_may);
+}
+
+TEST_CASE("a VM relays up to its budget", "[reach]")
+{
+    struct row
+    {
+        const char* m_what;
+        std::size_t m_bytes;
+        std::size_t m_answer;
+        int m_between_ms;
+        int m_taken;
+    };
+    // Ten questions a second and four at once; 1,000 bytes each.
+    const relay_limits limits{10, 4, 1000, 1000, 8};
+    const auto each = GENERATE(values<row>({
+        {"a burst", 1, 0, 0, 4},
+        {"at the pace", 1, 0, 100, 20},
+        {"at twice the pace", 1, 0, 50, 13},
+        {"a large question", 1001, 0, 1000, 0},
+        {"as many bytes as there are", 500, 0, 0, 2},
+        {"a large answer is paid off first", 1, 3000, 100, 1},
+    }));
+    INFO(each.m_what);
+    relay_budget budget;
+    int taken = 0;
+    for (int i = 0; i < 20; ++i)
+    {
+        if (!take_ask(budget, limits, each.m_bytes,
+                      at(0) + i * milliseconds(each.m_between_ms)))
+            continue;
+        ++taken;
+        note_answer(budget, each.m_answer);
+    }
+    CHECK(taken == each.m_taken);
+}
