--- a/src/fleet/storage_limits.cpp
+++ b/src/fleet/storage_limits.cpp
@@ -86,7 +86,10 @@
     else if (const auto* place = std::get_if<place_question>(&question))
         m_places.ask(*place, reply);
     else if (const auto* ended = std::get_if<place_report>(&question))
+    {
         m_places.report(*ended);
+        reply(appended_message{});
+    }
     else
         return false;
     return true;
