--- a/include/pepperturn/scheduling/engine_cost.hpp
+++ b/include/pepperturn/scheduling/engine_cost.hpp
@@ -19,7 +19,8 @@
     /// Calls under way there, without this one.
     std::uint32_t m_under_way = 0;
     std::uint32_t m_slots = 1;
-    /// Tokens of the prompt that have to be read.
+    /// Tokens of the prompt that are in its memory, and those to be read.
+    std::uint32_t m_cached_tokens = 0;
     std::uint32_t m_fresh_tokens = 0;
     /// Tokens that are expected to be generated.
     double m_tokens = 0;
--- a/include/pepperturn/scheduling/engine_record.hpp
+++ b/include/pepperturn/scheduling/engine_record.hpp
@@ -51,6 +51,7 @@
     std::uint64_t m_call = 0;
     instant m_since{};
     std::vector<prompt_part> m_parts;
+    std::uint32_t m_cached_tokens = 0;
     std::uint32_t m_fresh_tokens = 0;
     /// Calls under way when it came.
     std::uint32_t m_beside = 0;
--- a/include/pepperturn/scheduling/place_service.hpp
+++ b/include/pepperturn/scheduling/place_service.hpp
@@ -85,7 +85,7 @@
     [[nodiscard]] bool has_engines() const;
     [[nodiscard]] std::optional<place_answer>
     place(const place_question& question, reach reach, instant now);
-    /// What an engine's row costs; empty: the call can't go there.
+    /// Fills the choices with the engines that the call may go to.
     void weigh_engines(const place_question& question, reach reach,
                        instant now);
     [[nodiscard]] std::optional<std::size_t>
@@ -96,6 +96,8 @@
     [[nodiscard]] double work_ms(const place_question& question) const;
     void advance_line(instant now);
     void end_patience(instant now);
+    /// False: the call doesn't wait.
+    bool leave_line(std::uint64_t call);
     void give_up(std::uint64_t call);
     void decide(std::uint64_t call, const place_answer& answer);
     [[nodiscard]] engine_record* find(std::uint64_t runner);
--- a/src/scheduling/engine_cost.cpp
+++ b/src/scheduling/engine_cost.cpp
@@ -83,7 +83,7 @@
 
 bool is_full(std::uint32_t under_way, std::uint32_t slots)
 {
-    return under_way >= std::max(slots, 1U) + spare_calls;
+    return under_way >= 1.0 * std::max(slots, 1U) + spare_calls;
 }
 
 bool is_overfull(std::uint32_t under_way, std::uint32_t slots)
--- a/src/scheduling/engine_record.cpp
+++ b/src/scheduling/engine_record.cpp
@@ -22,6 +22,9 @@
 constexpr double overdue_ms = 10;
 /// Beyond, the engine hangs; how long it has done so says no more.
 constexpr double most_overdue = 20;
+/// An engine that has had no call for so long gets one, overdue calls or not:
+/// it may be well again, or the caller that should tell their end has died.
+constexpr milliseconds overdue_trial{2000};
 /// Prompts of fewer fresh tokens count as being in memory, and only longer
 /// ones tell how fast an engine reads.
 constexpr std::uint32_t short_read_tokens = 500;
@@ -38,6 +41,8 @@
 /// Reports beyond these are taken for wrong.
 constexpr std::uint32_t most_report_ms = 600'000;
 constexpr std::uint32_t most_report_tokens = 1'000'000;
+/// Longest prompt, where an engine doesn't tell what fits.
+constexpr std::uint32_t most_prompt_tokens = 1'000'000;
 /// Least share of a run that is taken for generating, whatever was read
 /// beside it.
 constexpr double least_generating = 0.3;
@@ -74,6 +79,16 @@
     return std::max(told, lasting * overdue);
 }
 
+/// A longer prompt than fits is a wrong figure.
+std::uint32_t believable_tokens(const engine_record& engine,
+                                std::uint32_t prompt_tokens)
+{
+    const auto capacity = engine.m_facts.m_token_capacity;
+    const std::uint64_t most = capacity == 0 ? most_prompt_tokens : capacity;
+    return static_cast<std::uint32_t>(
+        std::min<std::uint64_t>(prompt_tokens, most));
+}
+
 void learn_reading(engine_record& engine, service_norm& norm,
                    const running_call& call, const place_report& report,
                    instant now)
@@ -148,6 +163,10 @@
 double overdue_factor(const engine_record& engine, instant now)
 {
     double factor = 1;
+    // The last one stands at the end.
+    if (engine.m_calls.empty() ||
+        now - engine.m_calls.back().m_since > overdue_trial)
+        return factor;
     for (const auto& call : engine.m_calls)
     {
         // A call that came later has ended: this one is merely long, or its
@@ -169,8 +188,9 @@
     outlook.m_under_way = static_cast<std::uint32_t>(engine.m_calls.size());
     outlook.m_slots = engine.m_facts.m_slots;
     const auto held = held_tokens(engine.m_memory, question.m_parts);
-    outlook.m_fresh_tokens =
-        question.m_prompt_tokens - std::min(held, question.m_prompt_tokens);
+    const auto prompt = believable_tokens(engine, question.m_prompt_tokens);
+    outlook.m_cached_tokens = std::min(held, prompt);
+    outlook.m_fresh_tokens = prompt - outlook.m_cached_tokens;
     outlook.m_tokens = usual_tokens(norm, question.m_most_tokens);
     outlook.m_token_ms = slowest_token_ms(engine, norm, now);
     outlook.m_read_token_ms =
@@ -198,6 +218,8 @@
     call.m_call = question.m_call;
     call.m_since = now;
     call.m_parts = question.m_parts;
+    call.m_parts.resize(std::min(call.m_parts.size(), most_prompt_parts));
+    call.m_cached_tokens = outlook.m_cached_tokens;
     call.m_fresh_tokens = outlook.m_fresh_tokens;
     call.m_beside = outlook.m_under_way;
     call.m_token_ms = outlook.m_token_ms;
@@ -214,7 +236,7 @@
     call.m_total_read_ms = engine.m_total_read_ms;
     engine.m_reading_until = std::max(engine.m_reading_until, now) +
                              from_seconds(run.m_read_ms / 1e3);
-    expect_parts(engine.m_memory, question.m_parts, question.m_call,
+    expect_parts(engine.m_memory, call.m_parts, question.m_call,
                  engine.m_facts.m_token_capacity);
     engine.m_calls.push_back(std::move(call));
 }
@@ -228,6 +250,9 @@
         return std::nullopt;
     std::optional<running_call> taken(std::move(*row));
     engine.m_calls.erase(row);
+    // Nothing is read by an engine without calls.
+    if (engine.m_calls.empty())
+        engine.m_reading_until = {};
     return taken;
 }
 
--- a/src/scheduling/place_service.cpp
+++ b/src/scheduling/place_service.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <functional>
 #include <limits>
+#include <utility>
 
 namespace pepperturn {
 
@@ -118,9 +119,7 @@
     if (row == m_places.end())
     {
         // The caller of a call in line may have given up.
-        if (remove_waiting(m_line, report.m_call))
-            m_waiting.erase(report.m_call);
-        else
+        if (!leave_line(report.m_call))
             ++m_counters.m_unknown_reports;
         return;
     }
@@ -246,8 +245,7 @@
     return place_answer{
         .m_outcome = place_outcome::placed,
         .m_runner = engine.m_facts.m_runner,
-        .m_cached_tokens =
-            question.m_prompt_tokens - choice.m_outlook.m_fresh_tokens,
+        .m_cached_tokens = choice.m_outlook.m_cached_tokens,
         .m_under_way = static_cast<std::uint32_t>(engine.m_calls.size()),
         .m_expected_ms = to_count(engine.m_calls.back().m_expected_ms)};
 }
@@ -295,17 +293,20 @@
     for (const auto& row : m_choices)
         best = std::min(best, row.m_cost);
     std::optional<std::size_t> chosen;
-    std::uint64_t lowest = 0;
+    std::pair<bool, std::uint64_t> lowest;
     for (std::size_t i = 0; i < m_choices.size(); ++i)
     {
-        if (!nearly_equal(m_choices[i].m_cost, best))
+        const auto& row = m_choices[i];
+        if (!nearly_equal(row.m_cost, best))
             continue;
-        const auto runner = m_engines[m_choices[i].m_engine].m_facts.m_runner;
-        const auto draw = hash_combine(question.m_call, runner);
-        if (chosen && draw >= lowest)
+        const auto runner = m_engines[row.m_engine].m_facts.m_runner;
+        // The own zone first, then by lot.
+        const std::pair order(row.m_outlook.m_other_zone,
+                              hash_combine(question.m_call, runner));
+        if (chosen && order >= lowest)
             continue;
         chosen = i;
-        lowest = draw;
+        lowest = order;
     }
     return chosen;
 }
@@ -332,10 +333,16 @@
     return expected_line_wait(m_line, entry, places, now);
 }
 
+bool place_service::leave_line(std::uint64_t call)
+{
+    if (m_waiting.erase(call) == 0)
+        return false;
+    return remove_waiting(m_line, call);
+}
+
 void place_service::give_up(std::uint64_t call)
 {
-    if (remove_waiting(m_line, call))
-        m_waiting.erase(call);
+    (void)leave_line(call);
     std::erase_if(m_decided, [call](const decided_place& row) {
         return row.m_call == call;
     });
--- /dev/null
+++ b/test/scheduling/model_engine.hpp
@@ -0,0 +1,107 @@
+// SPDX-License-Identifier: BSL-1.0
+/// \file
+/// An engine on a virtual clock, in steps of a millisecond. It reads one
+/// prompt after the other, stops its runs meanwhile, slows down with the
+/// tokens in the batch, keeps parts in memory by their last use, and is slower
+/// at times.
+#pragma once
+
+#include "pepperturn/scheduling/prompt_home.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <random>
+#include <vector>
+
+namespace pepperturn::test {
+
+struct engine_shape
+{
+    std::uint32_t m_slots = 12;
+    /// What fits, and what it tells.
+    std::uint64_t m_token_capacity = 290'745;
+    std::uint64_t m_told_capacity = 290'745;
+    double m_token_ms = 1.06;
+    double m_read_per_ms = 257;
+    /// Share by which each token in the batch, and each run beside, slows it.
+    double m_batch_token_share = 0.33 / (12 * 15'000);
+    double m_beside_share = 0;
+    /// Share of the time in which an engine is slower, how much, how long.
+    double m_noise_share = 0.15;
+    double m_noise_factor = 2.5;
+    double m_noise_ms = 600;
+};
+
+/// Evenly from 0 to 1, the same with each standard library.
+[[nodiscard]] double draw(std::mt19937_64& random);
+
+/// What a call asks of an engine.
+struct engine_work
+{
+    std::uint64_t m_call = 0;
+    std::vector<prompt_part> m_parts;
+    std::uint32_t m_tokens = 0;
+};
+
+struct engine_end
+{
+    std::uint64_t m_call = 0;
+    int m_first_byte_at = 0;
+};
+
+class model_engine
+{
+public:
+    /// \param speed as a factor
+    model_engine(const engine_shape& shape, double speed, std::uint64_t seed);
+
+    /// Factor by which it is slower; a very large one: it hangs.
+    void slow(double factor)
+    {
+        m_fault = factor;
+    }
+    void add(engine_work work);
+    /// Calls that are gone at their caller leave.
+    void drop(const std::function<bool(std::uint64_t)>& is_gone);
+    /// Works for one millisecond.
+    [[nodiscard]] std::vector<engine_end> run(int now);
+
+    [[nodiscard]] std::size_t calls() const
+    {
+        return m_running.size() + m_queue.size();
+    }
+    /// Tokens of parts of at least so many that it has read.
+    [[nodiscard]] std::uint64_t long_parts_read() const
+    {
+        return m_long_parts_read;
+    }
+
+private:
+    struct running
+    {
+        std::uint64_t m_call = 0;
+        double m_read_left = 0;
+        double m_tokens_left = 0;
+        double m_context = 0;
+        int m_first_byte_at = -1;
+    };
+
+    void change_noise(int now);
+    [[nodiscard]] double read_memory(const std::vector<prompt_part>& parts);
+    void fill_slots();
+
+    engine_shape m_shape;
+    double m_speed = 1;
+    double m_fault = 1;
+    std::mt19937_64 m_random;
+    bool m_noisy = false;
+    int m_noise_until = 0;
+    std::vector<running> m_running;
+    std::deque<engine_work> m_queue;
+    /// The last used one stands at the end.
+    std::vector<prompt_part> m_memory;
+    std::uint64_t m_long_parts_read = 0;
+};
+
+} // namespace pepperturn::test
--- a/test/scheduling/place_site.cpp
+++ b/test/scheduling/place_site.cpp
@@ -59,23 +59,24 @@
 }
 
 place_site::place_site(site_shape shape, std::uint64_t seed)
-    : m_shape(std::move(shape)), m_arrivals(seed), m_noise(seed + 1),
-      m_engines(m_shape.m_engines)
+    : m_shape(std::move(shape)), m_random(seed)
 {
-    for (std::uint32_t i = 0; i < m_engines.size(); ++i)
+    const auto slow_in = m_shape.m_one_slow_in;
+    for (std::uint32_t i = 0; i < m_shape.m_engines; ++i)
     {
-        const bool slow =
-            m_shape.m_one_slow_in != 0 && i % m_shape.m_one_slow_in == 0;
-        m_engines[i].m_speed = m_shape.m_one_slow_in == 0 ? 1
-                               : slow                     ? m_shape.m_slow_speed
-                                      : m_shape.m_usual_speed;
+        double speed = 1;
+        if (slow_in != 0)
+            speed =
+                i % slow_in == 0 ? m_shape.m_slow_speed : m_shape.m_usual_speed;
+        // Noise of its own, so that it is the same for each policy.
+        m_engines.emplace_back(m_shape.m_engine, speed, seed * 1000 + i);
     }
     m_result.m_begun.resize(m_engines.size());
 }
 
 void place_site::slow(std::uint32_t engine, double factor)
 {
-    m_engines[engine].m_fault = factor;
+    m_engines[engine].slow(factor);
 }
 
 std::vector<engine_facts> place_site::facts() const
@@ -84,8 +85,8 @@
     for (std::size_t i = 0; i < m_engines.size(); ++i)
         facts.push_back({.m_runner = i + 1,
                          .m_availability_zone = std::to_string(i / 4 % 3),
-                         .m_slots = m_shape.m_slots,
-                         .m_token_capacity = m_shape.m_token_capacity});
+                         .m_slots = m_shape.m_engine.m_slots,
+                         .m_token_capacity = m_shape.m_engine.m_told_capacity});
     return facts;
 }
 
@@ -99,32 +100,43 @@
     {
         m_at(m_now);
         begin_programs();
-        while (!m_events.empty() && m_events.begin()->first <= m_now)
-        {
-            const auto next = m_events.begin()->second;
-            m_events.erase(m_events.begin());
-            if (next.m_step == step::turn)
-                begin_turn(next.m_id);
-            else if (next.m_step == step::report)
-                policy.report(next.m_report, next.m_vm, now());
-            else if (const auto row = m_calls.find(next.m_id);
-                     row != m_calls.end())
-                m_engines[row->second.m_engine].m_queue.push_back(next.m_id);
-        }
-        for (std::uint32_t i = 0; i < m_engines.size(); ++i)
-            run_engine(i);
+        take_events();
+        run_engines();
         give_up_hung();
         for (const auto& row : policy.take_decided(now()))
             take_answer(row.m_call, row.m_answer);
         sample();
     }
+    for (const auto& engine : m_engines)
+        m_result.m_shared_tokens_read += engine.long_parts_read();
     m_result.m_busiest /= std::max(m_samples, 1.0);
     return m_result;
 }
 
-double place_site::draw(std::mt19937_64& random)
+void place_site::take_events()
 {
-    return static_cast<double>(random() >> 11) * 0x1p-53;
+    while (!m_events.empty() && m_events.begin()->first <= m_now)
+    {
+        const auto next = m_events.begin()->second;
+        m_events.erase(m_events.begin());
+        if (next.m_step == step::turn)
+            begin_turn(next.m_id);
+        else if (next.m_step == step::report)
+            m_policy->report(next.m_report, next.m_vm, now());
+        else if (const auto row = m_calls.find(next.m_id); row != m_calls.end())
+            m_engines[row->second.m_engine].add({row->first,
+                                                 row->second.m_question.m_parts,
+                                                 row->second.m_tokens});
+    }
+}
+
+void place_site::run_engines()
+{
+    for (auto& engine : m_engines)
+    {
+        for (const auto& end : engine.run(m_now))
+            end_call(end.m_call, place_end::whole, end.m_first_byte_at);
+    }
 }
 
 std::uint64_t place_site::draw_shared()
@@ -133,7 +145,7 @@
     double sum = 0;
     for (std::uint32_t i = 1; i <= shared_parts; ++i)
         sum += 1.0 / i;
-    double left = draw(m_arrivals) * sum;
+    double left = draw(m_random) * sum;
     std::uint64_t chosen = 1;
     while (chosen < shared_parts && (left -= 1.0 / chosen) > 0)
         ++chosen;
@@ -156,8 +168,8 @@
         const double expected = m_shape.m_kinds[kind].m_per_second / 1000 *
                                 m_shape.m_demand(m_now) * extra;
         // Poisson, by its intervals.
-        for (double at = -std::log(1 - draw(m_arrivals)); at < expected;
-             at -= std::log(1 - draw(m_arrivals)))
+        for (double at = -std::log(1 - draw(m_random)); at < expected;
+             at -= std::log(1 - draw(m_random)))
         {
             program next;
             next.m_kind = kind;
@@ -165,10 +177,10 @@
             next.m_begun = m_now;
             const double share = first / (first + others);
             next.m_workspace =
-                draw(m_arrivals) < share
+                draw(m_random) < share
                     ? 1
-                    : 2 + static_cast<std::uint64_t>(draw(m_arrivals) * others);
-            next.m_random.seed(m_arrivals());
+                    : 2 + static_cast<std::uint64_t>(draw(m_random) * others);
+            next.m_random.seed(m_random());
             m_programs.emplace(++m_last_id, next);
             begin_turn(m_last_id);
         }
@@ -206,9 +218,9 @@
         .m_excluded = {}};
     const auto fresh = program.m_turn == 0 ? own : grown_tokens + call.m_tokens;
     program.m_alone_ms +=
-        granted_ms + pause_ms + fresh / m_shape.m_read_per_ms +
-        call.m_tokens * m_shape.m_token_ms *
-            (1 + m_shape.m_batch_token_share * (shared_tokens + own));
+        granted_ms + pause_ms + fresh / m_shape.m_engine.m_read_per_ms +
+        call.m_tokens * m_shape.m_engine.m_token_ms *
+            (1 + m_shape.m_engine.m_batch_token_share * (shared_tokens + own));
     const auto number = call.m_question.m_call;
     const auto question = call.m_question;
     const auto vm = call.m_vm;
@@ -245,111 +257,6 @@
     m_events.emplace(m_now + way_ms, event{step::arrive, number, {}, 0});
 }
 
-double place_site::read_memory(engine& engine, const place_question& question)
-{
-    double fresh = 0;
-    bool held = true;
-    for (const auto& part : question.m_parts)
-    {
-        const auto row =
-            std::find_if(engine.m_memory.begin(), engine.m_memory.end(),
-                         [&part](const prompt_part& each) {
-                             return each.m_id == part.m_id;
-                         });
-        const double has =
-            held && row != engine.m_memory.end() ? row->m_tokens : 0;
-        fresh += std::max(part.m_tokens - has, 0.0);
-        if (has == 0 && part.m_tokens == shared_tokens)
-            m_result.m_shared_tokens_read += part.m_tokens;
-        held = held && has >= part.m_tokens;
-        if (row != engine.m_memory.end())
-            engine.m_memory.erase(row);
-    }
-    engine.m_memory.insert(engine.m_memory.end(), question.m_parts.rbegin(),
-                           question.m_parts.rend());
-    std::uint64_t sum = 0;
-    for (const auto& part : engine.m_memory)
-        sum += part.m_tokens;
-    while (sum > m_shape.m_token_capacity)
-    {
-        sum -= engine.m_memory.front().m_tokens;
-        engine.m_memory.erase(engine.m_memory.begin());
-    }
-    return fresh;
-}
-
-void place_site::fill_slots(std::uint32_t index)
-{
-    auto& engine = m_engines[index];
-    while (!engine.m_queue.empty() && engine.m_running.size() < m_shape.m_slots)
-    {
-        const auto number = engine.m_queue.front();
-        engine.m_queue.pop_front();
-        const auto row = m_calls.find(number);
-        if (row == m_calls.end())
-            continue;
-        const auto& call = row->second;
-        engine.m_running.push_back(
-            {.m_call = number,
-             .m_read_left = read_memory(engine, call.m_question),
-             .m_tokens_left = 1.0 * call.m_tokens,
-             .m_context = 1.0 * call.m_question.m_prompt_tokens});
-    }
-}
-
-void place_site::run_engine(std::uint32_t index)
-{
-    auto& engine = m_engines[index];
-    if (m_now >= engine.m_noise_until)
-    {
-        engine.m_noisy = !engine.m_noisy && m_shape.m_noise_share > 0;
-        const double share = m_shape.m_noise_share;
-        const double mean = engine.m_noisy ? m_shape.m_noise_ms
-                                           : m_shape.m_noise_ms * (1 - share) /
-                                                 std::max(share, 1e-3);
-        const bool first = engine.m_noise_until == 0;
-        if (first)
-            engine.m_noisy = draw(m_noise) < share;
-        engine.m_noise_until =
-            m_now + 1 + static_cast<int>(-mean * std::log(1 - draw(m_noise)));
-    }
-    fill_slots(index);
-    const double speed = engine.m_speed / engine.m_fault /
-                         (engine.m_noisy ? m_shape.m_noise_factor : 1);
-    double left_ms = speed;
-    for (auto& run : engine.m_running)
-    {
-        const double read =
-            std::min(run.m_read_left, left_ms * m_shape.m_read_per_ms);
-        run.m_read_left -= read;
-        left_ms -= read / m_shape.m_read_per_ms;
-    }
-    double context = 0;
-    for (const auto& run : engine.m_running)
-        context += run.m_context;
-    const auto beside =
-        engine.m_running.empty() ? 0.0 : engine.m_running.size() - 1.0;
-    const double tokens = std::max(left_ms, 0.0) / m_shape.m_token_ms /
-                          (1 + m_shape.m_batch_token_share * context +
-                           m_shape.m_beside_share * beside);
-    std::vector<engine_run> ended;
-    for (auto& run : engine.m_running)
-    {
-        if (run.m_read_left > 0)
-            continue;
-        if (run.m_first_ms < 0)
-            run.m_first_ms = m_now;
-        run.m_tokens_left -= tokens;
-        if (run.m_tokens_left <= 0)
-            ended.push_back(run);
-    }
-    std::erase_if(engine.m_running, [](const engine_run& run) {
-        return run.m_read_left <= 0 && run.m_tokens_left <= 0;
-    });
-    for (const auto& run : ended)
-        end_call(run.m_call, place_end::whole, run.m_first_ms);
-}
-
 void place_site::end_call(std::uint64_t number, place_end end, int first_ms)
 {
     const auto row = m_calls.find(number);
@@ -383,13 +290,15 @@
 void place_site::give_up_hung()
 {
     // Calls go by their number, which is their order.
+    if (m_calls.empty() ||
+        m_calls.begin()->second.m_asked + deadline_ms > m_now)
+        return;
     while (!m_calls.empty() &&
            m_calls.begin()->second.m_asked + deadline_ms <= m_now)
         end_call(m_calls.begin()->first, place_end::broken, 0);
     for (auto& engine : m_engines)
-        std::erase_if(engine.m_running, [this](const engine_run& run) {
-            return m_calls.count(run.m_call) == 0;
-        });
+        engine.drop(
+            [this](std::uint64_t call) { return m_calls.count(call) == 0; });
 }
 
 void place_site::end_program(std::uint64_t id, bool refused, bool waited)
@@ -423,8 +332,7 @@
     double sum = 0;
     for (const auto& engine : m_engines)
     {
-        const auto calls =
-            1.0 * (engine.m_running.size() + engine.m_queue.size());
+        const auto calls = 1.0 * engine.calls();
         most = std::max(most, calls);
         sum += calls;
     }
--- a/test/scheduling/place_site.hpp
+++ b/test/scheduling/place_site.hpp
@@ -1,15 +1,13 @@
 // SPDX-License-Identifier: BSL-1.0
 /// \file
-/// Programs and engines on a virtual clock, in steps of a millisecond: what a
-/// way of placing calls makes of a load. Engines read one prompt after the
-/// other, stop their runs meanwhile, slow down with the tokens in the batch
-/// and keep parts in memory by their last use.
+/// Programs of a site on a virtual clock, in steps of a millisecond: what a
+/// way of placing their calls makes of a load.
 #pragma once
 
 #include "pepperturn/scheduling/engine_places.hpp"
+#include "scheduling/model_engine.hpp"
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <random>
@@ -29,21 +27,11 @@
 struct site_shape
 {
     std::uint32_t m_engines = 48;
-    std::uint32_t m_slots = 12;
-    std::uint64_t m_token_capacity = 290'745;
-    double m_token_ms = 1.06;
-    double m_read_per_ms = 257;
-    /// Share by which each token in the batch, and each run beside, slows it.
-    double m_batch_token_share = 0.33 / (12 * 15'000);
-    double m_beside_share = 0;
+    engine_shape m_engine;
     /// One engine in this many is slow; 0: all are alike.
     std::uint32_t m_one_slow_in = 4;
     double m_slow_speed = 0.55;
     double m_usual_speed = 1.2;
-    /// Share of the time in which an engine is slower, and how much.
-    double m_noise_share = 0.15;
-    double m_noise_factor = 2.5;
-    double m_noise_ms = 600;
     std::vector<program_kind> m_kinds;
     std::uint32_t m_events = 8;
     /// Programs are in time within this times their time alone, and more.
@@ -118,25 +106,6 @@
                     int until_ms);
 
 private:
-    struct engine_run
-    {
-        std::uint64_t m_call = 0;
-        double m_read_left = 0;
-        double m_tokens_left = 0;
-        double m_context = 0;
-        int m_first_ms = -1;
-    };
-    struct engine
-    {
-        double m_speed = 1;
-        double m_fault = 1;
-        bool m_noisy = false;
-        int m_noise_until = 0;
-        std::vector<engine_run> m_running;
-        std::deque<std::uint64_t> m_queue;
-        /// The last used one stands at the end.
-        std::vector<prompt_part> m_memory;
-    };
     struct program
     {
         std::uint32_t m_kind = 0;
@@ -173,25 +142,21 @@
         std::uint32_t m_vm = 0;
     };
 
-    [[nodiscard]] static double draw(std::mt19937_64& random);
     [[nodiscard]] std::uint64_t draw_shared();
     [[nodiscard]] instant now() const;
     void begin_programs();
     void begin_turn(std::uint64_t id);
     void take_answer(std::uint64_t call, const place_answer& answer);
-    void run_engine(std::uint32_t index);
-    void fill_slots(std::uint32_t index);
-    double read_memory(engine& engine, const place_question& question);
+    void take_events();
+    void run_engines();
     void end_call(std::uint64_t call, place_end end, int first_ms);
     void end_program(std::uint64_t id, bool refused, bool waited = false);
     void give_up_hung();
     void sample();
 
     site_shape m_shape;
-    /// Apart, so that programs and noise are the same for each policy.
-    std::mt19937_64 m_arrivals;
-    std::mt19937_64 m_noise;
-    std::vector<engine> m_engines;
+    std::mt19937_64 m_random;
+    std::vector<model_engine> m_engines;
     std::map<std::uint64_t, program> m_programs;
     std::map<std::uint64_t, turn_call> m_calls;
     std::multimap<int, event> m_events;
--- /dev/null
+++ b/test/scheduling/test_engine_cost.cpp
@@ -0,0 +1,92 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/scheduling/engine_cost.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+namespace {
+
+using namespace pepperturn;
+
+/// An idle engine of 12 slots that has the prompt.
+engine_outlook make_idle()
+{
+    return {.m_under_way = 0,
+            .m_slots = 12,
+            .m_cached_tokens = 12'600,
+            .m_fresh_tokens = 1'000,
+            .m_tokens = 128,
+            .m_read_token_ms = 0.004,
+            .m_token_ms = 1,
+            .m_reading_ms = 0,
+            .m_slot_ms = 150,
+            .m_trouble = 0,
+            .m_other_zone = false};
+}
+
+double cost(const engine_outlook& outlook)
+{
+    return engine_cost(outlook, predict_run(outlook));
+}
+
+template <class Change> engine_outlook changed(Change change)
+{
+    auto outlook = make_idle();
+    change(outlook);
+    return outlook;
+}
+
+} // namespace
+
+TEST_CASE("which of two engines a call costs less at", "[places]")
+{
+    struct sample
+    {
+        std::string m_name;
+        engine_outlook m_less;
+        engine_outlook m_more;
+    };
+    const auto idle = make_idle();
+    const auto cold = changed([](auto& out) { out.m_fresh_tokens = 13'600; });
+    const auto busy = changed([](auto& out) { out.m_under_way = 6; });
+    const auto full = changed([](auto& out) { out.m_under_way = 13; });
+    const auto slow = changed([](auto& out) { out.m_token_ms = 2; });
+    const auto each = GENERATE_COPY(values<sample>({
+        {"the idle one", idle, busy},
+        {"the one with the prompt", idle, cold},
+        {"the one with the prompt, if some of its slots are taken",
+         changed([](auto& out) { out.m_under_way = 3; }), cold},
+        {"the fast one", idle, slow},
+        {"a fast one without the prompt before a slow one", cold, slow},
+        {"a slow one before a long queue", slow,
+         changed([](auto& out) { out.m_under_way = 24; })},
+        {"a short queue before reading among many", full,
+         changed([](auto& out) {
+             out.m_under_way = 10;
+             out.m_fresh_tokens = 13'600;
+         })},
+        {"one where nothing is read", idle,
+         changed([](auto& out) { out.m_reading_ms = 20; })},
+        {"one that fails no calls", idle,
+         changed([](auto& out) { out.m_trouble = 0.1; })},
+        {"the own zone", idle,
+         changed([](auto& out) { out.m_other_zone = true; })},
+        {"the other zone before a slower one",
+         changed([](auto& out) { out.m_other_zone = true; }),
+         changed([](auto& out) { out.m_token_ms = 1.1; })},
+    }));
+    INFO(each.m_name);
+    CHECK(cost(each.m_less) < cost(each.m_more));
+}
+
+TEST_CASE("engines are full by their slots, whatever these are", "[places]")
+{
+    CHECK_FALSE(is_full(12, 12));
+    CHECK(is_full(13, 12));
+    CHECK_FALSE(is_overfull(18, 12));
+    CHECK(is_overfull(19, 12));
+    CHECK_FALSE(is_full(0, 0));
+    CHECK_FALSE(is_full(5, 4'294'967'295));
+    CHECK_FALSE(is_overfull(5, 4'294'967'295));
+}
--- /dev/null
+++ b/test/scheduling/test_engine_pace.cpp
@@ -0,0 +1,120 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/scheduling/engine_pace.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <cmath>
+#include <limits>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace pepperturn;
+
+constexpr instant start{seconds(1000)};
+
+token_pace learn(token_pace pace, double token_ms, int calls, instant& now)
+{
+    for (int i = 0; i < calls; ++i)
+    {
+        now += milliseconds(100);
+        pace = add_token_time(pace, token_ms, now);
+    }
+    return pace;
+}
+
+} // namespace
+
+TEST_CASE("a running quantile settles where its share of values lies below",
+          "[places]")
+{
+    struct sample
+    {
+        double m_quantile;
+        double m_low;
+        double m_high;
+    };
+    const auto each = GENERATE(values<sample>({{0.5, 40, 60}, {0.9, 80, 98}}));
+    running_quantile tracked;
+    for (int i = 0; i < 4000; ++i)
+        tracked = add_value(tracked, 1 + i * 37 % 100, each.m_quantile);
+    CHECK(tracked.m_value > each.m_low);
+    CHECK(tracked.m_value < each.m_high);
+    const auto before = tracked;
+    tracked = add_value(tracked, 1e9, each.m_quantile);
+    CHECK(tracked.m_value < before.m_value * 1.1);
+}
+
+TEST_CASE("values that can't be are ignored", "[places]")
+{
+    const double value =
+        GENERATE(0.0, -1.0, 1e9, 1e-9, std::numeric_limits<double>::quiet_NaN(),
+                 std::numeric_limits<double>::infinity());
+    instant now = start;
+    const auto pace = learn({}, 2, 20, now);
+    CHECK(add_token_time(pace, value, now) == pace);
+    if (!(value > 0) || !std::isfinite(value))
+        CHECK(add_value({.m_value = 3, .m_samples = 2}, value, 0.5).m_value ==
+              3);
+}
+
+TEST_CASE("the pace now, by what was seen", "[places]")
+{
+    struct sample
+    {
+        std::string m_name;
+        /// Milliseconds for a token, ten calls a second, in order.
+        std::vector<std::pair<double, int>> m_seen;
+        milliseconds m_later;
+        double m_least;
+        double m_most;
+    };
+    const auto each = GENERATE(values<sample>({
+        {"unknown: the usual", {}, milliseconds(0), 1, 1},
+        {"a lasting one", {{2, 30}}, milliseconds(0), 1.99, 2.01},
+        {"one slow call in many",
+         {{2, 30}, {20, 1}, {2, 5}},
+         milliseconds(0),
+         1.8,
+         2.4},
+        {"slow right now", {{1, 30}, {5, 3}}, milliseconds(0), 3.5, 5.5},
+        {"a short noise has passed",
+         {{1, 30}, {2.5, 2}},
+         milliseconds(2000),
+         0.9,
+         1.3},
+        {"slow for seconds is not forgotten in one",
+         {{1, 30}, {5, 10}},
+         milliseconds(1000),
+         2,
+         5.5},
+        {"slow for good", {{1, 30}, {5, 100}}, milliseconds(0), 4, 5.5},
+        {"fast again", {{5, 50}, {1, 50}}, milliseconds(0), 0.9, 1.3},
+        {"not used for long: the usual",
+         {{5, 50}},
+         milliseconds(60'000),
+         1,
+         1.1},
+    }));
+    INFO(each.m_name);
+    instant now = start;
+    token_pace pace;
+    for (const auto& [token_ms, calls] : each.m_seen)
+        pace = learn(pace, token_ms, calls, now);
+    const double present = present_token_ms(pace, 1, now + each.m_later);
+    CHECK(present >= each.m_least);
+    CHECK(present <= each.m_most);
+}
+
+TEST_CASE("trouble grows with failures and fades", "[places]")
+{
+    engine_trouble trouble;
+    for (int i = 0; i < 10; ++i)
+        trouble = add_end(trouble, true, start);
+    CHECK(present_trouble(trouble, start) > 0.9);
+    CHECK(present_trouble(trouble, start + seconds(10)) < 0.05);
+    for (int i = 0; i < 10; ++i)
+        trouble = add_end(trouble, false, start);
+    CHECK(present_trouble(trouble, start) < 0.05);
+}
--- a/test/scheduling/test_engine_places.cpp
+++ b/test/scheduling/test_engine_places.cpp
@@ -3,7 +3,8 @@
 
 #include <catch2/catch.hpp>
 
-#include <algorithm>
+#include <chrono>
+#include <set>
 
 namespace {
 
@@ -280,3 +281,80 @@
     now += milliseconds(600);
     CHECK(ask(places, make_question(++call), now).m_runner == 1);
 }
+
+TEST_CASE("an engine whose callers died is tried again before their places "
+          "come back",
+          "[places]")
+{
+    engine_places places;
+    places.follow(service, make_engines(2, 12), start);
+    auto now = start;
+    std::uint64_t call = 0;
+    const auto run = [&](std::uint64_t other) {
+        auto question = make_question(++call);
+        question.m_excluded = {other};
+        (void)ask(places, question, now);
+        now += milliseconds(110);
+        places.report(make_report(call), now);
+    };
+    for (int i = 0; i < 60; ++i)
+        run(1U + static_cast<std::uint64_t>(i % 2));
+    auto lost = make_question(++call);
+    lost.m_excluded = {2};
+    REQUIRE(ask(places, lost, now).m_runner == 1);
+    now += milliseconds(1000);
+    // It seems to hang.
+    CHECK(ask(places, make_question(++call), now).m_runner == 2);
+    places.report(make_report(call), now + milliseconds(110));
+    now += milliseconds(1100);
+    std::set<std::uint64_t> used;
+    for (int i = 0; i < 6; ++i)
+        used.insert(ask(places, make_question(++call), now).m_runner);
+    CHECK(used.contains(1));
+    CHECK(shows(places, "places_lost_total 0"));
+}
+
+TEST_CASE("the own zone decides among equals", "[places]")
+{
+    engine_places places;
+    auto engines = make_engines(6, 12);
+    engines[4].m_availability_zone = "b";
+    places.follow(service, engines, start);
+    auto question = make_question(1);
+    question.m_availability_zone = "b";
+    CHECK(ask(places, question).m_runner == 5);
+}
+
+TEST_CASE("what one decision costs", "[.benchmark]")
+{
+    const std::size_t count = GENERATE(48U, 128U);
+    engine_places places;
+    auto engines = make_engines(count, 12);
+    for (auto& engine : engines)
+        engine.m_token_capacity = 290'745;
+    places.follow(service, engines, start);
+    auto now = start;
+    std::uint64_t call = 0;
+    const auto decide = [&] {
+        // Some eighty calls are under way at each time.
+        constexpr std::uint64_t under_way = 80;
+        ++call;
+        now += milliseconds(2);
+        const auto answer = places.ask(make_question(call, call % 16), now);
+        if (call > under_way)
+            places.report(make_report(call - under_way, 150), now);
+        return answer.has_value();
+    };
+    for (int i = 0; i < 20'000; ++i)
+        decide();
+    constexpr int decisions = 100'000;
+    const auto began = std::chrono::steady_clock::now();
+    int decided = 0;
+    for (int i = 0; i < decisions; ++i)
+        decided += decide() ? 1 : 0;
+    const std::chrono::duration<double> taken =
+        std::chrono::steady_clock::now() - began;
+    CHECK(decided == decisions);
+    const double each_us = taken.count() * 1e6 / decisions;
+    WARN(count << " engines, one ask and one report: " << each_us << " us");
+}
--- /dev/null
+++ b/test/scheduling/test_place_line.cpp
@@ -0,0 +1,147 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/scheduling/place_line.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <cmath>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace pepperturn;
+
+constexpr instant start{seconds(1000)};
+
+line_entry make_entry(std::uint64_t call, std::uint64_t workspace,
+                      call_rank rank = call_rank::first, double work_ms = 100)
+{
+    return {.m_call = call,
+            .m_workspace = workspace,
+            .m_rank = rank,
+            .m_priority = 0,
+            .m_since = start + milliseconds(call),
+            .m_until = start + milliseconds(1000 + call),
+            .m_work_ms = work_ms};
+}
+
+std::vector<std::uint64_t> take_all(place_line& line)
+{
+    std::vector<std::uint64_t> calls;
+    while (const auto* next = next_waiting(line))
+    {
+        calls.push_back(next->m_call);
+        drop_next(line, start);
+    }
+    return calls;
+}
+
+} // namespace
+
+TEST_CASE("who goes first within a workspace", "[places]")
+{
+    struct sample
+    {
+        std::string m_name;
+        line_entry m_first;
+        line_entry m_second;
+    };
+    const auto with_priority = [](line_entry entry, std::uint32_t priority) {
+        entry.m_priority = priority;
+        return entry;
+    };
+    const auto each = GENERATE_COPY(values<sample>({
+        {"the earlier", make_entry(1, 1), make_entry(2, 1)},
+        {"of a program under way", make_entry(2, 1, call_rank::under_way),
+         make_entry(1, 1)},
+        {"a first call before a late one", make_entry(2, 1),
+         make_entry(1, 1, call_rank::late)},
+        {"the more urgent", make_entry(2, 1),
+         with_priority(make_entry(1, 1), 1)},
+        {"rank before priority",
+         with_priority(make_entry(2, 1, call_rank::under_way), 15),
+         make_entry(1, 1)},
+        {"who has waited for long, before rank", make_entry(1, 1),
+         make_entry(3000, 1, call_rank::under_way)},
+    }));
+    INFO(each.m_name);
+    CHECK(goes_before(each.m_first, each.m_second));
+    CHECK_FALSE(goes_before(each.m_second, each.m_first));
+    place_line line;
+    add_waiting(line, each.m_second);
+    add_waiting(line, each.m_first);
+    CHECK(take_all(line) == std::vector<std::uint64_t>{each.m_first.m_call,
+                                                       each.m_second.m_call});
+    CHECK(line.m_size == 0);
+}
+
+TEST_CASE("workspaces have the same work in turn, whatever they ask for",
+          "[places]")
+{
+    place_line line;
+    // The first asks for many calls, the second for calls of four times the
+    // work, the third for a few.
+    std::uint64_t call = 0;
+    std::map<std::uint64_t, std::uint64_t> workspaces;
+    const auto add = [&](int count, std::uint64_t workspace, double work_ms) {
+        for (int i = 0; i < count; ++i)
+        {
+            add_waiting(
+                line, make_entry(++call, workspace, call_rank::first, work_ms));
+            workspaces[call] = workspace;
+        }
+    };
+    add(200, 1, 100);
+    add(50, 2, 400);
+    add(4, 3, 100);
+    std::map<std::uint64_t, int> served;
+    const auto order = take_all(line);
+    REQUIRE(order.size() == 254);
+    for (std::size_t i = 0; i < 60; ++i)
+        ++served[workspaces[order[i]]];
+    CHECK(served[3] == 4);
+    CHECK(served[1] >= 4 * served[2] - 8);
+    CHECK(served[1] <= 4 * served[2] + 8);
+}
+
+TEST_CASE("the wait that a call has ahead", "[places]")
+{
+    place_line line;
+    for (std::uint64_t call = 1; call <= 50; ++call)
+        add_waiting(line, make_entry(call, 1));
+    const auto later = start + milliseconds(100);
+    const auto wait = [&line, later](std::uint64_t workspace, call_rank rank) {
+        return expected_line_wait(line, make_entry(99, workspace, rank), 10,
+                                  later);
+    };
+    // 50 calls of 100 ms at 10 places.
+    CHECK(wait(1, call_rank::first) >= 500);
+    CHECK(wait(1, call_rank::under_way) == 0);
+    // Its turn comes after one of the other workspace.
+    CHECK(wait(2, call_rank::first) <= 20);
+    CHECK(wait(2, call_rank::under_way) == 0);
+}
+
+TEST_CASE("calls leave a line by themselves or when patience ends", "[places]")
+{
+    place_line line;
+    for (std::uint64_t call = 1; call <= 5; ++call)
+        add_waiting(line, make_entry(call, call % 2));
+    CHECK(remove_waiting(line, 3));
+    CHECK_FALSE(remove_waiting(line, 3));
+    const auto expired = take_expired(line, start + milliseconds(1002));
+    CHECK(expired.size() == 2);
+    CHECK(line.m_size == 2);
+    CHECK(take_all(line).size() == 2);
+    CHECK(line.m_workspaces.empty());
+}
+
+TEST_CASE("absurd work does not stop a line", "[places]")
+{
+    const double work = GENERATE(0.0, -5.0, 1e300, std::nan(""));
+    place_line line;
+    add_waiting(line, make_entry(1, 1, call_rank::first, work));
+    add_waiting(line, make_entry(2, 2));
+    CHECK(take_all(line).size() == 2);
+}
--- a/test/scheduling/test_place_loads.cpp
+++ b/test/scheduling/test_place_loads.cpp
@@ -162,7 +162,7 @@
 {
     auto shape = make_uneven_site();
     shape.m_one_slow_in = 0;
-    shape.m_noise_share = 0;
+    shape.m_engine.m_noise_share = 0;
     return shape;
 }
 
@@ -191,14 +191,15 @@
 {
     site_shape shape;
     shape.m_engines = 48;
-    shape.m_slots = 8;
-    shape.m_token_capacity = 220'527;
-    shape.m_token_ms = 1.09;
-    shape.m_read_per_ms = 374;
-    shape.m_batch_token_share = 0;
-    shape.m_beside_share = 0.027;
+    shape.m_engine.m_slots = 8;
+    shape.m_engine.m_token_capacity = 220'527;
+    shape.m_engine.m_told_capacity = 220'527;
+    shape.m_engine.m_token_ms = 1.09;
+    shape.m_engine.m_read_per_ms = 374;
+    shape.m_engine.m_batch_token_share = 0;
+    shape.m_engine.m_beside_share = 0.027;
     shape.m_one_slow_in = 0;
-    shape.m_noise_share = 0;
+    shape.m_engine.m_noise_share = 0;
     shape.m_kinds = {{48.7, 4, 1680}, {28.7, 9, 840}};
     shape.m_events = 7;
     shape.m_workspaces = 86;
@@ -320,3 +321,14 @@
     CHECK(first.refused_share() < 0.5);
     CHECK(result.m_all.m_refused_begun == 0);
 }
+
+TEST_CASE("engines that hold less than they tell are still found", "[places]")
+{
+    auto shape = make_uneven_site();
+    shape.m_engine.m_token_capacity = shape.m_engine.m_told_capacity / 2;
+    const auto placed = run_placed(shape, 1, 51, 10'000);
+    const auto own = run_own(shape, 1, 51, 10'000);
+    CAPTURE(describe("placed", placed), describe("own", own));
+    CHECK(placed.m_all.late_share() < own.m_all.late_share() / 3);
+    CHECK(placed.m_shared_tokens_read <= own.m_shared_tokens_read / 3);
+}
