--- a/test/scheduling/place_site.cpp
+++ b/test/scheduling/place_site.cpp
@@ -19,7 +19,6 @@
 constexpr double granted_ms = 27;
 constexpr int pause_ms = 20;
 constexpr int deadline_ms = 3000;
-constexpr std::uint64_t service = 1;
 
 } // namespace
 
@@ -203,7 +202,7 @@
     call.m_vm = static_cast<std::uint32_t>(draw(program.m_random) * m_vms);
     call.m_asked = m_now;
     call.m_question = {
-        .m_service = service,
+        .m_service = site_service,
         .m_call = ++m_last_id,
         .m_workspace = program.m_workspace,
         .m_parts = {{program.m_shared, shared_tokens}, {1'000'000 + id, own}},
@@ -267,7 +266,7 @@
     const auto ms = [](int value) {
         return static_cast<std::uint32_t>(std::max(value, 0));
     };
-    place_report report{.m_service = service,
+    place_report report{.m_service = site_service,
                         .m_call = number,
                         .m_runner = call.m_engine + 1,
                         .m_end = end};
--- a/test/scheduling/place_site.hpp
+++ b/test/scheduling/place_site.hpp
@@ -16,6 +16,9 @@
 
 namespace pepperturn::test {
 
+/// Hash of the service that all calls are of.
+constexpr std::uint64_t site_service = 1;
+
 /// A kind of program.
 struct program_kind
 {
--- a/test/scheduling/test_place_loads.cpp
+++ b/test/scheduling/test_place_loads.cpp
@@ -1,12 +1,9 @@
 // SPDX-License-Identifier: BSL-1.0
 // Loads of hard sites, replayed on a virtual clock.
-#include "pepperturn/forward/runner_table.hpp"
-#include "scheduling/place_site.hpp"
+#include "scheduling/place_policies.hpp"
 
 #include <catch2/catch.hpp>
 
-#include <map>
-#include <memory>
 #include <sstream>
 
 namespace {
@@ -14,122 +11,6 @@
 using namespace pepperturn;
 using namespace pepperturn::test;
 
-constexpr std::uint64_t service = 1;
-
-/// One VM that is asked by all.
-class placing_policy final : public site_policy
-{
-public:
-    explicit placing_policy(const place_site& site) : m_site(site)
-    {
-        start_anew(instant(seconds(1000)));
-    }
-    /// Another VM takes over: it knows nothing.
-    void start_anew(instant now)
-    {
-        m_places = std::make_unique<engine_places>();
-        m_places->follow(service, m_site.facts(), now);
-    }
-    std::optional<place_answer> ask(const place_question& question,
-                                    std::uint32_t, instant now) override
-    {
-        return m_places->ask(question, now);
-    }
-    void report(const place_report& report, std::uint32_t, instant now) override
-    {
-        m_places->report(report, now);
-    }
-    std::vector<decided_place> take_decided(instant now) override
-    {
-        return m_places->take_decided(now);
-    }
-    [[nodiscard]] std::string metrics() const
-    {
-        std::string out;
-        m_places->write_metrics(out);
-        return out;
-    }
-
-private:
-    const place_site& m_site;
-    std::unique_ptr<engine_places> m_places;
-};
-
-/// Each VM chooses by the calls that it sends itself.
-class own_calls_policy final : public site_policy
-{
-public:
-    own_calls_policy(const place_site& site, std::uint32_t vms) : m_tables(vms)
-    {
-        std::vector<runner_info> runners;
-        for (const auto& facts : site.facts())
-        {
-            runner_info info;
-            info.m_id = std::to_string(facts.m_runner);
-            info.m_service = "engines";
-            info.m_slots = facts.m_slots;
-            info.m_availability_zone = facts.m_availability_zone;
-            runners.push_back(info);
-        }
-        for (auto& table : m_tables)
-            (void)table.replace(runners);
-    }
-    std::optional<place_answer> ask(const place_question& question,
-                                    std::uint32_t vm, instant now) override
-    {
-        auto& table = m_tables.at(vm);
-        runner_choice choice;
-        choice.m_service = "engines";
-        choice.m_preferred = m_homes[question.m_parts.back().m_id];
-        choice.m_availability_zone = question.m_availability_zone;
-        choice.m_draw = question.m_call;
-        const auto* row = table.choose(choice, now);
-        if (row == nullptr)
-            return place_answer{};
-        m_homes[question.m_parts.back().m_id] = row->m_incarnation;
-        table.note_sent(row->m_info.m_id);
-        return place_answer{.m_outcome = place_outcome::placed,
-                            .m_runner = std::stoull(row->m_info.m_id)};
-    }
-    void report(const place_report& report, std::uint32_t vm,
-                instant now) override
-    {
-        auto& table = m_tables.at(vm);
-        const auto id = std::to_string(report.m_runner);
-        table.note_ended(id);
-        if (report.m_end == place_end::whole)
-            table.note_first_byte(id, "route",
-                                  milliseconds(report.m_first_byte_ms));
-        else
-            table.note_failure(id, now);
-        table.note_result(id, report.m_end == place_end::whole, now);
-    }
-    std::vector<decided_place> take_decided(instant) override
-    {
-        return {};
-    }
-
-private:
-    std::vector<runner_table> m_tables;
-    std::map<std::uint64_t, std::string> m_homes;
-};
-
-site_shape make_uneven_site()
-{
-    site_shape shape;
-    shape.m_kinds = {{69, 4, 1680}, {29.5, 7, 840}};
-    // Bursts of a second and a half.
-    shape.m_demand = [](int ms) { return ms % 6000 < 1500 ? 1.8 : 1.0; };
-    return shape;
-}
-
-site_shape with_load(site_shape shape, double factor)
-{
-    for (auto& kind : shape.m_kinds)
-        kind.m_per_second *= factor;
-    return shape;
-}
-
 std::string describe(const std::string& name, const site_result& result)
 {
     std::ostringstream out;
@@ -332,3 +213,38 @@
     CHECK(placed.m_all.late_share() < own.m_all.late_share() / 3);
     CHECK(placed.m_shared_tokens_read <= own.m_shared_tokens_read / 3);
 }
+
+TEST_CASE("ways of placing, by load", "[.ways]")
+{
+    std::ostringstream table;
+    for (const double load : {1.0, 2.0, 3.0, 4.0})
+    {
+        const auto shape = with_load(make_uneven_site(), load);
+        const auto add = [&](const std::string& name, auto make) {
+            site_result::counts sum;
+            std::uint64_t shared = 0;
+            for (const std::uint64_t seed : {1U, 2U, 3U})
+            {
+                place_site site(shape, seed);
+                const auto policy = make(site);
+                const auto result = site.run(*policy, 51, 2000, 14'000);
+                sum = sum + result.m_all;
+                shared += result.m_shared_tokens_read;
+            }
+            table << load << ' ' << name << ": late " << sum.late_share()
+                  << ", stretch " << sum.mean_stretch()
+                  << ", shared tokens read " << shared / 3 << '\n';
+        };
+        add("own calls", [](const place_site& site) {
+            return std::make_unique<own_calls_policy>(site, 51);
+        });
+        add("told loads of 300 ms, two drawn", [](const place_site& site) {
+            return std::make_unique<told_loads_policy>(site, 51,
+                                                       milliseconds(300));
+        });
+        add("one who places", [](const place_site& site) {
+            return std::make_unique<placing_policy>(site);
+        });
+    }
+    WARN(table.str());
+}
