Places: late calls are of programs that have begun, too

Cause: a call whose program is late was refused at once when the line was long, in the middle of its program; all that had been done for it was lost.

It still goes last, but is not refused for new ones. The site model takes its patience from wait_patience and tells late calls as such, as edge VMs do.

Ruled out: leaving late calls in the line until their patience ends and refusing them then.

--- a/include/pepperturn/scheduling/place_line.hpp
+++ b/include/pepperturn/scheduling/place_line.hpp
@@ -35,6 +35,10 @@
     friend bool operator==(const line_entry&, const line_entry&) = default;
 };
 
+/// True if its program has had calls before, be it in time or late: refused,
+/// all of it would be lost.
+[[nodiscard]] bool is_begun(const line_entry& entry);
+
 /// True if \p left goes before \p right of the same workspace: by rank, then
 /// by priority, then in order of arrival, unless the other has waited for
 /// long.
--- a/src/scheduling/place_line.cpp
+++ b/src/scheduling/place_line.cpp
@@ -58,6 +58,11 @@
 
 } // namespace
 
+bool is_begun(const line_entry& entry)
+{
+    return entry.m_rank != call_rank::first;
+}
+
 bool goes_before(const line_entry& left, const line_entry& right)
 {
     return order_time(left) < order_time(right);
@@ -120,7 +125,7 @@
         return;
     auto& row = line.m_workspaces.front();
     row.m_credit_ms -= work_of(row.m_entries.front());
-    if (row.m_entries.front().m_rank != call_rank::under_way)
+    if (!is_begun(row.m_entries.front()))
         row.m_opening = add_admission(row.m_opening, now);
     row.m_entries.erase(row.m_entries.begin());
     --line.m_size;
@@ -150,7 +155,7 @@
                    bool begun_only)
 {
     const auto counts = [begun_only](const line_entry& row) {
-        return !begun_only || row.m_rank == call_rank::under_way;
+        return !begun_only || is_begun(row);
     };
     double own = work_of(entry);
     if (const auto* row = find_line(line, entry.m_workspace))
@@ -182,18 +187,17 @@
 double expected_line_wait(const place_line& line, const line_entry& entry,
                           double places, instant now)
 {
-    const bool begun = entry.m_rank == call_rank::under_way;
+    const bool begun = is_begun(entry);
     const double by_work =
         work_before(line, entry, begun) / std::max(places, 1.0);
     const auto* row = find_line(line, entry.m_workspace);
     if (begun || row == nullptr)
         return by_work;
-    const auto ahead = static_cast<std::size_t>(
-        std::count_if(row->m_entries.begin(), row->m_entries.end(),
-                      [&entry](const line_entry& before) {
-                          return before.m_rank != call_rank::under_way &&
-                                 !goes_before(entry, before);
-                      }));
+    const auto ahead = static_cast<std::size_t>(std::count_if(
+        row->m_entries.begin(), row->m_entries.end(),
+        [&entry](const line_entry& before) {
+            return !is_begun(before) && !goes_before(entry, before);
+        }));
     const auto by_rate = expected_wait(row->m_opening, ahead, now);
     return std::max(by_work, rate_share * static_cast<double>(by_rate.count()));
 }
--- a/src/scheduling/place_service.cpp
+++ b/src/scheduling/place_service.cpp
@@ -210,7 +210,7 @@
         const auto question = std::move(row->second);
         m_waiting.erase(row);
         std::optional<place_answer> answer;
-        if (entry.m_rank == call_rank::under_way)
+        if (is_begun(entry))
             answer = place(question, reach::queue, now);
         if (answer)
             ++m_counters.m_forced;
--- a/test/scheduling/place_site.cpp
+++ b/test/scheduling/place_site.cpp
@@ -198,6 +198,10 @@
         kind.m_own_tokens + program.m_turn * (grown_tokens + call.m_tokens);
     const double aim =
         m_shape.m_aim_factor * (program.m_alone_ms + 200) + m_shape.m_aim_ms;
+    const milliseconds left(static_cast<int>(program.m_begun + aim - m_now));
+    const auto rank = program.m_turn == 0 ? call_rank::first
+                      : left.count() < 0  ? call_rank::late
+                                          : call_rank::under_way;
     call.m_program = id;
     call.m_vm = static_cast<std::uint32_t>(draw(program.m_random) * m_vms);
     call.m_asked = m_now;
@@ -208,11 +212,12 @@
         .m_parts = {{program.m_shared, shared_tokens}, {1'000'000 + id, own}},
         .m_prompt_tokens = shared_tokens + own,
         .m_most_tokens = m_shape.m_events * most_event_tokens,
-        .m_rank = program.m_turn == 0 ? call_rank::first : call_rank::under_way,
+        .m_rank = rank,
         .m_priority = 0,
-        .m_patience_ms = m_shape.m_patience_ms,
-        .m_program_left_ms = static_cast<std::uint32_t>(
-            std::max(1.0, program.m_begun + aim - m_now)),
+        .m_patience_ms = static_cast<std::uint32_t>(
+            wait_patience(rank, left, milliseconds(deadline_ms)).count()),
+        .m_program_left_ms =
+            static_cast<std::uint32_t>(std::max<std::int64_t>(1, left.count())),
         .m_availability_zone = std::to_string(call.m_vm % 3),
         .m_excluded = {}};
     const auto fresh = program.m_turn == 0 ? own : grown_tokens + call.m_tokens;
--- a/test/scheduling/place_site.hpp
+++ b/test/scheduling/place_site.hpp
@@ -45,7 +45,6 @@
     /// Workspaces; the first asks this many times as often as each other.
     std::uint32_t m_workspaces = 1;
     std::function<double(int)> m_first_workspace = [](int) { return 1.0; };
-    std::uint32_t m_patience_ms = 1000;
 };
 
 /// How calls are placed.
--- a/test/scheduling/test_engine_places.cpp
+++ b/test/scheduling/test_engine_places.cpp
@@ -249,7 +249,7 @@
     for (std::uint64_t call = 1; call <= 30; ++call)
         (void)places.ask(make_question(call), start);
     auto begun = make_question(99);
-    begun.m_rank = call_rank::under_way;
+    begun.m_rank = GENERATE(call_rank::under_way, call_rank::late);
     begun.m_patience_ms = 30;
     REQUIRE_FALSE(places.ask(begun, start).has_value());
     const auto decided = places.take_decided(start + milliseconds(31));
--- a/test/scheduling/test_place_line.cpp
+++ b/test/scheduling/test_place_line.cpp
@@ -118,6 +118,7 @@
     // 50 calls of 100 ms at 10 places.
     CHECK(wait(1, call_rank::first) >= 500);
     CHECK(wait(1, call_rank::under_way) == 0);
+    CHECK(wait(1, call_rank::late) == 0);
     // Its turn comes after one of the other workspace.
     CHECK(wait(2, call_rank::first) <= 20);
     CHECK(wait(2, call_rank::under_way) == 0);
--- a/test/scheduling/test_place_loads.cpp
+++ b/test/scheduling/test_place_loads.cpp
@@ -203,6 +203,22 @@
     CHECK(result.m_all.m_refused_begun == 0);
 }
 
+TEST_CASE("more than all engines can do: who has begun is served", "[places]")
+{
+    const auto seed = GENERATE(1U, 2U);
+    const auto shape = with_load(make_uneven_site(), 5);
+    const auto placed = run_placed(shape, seed, 51, 10'000);
+    const auto own = run_own(shape, seed, 51, 10'000);
+    CAPTURE(seed, describe("placed", placed), describe("own", own));
+    CHECK(placed.m_all.m_refused_begun == 0);
+    // Most are told so at once.
+    CHECK(placed.m_all.m_refused_waited * 10 < placed.m_all.m_refused);
+    const auto in_time = [](const site_result& result) {
+        return result.m_all.m_programs - result.m_all.m_late;
+    };
+    CHECK(in_time(placed) > 2 * in_time(own));
+}
+
 TEST_CASE("engines that hold less than they tell are still found", "[places]")
 {
     auto shape = make_uneven_site();
