--- a/include/pepperturn/base/async.hpp
+++ b/include/pepperturn/base/async.hpp
@@ -64,6 +64,19 @@
 [[nodiscard]] bool open_listener(tcp::acceptor& acceptor,
                                  const tcp::endpoint& at, std::string& reason);
 
+/// Bounds what the kernel keeps for a connection in each direction, in bytes:
+/// it counts as this VM's memory, and left to itself the kernel keeps some
+/// megabytes. For a listener it holds for what is accepted there.
+template <class Socket>
+void bound_buffers(Socket& socket, int send_bytes, int receive_bytes)
+{
+    // A socket that refuses keeps what the kernel thinks best.
+    error_code ignored;
+    socket.set_option(asio::socket_base::send_buffer_size(send_bytes), ignored);
+    socket.set_option(asio::socket_base::receive_buffer_size(receive_bytes),
+                      ignored);
+}
+
 /// No delay, and a peer that acknowledges nothing for \p silence is given up.
 void tune_socket(tcp::socket& socket, milliseconds silence);
 
--- a/include/pepperturn/forward/caller_connection.hpp
+++ b/include/pepperturn/forward/caller_connection.hpp
@@ -1,10 +1,14 @@
 // SPDX-License-Identifier: BSL-1.0
 /// \file
 /// One caller's connection: reads requests one by one and writes answers.
+///
+/// A caller that does not read holds its own answer up, not the loop: writes
+/// wait for it, what waits counts as held bytes, and the wait has an end.
 #pragma once
 
 #include "pepperturn/base/async.hpp"
 #include "pepperturn/forward/exchange.hpp"
+#include "pepperturn/forward/memory_guard.hpp"
 
 namespace pepperturn {
 
@@ -24,14 +28,40 @@
     caller_request m_request;
     unsigned m_status = 0;
     std::string m_reason;
+    /// Refused for want of memory: when there may be some again.
+    std::optional<milliseconds> m_come_back;
 };
 
 class caller_connection : public std::enable_shared_from_this<caller_connection>
 {
 public:
-    caller_connection(asio::io_context& io, tcp::socket socket);
+    /// What the kernel may keep for a caller, in bytes: a usual request or
+    /// answer at once, a long one over some round trips.
+    static constexpr int send_bytes = 16 << 10;
+    static constexpr int receive_bytes = 32 << 10;
+
+    caller_connection(asio::io_context& io, const clock& time,
+                      memory_guard& memory, tcp::socket socket);
 
     [[nodiscard]] task<read_result> read_request(caller_limits limits);
+    /// What is held for the request that was read last.
+    [[nodiscard]] const std::shared_ptr<held_account>& held() const
+    {
+        return m_held;
+    }
+    /// Reads the rest of a request that was refused before it was read, and
+    /// keeps nothing of it: closed at once, the refusal would be lost.
+    [[nodiscard]] task<> discard_rest();
+    /// The caller has until then to take the answer to the present request.
+    void limit_writes(instant until)
+    {
+        m_write_until = until;
+    }
+    /// It was cut because it did not read.
+    [[nodiscard]] bool cut_unread() const
+    {
+        return m_cut_unread;
+    }
 
     /// A whole answer. \returns false if the caller is gone.
     [[nodiscard]] task<bool> write_answer(const upstream_answer& answer,
@@ -55,13 +85,25 @@
     }
 
 private:
-    task<bool> write_all(std::string text);
+    /// \param charged bytes that are held only for this write
+    task<bool> write_all(std::string_view head, std::string_view body,
+                         std::size_t charged);
+    void begin_wait(std::size_t charged);
+    void end_wait();
+    /// Ends the connection, with what the kernel still has for it.
+    void cut();
 
     /// Ends a read under way after \p span, and notes that it did.
     void limit_read(milliseconds span);
 
+    const clock& m_time;
+    memory_guard& m_memory;
     boost::beast::tcp_stream m_stream;
     asio::steady_timer m_read_timer;
+    asio::steady_timer m_write_timer;
+    std::shared_ptr<held_account> m_held;
+    std::optional<instant> m_write_until;
+    bool m_cut_unread = false;
     bool m_read_late = false;
     boost::beast::flat_buffer m_buffer;
     bool m_idle = true;
--- a/include/pepperturn/forward/exchange.hpp
+++ b/include/pepperturn/forward/exchange.hpp
@@ -3,6 +3,7 @@
 /// One attempt: a request goes to one runner, and its answer comes back.
 #pragma once
 
+#include "pepperturn/forward/held_bytes.hpp"
 #include "pepperturn/forward/request_head.hpp"
 #include "pepperturn/forward/runner_table.hpp"
 #include "pepperturn/forward/upstream_pool.hpp"
@@ -17,7 +18,9 @@
 {
     none,
     caller_left,
-    timeout
+    timeout,
+    /// The caller did not take what had come.
+    not_read
 };
 
 [[nodiscard]] const char* to_string(abort_cause cause);
@@ -108,6 +111,14 @@
     std::string m_workspace = {};
     /// Asked at the last moment before anything is sent; empty: yes.
     std::function<bool()> m_may_send = {};
+    /// Keeps \ref m_body, which a runner may still be taking when the attempt
+    /// is over.
+    std::shared_ptr<const void> m_owner = {};
+    /// Where the bytes held for it count; null: nowhere.
+    std::shared_ptr<held_account> m_held = {};
+    /// Asked before more of an answer is gathered: this VM can hold it. Empty:
+    /// yes.
+    std::function<task<bool>()> m_room = {};
 };
 
 /// Runs one attempt at \p runner.
--- a/include/pepperturn/forward/proxy.hpp
+++ b/include/pepperturn/forward/proxy.hpp
@@ -49,6 +49,15 @@
         return m_config && m_config->m_directory;
     }
     void take_runners(const std::vector<runner_info>& runners);
+    /// \param memory_mb of the VM, for this process; 0: not told
+    void bound_memory(std::uint32_t memory_mb)
+    {
+        m_memory.bound_by(memory_mb);
+    }
+    [[nodiscard]] const held_book& held() const
+    {
+        return *m_memory.book();
+    }
     [[nodiscard]] bool has_config() const
     {
         return m_config != nullptr;
@@ -66,6 +75,8 @@
     {
         return m_metrics;
     }
+    /// All figures for operators, one line each.
+    [[nodiscard]] std::string metrics_text() const;
     [[nodiscard]] std::uint64_t upstream_connections() const
     {
         return m_pool.opened();
@@ -87,6 +98,8 @@
     {
         caller_request m_request;
         request_fields m_fields;
+        /// Where what is held for it counts.
+        std::shared_ptr<held_account> m_held;
         std::shared_ptr<const routing_config> m_config;
         const route* m_route = nullptr;
         /// Whose it is, where callers have keys; null: nobody's.
@@ -151,6 +164,8 @@
 
     task<> accept_callers();
     task<> serve(std::shared_ptr<caller_connection> caller);
+    task<> refuse_unread(std::shared_ptr<caller_connection> caller,
+                         read_result read);
     task<bool> serve_one(std::shared_ptr<caller_connection> caller,
                          caller_request request);
     /// Waits for \p ready while this VM has only just started.
@@ -242,6 +257,7 @@
     std::string m_availability_zone;
     turn_client& m_turns;
     tcp::acceptor m_acceptor;
+    memory_guard m_memory;
     upstream_pool m_pool;
     runner_table m_runners;
     engine_gate m_gate;
--- a/include/pepperturn/forward/upstream_pool.hpp
+++ b/include/pepperturn/forward/upstream_pool.hpp
@@ -31,6 +31,12 @@
 class upstream_pool
 {
 public:
+    /// What the kernel may keep for a connection, in bytes: a usual prompt or
+    /// answer at once. Bytes that a runner has sent and nobody has read yet
+    /// count as this VM's memory.
+    static constexpr int send_bytes = 32 << 10;
+    static constexpr int receive_bytes = 32 << 10;
+
     upstream_pool(asio::io_context& io, const clock& time);
 
     /// A kept connection that is still good; null: there is none.
--- a/src/fleet/edge_node.cpp
+++ b/src/fleet/edge_node.cpp
@@ -53,9 +53,9 @@
               return m_proxy.has_config() && m_turns.connected() &&
                      !m_stopping && !config_outdated();
           },
-          [this] { return m_proxy.metrics().text(); }),
+          [this] { return m_proxy.metrics_text(); }),
       m_metrics(
-          io, [] { return true; }, [this] { return m_proxy.metrics().text(); })
+          io, [] { return true; }, [this] { return m_proxy.metrics_text(); })
 {}
 
 bool edge_node::start(std::string& reason)
@@ -76,6 +76,7 @@
     if (!m_proxy.listen(callers, reason) || !m_status.listen(ready, reason))
         return false;
     m_metrics.listen_beside(m_settings.m_metrics_address);
+    m_proxy.bound_memory(m_settings.m_memory_mb);
     m_proxy.guard_workspaces(
         {[this] { return config_age(); }, m_staleness_limits, &m_quota});
     m_proxy.place_by(m_places);
--- a/src/forward/caller_connection.cpp
+++ b/src/forward/caller_connection.cpp
@@ -1,11 +1,13 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "pepperturn/forward/caller_connection.hpp"
 
+#include "pepperturn/scheduling/refusal.hpp"
+
 #include <array>
-#include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/status.hpp>
+#include <glog/logging.h>
 #include <sys/socket.h>
 
 namespace pepperturn {
@@ -13,10 +15,14 @@
 namespace {
 
 constexpr std::size_t read_bytes = 8192;
-/// A caller that takes nothing for this long has gone, whatever its socket
-/// says.
+/// An answer to a request of which no deadline is known is short.
 constexpr milliseconds write_patience{10000};
-constexpr milliseconds caller_silence{3000};
+/// The kernel takes a caller for dead that leaves bytes unacknowledged, or its
+/// window shut, for this long. Longer than usual deadlines: a caller that
+/// takes its answer up again in time is to get it.
+constexpr milliseconds caller_silence{10000};
+/// A refused request's rest is read for so long.
+constexpr milliseconds discard_patience{500};
 /// A body of the largest size passes in this time on a slow link.
 constexpr milliseconds body_patience{10000};
 constexpr std::string_view head_end = "\r\n\r\n";
@@ -71,15 +77,23 @@
     return out;
 }
 
-caller_connection::caller_connection(asio::io_context& io, tcp::socket socket)
-    : m_stream(std::move(socket)), m_read_timer(io)
+caller_connection::caller_connection(asio::io_context& io, const clock& time,
+                                     memory_guard& memory, tcp::socket socket)
+    : m_time(time), m_memory(memory), m_stream(std::move(socket)),
+      m_read_timer(io), m_write_timer(io),
+      m_held(std::make_shared<held_account>(memory.book()))
 {
     tune_socket(m_stream.socket(), caller_silence);
+    // Writes try at once and wait only where the caller does not read.
+    error_code ignored;
+    m_stream.socket().non_blocking(true, ignored);
 }
 
 task<read_result> caller_connection::read_request(caller_limits limits)
 {
     m_idle = m_buffer.size() == 0;
+    m_held = std::make_shared<held_account>(m_memory.book());
+    m_write_until.reset();
     std::size_t searched = 0;
     std::size_t head_bytes = 0;
     // Not the stream's own expiry, which closes the socket: a slow caller is
@@ -125,16 +139,32 @@
     if (ec)
         co_return refusal(ec == http::error::body_limit ? 413 : 400,
                           ec.message());
+    const auto no_memory = [&parser] {
+        auto out = refusal(503, "no memory for its body");
+        out.m_come_back = come_back_later;
+        out.m_request.base() = parser.get().base();
+        return out;
+    };
+    if (!m_memory.may_read_body(parser.content_length().value_or(0)))
+        co_return no_memory();
     if (parser.get()[http::field::expect] == "100-continue")
     {
-        // A local: GCC 12 may destroy temporaries of a condition that awaits
-        // twice.
-        std::string go_on = "HTTP/1.1 100 Continue\r\n\r\n";
-        const bool told = co_await write_all(std::move(go_on));
+        const bool told =
+            co_await write_all("HTTP/1.1 100 Continue\r\n\r\n", {}, 0);
         if (!told)
             co_return read_result{};
     }
-    co_await http::async_read(m_stream, m_buffer, parser, into(ec));
+    while (!parser.is_done() && !ec)
+    {
+        co_await http::async_read_some(m_stream, m_buffer, parser, into(ec));
+        const auto size = parser.get().body().size();
+        m_held->set(held_kind::request, size);
+        // Least is lost with what has not run.
+        if (!ec && !parser.is_done() &&
+            m_memory.level() == pressure_level::cutting &&
+            !m_memory.may_read_body(size))
+            co_return no_memory();
+    }
     if (ec == http::error::body_limit)
         co_return refusal(413, "body is too long");
     if (ec && m_read_late)
@@ -167,13 +197,85 @@
     });
 }
 
-task<bool> caller_connection::write_all(std::string text)
+task<> caller_connection::discard_rest()
 {
     error_code ec;
-    m_stream.expires_after(write_patience);
-    co_await asio::async_write(m_stream, asio::buffer(text), into(ec));
-    m_stream.expires_never();
-    co_return !ec;
+    m_stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+    m_buffer.clear();
+    limit_read(discard_patience);
+    std::array<char, read_bytes> chunk;
+    while (!ec)
+        co_await m_stream.async_read_some(asio::buffer(chunk), into(ec));
+    m_read_timer.cancel();
+}
+
+task<bool> caller_connection::write_all(std::string_view head,
+                                        std::string_view body,
+                                        std::size_t charged)
+{
+    auto& socket = m_stream.socket();
+    error_code ec;
+    bool waits = false;
+    while (!ec && !m_cut_unread && head.size() + body.size() > 0)
+    {
+        const std::array<asio::const_buffer, 2> rest{
+            asio::buffer(head.data(), head.size()),
+            asio::buffer(body.data(), body.size())};
+        const auto count = socket.write_some(rest, ec);
+        if (ec == asio::error::would_block)
+        {
+            if (!std::exchange(waits, true))
+                begin_wait(charged);
+            co_await socket.async_wait(tcp::socket::wait_write, into(ec));
+            continue;
+        }
+        const auto of_head = std::min(count, head.size());
+        head.remove_prefix(of_head);
+        body.remove_prefix(count - of_head);
+        if (waits)
+            m_held->note_taken(count, m_time.now());
+    }
+    if (waits)
+        end_wait();
+    co_return !ec && !m_cut_unread;
+}
+
+void caller_connection::begin_wait(std::size_t charged)
+{
+    m_held->set(held_kind::unread, charged + send_bytes);
+    m_held->begin_wait(m_time.now(), [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->cut();
+    });
+    m_write_timer.expires_at(
+        m_write_until.value_or(m_time.now() + write_patience));
+    m_write_timer.async_wait([weak = weak_from_this(),
+                              held = m_held](error_code ec) {
+        const auto self = weak.lock();
+        if (ec || !self || !held->waits())
+            return;
+        const auto unread = held->unread(self->m_time.now());
+        LOG(INFO) << "event=reader_cut held=" << unread.m_held
+                  << " taken=" << unread.m_taken
+                  << " waited_ms=" << unread.m_waited.count() << " cause=time";
+        held->cut();
+    });
+}
+
+void caller_connection::end_wait()
+{
+    m_write_timer.cancel();
+    m_held->end_wait(m_time.now());
+    m_held->set(held_kind::unread, 0);
+}
+
+void caller_connection::cut()
+{
+    m_cut_unread = true;
+    // Closed in the usual way, the kernel would keep what is unread.
+    error_code ignored;
+    m_stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    m_stream.close();
 }
 
 task<bool> caller_connection::write_answer(const upstream_answer& answer,
@@ -186,8 +288,8 @@
         text +=
             "Content-Length: " + std::to_string(answer.m_body.size()) + "\r\n";
     text += "\r\n";
-    text += answer.m_body;
-    co_return co_await write_all(std::move(text));
+    // The body counts already, as an answer that was gathered.
+    co_return co_await write_all(text, answer.m_body, text.size());
 }
 
 task<bool> caller_connection::begin_stream(const upstream_answer& head,
@@ -195,7 +297,7 @@
 {
     auto text = head_text(head, keep_alive);
     text += "Transfer-Encoding: chunked\r\n\r\n";
-    co_return co_await write_all(std::move(text));
+    co_return co_await write_all(text, {}, text.size());
 }
 
 task<bool> caller_connection::write_piece(std::string_view bytes)
@@ -207,12 +309,12 @@
     std::string text(size.data(), static_cast<std::size_t>(count));
     text += bytes;
     text += "\r\n";
-    co_return co_await write_all(std::move(text));
+    co_return co_await write_all(text, {}, text.size());
 }
 
 task<bool> caller_connection::end_stream()
 {
-    co_return co_await write_all("0\r\n\r\n");
+    co_return co_await write_all("0\r\n\r\n", {}, 0);
 }
 
 void caller_connection::watch(const std::shared_ptr<abort_switch>& aborter)
--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -19,6 +19,10 @@
 constexpr std::size_t inline_write_bytes = 8192;
 constexpr std::size_t read_bytes = 8192;
 constexpr std::size_t max_answer_bytes = 16U << 20U;
+/// A long body that a runner has not taken after this share of the time left
+/// leaves too little for its answer; sooner than the least it is only busy.
+constexpr int take_share = 2;
+constexpr milliseconds least_take_patience{1000};
 constexpr std::uint32_t max_answer_head_bytes = 32U << 10U;
 /// Kept without a stated time; most servers keep five seconds or more.
 constexpr milliseconds default_keep{4000};
@@ -35,10 +39,14 @@
 {
     std::shared_ptr<upstream_connection> m_connection;
     std::string m_head;
-    std::string m_late_body;
+    std::string_view m_late_body;
+    /// Keeps the body.
+    std::shared_ptr<const void> m_owner;
+    std::shared_ptr<held_account> m_held;
     bool m_written = false;
-    bool m_write_failed = false;
-    bool m_sent_any = false;
+    bool m_answered = false;
+    /// Given up because the runner did not take the request.
+    bool m_untaken = false;
 };
 
 std::string_view field(const http::fields& fields, const std::string& name)
@@ -75,27 +83,52 @@
 }
 
 /// Writes head and body while the answer may already be coming.
-task<> write_late(std::shared_ptr<attempt_state> state)
+/// \param patience for a runner that neither takes the body nor answers
+task<> write_late(asio::io_context& io, std::shared_ptr<attempt_state> state,
+                  milliseconds patience)
 {
+    asio::steady_timer timer(io);
+    timer.expires_after(patience);
+    timer.async_wait([state](error_code ec) {
+        if (ec || state->m_answered || state->m_written)
+            return;
+        state->m_untaken = true;
+        state->m_connection->m_stream.close();
+    });
+    if (state->m_held)
+        state->m_held->add(held_kind::late_body, upstream_pool::send_bytes);
     error_code ec;
     const std::array<asio::const_buffer, 2> parts{
-        asio::buffer(state->m_head), asio::buffer(state->m_late_body)};
+        asio::buffer(state->m_head),
+        asio::buffer(state->m_late_body.data(), state->m_late_body.size())};
     co_await asio::async_write(state->m_connection->m_stream.socket(), parts,
                                into(ec));
+    timer.cancel();
+    if (state->m_held)
+        state->m_held->give_back(held_kind::late_body,
+                                 upstream_pool::send_bytes);
+    state->m_owner.reset();
+    state->m_held.reset();
     state->m_written = !ec;
-    state->m_write_failed = static_cast<bool>(ec);
 }
 
 /// Sends the request; large bodies go on being sent after the return.
 task<bool> send_request(asio::io_context& io,
                         std::shared_ptr<attempt_state> state,
-                        std::string_view body)
+                        std::string_view body, milliseconds left)
 {
-    state->m_sent_any = true;
     if (body.size() > inline_write_bytes)
     {
-        state->m_late_body = std::string(body);
-        spawn(io, "exchange.write", write_late(state));
+        state->m_late_body = body;
+        if (!state->m_owner)
+        {
+            auto own = std::make_shared<std::string>(body);
+            state->m_late_body = *own;
+            state->m_owner = std::move(own);
+        }
+        spawn(io, "exchange.write",
+              write_late(io, state,
+                         std::max(least_take_patience, left / take_share)));
         co_return true;
     }
     error_code ec;
@@ -129,6 +162,8 @@
 {
     bool m_whole = false;
     bool m_caller_gone = false;
+    /// This VM could not hold the answer; that says nothing of the runner.
+    bool m_no_room = false;
     std::string m_reason;
 };
 
@@ -181,6 +216,8 @@
         return "caller_left";
     case abort_cause::timeout:
         return "timeout";
+    case abort_cause::not_read:
+        return "not_read";
     }
     return "unknown";
 }
@@ -261,7 +298,9 @@
          request.m_last_event, request.m_withholds_key, request.m_workspace},
         names);
     runners.note_sent(runner.m_id);
-    (void)co_await send_request(io, state, request.m_body);
+    state->m_owner = request.m_owner;
+    state->m_held = request.m_held;
+    (void)co_await send_request(io, state, request.m_body, left);
 
     if (request.m_give_up_at)
         connection.m_stream.expires_at(*request.m_give_up_at);
@@ -275,6 +314,7 @@
     co_await http::async_read_header(connection.m_stream, connection.m_buffer,
                                      parser, into(ec));
     const char* fault = nullptr;
+    state->m_answered = !ec;
     if (!ec)
     {
         result.m_first_byte = elapsed(sent_at, time.now());
@@ -294,7 +334,14 @@
         std::function<task<bool>(std::string_view)> take =
             [&](std::string_view bytes) -> task<bool> {
             result.m_answer.m_body += bytes;
-            co_return result.m_answer.m_body.size() <= max_answer_bytes;
+            if (request.m_held)
+                request.m_held->add(held_kind::answer, bytes.size());
+            if (result.m_answer.m_body.size() > max_answer_bytes)
+                co_return false;
+            const bool usual = result.m_answer.m_body.size() <= read_bytes;
+            if (usual || !request.m_room)
+                co_return true;
+            co_return co_await request.m_room();
         };
         if (stream)
         {
@@ -306,6 +353,13 @@
         if (!body.m_caller_gone)
             body =
                 co_await read_body(state, parser, request.m_gap_patience, take);
+        if (request.m_held)
+            request.m_held->end_gathering();
+        if (!stream && std::exchange(body.m_caller_gone, false))
+        {
+            body.m_no_room = true;
+            body.m_reason = "longer than this VM can hold";
+        }
     }
     aborter->on_pull(nullptr);
     runners.note_ended(runner.m_id);
@@ -340,8 +394,9 @@
         runners.note_full(runner.m_id, time.now());
         co_return result;
     }
-    runners.note_result(
-        runner.m_id, body.m_whole && status < first_server_error, time.now());
+    const bool good =
+        body.m_no_room || (body.m_whole && status < first_server_error);
+    runners.note_result(runner.m_id, good, time.now());
     if (body.m_whole)
     {
         // A promise that the runner did not sign as one is not passed on.
@@ -350,10 +405,12 @@
         result.m_reason = "status " + std::to_string(status);
         co_return result;
     }
-    result.m_reason = fault != nullptr ? fault
-                      : ec             ? "head: " + ec.message()
-                                       : "body: " + body.m_reason;
-    runners.note_failure(runner.m_id, time.now());
+    result.m_reason = fault != nullptr   ? fault
+                      : state->m_untaken ? "request not taken"
+                      : ec               ? "head: " + ec.message()
+                                         : "body: " + body.m_reason;
+    if (!body.m_no_room)
+        runners.note_failure(runner.m_id, time.now());
     co_return result;
 }
 
--- /dev/null
+++ b/src/forward/memory_guard.cpp
@@ -0,0 +1,124 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/forward/memory_guard.hpp"
+
+#include "pepperturn/base/latency_histogram.hpp"
+
+#include <glog/logging.h>
+
+namespace pepperturn {
+
+namespace {
+
+/// How often the level is looked at while it is not calm: short beside the
+/// time in which links of this VM could fill what is left of its memory.
+constexpr milliseconds look_interval{50};
+/// A new connection waits no longer than this: callers give one up that is
+/// not read for a second.
+constexpr milliseconds longest_pause{100};
+/// Runners cut off an answer that stays unread for some seconds; longer than
+/// it takes to tell who reads slowly.
+constexpr milliseconds room_patience{2500};
+
+} // namespace
+
+memory_guard::memory_guard(asio::io_context& io, const clock& time)
+    : m_io(io), m_time(time), m_book(std::make_shared<held_book>(held_bound(0)))
+{
+    m_book->on_level([this](pressure_level level) { take_level(level); });
+}
+
+memory_guard::~memory_guard()
+{
+    // Accounts of calls that were never ended hold on to the book.
+    m_book->on_level(nullptr);
+}
+
+void memory_guard::bound_by(std::uint32_t memory_mb)
+{
+    m_book->set_bound(held_bound(memory_mb));
+}
+
+bool memory_guard::may_read_body(std::uint64_t body) const
+{
+    return pepperturn::may_read_body(m_book->level(), m_book->total(),
+                                     m_book->bound(), body);
+}
+
+task<> memory_guard::pause()
+{
+    const auto until = m_time.now() + longest_pause;
+    while (level() >= pressure_level::pausing && m_time.now() < until)
+        co_await sleep_for(m_io, look_interval);
+}
+
+bool memory_guard::has_room(const held_account* held) const
+{
+    return level() != pressure_level::cutting ||
+           (m_book->first_gathering() == held &&
+            m_book->total() < m_book->bound());
+}
+
+task<bool> memory_guard::wait_for_room(std::shared_ptr<held_account> held)
+{
+    if (level() != pressure_level::cutting)
+        co_return true;
+    held->begin_gathering();
+    const auto until = m_time.now() + room_patience;
+    while (!has_room(held.get()) && m_time.now() < until)
+        co_await sleep_for(m_io, look_interval);
+    co_return has_room(held.get());
+}
+
+void memory_guard::take_level(pressure_level level)
+{
+    LOG(INFO) << "event=memory_pressure level=" << to_string(level)
+              << " held=" << m_book->total() << " bound=" << m_book->bound()
+              << " unread=" << m_book->of_kind(held_kind::unread)
+              << " waiting=" << m_book->waiting().size();
+    if (level != pressure_level::cutting || std::exchange(m_relieving, true))
+        return;
+    spawn(m_io, "memory_guard.relieve", relieve());
+}
+
+task<> memory_guard::relieve()
+{
+    while (level() == pressure_level::cutting)
+    {
+        cut_slowest();
+        co_await sleep_for(m_io, look_interval);
+    }
+    m_relieving = false;
+}
+
+void memory_guard::cut_slowest()
+{
+    const std::vector<held_account*> accounts(m_book->waiting().begin(),
+                                              m_book->waiting().end());
+    std::vector<unread_answer> answers;
+    answers.reserve(accounts.size());
+    for (const auto* account : accounts)
+        answers.push_back(account->unread(m_time.now()));
+    // Nothing ends before the loop runs on: an account lives until the write
+    // that waits on it has returned.
+    for (const auto index :
+         choose_cuts(answers, m_book->total(), m_book->bound()))
+    {
+        LOG(INFO) << "event=reader_cut held=" << answers[index].m_held
+                  << " taken=" << answers[index].m_taken
+                  << " waited_ms=" << answers[index].m_waited.count()
+                  << " cause=memory held_by_all=" << m_book->total();
+        accounts[index]->cut();
+    }
+}
+
+void memory_guard::write_metrics(std::string& out) const
+{
+    write_metric(out, "held_bytes", m_book->total());
+    write_metric(out, "held_bytes_most", m_book->most());
+    write_metric(out, "held_bytes_bound", m_book->bound());
+    write_metric(out, "slow_readers", m_book->slow_readers());
+    write_metric(out, "readers_cut", m_book->readers_cut());
+    write_metric(out, "bodies_refused_for_memory", m_refused);
+}
+
+} // namespace pepperturn
--- a/src/forward/proxy.cpp
+++ b/src/forward/proxy.cpp
@@ -19,6 +19,9 @@
 constexpr milliseconds start_hold{500};
 constexpr milliseconds start_check{15};
 constexpr milliseconds drain_retry{100};
+/// An answer that is ready at the last moment takes this long at most to be
+/// taken by a caller that reads.
+constexpr milliseconds write_slack{250};
 
 std::string seconds_text(milliseconds span)
 {
@@ -34,13 +37,16 @@
              std::string availability_zone, turn_client& turns)
     : m_io(io), m_time(time), m_names(std::move(names)),
       m_availability_zone(std::move(availability_zone)), m_turns(turns),
-      m_acceptor(io), m_pool(io, time), m_gate(io, time), m_started(time.now())
+      m_acceptor(io), m_memory(io, time), m_pool(io, time), m_gate(io, time),
+      m_started(time.now())
 {}
 
 bool proxy::listen(const tcp::endpoint& at, std::string& reason)
 {
     if (!open_listener(m_acceptor, at, reason))
         return false;
+    bound_buffers(m_acceptor, caller_connection::send_bytes,
+                  caller_connection::receive_bytes);
     spawn(m_io, "proxy.accept", accept_callers());
     return true;
 }
@@ -107,8 +113,8 @@
             co_await sleep_for(m_io, drain_retry);
             continue;
         }
-        auto caller =
-            std::make_shared<caller_connection>(m_io, std::move(socket));
+        auto caller = std::make_shared<caller_connection>(
+            m_io, m_time, m_memory, std::move(socket));
         m_callers.insert(caller);
         spawn(m_io, "proxy.serve", serve(caller));
     }
@@ -116,6 +122,8 @@
 
 task<> proxy::serve(std::shared_ptr<caller_connection> caller)
 {
+    if (m_memory.level() != pressure_level::calm)
+        co_await m_memory.pause();
     while (true)
     {
         const auto limits = m_config ? m_config->m_limits : caller_limits{};
@@ -124,11 +132,7 @@
             break;
         if (read.m_outcome == read_outcome::refused)
         {
-            LOG(INFO) << "event=request_refused status=" << read.m_status
-                      << " reason=\"" << read.m_reason << '"';
-            m_metrics.count("requests_malformed");
-            const auto refusal = own_answer(read.m_status, read.m_reason);
-            (void)co_await caller->write_answer(refusal, false);
+            co_await refuse_unread(caller, std::move(read));
             break;
         }
         ++m_active;
@@ -142,12 +146,44 @@
     m_callers.erase(caller);
 }
 
+task<> proxy::refuse_unread(std::shared_ptr<caller_connection> caller,
+                            read_result read)
+{
+    LOG(INFO) << "event=request_refused status=" << read.m_status
+              << " reason=\"" << read.m_reason
+              << "\" held=" << m_memory.book()->total();
+    auto answer = own_answer(read.m_status, read.m_reason);
+    if (!read.m_come_back)
+    {
+        m_metrics.count("requests_malformed");
+        (void)co_await caller->write_answer(answer, false);
+        co_return;
+    }
+    m_memory.note_refused();
+    answer.m_fields.set(http::field::retry_after,
+                        seconds_text(*read.m_come_back));
+    const auto id = decode_fields(read.m_request, m_names).m_id;
+    if (!id.empty())
+        answer.m_fields.set(m_names.m_request_id, id);
+    const bool told = co_await caller->write_answer(answer, false);
+    if (told)
+        co_await caller->discard_rest();
+}
+
+std::string proxy::metrics_text() const
+{
+    auto out = m_metrics.text();
+    m_memory.write_metrics(out);
+    return out;
+}
+
 task<bool> proxy::serve_one(std::shared_ptr<caller_connection> caller,
                             caller_request request)
 {
     const auto work = std::make_shared<call>();
     work->m_request = std::move(request);
     work->m_fields = decode_fields(work->m_request, m_names);
+    work->m_held = caller->held();
     work->m_arrived = m_time.now();
     work->m_config = m_config;
     work->m_config_revision = m_config_revision;
@@ -172,6 +208,8 @@
                                           work->m_fields.m_id);
         written = co_await caller->write_answer(*result.m_answer, keep_alive);
     }
+    if (caller->cut_unread())
+        work->m_why += " not read by its caller";
     log_end(*work, status);
     co_return written&& keep_alive;
 }
@@ -267,6 +305,9 @@
         work->m_arrived +
         std::min(route.m_timeout,
                  work->m_fields.m_deadline.value_or(route.m_timeout));
+    caller->limit_writes(work->m_deadline + write_slack);
+    if (work->m_workspace != nullptr)
+        work->m_held->set_workspace(work->m_workspace->m_name);
     spawn(m_io, "proxy.deadline", watch_deadline(work));
     // What may not be repeated runs on to its end: its effect cannot be
     // taken back, and its answer may be asked for.
@@ -340,6 +381,7 @@
                      home ? m_runners.find_hashed(home->m_runner) : nullptr)
             work->m_preferred = row->m_incarnation;
         work->m_body += work->m_request.body();
+        work->m_held->set(held_kind::chain, work->m_body.size());
         co_return std::nullopt;
     }
     settle(*work, 0);
--- a/src/forward/proxy_attempts.cpp
+++ b/src/forward/proxy_attempts.cpp
@@ -66,9 +66,11 @@
 {
     verdict out;
     settle(work, 0);
-    if (work.m_aborter->cause() == abort_cause::caller_left)
+    const auto cause = work.m_aborter->cause();
+    if (cause == abort_cause::caller_left || cause == abort_cause::not_read)
     {
-        work.m_why += "caller left";
+        if (cause == abort_cause::caller_left)
+            work.m_why += "caller left";
         out.m_cut = true;
     }
     else if (state.m_reserve)
@@ -174,22 +176,27 @@
                      sent_at + patience_factor * route.m_target_latency);
     const std::string_view body =
         route.m_stateful ? work->m_body : work->m_request.body();
-    const attempt_request request{work->m_request,
-                                  body,
-                                  work->m_fields.m_id,
-                                  route.m_name,
-                                  route.m_kind == route_kind::stream,
-                                  work->m_deadline,
-                                  give_up_at,
-                                  work->m_urgency,
-                                  last_event,
-                                  first_patience,
-                                  gap_patience,
-                                  work->m_config->m_directory.has_value(),
-                                  work->m_workspace != nullptr
-                                      ? work->m_workspace->m_name
-                                      : std::string{},
-                                  [this, work] { return fresh_enough(*work); }};
+    const attempt_request request{
+        work->m_request,
+        body,
+        work->m_fields.m_id,
+        route.m_name,
+        route.m_kind == route_kind::stream,
+        work->m_deadline,
+        give_up_at,
+        work->m_urgency,
+        last_event,
+        first_patience,
+        gap_patience,
+        work->m_config->m_directory.has_value(),
+        work->m_workspace != nullptr ? work->m_workspace->m_name
+                                     : std::string{},
+        [this, work] { return fresh_enough(*work); },
+        work,
+        work->m_held,
+        [this, work]() -> task<bool> {
+            return m_memory.wait_for_room(work->m_held);
+        }};
     auto result = co_await run_attempt(m_io, m_time, m_pool, m_runners, m_names,
                                        runner, request, sink, work->m_aborter);
     work->m_runs += result.m_outcome == attempt_outcome::not_run ? 0 : 1;
@@ -219,20 +226,27 @@
                              const std::shared_ptr<call>& work,
                              const std::shared_ptr<stream_relay>& relay)
 {
+    const auto tell_taken = [caller, work](bool taken) {
+        if (!taken && caller->cut_unread())
+            work->m_aborter->pull(abort_cause::not_read);
+        return taken;
+    };
     stream_sink sink;
     sink.m_begin = [=, this](const upstream_answer& head) -> task<bool> {
         // A run that goes on from another keeps the first one's head.
         if (relay->begun())
             co_return true;
         relay->note_begun();
-        co_return co_await caller->begin_stream(head, work->m_keep_alive &&
-                                                          !m_draining);
+        const bool taken = co_await caller->begin_stream(
+            head, work->m_keep_alive && !m_draining);
+        co_return tell_taken(taken);
     };
     sink.m_data = [=](std::string_view bytes) -> task<bool> {
         const auto whole = relay->take(bytes);
         if (whole.empty())
             co_return true;
-        co_return co_await caller->write_piece(whole);
+        const bool taken = co_await caller->write_piece(whole);
+        co_return tell_taken(taken);
     };
     return sink;
 }
--- /dev/null
+++ b/src/scheduling/read_pressure.cpp
@@ -0,0 +1,143 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/scheduling/read_pressure.hpp"
+
+#include <algorithm>
+#include <array>
+#include <numeric>
+
+namespace pepperturn {
+
+namespace {
+
+constexpr std::uint64_t megabyte = 1U << 20U;
+/// The process without any call: its code and tables, a thousand idle
+/// connections, and what the kernel holds for them.
+constexpr std::uint64_t process_room = 40 * megabyte;
+/// Of the rest, for bytes held; the allocator needs a part for its gaps.
+constexpr double held_share = 0.75;
+/// A VM always bears some answers, however small it is.
+constexpr std::uint64_t least_bound = 4 * megabyte;
+/// Without a setting: what the smallest VMs in use bear.
+constexpr std::uint64_t usual_bound = 32 * megabyte;
+
+/// Shares of the bound at which a level begins, by level. Room is left above
+/// the last one for what comes in before a cut takes effect.
+constexpr std::array<double, 4> level_begins{0, 0.5, 0.65, 0.8};
+/// A level ends below this share of where it begins.
+constexpr double level_ends = 0.9;
+
+/// Usual requests are smaller; refusing them would free nothing.
+constexpr std::uint64_t large_body = 32U << 10U;
+
+/// Faster than a bad mobile link, far slower than a usual caller.
+constexpr double slow_bytes_per_s = 4096;
+/// A link that is harmed for a moment recovers within this.
+constexpr milliseconds slow_after{1500};
+
+double begin_of(pressure_level level)
+{
+    return level_begins.at(static_cast<std::size_t>(level));
+}
+
+/// Bytes held that a cut brings about: calm again, since usual callers are
+/// held up as long as it is not, and who reads so slowly gains nothing.
+std::uint64_t cut_target(std::uint64_t bound)
+{
+    return static_cast<std::uint64_t>(begin_of(pressure_level::pausing) *
+                                      level_ends * static_cast<double>(bound));
+}
+
+} // namespace
+
+std::uint64_t held_bound(std::uint32_t memory_mb)
+{
+    if (memory_mb == 0)
+        return usual_bound;
+    const auto memory = memory_mb * megabyte;
+    if (memory <= process_room)
+        return least_bound;
+    const auto left = static_cast<double>(memory - process_room);
+    return std::max(least_bound, static_cast<std::uint64_t>(held_share * left));
+}
+
+const char* to_string(pressure_level level)
+{
+    switch (level)
+    {
+    case pressure_level::calm:
+        return "calm";
+    case pressure_level::pausing:
+        return "pausing";
+    case pressure_level::refusing:
+        return "refusing";
+    case pressure_level::cutting:
+        return "cutting";
+    }
+    return "unknown";
+}
+
+pressure_level next_level(pressure_level now, std::uint64_t held,
+                          std::uint64_t bound)
+{
+    const auto share = static_cast<double>(held) / static_cast<double>(bound);
+    auto out = pressure_level::calm;
+    for (const auto level : {pressure_level::pausing, pressure_level::refusing,
+                             pressure_level::cutting})
+    {
+        const bool reached = level <= now;
+        if (share >= begin_of(level) * (reached ? level_ends : 1.0))
+            out = level;
+    }
+    return out;
+}
+
+bool may_read_body(pressure_level level, std::uint64_t held,
+                   std::uint64_t bound, std::uint64_t body)
+{
+    if (body <= large_body)
+        return true;
+    return level < pressure_level::refusing && held + body <= bound;
+}
+
+double reading_pace(const unread_answer& answer)
+{
+    if (answer.m_idle >= slow_after)
+        return 0;
+    const auto waited = std::max(answer.m_waited, milliseconds(1));
+    return static_cast<double>(answer.m_taken) / to_seconds(waited);
+}
+
+bool is_slow_reader(const unread_answer& answer)
+{
+    return answer.m_waited >= slow_after &&
+           reading_pace(answer) < slow_bytes_per_s;
+}
+
+std::vector<std::size_t> choose_cuts(const std::vector<unread_answer>& answers,
+                                     std::uint64_t held, std::uint64_t bound)
+{
+    std::vector<std::size_t> out;
+    for (std::size_t i = 0; i < answers.size(); ++i)
+    {
+        if (is_slow_reader(answers[i]))
+            out.push_back(i);
+    }
+    std::sort(out.begin(), out.end(), [&](std::size_t left, std::size_t right) {
+        const auto& a = answers[left];
+        const auto& b = answers[right];
+        const auto pace_a = reading_pace(a);
+        const auto pace_b = reading_pace(b);
+        if (pace_a != pace_b)
+            return pace_a < pace_b;
+        // Among equals the fewest cuts.
+        return a.m_held != b.m_held ? a.m_held > b.m_held : left < right;
+    });
+    const auto target = cut_target(bound);
+    std::size_t count = 0;
+    while (count < out.size() && held > target)
+        held -= std::min(held, answers[out[count++]].m_held);
+    out.resize(count);
+    return out;
+}
+
+} // namespace pepperturn
--- /dev/null
+++ b/test/fleet/test_readers.cpp
@@ -0,0 +1,274 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "support/fleet/lonely_edge.hpp"
+#include "support/fleet/slow_caller.hpp"
+
+#include <fstream>
+
+namespace {
+
+using namespace pepperturn;
+using namespace pepperturn::test;
+using after = runner_step::after;
+
+constexpr std::uint64_t kilobyte = 1U << 10U;
+constexpr std::uint64_t megabyte = 1U << 20U;
+
+/// An edge VM with callers that read at will.
+class readers_world : public lonely_edge
+{
+public:
+    /// \param memory_mb 0: not told
+    explicit readers_world(std::uint32_t memory_mb = 0,
+                           milliseconds timeout = milliseconds(20000))
+    {
+        auto next = config(2);
+        for (auto& row : next.m_routes)
+        {
+            row.m_timeout = timeout;
+            // Runners are not judged by how long their answers take here.
+            row.m_target_latency = timeout;
+        }
+        next.m_limits.m_max_body_bytes = 8 * megabyte;
+        m_proxy.take_config(next);
+        m_proxy.bound_memory(memory_mb);
+    }
+
+    std::shared_ptr<slow_caller> begin(const std::string& request)
+    {
+        auto out = std::make_shared<slow_caller>(m_io);
+        out->begin(endpoint(), request);
+        m_callers.push_back(out);
+        return out;
+    }
+    [[nodiscard]] std::uint64_t held() const
+    {
+        return m_proxy.held().total();
+    }
+    void run_for(milliseconds span)
+    {
+        run_until(
+            m_io, [] { return false; }, span);
+    }
+    bool run_to(const std::function<bool()>& done,
+                milliseconds limit = milliseconds(8000))
+    {
+        return run_until(m_io, done, limit);
+    }
+    std::vector<std::shared_ptr<slow_caller>> m_callers;
+};
+
+std::vector<std::string> long_events(std::size_t count, std::size_t bytes)
+{
+    std::vector<std::string> out;
+    for (std::size_t i = 0; i < count; ++i)
+        out.emplace_back(bytes, static_cast<char>('a' + i % 26));
+    return out;
+}
+
+/// What the caller got of a chunked answer, without the frame of its chunks.
+std::string unchunked(const std::string& answer)
+{
+    std::string out;
+    auto at = answer.find("\r\n\r\n") + 4;
+    while (at < answer.size())
+    {
+        const auto line = answer.find("\r\n", at);
+        const auto size = std::stoul(answer.substr(at, line - at), nullptr, 16);
+        out += answer.substr(line + 2, size);
+        at = line + 2 + size + 2;
+    }
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("a stream waits for its caller and goes on whole", "[readers]")
+{
+    readers_world edge;
+    const auto events = long_events(300, 4000);
+    const auto answer = event_answer(events);
+    edge.m_first.script({{answer}});
+    const auto caller = edge.begin(readers_world::get("/stream/"));
+    edge.run_for(milliseconds(1200));
+    // A piece and what the kernel has; the rest is still the runner's.
+    CHECK(edge.held() > 0);
+    CHECK(edge.held() < 64 * kilobyte);
+    CHECK(edge.m_proxy.active() == 1);
+    caller->read(8192, milliseconds(0));
+    CHECK(
+        edge.run_to([&] { return caller->received().ends_with("0\r\n\r\n"); }));
+    CHECK(unchunked(caller->received()) == unchunked(answer));
+    CHECK(edge.run_to([&] { return edge.held() == 0; }));
+    CHECK(edge.m_proxy.held().readers_cut() == 0);
+}
+
+TEST_CASE("a plain answer is delivered while its caller takes it", "[readers]")
+{
+    readers_world edge;
+    const std::string body(1 * megabyte, 'b');
+    edge.m_first.script({{whole_answer(200, body)}});
+    const auto caller = edge.begin(readers_world::get("/get/"));
+    edge.run_for(milliseconds(2500));
+    CHECK(edge.held() >= body.size());
+    caller->read(8192, milliseconds(0));
+    CHECK(edge.run_to([&] { return caller->received().ends_with(body); }));
+    CHECK(edge.run_to([&] { return edge.held() == 0; }));
+    CHECK(edge.m_proxy.held().slow_readers() == 1);
+    CHECK(edge.m_proxy.held().readers_cut() == 0);
+}
+
+TEST_CASE("a crowd that does not read leaves the others alone", "[readers]")
+{
+    // 12 MB for callers and runners.
+    constexpr std::uint32_t memory_mb = 56;
+    readers_world edge(memory_mb);
+    const auto bound = edge.m_proxy.held().bound();
+    const std::string large(64 * kilobyte, 'l');
+    const std::string usual(3000, 'u');
+    edge.m_first.script({{whole_answer(200, large)}});
+    edge.m_second.script({{whole_answer(200, large)}});
+    for (int i = 0; i < 200; ++i)
+    {
+        const auto caller = edge.begin(readers_world::get("/get/"));
+        if (i % 2 == 0)
+            caller->read(1, milliseconds(1000));
+    }
+    edge.run_for(milliseconds(300));
+    edge.m_first.script({{whole_answer(200, usual)}});
+    edge.m_second.script({{whole_answer(200, usual)}});
+    std::size_t served = 0;
+    for (int i = 0; i < 30; ++i)
+    {
+        const auto caller = edge.begin(readers_world::get("/get/"));
+        caller->read(4096, milliseconds(0));
+        CHECK(edge.run_to([&] {
+            return caller->received().ends_with(usual) || caller->ended();
+        }));
+        served += caller->received().ends_with(usual) ? 1 : 0;
+        caller->close();
+        edge.run_for(milliseconds(50));
+    }
+    CHECK(served == 30);
+    CHECK(edge.m_proxy.held().most() <= bound);
+    CHECK(edge.m_proxy.held().readers_cut() > 0);
+    CHECK(edge.m_proxy.held().readers_cut() < 200);
+    for (const auto& caller : edge.m_callers)
+        caller->close();
+    CHECK(edge.run_to([&] { return edge.held() == 0; }));
+    CHECK(has(edge.m_proxy.metrics_text(), "held_bytes_most"));
+}
+
+TEST_CASE("under pressure the slowest reader is cut, no usual one", "[readers]")
+{
+    // 4 MB for callers and runners; the three answers are more.
+    readers_world edge(1);
+    edge.m_proxy.take_runners(
+        {{"r1", "svc", edge.m_first.address(), "z", 4, false}});
+    const std::vector<std::string> bodies{std::string(2000000, 'a'),
+                                          std::string(1000000, 'b'),
+                                          std::string(1500000, 'c')};
+    std::vector<runner_step> steps;
+    for (const auto& body : bodies)
+        steps.push_back({whole_answer(200, body)});
+    edge.m_first.script(steps);
+    const auto stops = edge.begin(readers_world::get("/get/"));
+    CHECK(edge.run_to([&] { return edge.held() > 2000000; }));
+    const auto reads = edge.begin(readers_world::get("/get/"));
+    reads->read(4096, milliseconds(10));
+    CHECK(edge.run_to([&] { return edge.held() > 3000000; }));
+    const auto late = edge.begin(readers_world::get("/get/"));
+    late->read(16384, milliseconds(0));
+    CHECK(edge.run_to([&] { return edge.m_proxy.held().readers_cut() == 1; }));
+    CHECK(edge.run_to([&] { return late->received().ends_with(bodies[2]); }));
+    CHECK(edge.run_to([&] { return reads->received().ends_with(bodies[1]); }));
+    stops->read(4096, milliseconds(0));
+    CHECK(edge.run_to([&] { return stops->ended(); }));
+    CHECK(stops->received().size() < bodies[0].size());
+    CHECK(edge.m_proxy.held().readers_cut() == 1);
+    CHECK(edge.run_to([&] { return edge.held() == 0; }));
+}
+
+TEST_CASE("large requests are refused while memory is short", "[readers]")
+{
+    readers_world edge(1);
+    edge.m_first.script({{whole_answer(200, std::string(2800000, 'b'))}});
+    edge.begin(readers_world::get("/get/"));
+    CHECK(edge.run_to([&] { return edge.held() > 2800000; }));
+    edge.m_second.script({{whole_answer(200, "fine")}});
+    edge.m_first.script({{whole_answer(200, "fine")}});
+    const std::string large(200 * kilobyte, 'r');
+    const auto refused = edge.ask(edge.post("/once/", large), "\r\n\r\n");
+    CHECK(has(refused, "HTTP/1.1 503 "));
+    CHECK(has(refused, "Retry-After: "));
+    CHECK(has(refused, "Pepperturn-Call: c1"));
+    CHECK(has(edge.ask(edge.post("/once/", "small"), "fine"), " 200 "));
+    CHECK(has(edge.m_proxy.metrics_text(), "bodies_refused_for_memory 1"));
+    edge.m_callers.front()->close();
+    CHECK(edge.run_to([&] { return edge.held() == 0; }));
+    CHECK(has(edge.ask(edge.post("/once/", large), "fine"), " 200 "));
+}
+
+TEST_CASE("a caller that neither reads nor closes is ended", "[readers]")
+{
+    const bool stream = GENERATE(false, true);
+    readers_world edge(0, milliseconds(1000));
+    edge.m_first.script(
+        {{stream ? event_answer(long_events(100, 8000))
+                 : whole_answer(200, std::string(megabyte, 'b')),
+          true, after::keep}});
+    edge.begin(readers_world::get(stream ? "/stream/" : "/get/"));
+    CHECK(edge.run_to([&] { return edge.held() > 0; }));
+    CHECK(edge.run_to([&] { return edge.m_proxy.active() == 0; },
+                      milliseconds(2000)));
+    CHECK(edge.m_proxy.held().readers_cut() == 1);
+    CHECK(edge.held() == 0);
+}
+
+TEST_CASE("a runner that takes no body is given up as unanswered", "[readers]")
+{
+    readers_world edge(0, milliseconds(3000));
+    asio::io_context& io = edge.m_io;
+    tcp::acceptor acceptor(
+        io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    acceptor.set_option(asio::socket_base::receive_buffer_size(4096));
+    std::vector<tcp::socket> taken;
+    spawn(io, "deaf_runner", accept_all(acceptor, [&](tcp::socket socket) {
+              taken.push_back(std::move(socket));
+          }));
+    edge.m_proxy.take_runners(
+        {{"deaf", "svc", to_text(acceptor.local_endpoint()), "z", 4, false}});
+    const std::string body(2 * megabyte, 'r');
+    const auto caller = edge.begin(edge.post("/once/", body));
+    caller->read(4096, milliseconds(0));
+    CHECK(edge.run_to([&] { return edge.held() >= body.size(); }));
+    CHECK(edge.run_to([&] { return has(caller->received(), "\r\n\r\n"); },
+                      milliseconds(2500)));
+    // It may have run.
+    CHECK(has(caller->received(), "HTTP/1.1 502 "));
+    CHECK(edge.run_to([&] { return edge.held() == 0; }));
+}
+
+TEST_CASE("peak memory with a thousand slow readers", "[.memory]")
+{
+    readers_world edge(88);
+    edge.m_first.script(
+        {{whole_answer(200, std::string(100 * kilobyte, 'b'))}});
+    edge.m_second.script({{event_answer(long_events(100, 1000))}});
+    for (int i = 0; i < 1200; ++i)
+    {
+        const auto caller =
+            edge.begin(readers_world::get(i % 2 == 0 ? "/get/" : "/stream/"));
+        if (i % 6 != 0)
+            caller->read(1, milliseconds(1000));
+        edge.run_for(milliseconds(2));
+    }
+    edge.run_for(milliseconds(8000));
+    std::ifstream status("/proc/self/status");
+    for (std::string line; std::getline(status, line);)
+    {
+        if (line.starts_with("VmHWM") || line.starts_with("VmRSS"))
+            WARN(line);
+    }
+    WARN(edge.m_proxy.metrics_text());
+    CHECK(edge.m_proxy.held().most() <= edge.m_proxy.held().bound());
+}
--- /dev/null
+++ b/test/scheduling/test_read_pressure.cpp
@@ -0,0 +1,130 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/scheduling/read_pressure.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+using namespace pepperturn;
+using level = pressure_level;
+
+constexpr std::uint64_t megabyte = 1U << 20U;
+
+} // namespace
+
+TEST_CASE("what a VM may hold leaves room for its process", "[readers]")
+{
+    struct sample
+    {
+        std::uint32_t m_memory_mb;
+        std::uint64_t m_bound_mb;
+    };
+    const std::vector<sample> samples{{0, 32}, {1, 4},   {40, 4},
+                                      {44, 4}, {88, 36}, {512, 354}};
+    for (const auto& each : samples)
+    {
+        INFO(each.m_memory_mb);
+        CHECK(held_bound(each.m_memory_mb) / megabyte == each.m_bound_mb);
+    }
+}
+
+TEST_CASE("levels begin in order and end below where they begin", "[readers]")
+{
+    struct sample
+    {
+        level m_now;
+        std::uint64_t m_held;
+        level m_next;
+    };
+    const std::vector<sample> samples{
+        {level::calm, 0, level::calm},
+        {level::calm, 499, level::calm},
+        {level::calm, 500, level::pausing},
+        {level::calm, 800, level::cutting},
+        {level::calm, 5000, level::cutting},
+        {level::pausing, 460, level::pausing},
+        {level::pausing, 449, level::calm},
+        {level::pausing, 640, level::pausing},
+        {level::pausing, 650, level::refusing},
+        {level::refusing, 600, level::refusing},
+        {level::refusing, 584, level::pausing},
+        {level::cutting, 721, level::cutting},
+        {level::cutting, 719, level::refusing},
+        {level::cutting, 0, level::calm},
+    };
+    for (const auto& each : samples)
+    {
+        INFO(to_string(each.m_now) << ' ' << each.m_held);
+        CHECK(next_level(each.m_now, each.m_held, 1000) == each.m_next);
+    }
+}
+
+TEST_CASE("large bodies are refused before anyone is cut", "[readers]")
+{
+    const auto bound = 36 * megabyte;
+    CHECK(may_read_body(level::cutting, bound, bound, 20000));
+    CHECK(may_read_body(level::calm, 0, bound, megabyte));
+    CHECK(may_read_body(level::pausing, bound / 2, bound, megabyte));
+    CHECK_FALSE(may_read_body(level::refusing, bound / 2, bound, megabyte));
+    CHECK_FALSE(may_read_body(level::calm, 0, bound, bound + 1));
+    CHECK_FALSE(may_read_body(level::calm, bound / 3, bound, bound));
+}
+
+TEST_CASE("who reads slowly", "[readers]")
+{
+    struct sample
+    {
+        unread_answer m_answer;
+        bool m_slow;
+    };
+    const std::vector<sample> samples{
+        {{1000, 0, milliseconds(0)}, false},
+        {{1000, 0, milliseconds(1400)}, false},
+        {{1000, 0, milliseconds(1500)}, true},
+        {{1000, 10, milliseconds(10000)}, true},
+        // A poor link still takes this much.
+        {{1U << 20U, 10000, milliseconds(2000)}, false},
+        {{1U << 20U, 200000, milliseconds(30000)}, false},
+        // It has stopped, however fast it was.
+        {{1U << 20U, 200000, milliseconds(30000), milliseconds(1499)}, false},
+        {{1U << 20U, 200000, milliseconds(30000), milliseconds(1500)}, true},
+    };
+    for (const auto& each : samples)
+    {
+        INFO(each.m_answer.m_taken << " in " << each.m_answer.m_waited.count());
+        CHECK(is_slow_reader(each.m_answer) == each.m_slow);
+    }
+}
+
+TEST_CASE("the slowest are cut, and no more than needed", "[readers]")
+{
+    const milliseconds while_waited{4000};
+    const std::vector<unread_answer> answers{
+        {100, 8000, while_waited},    // slow
+        {100, 0, while_waited},       // stopped
+        {100, 1000000, while_waited}, // as usual
+        {300, 0, while_waited},       // stopped, holds more
+        {100, 4000, while_waited},    // slower
+        {100, 0, milliseconds(100)},  // too early to tell
+    };
+    struct sample
+    {
+        std::uint64_t m_held;
+        std::vector<std::size_t> m_cut;
+    };
+    const std::vector<sample> samples{
+        {0, {}},
+        {450, {}},
+        {451, {3}},
+        {750, {3}},
+        {751, {3, 1}},
+        {900, {3, 1, 4}},
+        {1000, {3, 1, 4, 0}},
+        {9999, {3, 1, 4, 0}},
+    };
+    for (const auto& each : samples)
+    {
+        INFO(each.m_held);
+        CHECK(choose_cuts(answers, each.m_held, 1000) == each.m_cut);
+    }
+}
