A repeatable call that hangs is tried at a second runner by what answers take

The wait for the first byte now follows the route's own answers (twice what 97 in 100 need, four times the median, 20 ms at least), only the head is waited for, and second tries are 4 in 100 calls at most. The first is cut before the second is sent. A plain runner that left a call unanswered until its deadline is avoided for a moment, as one is that resets.

--- a/include/pepperturn/forward/exchange.hpp
+++ b/include/pepperturn/forward/exchange.hpp
@@ -72,6 +72,8 @@
     std::optional<milliseconds> m_first_byte;
     /// From its begin to its end, a connect among it.
     milliseconds m_took{0};
+    /// No first byte came in the time that was left for it.
+    bool m_late = false;
     /// Parts of a stream were passed on.
     bool m_streamed = false;
     /// For a runner that said it is full: when it thinks to have room.
@@ -103,7 +105,7 @@
     /// The last event that the caller has, for a run that goes on from it.
     std::optional<std::uint64_t> m_last_event;
     /// The run is given up after this long without a first byte, then without
-    /// a further one; empty: only at the deadline.
+    /// a further one; empty: only as above, or at the deadline.
     std::optional<milliseconds> m_first_patience;
     std::optional<milliseconds> m_gap_patience;
     /// Whose it is; see \ref attempt_head.
--- a/include/pepperturn/forward/proxy.hpp
+++ b/include/pepperturn/forward/proxy.hpp
@@ -10,6 +10,7 @@
 #include "pepperturn/forward/quota_client.hpp"
 #include "pepperturn/forward/stream_relay.hpp"
 #include "pepperturn/forward/traffic_metrics.hpp"
+#include "pepperturn/scheduling/second_try.hpp"
 #include "pepperturn/tenancy/identity.hpp"
 #include "pepperturn/turns/turn_client.hpp"
 
@@ -235,6 +236,12 @@
     /// The request may go to another runner though this one may run it.
     [[nodiscard]] static bool may_repeat(const call& work,
                                          const progress& state);
+    /// How long a call on \p route waits for its first byte before another
+    /// runner is tried, with a try set aside; empty: as long as for the rest.
+    [[nodiscard]] std::optional<milliseconds> take_try(const route& route);
+    /// \param wait as \ref take_try gave it
+    void note_try(const route& route, std::optional<milliseconds> wait,
+                  const attempt_result& result);
     /// \param last_event what the caller has of the stream already
     task<attempt_result> attempt(std::shared_ptr<call> work, runner_row target,
                                  bool may_repeat,
@@ -268,6 +275,9 @@
     std::uint64_t m_config_revision = 0;
     std::set<std::shared_ptr<caller_connection>> m_callers;
     traffic_metrics m_metrics;
+    /// Of routes whose calls may be repeated.
+    std::map<std::string, answer_times> m_answer_times;
+    try_budget m_tries;
     instant m_started{};
     std::size_t m_active = 0;
     std::uint64_t m_draw = 0;
--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -302,10 +302,10 @@
     state->m_held = request.m_held;
     (void)co_await send_request(io, state, request.m_body, left);
 
-    if (request.m_give_up_at)
-        connection.m_stream.expires_at(*request.m_give_up_at);
-    else if (request.m_first_patience)
+    if (request.m_first_patience)
         connection.m_stream.expires_after(*request.m_first_patience);
+    else if (request.m_give_up_at)
+        connection.m_stream.expires_at(*request.m_give_up_at);
     answer_parser parser;
     parser.header_limit(max_answer_head_bytes);
     // Bounded where it is gathered; a stream has no bound.
@@ -315,6 +315,9 @@
                                      parser, into(ec));
     const char* fault = nullptr;
     state->m_answered = !ec;
+    result.m_late = ec == boost::beast::error::timeout;
+    if (request.m_first_patience && request.m_give_up_at)
+        connection.m_stream.expires_at(*request.m_give_up_at);
     if (!ec)
     {
         result.m_first_byte = elapsed(sent_at, time.now());
@@ -377,7 +380,13 @@
         if (aborter->cause() == abort_cause::none)
             aborter->pull(abort_cause::caller_left);
         if (!head_good && time.now() - sent_at >= telling_silence)
+        {
             runners.note_result(runner.m_id, false, time.now());
+            // Engines are silent while they read long prompts.
+            if (aborter->cause() == abort_cause::timeout &&
+                !request.m_streaming)
+                runners.note_failure(runner.m_id, time.now());
+        }
         result.m_outcome = attempt_outcome::aborted;
         result.m_reason = to_string(aborter->cause());
         co_return result;
--- a/src/forward/proxy_attempts.cpp
+++ b/src/forward/proxy_attempts.cpp
@@ -149,6 +149,36 @@
     return choice;
 }
 
+std::optional<milliseconds> proxy::take_try(const route& route)
+{
+    m_tries = earn_try(m_tries);
+    const auto found = m_answer_times.find(route.m_name);
+    if (found == m_answer_times.end() || !may_try_again(m_tries))
+        return std::nullopt;
+    const auto wait = second_try_wait(found->second);
+    if (!wait || *wait >= patience_factor * route.m_target_latency)
+        return std::nullopt;
+    m_tries = spend_try(m_tries);
+    return wait;
+}
+
+void proxy::note_try(const route& route, std::optional<milliseconds> wait,
+                     const attempt_result& result)
+{
+    const bool hung =
+        result.m_outcome == attempt_outcome::unknown && result.m_late;
+    if (wait && hung)
+        m_metrics.count("second_tries");
+    else if (wait)
+        m_tries = return_try(m_tries);
+    // What hangs says nothing of how long answers take.
+    if (route.m_kind == route_kind::idempotent && result.m_first_byte)
+    {
+        auto& times = m_answer_times[route.m_name];
+        times = add_answer(times, *result.m_first_byte);
+    }
+}
+
 task<attempt_result> proxy::attempt(std::shared_ptr<call> work,
                                     runner_row target, bool may_repeat,
                                     std::optional<std::uint64_t> last_event,
@@ -171,9 +201,12 @@
             gap_factor * std::max(route.m_target_gap, route.m_target_latency);
     }
     else if (may_repeat)
+    {
         give_up_at =
             std::min(work->m_deadline,
                      sent_at + patience_factor * route.m_target_latency);
+        first_patience = take_try(route);
+    }
     const std::string_view body =
         route.m_stateful ? work->m_body : work->m_request.body();
     const attempt_request request{
@@ -199,6 +232,8 @@
         }};
     auto result = co_await run_attempt(m_io, m_time, m_pool, m_runners, m_names,
                                        runner, request, sink, work->m_aborter);
+    if (!route.m_resumable)
+        note_try(route, first_patience, result);
     work->m_runs += result.m_outcome == attempt_outcome::not_run ? 0 : 1;
     result.m_took = elapsed(sent_at, m_time.now());
     const double load =
--- /dev/null
+++ b/src/scheduling/second_try.cpp
@@ -0,0 +1,96 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/scheduling/second_try.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pepperturn {
+
+namespace {
+
+/// From one class to the next.
+constexpr double class_step = 1.2;
+/// What remains of an answer's weight with each further one: some hundred
+/// answers count, a few seconds of a busy route.
+constexpr double fade = 0.99;
+/// Sum of weights from which on the times say something.
+constexpr double least_known = 20;
+
+/// Nearly all calls are done by this share; what takes twice that hangs.
+constexpr double usual_share = 0.97;
+constexpr int usual_factor = 2;
+/// The median is steadier where a VM sees few calls; work varies by this.
+constexpr int median_factor = 4;
+/// Shorter waits are within what a busy VM or runner's turn takes.
+constexpr milliseconds least_wait{20};
+
+/// Second tries earned by a call: four in a hundred.
+constexpr double tries_per_call = 0.04;
+/// Saved up for a moment in which a runner hangs with all its calls.
+constexpr double most_tries = 4;
+
+std::size_t class_of(milliseconds took)
+{
+    const auto value = std::max(1.0, static_cast<double>(took.count()));
+    const auto index = std::ceil(std::log(value) / std::log(class_step));
+    return std::min(answer_times::classes - 1, static_cast<std::size_t>(index));
+}
+
+} // namespace
+
+answer_times add_answer(answer_times times, milliseconds took)
+{
+    for (auto& weight : times.m_weights)
+        weight *= fade;
+    times.m_weights.at(class_of(took)) += 1;
+    times.m_sum = times.m_sum * fade + 1;
+    return times;
+}
+
+milliseconds answer_quantile(const answer_times& times, double share)
+{
+    if (times.m_sum <= 0)
+        return milliseconds(0);
+    double left = share * times.m_sum;
+    std::size_t index = 0;
+    while (index + 1 < answer_times::classes &&
+           left > times.m_weights.at(index))
+        left -= times.m_weights.at(index++);
+    return milliseconds(static_cast<std::int64_t>(
+        std::ceil(std::pow(class_step, static_cast<double>(index)))));
+}
+
+std::optional<milliseconds> second_try_wait(const answer_times& times)
+{
+    if (times.m_sum < least_known)
+        return std::nullopt;
+    constexpr double half = 0.5;
+    return std::max({least_wait,
+                     usual_factor * answer_quantile(times, usual_share),
+                     median_factor * answer_quantile(times, half)});
+}
+
+try_budget earn_try(try_budget budget)
+{
+    budget.m_tries = std::min(most_tries, budget.m_tries + tries_per_call);
+    return budget;
+}
+
+bool may_try_again(const try_budget& budget)
+{
+    return budget.m_tries >= 1;
+}
+
+try_budget spend_try(try_budget budget)
+{
+    budget.m_tries -= 1;
+    return budget;
+}
+
+try_budget return_try(try_budget budget)
+{
+    budget.m_tries = std::min(most_tries, budget.m_tries + 1);
+    return budget;
+}
+
+} // namespace pepperturn
--- /dev/null
+++ b/test/scheduling/test_second_try.cpp
@@ -0,0 +1,113 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/scheduling/second_try.hpp"
+
+#include <catch2/catch.hpp>
+#include <vector>
+
+namespace {
+
+using namespace pepperturn;
+
+answer_times times_of(const std::vector<int>& taken_ms, int rounds)
+{
+    answer_times out;
+    for (int i = 0; i < rounds; ++i)
+    {
+        for (const int ms : taken_ms)
+            out = add_answer(out, milliseconds(ms));
+    }
+    return out;
+}
+
+/// Calls to runners that hang in \p hung of a hundred; the second tries that
+/// the budget lets through.
+unsigned second_tries(unsigned calls, unsigned hung)
+{
+    try_budget budget;
+    unsigned out = 0;
+    for (unsigned i = 0; i < calls; ++i)
+    {
+        budget = earn_try(budget);
+        if (!may_try_again(budget))
+            continue;
+        budget = spend_try(budget);
+        if (i % 100 < hung)
+            ++out;
+        else
+            budget = return_try(budget);
+    }
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("quantiles of answers, to a fifth", "[second_try]")
+{
+    CHECK(answer_quantile({}, 0.5) == milliseconds(0));
+    struct sample
+    {
+        std::vector<int> m_taken_ms;
+        double m_share;
+        int m_least_ms;
+        int m_most_ms;
+    };
+    const std::vector<sample> samples{
+        {{0}, 0.5, 1, 1},
+        {{10}, 0.5, 10, 12},
+        {{10, 10, 10, 10, 10, 10, 10, 10, 10, 80}, 0.5, 10, 12},
+        {{10, 10, 10, 10, 10, 10, 10, 10, 10, 80}, 0.97, 80, 96},
+        {{90000000}, 0.5, 60000, 120000},
+    };
+    for (const auto& each : samples)
+    {
+        const auto got =
+            answer_quantile(times_of(each.m_taken_ms, 100), each.m_share);
+        INFO(got.count());
+        CHECK(got >= milliseconds(each.m_least_ms));
+        CHECK(got <= milliseconds(each.m_most_ms));
+    }
+}
+
+TEST_CASE("the wait for a second try follows the route's answers",
+          "[second_try]")
+{
+    struct sample
+    {
+        std::vector<int> m_taken_ms;
+        int m_rounds;
+        /// 0: nothing is known.
+        int m_least_ms;
+        int m_most_ms;
+    };
+    const std::vector<sample> samples{
+        {{10}, 10, 0, 0},
+        {{1}, 100, 20, 20},
+        {{10}, 100, 40, 48},
+        {{8, 9, 10, 11, 12, 14, 16, 20, 25, 30}, 20, 60, 72},
+        {{100}, 100, 400, 480},
+    };
+    for (const auto& each : samples)
+    {
+        const auto wait =
+            second_try_wait(times_of(each.m_taken_ms, each.m_rounds));
+        REQUIRE(wait.has_value() == (each.m_least_ms > 0));
+        INFO(wait.value_or(milliseconds(0)).count());
+        CHECK(wait.value_or(milliseconds(0)) >= milliseconds(each.m_least_ms));
+        CHECK(wait.value_or(milliseconds(0)) <= milliseconds(each.m_most_ms));
+    }
+    // It follows when all runners get slower.
+    auto times = times_of({10}, 200);
+    for (int i = 0; i < 100; ++i)
+        times = add_answer(times, milliseconds(100));
+    CHECK(second_try_wait(times) >= milliseconds(400));
+}
+
+TEST_CASE("second tries stay a few in a hundred", "[second_try]")
+{
+    CHECK(second_tries(1000, 0) == 0);
+    // Nearly all of those that hang for themselves.
+    CHECK(second_tries(1000, 2) >= 18);
+    // When every call hangs.
+    CHECK(second_tries(1000, 100) <= 40);
+    CHECK(second_tries(20, 100) == 0);
+}
