--- a/include/pepperturn/forward/exchange.hpp
+++ b/include/pepperturn/forward/exchange.hpp
@@ -3,6 +3,7 @@
 /// One attempt: a request goes to one runner, and its answer comes back.
 #pragma once
 
+#include "pepperturn/forward/held_bytes.hpp"
 #include "pepperturn/forward/request_head.hpp"
 #include "pepperturn/forward/runner_table.hpp"
 #include "pepperturn/forward/upstream_pool.hpp"
@@ -17,7 +18,9 @@
 {
     none,
     caller_left,
-    timeout
+    timeout,
+    /// The caller did not take what had come.
+    not_read
 };
 
 [[nodiscard]] const char* to_string(abort_cause cause);
@@ -69,6 +72,8 @@
     std::optional<milliseconds> m_first_byte;
     /// From its begin to its end, a connect among it.
     milliseconds m_took{0};
+    /// No first byte came in the time that was left for it.
+    bool m_late = false;
     /// Parts of a stream were passed on.
     bool m_streamed = false;
     /// For a runner that said it is full: when it thinks to have room.
@@ -100,7 +105,7 @@
     /// The last event that the caller has, for a run that goes on from it.
     std::optional<std::uint64_t> m_last_event;
     /// The run is given up after this long without a first byte, then without
-    /// a further one; empty: only at the deadline.
+    /// a further one; empty: only as above, or at the deadline.
     std::optional<milliseconds> m_first_patience;
     std::optional<milliseconds> m_gap_patience;
     /// Whose it is; see \ref attempt_head.
@@ -108,6 +113,14 @@
     std::string m_workspace = {};
     /// Asked at the last moment before anything is sent; empty: yes.
     std::function<bool()> m_may_send = {};
+    /// Keeps \ref m_body, which a runner may still be taking when the attempt
+    /// is over.
+    std::shared_ptr<const void> m_owner = {};
+    /// Where the bytes held for it count; null: nowhere.
+    std::shared_ptr<held_account> m_held = {};
+    /// Asked before more of an answer is gathered: this VM can hold it. Empty:
+    /// yes.
+    std::function<task<bool>()> m_room = {};
 };
 
 /// Runs one attempt at \p runner.
--- a/include/pepperturn/forward/proxy.hpp
+++ b/include/pepperturn/forward/proxy.hpp
@@ -10,6 +10,7 @@
 #include "pepperturn/forward/quota_client.hpp"
 #include "pepperturn/forward/stream_relay.hpp"
 #include "pepperturn/forward/traffic_metrics.hpp"
+#include "pepperturn/scheduling/second_try.hpp"
 #include "pepperturn/tenancy/identity.hpp"
 #include "pepperturn/turns/turn_client.hpp"
 
@@ -49,6 +50,15 @@
         return m_config && m_config->m_directory;
     }
     void take_runners(const std::vector<runner_info>& runners);
+    /// \param memory_mb of the VM, for this process; 0: not told
+    void bound_memory(std::uint32_t memory_mb)
+    {
+        m_memory.bound_by(memory_mb);
+    }
+    [[nodiscard]] const held_book& held() const
+    {
+        return *m_memory.book();
+    }
     [[nodiscard]] bool has_config() const
     {
         return m_config != nullptr;
@@ -66,6 +76,8 @@
     {
         return m_metrics;
     }
+    /// All figures for operators, one line each.
+    [[nodiscard]] std::string metrics_text() const;
     [[nodiscard]] std::uint64_t upstream_connections() const
     {
         return m_pool.opened();
@@ -87,6 +99,8 @@
     {
         caller_request m_request;
         request_fields m_fields;
+        /// Where what is held for it counts.
+        std::shared_ptr<held_account> m_held;
         std::shared_ptr<const routing_config> m_config;
         const route* m_route = nullptr;
         /// Whose it is, where callers have keys; null: nobody's.
@@ -151,6 +165,8 @@
 
     task<> accept_callers();
     task<> serve(std::shared_ptr<caller_connection> caller);
+    task<> refuse_unread(std::shared_ptr<caller_connection> caller,
+                         read_result read);
     task<bool> serve_one(std::shared_ptr<caller_connection> caller,
                          caller_request request);
     /// Waits for \p ready while this VM has only just started.
@@ -220,6 +236,12 @@
     /// The request may go to another runner though this one may run it.
     [[nodiscard]] static bool may_repeat(const call& work,
                                          const progress& state);
+    /// How long a call on \p route waits for its first byte before another
+    /// runner is tried, with a try set aside; empty: as long as for the rest.
+    [[nodiscard]] std::optional<milliseconds> take_try(const route& route);
+    /// \param wait as \ref take_try gave it
+    void note_try(const route& route, std::optional<milliseconds> wait,
+                  const attempt_result& result);
     /// \param last_event what the caller has of the stream already
     task<attempt_result> attempt(std::shared_ptr<call> work, runner_row target,
                                  bool may_repeat,
@@ -242,6 +264,7 @@
     std::string m_availability_zone;
     turn_client& m_turns;
     tcp::acceptor m_acceptor;
+    memory_guard m_memory;
     upstream_pool m_pool;
     runner_table m_runners;
     engine_gate m_gate;
@@ -252,6 +275,9 @@
     std::uint64_t m_config_revision = 0;
     std::set<std::shared_ptr<caller_connection>> m_callers;
     traffic_metrics m_metrics;
+    /// Of routes whose calls may be repeated.
+    std::map<std::string, answer_times> m_answer_times;
+    try_budget m_tries;
     instant m_started{};
     std::size_t m_active = 0;
     std::uint64_t m_draw = 0;
--- a/src/fleet/edge_node.cpp
+++ b/src/fleet/edge_node.cpp
@@ -60,7 +60,7 @@
 
 std::string edge_node::metrics_text() const
 {
-    auto out = m_proxy.metrics().text();
+    auto out = m_proxy.metrics_text();
     m_reach.write_metrics(out);
     return out;
 }
@@ -84,6 +84,7 @@
         !m_reach.start(reason))
         return false;
     m_metrics.listen_beside(m_settings.m_metrics_address);
+    m_proxy.bound_memory(m_settings.m_memory_mb);
     m_proxy.guard_workspaces(
         {[this] { return config_age(); }, m_staleness_limits, &m_quota});
     m_proxy.place_by(m_places);
