--- a/include/pepperturn/cluster/detours.hpp
+++ b/include/pepperturn/cluster/detours.hpp
@@ -48,8 +48,9 @@
     /// \param reason why it is not reached directly, for the log
     /// \param question its epoch goes with it as it is
     /// \param done comes exactly once; at once if nobody can be asked
+    /// \param patience the next neighbour is tried after it at the latest
     void ask(const std::string& member, const char* reason,
-             const frame& question, frame_done done);
+             const frame& question, frame_done done, milliseconds patience);
     /// Asks a member that is not reached directly for a sign of life, unless
     /// it was heard a moment ago; at ever longer intervals while there is none.
     void probe(const std::string& member, const char* reason);
@@ -84,6 +85,8 @@
         std::map<std::string, instant> m_cannot_until;
         /// Questions that wait for the connection.
         std::vector<std::uint64_t> m_queued;
+        /// Questions that it has not answered.
+        std::set<std::uint64_t> m_open;
     };
     struct open_question
     {
@@ -91,8 +94,7 @@
         frame m_frame;
         frame_done m_done;
         std::set<std::string> m_tried;
-        /// Neighbours that have not answered yet.
-        std::set<std::string> m_asked;
+        milliseconds m_patience{};
         instant m_until{};
         /// When the last neighbour was asked.
         instant m_last_try{};
@@ -115,15 +117,16 @@
     facts_for(const std::string& member,
               const std::set<std::string>& tried) const;
     void try_next(std::uint64_t id);
-    void send(neighbour_row& row, std::uint64_t id);
     task<> connect(std::shared_ptr<neighbour_row> row);
     void take_frame(const std::shared_ptr<neighbour_row>& row,
                     const frame& value);
     void take_answer(neighbour_row& row, std::uint64_t id, frame answer);
     void lose(neighbour_row& row);
     void avoid(neighbour_row& row);
+    /// Some neighbour may still answer.
+    [[nodiscard]] bool is_open(std::uint64_t id) const;
     /// One neighbour has no answer to a question.
-    void give_up(const std::string& neighbour, std::uint64_t id);
+    void give_up(neighbour_row& row, std::uint64_t id);
     void finish(std::uint64_t id, std::optional<frame> answer);
     void start_watch();
     /// Goes on to the next neighbour where one says nothing.
--- a/include/pepperturn/cluster/neighbours.hpp
+++ b/include/pepperturn/cluster/neighbours.hpp
@@ -41,6 +41,8 @@
     std::string m_availability_zone;
     /// It was asked this question already.
     bool m_tried = false;
+    /// Questions that it has not answered yet.
+    std::size_t m_under_way = 0;
     /// It has failed to connect or to answer, and is left alone until then.
     instant m_avoid_until{};
     /// It does not reach the member in question, by its own word.
@@ -50,10 +52,14 @@
                            const neighbour_facts&) = default;
 };
 
+/// A neighbour that has this many more questions under way is passed over for a
+/// farther one: it answers more slowly, or others ask it, too.
+constexpr std::size_t busier_by = 4;
+
 /// Position of the neighbour to ask next about \p member; empty: none is left.
-/// The first try stays in the own zone and the second leaves it, since a
-/// partition often takes a zone as a whole. Members are spread over the
-/// neighbours.
+/// Among those that are about equally busy, the first try stays in the own
+/// zone and the second leaves it, since a partition often takes a zone as a
+/// whole; members are spread over them.
 [[nodiscard]] std::optional<std::size_t>
 next_neighbour(const std::vector<neighbour_facts>& rows,
                const std::string& member, const std::string& availability_zone,
--- a/src/cluster/detours.cpp
+++ b/src/cluster/detours.cpp
@@ -88,7 +88,8 @@
         const auto cannot = row->m_cannot_until.find(member);
         out.push_back(
             {row->m_who.m_name, row->m_who.m_availability_zone,
-             tried.contains(row->m_who.m_name), row->m_avoid_until,
+             tried.contains(row->m_who.m_name), row->m_open.size(),
+             row->m_avoid_until,
              cannot == row->m_cannot_until.end() ? instant{} : cannot->second});
     }
     return out;
@@ -102,7 +103,7 @@
 }
 
 void detours::ask(const std::string& member, const char* reason,
-                  const frame& question, frame_done done)
+                  const frame& question, frame_done done, milliseconds patience)
 {
     constexpr std::size_t length_bytes = 4;
     auto bytes = encode_frame(question).substr(length_bytes);
@@ -118,6 +119,7 @@
     row.m_frame = {id, 0, frame_status::ok,
                    relayed_message{member, std::move(bytes)}};
     row.m_done = std::move(done);
+    row.m_patience = patience;
     row.m_until = m_time.now() + question_patience;
     ++m_counts.m_asked;
     try_next(id);
@@ -132,13 +134,13 @@
                        question.m_member, m_availability_zone, m_time.now());
     if (!choice)
     {
-        if (question.m_asked.empty())
+        if (!is_open(id))
             finish(id, std::nullopt);
         return;
     }
     const auto row = m_rows[*choice];
     question.m_tried.insert(row->m_who.m_name);
-    question.m_asked.insert(row->m_who.m_name);
+    row->m_open.insert(id);
     question.m_last_try = m_time.now();
     question.m_last_neighbour = row->m_who.m_name;
     if (row->m_link)
@@ -193,14 +195,18 @@
     row.m_queued.clear();
     if (!row.m_dropped)
         avoid(row);
-    std::vector<std::uint64_t> waiting;
-    for (const auto& [id, question] : m_questions)
+    for (const auto id : std::exchange(row.m_open, {}))
     {
-        if (question.m_asked.contains(row.m_who.m_name))
-            waiting.push_back(id);
+        if (m_questions.contains(id) && !is_open(id))
+            try_next(id);
     }
-    for (const auto id : waiting)
-        give_up(row.m_who.m_name, id);
+}
+
+bool detours::is_open(std::uint64_t id) const
+{
+    return std::any_of(m_rows.begin(), m_rows.end(), [&](const auto& row) {
+        return row->m_open.contains(id);
+    });
 }
 
 void detours::avoid(neighbour_row& row)
@@ -209,14 +215,10 @@
     row.m_avoid_until = m_time.now() + first_avoidance * (1U << doublings);
 }
 
-void detours::give_up(const std::string& neighbour, std::uint64_t id)
+void detours::give_up(neighbour_row& row, std::uint64_t id)
 {
-    const auto question = m_questions.find(id);
-    if (question == m_questions.end() ||
-        question->second.m_asked.erase(neighbour) == 0)
-        return;
     // Others that were asked meanwhile may still answer.
-    if (question->second.m_asked.empty())
+    if (row.m_open.erase(id) > 0 && !is_open(id))
         try_next(id);
 }
 
@@ -229,6 +231,7 @@
     const auto question = m_questions.find(value.m_call);
     const auto* told = std::get_if<relayed_message>(&value.m_body);
     if (told == nullptr || question == m_questions.end() ||
+        !row->m_open.contains(value.m_call) ||
         told->m_member != question->second.m_member)
         return;
     std::string reason;
@@ -241,7 +244,7 @@
         return;
     }
     row->m_cannot_until[told->m_member] = m_time.now() + cannot_for;
-    give_up(row->m_who.m_name, value.m_call);
+    give_up(*row, value.m_call);
 }
 
 void detours::take_answer(neighbour_row& row, std::uint64_t id, frame answer)
@@ -262,6 +265,8 @@
         return;
     const auto done = std::move(found->second.m_done);
     m_questions.erase(found);
+    for (const auto& row : m_rows)
+        row->m_open.erase(id);
     if (!answer)
         ++m_counts.m_unanswered;
     done(std::move(answer));
@@ -283,6 +288,7 @@
         if (m_time.now() - before >= longest_lag)
             co_await sleep_for(m_io, watch_interval);
         std::vector<std::uint64_t> ids;
+        ids.reserve(m_questions.size());
         for (const auto& [id, question] : m_questions)
             ids.push_back(id);
         for (const auto id : ids)
@@ -309,7 +315,8 @@
         });
     const bool speaks =
         row != m_rows.end() && (*row)->m_heard > question.m_last_try;
-    const auto patience = speaks ? answer_patience : neighbour_patience;
+    const auto patience = std::min(
+        question.m_patience, speaks ? answer_patience : neighbour_patience);
     if (now - question.m_last_try < patience)
         return;
     if (row != m_rows.end() && !speaks && (*row)->m_avoid_until <= now)
@@ -325,12 +332,14 @@
         now - row.m_heard < probe_interval || !hopeful(member))
         return;
     row.m_probing = true;
-    ask(member, reason, {0, 0, frame_status::ok, want_freshness_message{}},
+    ask(
+        member, reason, {0, 0, frame_status::ok, want_freshness_message{}},
         [this, member](const std::optional<frame>& answer) {
             const auto found = m_members.find(member);
             if (found != m_members.end())
                 note_probe(found->second, answer.has_value());
-        });
+        },
+        answer_patience);
 }
 
 void detours::note_probe(member_row& row, bool answered) const
--- a/src/cluster/neighbours.cpp
+++ b/src/cluster/neighbours.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 
 namespace pepperturn {
 
@@ -64,15 +65,15 @@
         });
     const auto member_hash = hash64(member);
     std::optional<std::size_t> best;
-    std::pair<bool, std::uint64_t> best_rank;
+    std::tuple<std::size_t, bool, std::uint64_t> best_rank;
     for (std::size_t i = 0; i < rows.size(); ++i)
     {
         const auto& row = rows[i];
         if (row.m_tried || row.m_avoid_until > now || row.m_cannot_until > now)
             continue;
         const bool near = row.m_availability_zone == availability_zone;
-        const std::pair rank{near == tried_near,
-                             hash64(row.m_name, member_hash)};
+        const std::tuple rank{row.m_under_way / busier_by, near == tried_near,
+                              hash64(row.m_name, member_hash)};
         if (best && best_rank <= rank)
             continue;
         best = i;
--- a/src/turns/turn_server.cpp
+++ b/src/turns/turn_server.cpp
@@ -109,6 +109,7 @@
 neighbours_message turn_server::neighbours_of(const peer& asker) const
 {
     std::vector<neighbour> candidates;
+    candidates.reserve(m_peers.size());
     for (const auto& row : m_peers)
         candidates.push_back(row->m_relay);
     return {choose_neighbours(candidates, asker.m_name,
--- a/test/fleet/test_reach.cpp
+++ b/test/fleet/test_reach.cpp
@@ -183,6 +183,15 @@
                  pass_on(fleet, value, [](const std::optional<frame>&) {});
              };
          }},
+        {"it refuses some and says nothing to others",
+         [](reach_world&) -> handler {
+             return [](const auto& link, const frame& value) {
+                 const auto& asked = std::get<relayed_message>(value.m_body);
+                 if (asked.m_member == "vm-1")
+                     link->send({value.m_call, 0, frame_status::failed,
+                                 relayed_message{asked.m_member, ""}});
+             };
+         }},
         {"it answers with what is no frame",
          [](reach_world&) -> handler {
              return [](const auto& link, const frame& value) {
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -167,7 +167,8 @@
             << "\n[storage]\nfolder = " << process.m_data_folder << '\n';
     else
         out << "callers = " << each.m_address
-            << "\nready = 127.0.0.1:" << free_port(m_io) << '\n';
+            << "\nready = 127.0.0.1:" << free_port(m_io)
+            << "\nrelay = 127.0.0.1:" << free_port(m_io) << '\n';
     out << "[store]\naddress = " << m_store.address() << '\n';
 }
 
