Places: a call that refused engines would take does not stop the line

Cause: a call at the head of the line that had been refused by the engines with room held up all calls behind it.

Room is judged over all engines; such a call goes into the queue of another. Ruled out: looking for the next call in line that fits, which lets the head starve.

Before: the new case waits.

--- a/include/pepperturn/scheduling/place_service.hpp
+++ b/include/pepperturn/scheduling/place_service.hpp
@@ -88,6 +88,8 @@
     /// Fills the choices with the engines that the call may go to.
     void weigh_engines(const place_question& question, reach reach,
                        instant now);
+    /// Among the choices.
+    [[nodiscard]] bool has_room() const;
     [[nodiscard]] std::optional<std::size_t>
     choose_engine(const place_question& question) const;
     [[nodiscard]] std::optional<place_answer>
--- a/src/scheduling/place_service.cpp
+++ b/src/scheduling/place_service.cpp
@@ -24,6 +24,14 @@
     return static_cast<std::uint32_t>(std::min(value, most));
 }
 
+/// Drops the rows that are not good, if any is.
+template <class Row, class Good>
+void keep_if_any(std::vector<Row>& rows, Good good)
+{
+    if (std::any_of(rows.begin(), rows.end(), good))
+        std::erase_if(rows, std::not_fn(good));
+}
+
 bool contains(const std::vector<std::uint64_t>& values, std::uint64_t value)
 {
     return std::find(values.begin(), values.end(), value) != values.end();
@@ -267,25 +275,30 @@
         row.m_cost = engine_cost(row.m_outlook, predict_run(row.m_outlook));
         m_choices.push_back(row);
     }
-    // Those that refused or seem to hang come in only if all do.
-    const auto keep_if_any = [this](bool choice::*flag) {
-        const auto is_good = [flag](const choice& row) { return !(row.*flag); };
-        if (std::any_of(m_choices.begin(), m_choices.end(), is_good))
-            std::erase_if(m_choices, std::not_fn(is_good));
-    };
-    keep_if_any(&choice::m_excluded);
-    keep_if_any(&choice::m_shunned);
-    const auto has_room = [](const choice& row) {
-        return !is_full(row.m_outlook.m_under_way, row.m_outlook.m_slots);
-    };
-    if (reach == reach::open &&
-        std::none_of(m_choices.begin(), m_choices.end(), has_room))
+    if (reach == reach::open && !has_room())
         return m_choices.clear();
+    // Those that refused or seem to hang come in only if all do.
+    keep_if_any(m_choices, [](const choice& row) { return !row.m_excluded; });
+    keep_if_any(m_choices, [](const choice& row) { return !row.m_shunned; });
     std::erase_if(m_choices, [](const choice& row) {
         return is_overfull(row.m_outlook.m_under_way, row.m_outlook.m_slots);
     });
 }
 
+bool place_service::has_room() const
+{
+    // One that has refused a single call is there for others: a call that
+    // can't use it goes into another's queue rather than to stop the line.
+    const bool all_shunned =
+        std::all_of(m_choices.begin(), m_choices.end(),
+                    [](const choice& row) { return row.m_shunned; });
+    return std::any_of(
+        m_choices.begin(), m_choices.end(), [all_shunned](const choice& row) {
+            return (all_shunned || !row.m_shunned) &&
+                   !is_full(row.m_outlook.m_under_way, row.m_outlook.m_slots);
+        });
+}
+
 std::optional<std::size_t>
 place_service::choose_engine(const place_question& question) const
 {
--- a/test/scheduling/test_engine_places.cpp
+++ b/test/scheduling/test_engine_places.cpp
@@ -224,6 +224,23 @@
     CHECK(decided[0].m_answer.m_outcome == place_outcome::placed);
 }
 
+TEST_CASE("a call that only full engines would take does not stop the line",
+          "[places]")
+{
+    engine_places places;
+    places.follow(service, make_engines(2, 2), start);
+    for (std::uint64_t call = 1; call <= 3; ++call)
+    {
+        auto question = make_question(call);
+        question.m_excluded = {2};
+        CHECK(ask(places, question).m_runner == 1);
+    }
+    auto refused = make_question(4);
+    refused.m_excluded = {2};
+    CHECK(ask(places, refused).m_runner == 1);
+    CHECK(ask(places, make_question(5)).m_runner == 2);
+}
+
 TEST_CASE("a call that waits too long is told so", "[places]")
 {
     engine_places places;
