--- a/test/scheduling/place_policies.hpp
+++ b/test/scheduling/place_policies.hpp
@@ -41,12 +41,6 @@
     {
         return m_places->take_decided(now);
     }
-    [[nodiscard]] std::string metrics() const
-    {
-        std::string out;
-        m_places->write_metrics(out);
-        return out;
-    }
 
 private:
     const place_site& m_site;
--- a/test/scheduling/test_place_loads.cpp
+++ b/test/scheduling/test_place_loads.cpp
@@ -264,3 +264,20 @@
     }
     WARN(table.str());
 }
+
+TEST_CASE("many engines with room for few parts: each keeps its own",
+          "[places]")
+{
+    const std::uint64_t capacity = GENERATE(40'000U, 72'000U);
+    auto shape = make_even_site();
+    shape.m_engines = 128;
+    shape.m_engine.m_slots = 6;
+    shape.m_engine.m_token_capacity = capacity;
+    shape.m_engine.m_told_capacity = capacity;
+    shape.m_kinds = {{100, 6, 1500}, {80, 4, 800}};
+    const auto placed = run_placed(shape, 1, 259, 7'000);
+    const auto own = run_own(shape, 1, 259, 7'000);
+    CAPTURE(capacity, describe("placed", placed), describe("own", own));
+    CHECK(placed.m_all.late_share() <= own.m_all.late_share() / 3);
+    CHECK(placed.m_shared_tokens_read <= own.m_shared_tokens_read / 3);
+}
