Readers: what the kernel holds of runners' answers counts, cuts begin sooner

A stream that waits for its caller, and an answer that waits for room, leave up to a receive buffer of the runner's bytes with this VM; they were not counted. They are now, the buffer is 16 KB, cutting begins at 0.7 of the bound instead of 0.8 to leave room for them, and long chains are refused while readers are cut.

--- a/include/pepperturn/forward/held_bytes.hpp
+++ b/include/pepperturn/forward/held_bytes.hpp
@@ -26,10 +26,14 @@
     late_body,
     /// An answer that is gathered before it is passed on.
     answer,
+    /// What the kernel has of an answer that is not read on for want of room.
+    incoming,
     /// What a caller has not taken, with what the kernel has of it.
     unread
 };
 
+constexpr std::size_t held_kinds = 6;
+
 class held_account;
 
 /// The sums of one VM. Used from one thread.
@@ -94,7 +98,7 @@
     std::uint64_t m_bound;
     std::uint64_t m_total = 0;
     std::uint64_t m_most = 0;
-    std::array<std::uint64_t, 5> m_by_kind{};
+    std::array<std::uint64_t, held_kinds> m_by_kind{};
     /// Only those that hold something.
     std::map<std::string, std::uint64_t> m_by_workspace;
     std::set<held_account*> m_waiting;
@@ -145,7 +149,7 @@
 
 private:
     std::shared_ptr<held_book> m_book;
-    std::array<std::uint64_t, 5> m_held{};
+    std::array<std::uint64_t, held_kinds> m_held{};
     std::string m_workspace;
     std::uint64_t m_number;
     instant m_since{};
--- a/include/pepperturn/forward/upstream_pool.hpp
+++ b/include/pepperturn/forward/upstream_pool.hpp
@@ -35,7 +35,7 @@
     /// answer at once. Bytes that a runner has sent and nobody has read yet
     /// count as this VM's memory.
     static constexpr int send_bytes = 32 << 10;
-    static constexpr int receive_bytes = 32 << 10;
+    static constexpr int receive_bytes = 16 << 10;
 
     upstream_pool(asio::io_context& io, const clock& time);
 
--- a/src/forward/caller_connection.cpp
+++ b/src/forward/caller_connection.cpp
@@ -25,6 +25,8 @@
 constexpr milliseconds discard_patience{500};
 /// A body of the largest size passes in this time on a slow link.
 constexpr milliseconds body_patience{10000};
+/// What the kernel keeps of a stream that is not read on from its runner.
+constexpr std::size_t stream_bytes = upstream_pool::receive_bytes;
 constexpr std::string_view head_end = "\r\n\r\n";
 
 std::string_view view_of(const boost::beast::flat_buffer& buffer)
@@ -297,7 +299,7 @@
 {
     auto text = head_text(head, keep_alive);
     text += "Transfer-Encoding: chunked\r\n\r\n";
-    co_return co_await write_all(text, {}, text.size());
+    co_return co_await write_all(text, {}, text.size() + stream_bytes);
 }
 
 task<bool> caller_connection::write_piece(std::string_view bytes)
@@ -309,7 +311,7 @@
     std::string text(size.data(), static_cast<std::size_t>(count));
     text += bytes;
     text += "\r\n";
-    co_return co_await write_all(text, {}, text.size());
+    co_return co_await write_all(text, {}, text.size() + stream_bytes);
 }
 
 task<bool> caller_connection::end_stream()
--- a/src/forward/held_bytes.cpp
+++ b/src/forward/held_bytes.cpp
@@ -68,7 +68,7 @@
     end_gathering();
     for (const auto kind :
          {held_kind::request, held_kind::chain, held_kind::late_body,
-          held_kind::answer, held_kind::unread})
+          held_kind::answer, held_kind::incoming, held_kind::unread})
         set(kind, 0);
 }
 
--- a/src/forward/memory_guard.cpp
+++ b/src/forward/memory_guard.cpp
@@ -2,6 +2,7 @@
 #include "pepperturn/forward/memory_guard.hpp"
 
 #include "pepperturn/base/latency_histogram.hpp"
+#include "pepperturn/forward/upstream_pool.hpp"
 
 #include <glog/logging.h>
 
@@ -15,6 +16,8 @@
 /// A new connection waits no longer than this: callers give one up that is
 /// not read for a second.
 constexpr milliseconds longest_pause{100};
+/// The same while readers are cut: it takes longer to tell who reads slowly.
+constexpr milliseconds longest_cutting_pause{400};
 /// Runners cut off an answer that stays unread for some seconds; longer than
 /// it takes to tell who reads slowly.
 constexpr milliseconds room_patience{2500};
@@ -46,8 +49,14 @@
 
 task<> memory_guard::pause()
 {
-    const auto until = m_time.now() + longest_pause;
-    while (level() >= pressure_level::pausing && m_time.now() < until)
+    const auto begun = m_time.now();
+    const auto may_last = [this] {
+        if (level() == pressure_level::calm)
+            return milliseconds(0);
+        return level() == pressure_level::cutting ? longest_cutting_pause
+                                                  : longest_pause;
+    };
+    while (m_time.now() < begun + may_last())
         co_await sleep_for(m_io, look_interval);
 }
 
@@ -63,10 +72,13 @@
     if (level() != pressure_level::cutting)
         co_return true;
     held->begin_gathering();
+    held->set(held_kind::incoming, upstream_pool::receive_bytes);
     const auto until = m_time.now() + room_patience;
     while (!has_room(held.get()) && m_time.now() < until)
         co_await sleep_for(m_io, look_interval);
-    co_return has_room(held.get());
+    const bool room = has_room(held.get());
+    held->set(held_kind::incoming, 0);
+    co_return room;
 }
 
 void memory_guard::take_level(pressure_level level)
--- a/src/forward/proxy.cpp
+++ b/src/forward/proxy.cpp
@@ -382,6 +382,13 @@
             work->m_preferred = row->m_incarnation;
         work->m_body += work->m_request.body();
         work->m_held->set(held_kind::chain, work->m_body.size());
+        if (m_memory.level() == pressure_level::cutting &&
+            !m_memory.may_read_body(work->m_body.size()))
+        {
+            m_memory.note_refused();
+            settle(*work, 0);
+            co_return refuse(*work, "no memory for its chain", come_back_later);
+        }
         co_return std::nullopt;
     }
     settle(*work, 0);
--- a/src/scheduling/read_pressure.cpp
+++ b/src/scheduling/read_pressure.cpp
@@ -21,8 +21,8 @@
 constexpr std::uint64_t usual_bound = 32 * megabyte;
 
 /// Shares of the bound at which a level begins, by level. Room is left above
-/// the last one for what comes in before a cut takes effect.
-constexpr std::array<double, 4> level_begins{0, 0.5, 0.65, 0.8};
+/// the last one for what comes in while it is not yet clear who reads slowly.
+constexpr std::array<double, 4> level_begins{0, 0.5, 0.6, 0.7};
 /// A level ends below this share of where it begins.
 constexpr double level_ends = 0.9;
 
