Links to storage VMs at a start: one connection, short dials, one configuration

A seed's connection goes on under its name; pauses stay short until a VM has been alone for 2.5 s; one member is asked for the configuration at a time, the next at once if that one is lost, after 0.4 s if it is silent. Without any configuration the own zone is waited for 25 ms instead of 160.

Ruled out: changes of views (the epoch after the loss is the one before it).

--- a/include/pepperturn/cluster/config_fetcher.hpp
+++ b/include/pepperturn/cluster/config_fetcher.hpp
@@ -31,6 +31,8 @@
     void forget_disconnected();
     [[nodiscard]] bool is_near(const std::string& member) const;
     task<> fetch();
+    /// Until what is known is newer, or the member asked is lost.
+    task<> wait_for_answer(instant until);
     /// Its answer is taken whenever it comes.
     void ask(const std::string& member);
 
@@ -44,6 +46,8 @@
     std::map<std::string, std::uint64_t> m_announced;
     async_event m_changed;
     bool m_fetching = false;
+    /// The connection to the member asked last has ended.
+    bool m_unanswered = false;
 };
 
 } // namespace pepperturn
--- a/include/pepperturn/cluster/member_links.hpp
+++ b/include/pepperturn/cluster/member_links.hpp
@@ -4,6 +4,7 @@
 /// that some of them tell.
 #pragma once
 
+#include "pepperturn/cluster/dialing.hpp"
 #include "pepperturn/cluster/frame_link.hpp"
 
 #include <map>
@@ -69,24 +70,40 @@
 private:
     struct link_row
     {
+        std::string m_name;
         std::string m_address;
         std::shared_ptr<frame_link> m_link;
         std::map<std::uint64_t, frame_done> m_calls;
         instant m_heard{};
         /// When it last heard the store by its own watch.
         instant m_watched{};
+        /// What it was last told about whether its news are wanted.
+        bool m_told_wants = false;
         /// The last try to connect failed, or the connection ended.
         bool m_failed = false;
         bool m_dropped = false;
     };
 
     void add_row(const std::string& name, const std::string& address);
-    task<> keep_connected(std::string name, std::shared_ptr<link_row> row);
-    void take_frame(const std::string& name, link_row& row, frame value);
+    /// The row under \p rows that goes to \p target, by whatever name it was
+    /// sought.
+    [[nodiscard]] static std::shared_ptr<link_row>
+    take_row(std::map<std::string, std::shared_ptr<link_row>>& rows,
+             const member& target);
+    task<> keep_connected(std::shared_ptr<link_row> row);
+    [[nodiscard]] dial_times choose_times(unsigned failures) const;
+    /// Takes frames until the connection ends.
+    /// \returns why it did
+    task<std::string> serve_link(std::shared_ptr<link_row> row,
+                                 std::shared_ptr<frame_link> link);
+    void note_lost();
+    void take_frame(link_row& row, frame value);
     void take_beat(link_row& row, const beat_message& beat);
     void end_calls(link_row& row);
     [[nodiscard]] bool wants_news_of(const std::string& name) const;
-    void greet(const std::string& name, const link_row& row);
+    void greet(link_row& row);
+    /// Tells those who do not know it whether they are heard.
+    void greet_anew();
 
     asio::io_context& m_io;
     const clock& m_time;
@@ -99,6 +116,8 @@
     std::uint64_t m_next_call = 1;
     instant m_store_heard{};
     instant m_store_watched{};
+    /// The start of this VM, or when the last connection was lost.
+    instant m_alone_since{};
     bool m_stopped = false;
 };
 
--- a/src/cluster/config_fetcher.cpp
+++ b/src/cluster/config_fetcher.cpp
@@ -11,6 +11,9 @@
 /// A member of the own zone announces the same within this time, unless it is
 /// behind or away: members read the store at most 150 ms apart.
 constexpr milliseconds near_patience{160};
+/// Without any configuration nothing is served: members of the own zone that
+/// run are connected to within some round trips, others are not waited for.
+constexpr milliseconds start_patience{25};
 /// Half a megabyte on the slowest links takes a third of this; then the next
 /// one is asked, and so on until somebody has answered.
 constexpr milliseconds first_patience{400};
@@ -85,31 +88,41 @@
 
 task<> config_fetcher::fetch()
 {
-    const auto far_at = m_time.now() + near_patience;
+    const auto far_at =
+        m_time.now() + (m_known == 0 ? start_patience : near_patience);
     auto patience = first_patience;
     std::size_t asked = 0;
     while (!m_announced.empty())
     {
         const auto candidates = sources(m_time.now() < far_at);
         if (candidates.empty())
-        {
             co_await m_changed.wait_until(far_at);
-        }
         else
         {
             ask(candidates[asked++ % candidates.size()]);
-            co_await m_changed.wait_until(m_time.now() + patience);
-            patience = std::min(2 * patience, longest_patience);
+            co_await wait_for_answer(m_time.now() + patience);
+            if (!m_unanswered)
+                patience = std::min(2 * patience, longest_patience);
         }
         forget_disconnected();
     }
     m_fetching = false;
 }
 
+task<> config_fetcher::wait_for_answer(instant until)
+{
+    // Others that announce it meanwhile are not asked: a configuration may
+    // fill the link for a tenth of a second, and each further copy delays all.
+    const auto known = m_known;
+    while (m_known == known && !m_unanswered && m_time.now() < until)
+        co_await m_changed.wait_until(until);
+}
+
 void config_fetcher::ask(const std::string& member)
 {
     LOG(INFO) << "event=config_asked vm=" << member
               << " revision=" << m_announced[member] << " known=" << m_known;
+    m_unanswered = false;
     // Answered whatever the asker's epoch is.
     m_links.call(member, 0, want_config_message{},
                  [this](const std::optional<frame>& answer) {
@@ -118,6 +131,8 @@
                                 : nullptr;
                      if (told != nullptr)
                          m_take(*told);
+                     m_unanswered = told == nullptr;
+                     m_changed.notify();
                  });
 }
 
--- a/src/cluster/member_links.cpp
+++ b/src/cluster/member_links.cpp
@@ -8,11 +8,6 @@
 
 namespace {
 
-/// A storage VM in the same region answers a connect within milliseconds; one
-/// that is just starting drops the first packet, and the next is tried soon.
-constexpr milliseconds connect_patience{120};
-constexpr milliseconds first_backoff{50};
-constexpr milliseconds longest_backoff{400};
 /// A beat that tells of the platform's store within this is good news.
 constexpr milliseconds fresh_store{2500};
 
@@ -20,7 +15,8 @@
 
 member_links::member_links(asio::io_context& io, const clock& time,
                            std::string self_name)
-    : m_io(io), m_time(time), m_self_name(std::move(self_name))
+    : m_io(io), m_time(time), m_self_name(std::move(self_name)),
+      m_alone_since(time.now())
 {}
 
 void member_links::on_state(
@@ -32,11 +28,12 @@
 void member_links::add_row(const std::string& name, const std::string& address)
 {
     auto fresh = std::make_shared<link_row>();
+    fresh->m_name = name;
     fresh->m_address = address;
     // Silence counts from now on.
     fresh->m_heard = m_time.now();
     m_rows[name] = fresh;
-    spawn(m_io, "member_links.connect", keep_connected(name, fresh));
+    spawn(m_io, "member_links.connect", keep_connected(fresh));
 }
 
 void member_links::seek(const std::vector<std::string>& addresses)
@@ -55,9 +52,8 @@
     {
         if (row.m_name == m_self_name)
             continue;
-        const auto found = before.find(row.m_name);
-        if (found != before.end() && found->second->m_address == row.m_address)
-            m_rows.insert(before.extract(found));
+        if (auto known = take_row(before, row))
+            m_rows[row.m_name] = std::move(known);
         else
             add_row(row.m_name, row.m_address);
     }
@@ -67,19 +63,44 @@
         if (const auto link = row->m_link)
             link->close("not followed any more");
     }
+    greet_anew();
+}
+
+std::shared_ptr<member_links::link_row>
+member_links::take_row(std::map<std::string, std::shared_ptr<link_row>>& rows,
+                       const member& target)
+{
+    // A seed is known by its address until the members are: its connection
+    // goes on under its name.
+    for (const auto& key : {target.m_name, target.m_address})
+    {
+        const auto found = rows.find(key);
+        if (found == rows.end() || found->second->m_address != target.m_address)
+            continue;
+        auto out = std::move(found->second);
+        rows.erase(found);
+        out->m_name = target.m_name;
+        return out;
+    }
+    return nullptr;
 }
 
 void member_links::subscribe(std::vector<std::string> sources)
 {
     if (m_sources == sources)
         return;
-    const auto before = std::exchange(m_sources, std::move(sources));
+    m_sources = std::move(sources);
+    // Seeds have no names yet; follow() gives them theirs.
+    if (m_following)
+        greet_anew();
+}
+
+void member_links::greet_anew()
+{
     for (const auto& [name, row] : m_rows)
     {
-        const bool heard = !before || std::find(before->begin(), before->end(),
-                                                name) != before->end();
-        if (row->m_link && heard != wants_news_of(name))
-            greet(name, *row);
+        if (row->m_link && row->m_told_wants != wants_news_of(name))
+            greet(*row);
     }
 }
 
@@ -89,10 +110,11 @@
                                    name) != m_sources->end();
 }
 
-void member_links::greet(const std::string& name, const link_row& row)
+void member_links::greet(link_row& row)
 {
-    row.m_link->send({0, 0, frame_status::ok,
-                      hello_message{m_self_name, wants_news_of(name)}});
+    row.m_told_wants = wants_news_of(row.m_name);
+    row.m_link->send(
+        {0, 0, frame_status::ok, hello_message{m_self_name, row.m_told_wants}});
 }
 
 void member_links::stop()
@@ -101,58 +123,75 @@
     follow({});
 }
 
-task<> member_links::keep_connected(std::string name,
-                                    std::shared_ptr<link_row> row)
+dial_times member_links::choose_times(unsigned failures) const
 {
-    auto backoff = first_backoff;
-    bool reported = false;
+    return choose_dial_times({elapsed(m_alone_since, m_time.now()), failures});
+}
+
+task<> member_links::keep_connected(std::shared_ptr<link_row> row)
+{
+    unsigned failures = 0;
     while (!row->m_dropped && !m_stopped)
     {
         std::string reason;
+        const auto times = choose_times(failures);
         auto link = co_await connect_frames(m_io, row->m_address,
-                                            connect_patience, reason);
+                                            times.m_patience, reason);
         if (row->m_dropped || m_stopped)
             co_return;
         row->m_failed = !link;
         if (!link)
         {
-            if (!std::exchange(reported, true))
-                LOG(WARNING) << "event=storage_unreachable vm=" << name
+            if (failures++ == 0)
+                LOG(WARNING) << "event=storage_unreachable vm=" << row->m_name
                              << " address=" << row->m_address << " reason=\""
                              << reason << '"';
-            co_await sleep_for(m_io, backoff);
-            backoff = std::min(backoff * 2, longest_backoff);
+            co_await sleep_for(m_io, choose_times(failures).m_pause);
             continue;
         }
-        backoff = first_backoff;
-        reported = false;
-        async_event closed(m_io);
-        std::string closed_reason;
-        row->m_link = link;
-        row->m_heard = m_time.now();
-        link->start(
-            [this, name, row](frame value) {
-                take_frame(name, *row, std::move(value));
-            },
-            [&closed, &closed_reason](const std::string& why) {
-                closed_reason = why;
-                closed.notify();
-            });
-        greet(name, *row);
-        LOG(INFO) << "event=storage_connected vm=" << name
-                  << " address=" << row->m_address;
-        while (link->open())
-            co_await closed.wait_until(instant::max());
-        row->m_link = nullptr;
-        row->m_failed = true;
-        end_calls(*row);
-        LOG(WARNING) << "event=storage_lost vm=" << name << " reason=\""
+        failures = 0;
+        const auto closed_reason = co_await serve_link(row, link);
+        LOG(WARNING) << "event=storage_lost vm=" << row->m_name << " reason=\""
                      << closed_reason << '"';
     }
 }
 
-void member_links::take_frame(const std::string& name, link_row& row,
-                              frame value)
+task<std::string> member_links::serve_link(std::shared_ptr<link_row> row,
+                                           std::shared_ptr<frame_link> link)
+{
+    async_event closed(m_io);
+    std::string reason;
+    row->m_link = link;
+    row->m_heard = m_time.now();
+    link->start(
+        [this, row](frame value) { take_frame(*row, std::move(value)); },
+        [&closed, &reason](const std::string& why) {
+            reason = why;
+            closed.notify();
+        });
+    greet(*row);
+    LOG(INFO) << "event=storage_connected vm=" << row->m_name
+              << " address=" << row->m_address;
+    while (link->open())
+        co_await closed.wait_until(instant::max());
+    row->m_link = nullptr;
+    row->m_failed = true;
+    end_calls(*row);
+    note_lost();
+    co_return reason;
+}
+
+void member_links::note_lost()
+{
+    const bool alone =
+        std::none_of(m_rows.begin(), m_rows.end(), [](const auto& row) {
+            return row.second->m_link != nullptr;
+        });
+    if (alone)
+        m_alone_since = m_time.now();
+}
+
+void member_links::take_frame(link_row& row, frame value)
 {
     row.m_heard = m_time.now();
     if (value.m_call != 0)
@@ -167,8 +206,10 @@
     }
     if (const auto* state = std::get_if<cluster_state>(&value.m_body))
     {
+        // Whoever takes it may learn the sender's name from it, so it is told
+        // by reference.
         if (m_on_state)
-            m_on_state(name, *state);
+            m_on_state(row.m_name, *state);
     }
     else if (const auto* beat = std::get_if<beat_message>(&value.m_body))
         take_beat(row, *beat);
--- a/test/fleet/test_config_fetcher.cpp
+++ b/test/fleet/test_config_fetcher.cpp
@@ -40,6 +40,16 @@
     {
         answer();
     }
+    void announce()
+    {
+        cluster_state told;
+        told.m_config_revision = 7;
+        m_link->send({0, 0, frame_status::ok, std::move(told)});
+    }
+    void lose()
+    {
+        m_link->close("lost");
+    }
 
 private:
     void greet(tcp::socket socket)
@@ -47,9 +57,7 @@
         m_link = std::make_shared<frame_link>(m_io, std::move(socket));
         m_link->start([this](const frame& value) { take(value); },
                       [](const std::string&) {});
-        cluster_state told;
-        told.m_config_revision = 7;
-        m_link->send({0, 0, frame_status::ok, std::move(told)});
+        announce();
     }
     void take(const frame& value)
     {
@@ -146,3 +154,37 @@
     vm.m_near.answer_late();
     CHECK(vm.wait_for_config(milliseconds(1000)));
 }
+
+TEST_CASE("one configuration is asked for, however many announce it",
+          "[config_fetcher]")
+{
+    // At the start of a fleet each VM asked four storage VMs, and the copies
+    // filled its link for four times as long.
+    follower vm(99, 99);
+    REQUIRE(run_until(vm.m_io, [&] { return vm.m_near.asked() > 0; }));
+    const milliseconds several_round_trips{100};
+    for (int i = 0; i < 3; ++i)
+    {
+        vm.m_near.announce();
+        vm.m_far.announce();
+        vm.m_io.restart();
+        vm.m_io.run_for(several_round_trips / 3);
+    }
+    CHECK(vm.m_near.asked() + vm.m_far.asked() == 1);
+    vm.m_near.answer_late();
+    CHECK(vm.wait_for_config(milliseconds(1000)));
+}
+
+TEST_CASE("a configuration is asked for elsewhere as soon as a member is lost",
+          "[config_fetcher]")
+{
+    follower vm(99, 0);
+    REQUIRE(run_until(vm.m_io, [&] { return vm.m_near.asked() > 0; }));
+    // The other one has announced it by then.
+    vm.m_io.run_for(milliseconds(50));
+    const auto lost = vm.m_time.now();
+    vm.m_near.lose();
+    REQUIRE(vm.wait_for_config());
+    // Not only once it has been waited for: that takes 400 ms.
+    CHECK(elapsed(lost, vm.m_time.now()) < milliseconds(300));
+}
--- a/test/fleet/test_member_links.cpp
+++ b/test/fleet/test_member_links.cpp
@@ -140,3 +140,38 @@
     REQUIRE(run_until(io, [&] { return !links.hopeful("a"); }));
     links.stop();
 }
+
+TEST_CASE("a seed's connection goes on under its name", "[member_links]")
+{
+    // All edge VMs that start at once would otherwise connect to the seeds
+    // twice, and be told all that is known twice.
+    told_world world;
+    world.tell(1);
+    world.m_links.seek({world.m_members.front().m_address});
+    REQUIRE(world.wait_for([&] { return world.m_told == 1; }));
+    world.m_links.subscribe({"vm-9"});
+    world.m_links.follow(world.m_members);
+    CHECK(world.m_links.connected("vm-9"));
+    world.sync();
+    CHECK(world.m_told == 1);
+    std::string figures;
+    world.m_server.write_metrics(figures);
+    CHECK(figures.find("connected_vms 1\n") != std::string::npos);
+    world.tell(2);
+    REQUIRE(
+        world.wait_for([&] { return world.m_state.m_config_revision == 2; }));
+}
+
+TEST_CASE("a seed that is not subscribed to is told so", "[member_links]")
+{
+    told_world world;
+    world.tell(1);
+    world.m_links.seek({world.m_members.front().m_address});
+    REQUIRE(world.wait_for([&] { return world.m_told == 1; }));
+    world.m_links.subscribe({});
+    world.m_links.follow(world.m_members);
+    world.sync();
+    world.tell(2);
+    world.sync();
+    CHECK(world.m_told == 1);
+}
