Edge VMs find storage VMs beside late seeds; storage VMs answer before they read

An edge VM whose seeds are silent for 15 ms reads the views from the store, once, as a read that may be old: members refuse an old epoch and tell the newer one. Until it has a configuration it turns to other sources every 20 ms.

--- a/include/pepperturn/fleet/edge_node.hpp
+++ b/include/pepperturn/fleet/edge_node.hpp
@@ -33,6 +33,11 @@
     /// Decodes the entries that moved and passes all runners on.
     void take_runners(const std::vector<std::string>& moved);
     void choose_source();
+    /// Looks for storage VMs beside the seeds, which may be down or late.
+    task<> find_members();
+    /// While this VM has no configuration: turns to other storage VMs as soon
+    /// as one turns out to be away.
+    task<> hasten_news();
     void follow_views();
     /// Hears the world from the nearest storage VMs that are there.
     void choose_news();
--- a/include/pepperturn/fleet/storage_node.hpp
+++ b/include/pepperturn/fleet/storage_node.hpp
@@ -68,6 +68,9 @@
     [[nodiscard]] std::vector<std::string> freshness_sources() const;
     /// Whether callers have keys, by the newest configuration.
     void follow_config();
+    /// The same for what the disk remembers, once the loop has answered those
+    /// that wait for this VM.
+    task<> follow_first_config();
     /// Has the store asked, by this VM or by those that watch it.
     void keep_fresh();
     /// What this VM knows of the store, and how old that is.
@@ -110,6 +113,8 @@
     std::uint64_t m_fresh_disk = 0;
     std::uint64_t m_disk = 0;
     bool m_loaded = false;
+    /// The loop has run for a moment.
+    bool m_answering = false;
     std::uint64_t m_caught_up_at = 0;
     /// Epoch in which all of another member's holdings were copied.
     std::map<std::string, std::uint64_t> m_copied_at;
--- a/include/pepperturn/fleet/world_source.hpp
+++ b/include/pepperturn/fleet/world_source.hpp
@@ -64,6 +64,10 @@
     /// Ends after the call that is under way.
     virtual void pause() = 0;
 
+    /// Asks the store once for the views of the replica sets, which may be
+    /// seconds old; for a VM that knows no storage VM yet.
+    [[nodiscard]] virtual task<> read_views() = 0;
+
     /// Takes what another VM knows, for while the store is out of reach from
     /// here only.
     virtual void learn(const cluster_state& news) = 0;
--- a/include/pepperturn/turns/turn_store.hpp
+++ b/include/pepperturn/turns/turn_store.hpp
@@ -23,7 +23,10 @@
     /// Reads the log. Retention starts anew for all of it, since the time
     /// that has passed while the process was down is unknown.
     /// \param damaged set if acknowledged entries may be missing
-    [[nodiscard]] bool load(instant now, bool& damaged, std::string& reason);
+    /// \param between called now and then, for whoever reads beside other
+    /// work
+    [[nodiscard]] bool load(instant now, bool& damaged, std::string& reason,
+                            const std::function<void()>& between = {});
 
     /// Queues an entry for the log and enters it. Repeating one is harmless;
     /// a settled reservation is never set back.
--- a/src/fleet/edge_node.cpp
+++ b/src/fleet/edge_node.cpp
@@ -15,6 +15,12 @@
 /// A VM that starts hears of the world from the storage VMs; each question
 /// to the store is priced.
 constexpr milliseconds seed_patience{700};
+/// A seed that runs has answered by then: several round trips.
+constexpr milliseconds seed_answer{15};
+/// While nothing can be served yet: a round trip within the region.
+constexpr milliseconds hasten_interval{20};
+/// Whoever has no configuration by then looks for news at the usual ticks.
+constexpr milliseconds hasten_span{3000};
 /// After the order to stop: the balancer asks once a second and takes a VM
 /// out after two misses.
 constexpr milliseconds still_new_connections{3000};
@@ -87,9 +93,29 @@
     m_source.on_state([this](const cluster_state& news) { take_state(news); });
     m_started = m_time.now();
     m_links.seek(m_settings.m_seeds);
+    // Before the fleet is founded the store has no views.
+    if (!m_settings.m_bootstrap)
+        spawn(m_io, "edge_node.find_members", find_members());
+    spawn(m_io, "edge_node.hasten_news", hasten_news());
     return true;
 }
 
+task<> edge_node::find_members()
+{
+    co_await sleep_for(m_io, seed_answer);
+    if (m_state.m_views.empty())
+        co_await m_source.read_views();
+}
+
+task<> edge_node::hasten_news()
+{
+    while (!m_proxy.has_config() && m_time.now() - m_started < hasten_span)
+    {
+        choose_news();
+        co_await sleep_for(m_io, hasten_interval);
+    }
+}
+
 void edge_node::take_state(const cluster_state& news)
 {
     const auto change = merge_state(m_state, news);
--- a/src/fleet/storage_node.cpp
+++ b/src/fleet/storage_node.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <glog/logging.h>
 #include <random>
+#include <thread>
 
 namespace pepperturn {
 
@@ -15,6 +16,13 @@
 constexpr milliseconds expiry_interval{2000};
 /// Of the tolerance for limits that is given out, see limiter_settings.
 constexpr double spare_share = 0.8;
+/// Edge VMs that start beside this one ask for what it knows, and can serve
+/// nothing before; a configuration of a thousand routes takes a tenth of a
+/// second to read on a small share of a core.
+constexpr milliseconds first_answers{30};
+/// The loop has its turn after each stretch that is read of the disk; all
+/// pauses together are some tens of milliseconds.
+constexpr milliseconds load_pause{1};
 /// Answers under way go out before the process ends.
 constexpr milliseconds stop_linger{150};
 
@@ -64,7 +72,10 @@
     asio::post(m_loader, [this] {
         bool damaged = false;
         std::string reason;
-        if (m_store->load(m_time.now(), damaged, reason))
+        // On one core it would hold up the loop for as long as it reads, and
+        // with it all that ask what this VM knows of the world.
+        const auto pause = [] { std::this_thread::sleep_for(load_pause); };
+        if (m_store->load(m_time.now(), damaged, reason, pause))
             reason.clear();
         else if (reason.empty())
             reason = "unreadable";
@@ -156,7 +167,7 @@
     m_server->on_change([this](const state_change& change) {
         if (!change.m_views.empty())
             follow_views();
-        if (change.m_config)
+        if (change.m_config && m_answering)
             follow_config();
         if (!change.m_runners.empty())
         {
@@ -184,11 +195,18 @@
     // An entry that lapsed while every VM was down has time to come back.
     m_source.learn(m_server->state());
     m_source.start();
-    keep_fresh();
     load_disk();
+    spawn(m_io, "storage_node.follow_config", follow_first_config());
     return true;
 }
 
+task<> storage_node::follow_first_config()
+{
+    co_await sleep_for(m_io, first_answers);
+    m_answering = true;
+    follow_config();
+}
+
 void storage_node::take_state(const cluster_state& news)
 {
     m_server->take_state(news);
--- a/src/turns/turn_store.cpp
+++ b/src/turns/turn_store.cpp
@@ -13,14 +13,18 @@
 /// The oldest segment is rewritten once at most this share of its entries
 /// is alive: copying a quarter costs little and frees three quarters.
 constexpr std::size_t rewrite_share = 4;
+/// Entries read at a stretch: a few milliseconds on a third of a core.
+constexpr std::uint64_t load_stretch = 1000;
 
 } // namespace
 
 turn_store::turn_store(turn_log& log) : m_log(log) {}
 
-bool turn_store::load(instant now, bool& damaged, std::string& reason)
+bool turn_store::load(instant now, bool& damaged, std::string& reason,
+                      const std::function<void()>& between)
 {
     std::uint64_t unreadable = 0;
+    std::uint64_t count = 0;
     const bool loaded = m_log.load(
         [&](const loaded_entry& row) {
             std::string why;
@@ -29,6 +33,8 @@
                 enter(*entry, row.m_position, now);
             else
                 ++unreadable;
+            if (between && ++count % load_stretch == 0)
+                between();
         },
         damaged, reason);
     if (unreadable > 0)
--- a/test/platform/test_cluster_source.cpp
+++ b/test/platform/test_cluster_source.cpp
@@ -261,3 +261,34 @@
     CHECK(newer->m_outcome == swap_outcome::written);
     CHECK(newer->m_epoch > world.m_state.m_views.front().m_epoch);
 }
+
+TEST_CASE("the views alone are read for a VM that knows no other",
+          "[cluster_source]")
+{
+    followed world;
+    world.m_store.put("op/config", R"({"version":1})");
+    cluster_view view{0, {{"vm-1", "1.2.3.4:5", "z", 7, member_state::full}}};
+    view.m_set_count = 1;
+    world.m_store.put("pepperturn/sets/0", encode_view(view));
+    SECTION("from the store")
+    {
+        REQUIRE(run_task(world.m_io, [&]() -> task<bool> {
+            co_await world.m_source.read_views();
+            co_return true;
+        }()));
+        REQUIRE(world.m_state.m_views.size() == 1);
+        CHECK(world.m_state.m_views.front().m_members == view.m_members);
+        CHECK(world.m_state.m_config.empty());
+        CHECK(world.m_store.calls() == 1);
+    }
+    SECTION("not from one that is down")
+    {
+        world.m_store.set_down(true);
+        REQUIRE(run_task(world.m_io, [&]() -> task<bool> {
+            co_await world.m_source.read_views();
+            co_return true;
+        }()));
+        CHECK(world.m_state.m_views.empty());
+    }
+    CHECK_FALSE(world.m_source.running());
+}
--- a/test/turns/test_turn_store.cpp
+++ b/test/turns/test_turn_store.cpp
@@ -258,3 +258,25 @@
         RC_ASSERT(left == right);
     }));
 }
+
+TEST_CASE("reading the log leaves others their turn", "[turn_store]")
+{
+    temporary_folder folder;
+    constexpr int entries = 3500;
+    {
+        opened life(folder.path(), 1U << 20U);
+        for (int i = 0; i < entries; ++i)
+            life.m_store.append(
+                {1000, reservation{key_of("p"), key_of(std::to_string(i)), 1}},
+                instant{});
+        life.sync();
+    }
+    turn_log log(folder.path(), 1U << 20U);
+    turn_store store(log);
+    int turns = 0;
+    bool damaged = false;
+    std::string reason;
+    REQUIRE(store.load(instant{}, damaged, reason, [&] { ++turns; }));
+    CHECK(store.ledger_of(key_of("p")).size() == entries);
+    CHECK(turns == 3);
+}
