What comes to a VM that starts is held while its caller has use of it

Cause: 40 requests were held for half a second and refused with 503 while service was some tenths of a second away; each refusal took one of the caller's few tries.

Held for up to three quarters of the caller's time within the first two seconds after the start, by a decision of its own (scheduling/start_hold); woken by the configuration instead of looking every 15 ms. Later, or with no time left, refused at once.

--- a/include/pepperturn/forward/proxy.hpp
+++ b/include/pepperturn/forward/proxy.hpp
@@ -154,7 +154,9 @@
     task<bool> serve_one(std::shared_ptr<caller_connection> caller,
                          caller_request request);
     /// Waits for \p ready while this VM has only just started.
-    task<> wait_for(std::function<bool()> ready);
+    task<> wait_for(std::shared_ptr<call> work, std::function<bool()> ready);
+    /// Until when a request waits for what this VM lacks at its start.
+    [[nodiscard]] instant held_until(const call& work) const;
     task<verdict> handle(std::shared_ptr<caller_connection> caller,
                          std::shared_ptr<call> work);
     task<std::optional<upstream_answer>> begin_turn(std::shared_ptr<call> work);
@@ -253,6 +255,8 @@
     std::set<std::shared_ptr<caller_connection>> m_callers;
     traffic_metrics m_metrics;
     instant m_started{};
+    /// Of requests that wait for this VM to know enough to serve them.
+    std::set<std::shared_ptr<async_event>> m_held;
     std::size_t m_active = 0;
     std::uint64_t m_draw = 0;
     bool m_draining = false;
--- a/src/forward/proxy.cpp
+++ b/src/forward/proxy.cpp
@@ -2,6 +2,7 @@
 #include "pepperturn/forward/proxy.hpp"
 
 #include "pepperturn/scheduling/refusal.hpp"
+#include "pepperturn/scheduling/start_hold.hpp"
 
 #include <algorithm>
 #include <glog/logging.h>
@@ -13,11 +14,9 @@
 /// How long a turn waits for the storage VMs before it is refused: they
 /// answer within milliseconds, a restarted one within a second.
 constexpr milliseconds begin_patience{1500};
-/// A VM that has just started hears of the world within some tenths of a
-/// second; what comes before that waits for it rather than being refused.
-constexpr milliseconds start_patience{1200};
-constexpr milliseconds start_hold{500};
-constexpr milliseconds start_check{15};
+/// Between two looks of a request that is held at the start: for what is not
+/// announced to it, such as the first storage VM that is heard.
+constexpr milliseconds start_check{30};
 constexpr milliseconds drain_retry{100};
 
 std::string seconds_text(milliseconds span)
@@ -58,6 +57,8 @@
               << " routes=" << config.m_routes.size()
               << " services=" << config.m_services.size();
     m_config = std::make_shared<const routing_config>(std::move(config));
+    for (const auto& news : m_held)
+        news->notify();
     return true;
 }
 
@@ -220,12 +221,21 @@
         alive->pull(abort_cause::timeout);
 }
 
-task<> proxy::wait_for(std::function<bool()> ready)
+instant proxy::held_until(const call& work) const
 {
-    const auto until =
-        std::min(m_started + start_patience, m_time.now() + start_hold);
+    return work.m_arrived + start_hold({elapsed(m_started, work.m_arrived),
+                                        work.m_fields.m_deadline});
+}
+
+task<> proxy::wait_for(std::shared_ptr<call> work, std::function<bool()> ready)
+{
+    const auto until = held_until(*work);
+    // An event has one waiter.
+    const auto news = std::make_shared<async_event>(m_io);
+    m_held.insert(news);
     while (!ready() && m_time.now() < until)
-        co_await sleep_for(m_io, start_check);
+        co_await news->wait_until(std::min(until, m_time.now() + start_check));
+    m_held.erase(news);
 }
 
 task<proxy::verdict> proxy::handle(std::shared_ptr<caller_connection> caller,
@@ -234,7 +244,7 @@
     verdict out;
     if (!work->m_config)
     {
-        co_await wait_for([this] { return m_config != nullptr; });
+        co_await wait_for(work, [this] { return m_config != nullptr; });
         work->m_config = m_config;
         work->m_config_revision = m_config_revision;
     }
@@ -254,7 +264,7 @@
     }
     const auto& route = *work->m_route;
     if (asks_keys() && !config_age_known())
-        co_await wait_for([this] { return config_age_known(); });
+        co_await wait_for(work, [this] { return config_age_known(); });
     out.m_answer = admit_caller(*work);
     if (out.m_answer)
         co_return out;
@@ -312,7 +322,7 @@
         co_return fail(*work, 402, "budget is below one turn");
     }
     if (!m_turns.connected())
-        co_await wait_for([this] { return m_turns.connected(); });
+        co_await wait_for(work, [this] { return m_turns.connected(); });
     if (!m_turns.connected())
     {
         // Cut off from all of them: the next VM that is tried may not be.
@@ -321,7 +331,9 @@
     }
     work->m_reserved = true;
     auto result = co_await m_turns.begin(
-        begin, std::min(work->m_deadline, m_time.now() + begin_patience));
+        begin,
+        std::min(work->m_deadline,
+                 std::max(m_time.now() + begin_patience, held_until(*work))));
     m_metrics.note_turn_begin(elapsed(work->m_arrived, m_time.now()));
     work->m_why = result.m_reason + ' ';
     work->m_goes_on = work->m_goes_on || !result.m_places.empty();
--- a/test/fleet/test_proxy.cpp
+++ b/test/fleet/test_proxy.cpp
@@ -378,3 +378,39 @@
     late.connect(edge.endpoint(), ec);
     CHECK(ec == asio::error::connection_refused);
 }
+
+TEST_CASE("what comes before the configuration is held and then served",
+          "[proxy]")
+{
+    // At a start of all VMs there is no other that would serve it sooner.
+    world edge;
+    proxy starting(edge.m_io, edge.m_time, wire_names{}, "z", edge.m_turns);
+    edge.m_port = free_port(edge.m_io);
+    std::string reason;
+    REQUIRE(starting.listen(edge.endpoint(), reason));
+    starting.take_runners({{"r1", "svc", edge.m_first.address(), "z", 4}});
+    edge.m_first.script({{whole_answer(200, "fine")}});
+    edge.connect();
+    edge.send(world::get("/get/a", "Pepperturn-Deadline-Ms: 1500\r\n"));
+    const auto asked = edge.m_time.now();
+    const milliseconds start{700};
+    CHECK_FALSE(edge.wait_for([&] { return !edge.m_received.empty(); }, start));
+    starting.take_config(world::config(1));
+    CHECK(edge.wait_for([&] { return has(edge.m_received, "fine"); }));
+    CHECK(elapsed(asked, edge.m_time.now()) < milliseconds(1500));
+}
+
+TEST_CASE("what is held in vain is refused while its caller has time left",
+          "[proxy]")
+{
+    world edge;
+    proxy starting(edge.m_io, edge.m_time, wire_names{}, "z", edge.m_turns);
+    edge.m_port = free_port(edge.m_io);
+    std::string reason;
+    REQUIRE(starting.listen(edge.endpoint(), reason));
+    edge.connect();
+    edge.send(world::get("/get/a", "Pepperturn-Deadline-Ms: 400\r\n"));
+    CHECK(edge.wait_for([&] { return has(edge.m_received, "503"); },
+                        milliseconds(2000)));
+    CHECK(has(edge.m_received, "Retry-After: "));
+}
