Soak: power of all VMs at the end of the faults

All processes are killed at once and started within a second, in a drawn order, with their disks and without the mark of a first start, while callers go on. What was answered whole before can be gone on from, and budgets hold.

--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -12,6 +12,7 @@
 #include "support/fleet/platform_store.hpp"
 #include "support/fleet/scratch_folder.hpp"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -91,7 +92,7 @@
         return "r" + std::to_string(++m_ids);
     }
     void set_up();
-    void write_settings(vm& each, int number);
+    void write_settings(vm& each, int number, bool first_start);
     void put_config();
     task<> call_for_ever();
     task<bool> run_program(bool patient);
@@ -102,6 +103,9 @@
     task<> hurt_for_ever();
     task<> hurt_vm(vm& each);
     task<> hurt_network();
+    /// Ends every process at once and starts them in another order, within a
+    /// second, with the disks they have.
+    task<> lose_power();
     void note(const std::string& what)
     {
         std::cout << what << '\n';
@@ -123,6 +127,8 @@
     std::uint64_t m_served = 0;
     std::uint64_t m_version = 0;
     bool m_stop = false;
+    /// No further faults.
+    bool m_calm = false;
     int m_hurting = 0;
     std::vector<program_state> m_ended;
 };
@@ -146,7 +152,7 @@
                                  R"({"slots":8,"stride":3}},{"name":"app"}]})");
 }
 
-void soak::write_settings(vm& each, int number)
+void soak::write_settings(vm& each, int number, bool first_start)
 {
     auto& process = each.m_process;
     process.m_settings = m_folder / (process.m_name + ".ini");
@@ -160,8 +166,8 @@
     std::ofstream out(process.m_settings);
     out << "[vm]\nname = " << process.m_name
         << "\nhost = 127.0.0.1\navailability_zone = z" << number
-        << "\nbootstrap = true\ngrace_s = 5\n[listen]\nseeds = " << seeds
-        << '\n';
+        << "\nbootstrap = " << (first_start ? "true" : "false")
+        << "\ngrace_s = 5\n[listen]\nseeds = " << seeds << '\n';
     if (each.m_storage)
         out << "frames = " << each.m_address
             << "\n[storage]\nfolder = " << process.m_data_folder << '\n';
@@ -203,7 +209,7 @@
     int number = 0;
     for (const auto& each : m_vms)
     {
-        write_settings(*each, ++number);
+        write_settings(*each, ++number, true);
         start(each->m_process);
     }
 }
@@ -418,7 +424,7 @@
 
 task<> soak::hurt_for_ever()
 {
-    while (!m_stop)
+    while (!m_calm)
     {
         co_await sleep_for(m_io, milliseconds(50 + draw(700)));
         auto& each = *m_vms[draw(m_vms.size())];
@@ -433,6 +439,26 @@
     }
 }
 
+task<> soak::lose_power()
+{
+    note("fault power of all");
+    for (const auto& each : m_vms)
+        kill_and_wait(each->m_process);
+    co_await sleep_for(m_io, milliseconds(200 + draw(500)));
+    int number = 0;
+    for (const auto& each : m_vms)
+        write_settings(*each, ++number, false);
+    std::vector<vm*> order;
+    for (const auto& each : m_vms)
+        order.push_back(each.get());
+    std::shuffle(order.begin(), order.end(), m_random);
+    for (auto* each : order)
+    {
+        start(each->m_process);
+        co_await sleep_for(m_io, milliseconds(draw(60)));
+    }
+}
+
 int soak::run()
 {
     set_up();
@@ -448,10 +474,20 @@
     spawn(m_io, "soak.faults", hurt_for_ever());
     const milliseconds length(m_seconds * 1000);
     run_until(m_io, after(length), length + milliseconds(1000));
-    m_stop = true;
+    m_calm = true;
     if (!run_until(
             m_io, [&] { return m_hurting == 0; }, heal_limit))
         m_rules.fail("a fault did not end");
+    const auto restarted = test::run_task(m_io, [](soak& self) -> task<bool> {
+        co_await self.lose_power();
+        co_return true;
+    }(*this));
+    if (!restarted)
+        m_rules.fail("the processes were not started again");
+    // What comes while nobody can serve yet is held or sent back truly.
+    constexpr milliseconds return_time{1500};
+    run_until(m_io, after(return_time), 2 * return_time);
+    m_stop = true;
     bool healed = false;
     const auto end = std::chrono::steady_clock::now() + heal_limit;
     while (!healed && std::chrono::steady_clock::now() < end)
