--- a/src/forward/proxy.cpp
+++ b/src/forward/proxy.cpp
@@ -230,6 +230,9 @@
 task<> proxy::wait_for(std::shared_ptr<call> work, std::function<bool()> ready)
 {
     const auto until = held_until(*work);
+    if (ready() || m_time.now() >= until)
+        co_return;
+    m_metrics.count("held_at_start");
     // An event has one waiter.
     const auto news = std::make_shared<async_event>(m_io);
     m_held.insert(news);
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -449,6 +449,7 @@
     for (const auto& each : m_vms)
         write_settings(*each, ++number, false);
     std::vector<vm*> order;
+    order.reserve(m_vms.size());
     for (const auto& each : m_vms)
         order.push_back(each.get());
     std::shuffle(order.begin(), order.end(), m_random);
