--- a/include/pepperturn/cluster/dialing.hpp
+++ b/include/pepperturn/cluster/dialing.hpp
@@ -14,9 +14,9 @@
 
 struct dial_facts
 {
-    /// Since this VM has heard of no member at all: its start, or the loss of
-    /// the last one.
-    milliseconds m_alone_for{0};
+    /// Since this VM's start, or since it lost the last member that it was
+    /// connected to, whichever came later; others may be connected by now.
+    milliseconds m_since_alone{0};
     /// Tries of this member that failed, one after the other.
     unsigned m_failures = 0;
 
