Limits count an exact window; calls are told their next place

Now each owner counts its third of rate x 5 + burst, of half the tolerated tenth and of four fifths of the fixed tolerance in slots of 50 ms. Shorter spans are bounded too, so that an owner that restarts and assumes the most of its past has room again from the first half second on. A call without room gets the next place and waits for it at its edge VM (an eighth of what is left, a second at most); beyond that it is told when to come back and the place is kept. First calls are judged by the calls that programs under way are likely to make, with sizes learnt per workspace and of all of them.

Ruled out on the virtual clock: more patience with buckets, a fill of 0.95 (refuses more below the limit, breaks off no fewer). Random histories now change limits, wait, give back and shrink shares; they found that an owner whose share shrinks must hand its past over in part (shrink_window).

Tests that named numbers of the token bucket name those of the window now and bound the same things from above; the operator's rule is checked as before.

--- a/include/pepperturn/forward/quota_client.hpp
+++ b/include/pepperturn/forward/quota_client.hpp
@@ -18,6 +18,10 @@
     milliseconds m_retry{0};
     /// Who granted it.
     std::string m_owner;
+    /// The place that it has there, as told.
+    std::uint32_t m_place = 0;
+    /// How long the request waited for it.
+    milliseconds m_waited{0};
     quota_question m_question;
     /// Owners that were asked.
     unsigned m_asked = 0;
@@ -31,7 +35,9 @@
     /// The storage VMs among which owners are found.
     void follow(const std::vector<member>& members);
 
-    /// Asks the owners one after the other until one grants it.
+    /// Asks the owners one after the other until one grants it. Where none has
+    /// room at once, the one that has it first is asked for a place within the
+    /// question's patience, and the answer comes when it is time.
     /// \returns `not_owner` if none of them could answer
     [[nodiscard]] task<quota_grant> take(quota_question question);
     /// Gives a grant back whose request has certainly not run.
@@ -41,7 +47,6 @@
     struct refusal_key
     {
         std::uint64_t m_workspace = 0;
-        bool m_begins = false;
         std::string m_owner;
 
         // The linter takes the zero of a rewritten comparison for a pointer.
@@ -49,10 +54,19 @@
         auto operator<=>(const refusal_key&) const = default;
     };
 
-    /// The owner said lately that it has no room: until then.
+    /// The owner said lately that it has no room for first calls: until then.
+    /// Others are asked for each time: a place may be kept for them.
     [[nodiscard]] std::optional<instant>
     refused_until(const refusal_key& key) const;
     void note_refusal(refusal_key key, instant until);
+    /// The owners of its workspace, the one that its program keeps to first.
+    [[nodiscard]] std::vector<std::string>
+    owners_for(const quota_question& question);
+    /// Asks one owner, and takes its answer into \p out.
+    /// \returns when there is room, if there is none now
+    [[nodiscard]] task<std::optional<instant>>
+    ask_owner(std::string owner, quota_question question,
+              std::shared_ptr<quota_grant> out);
 
     asio::io_context& m_io;
     const clock& m_time;
--- a/include/pepperturn/tenancy/limit_owners.hpp
+++ b/include/pepperturn/tenancy/limit_owners.hpp
@@ -65,11 +65,12 @@
                               const std::string& self, std::uint64_t workspace,
                               instant now, milliseconds takeover);
 
-/// Since when \p self has granted that share without a break, as far as it
+/// Since when nobody but \p self has granted what it grants now, as far as it
 /// remembers; the epoch of the clock: all the time.
+/// \param share that it may grant now (\ref share_of)
 [[nodiscard]] instant granting_since(const owner_history& history,
                                      const std::string& self,
-                                     std::uint64_t workspace,
+                                     std::uint64_t workspace, double share,
                                      milliseconds takeover);
 
 } // namespace pepperturn
--- /dev/null
+++ b/include/pepperturn/tenancy/limit_window.hpp
@@ -0,0 +1,112 @@
+// SPDX-License-Identifier: BSL-1.0
+/// \file
+/// Counts grants in a sliding window, exactly as an operator's limit is judged.
+///
+/// A limit says how many requests may run in any five seconds. A token bucket
+/// that keeps this promise refuses requests far below it: what it has not
+/// given out by the time it is full is lost, and its rate binds although the
+/// window as a whole has room. Here grants are counted in short slots, and a
+/// grant is given whenever no window over its instant is full.
+///
+/// Shorter spans are bounded as well (\ref span_share): a VM that restarts has
+/// forgotten its grants and must take them to have been the most allowed. If
+/// all of a window could be granted at one instant, it could grant nothing for
+/// a whole window after; so bounded, room comes back from the first half second
+/// on.
+///
+/// Places may be taken in the near future: a request that waits its turn has
+/// its place counted where it will run.
+#pragma once
+
+#include "pepperturn/base/time.hpp"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace pepperturn {
+
+/// The span over which operators' limits are judged.
+constexpr milliseconds limit_span{5000};
+/// Grants are told apart by this: a hundredth of the window, so that rounding
+/// up costs one in a hundred.
+constexpr milliseconds slot_length{50};
+constexpr std::int64_t slots_in_window = limit_span / slot_length;
+/// Places are taken this far ahead at most: everything that was granted until
+/// now is out of the window by then.
+constexpr std::int64_t slots_ahead = slots_in_window;
+/// Spans that are bounded besides the whole window: every half second.
+constexpr std::int64_t slots_in_step = 10;
+/// Of what a window holds, this much may be granted at one instant: several
+/// programs' calls at a small limit. With more, less comes back after a
+/// restart.
+constexpr double burst_share = 0.4;
+
+/// Number of the slot that \p at lies in.
+[[nodiscard]] std::int64_t slot_at(instant at);
+[[nodiscard]] instant start_of_slot(std::int64_t slot);
+
+/// Share of a window's grants that a span of \p steps half seconds may hold.
+[[nodiscard]] double span_share(std::int64_t steps);
+
+/// What a window may hold from an instant on.
+struct window_bound
+{
+    std::int64_t m_from = 0;
+    double m_most = 0;
+
+    friend bool operator==(const window_bound&, const window_bound&) = default;
+};
+
+struct limit_window
+{
+    /// Slots behind and ahead, and some to spare; a power of two.
+    static constexpr std::size_t ring_size = 256;
+
+    /// Grants by slot, modulo the ring's size.
+    std::array<float, ring_size> m_counts{};
+    /// The newest slot that time has come to; the ring holds those from a
+    /// window before it on.
+    std::int64_t m_now = 0;
+    /// The last slot with a place in it.
+    std::int64_t m_tail = 0;
+    /// Bounds of now and of the last window, oldest first. A window that
+    /// overlaps several may hold the most that any of them allows, and of
+    /// what was granted since a lower one no more than that one.
+    std::vector<window_bound> m_bounds;
+
+    friend bool operator==(const limit_window&, const limit_window&) = default;
+};
+
+/// Lets time go on; forgets what no window reaches any more.
+void advance_window(limit_window& window, std::int64_t now);
+
+/// From now on windows may hold \p most.
+void bound_window(limit_window& window, double most);
+
+/// From now on this window is only \p part of what it was: so are its bounds
+/// and what was granted. Whoever takes the rest counts the rest of these
+/// grants.
+void shrink_window(limit_window& window, double part);
+
+/// The earliest slot from \p from to \p until that has room for one more.
+[[nodiscard]] std::optional<std::int64_t>
+find_room(const limit_window& window, std::int64_t from, std::int64_t until);
+
+/// Counts one grant in \p slot.
+void take_place(limit_window& window, std::int64_t slot);
+/// Takes one grant back; nothing, if its window is over.
+void free_place(limit_window& window, std::int64_t slot);
+
+/// Counts the most that may have been granted up to \p until by someone who
+/// granted \p most in a window.
+void assume_granted(limit_window& window, std::int64_t until, double most);
+
+/// Grants in the last \p slots up to now, and places ahead.
+[[nodiscard]] double used_lately(const limit_window& window,
+                                 std::int64_t slots);
+/// Places ahead of now.
+[[nodiscard]] double places_ahead(const limit_window& window);
+
+} // namespace pepperturn
--- a/include/pepperturn/tenancy/limiter.hpp
+++ b/include/pepperturn/tenancy/limiter.hpp
@@ -4,23 +4,21 @@
 ///
 /// Load pattern: a workspace that begins several times as many programs as
 /// its limit bears. Counting requests alone would let all of them begin and
-/// break each of them off half done. Here, once the limit is near, a program's
-/// first call is let in only if the limit bears it beside the programs under
-/// way at the pace at which programs call; their calls are let in while there
-/// is anything left. On the virtual clock 172 and 196 programs of the 200 that
-/// a limit bears end whole at 2.6 and 7.5 times of it, and none is broken off;
-/// by counting requests alone 151 and 130 do, and 207 and 479 are broken off.
+/// break each of them off half done. Here a program's first call is let in
+/// only if the window (\ref limit_window) will hold the calls that it is likely
+/// to make, beside those of the programs under way. Calls of programs under way
+/// are let in while there is any room; where there is none for a moment they
+/// take the next place that becomes free, which is told at once: the caller
+/// waits, nothing is held here.
 ///
-/// Each share is a token bucket. In any span of time it grants no more than
-/// its capacity and what it is refilled with, so all shares together no more
-/// than `rate x span + burst` and \ref limiter_settings::m_spare. It begins
-/// empty, since a VM that starts does not know what it has granted before.
+/// Each VM counts its share of what the operator tolerates, so that all of
+/// them together never grant more. A VM that starts does not know what it has
+/// granted before and takes it to have been the most allowed.
 #pragma once
 
+#include "pepperturn/tenancy/limit_window.hpp"
 #include "pepperturn/tenancy/workspaces.hpp"
 
-#include "pepperturn/base/time.hpp"
-
 #include <unordered_map>
 
 namespace pepperturn {
@@ -40,7 +38,8 @@
     bool m_begins = false;
     /// A grant that was not used comes back; nothing is asked.
     bool m_returned = false;
-    /// Longest wait in line for room below the limit, in milliseconds.
+    /// Longest wait for room below the limit, in milliseconds; of a grant
+    /// that comes back: its \ref quota_answer::m_retry_ms.
     std::uint32_t m_patience_ms = 0;
 
     friend bool operator==(const quota_question&,
@@ -61,62 +60,103 @@
 struct quota_answer
 {
     quota_outcome m_outcome = quota_outcome::not_owner;
-    /// Over the limit: when there is room again.
+    /// Over the limit: when there is room again, in milliseconds. Granted:
+    /// the place that it has (\ref pack_place).
     std::uint32_t m_retry_ms = 0;
 
     friend bool operator==(const quota_answer&, const quota_answer&) = default;
 };
 
+/// The place of a grant as it goes over the wire: its slot, and how long the
+/// request waits until then. Whoever gives it back names it, so that exactly
+/// this one is free again.
+[[nodiscard]] std::uint32_t pack_place(std::int64_t slot, milliseconds wait);
+[[nodiscard]] milliseconds wait_of_place(std::uint32_t packed);
+/// \param now a slot less than half an hour from it
+[[nodiscard]] std::int64_t slot_of_place(std::uint32_t packed,
+                                         std::int64_t now);
+
 struct limiter_settings
 {
     /// Requests above the limit that counting over many VMs may let through,
     /// four fifths of what the operator allows for it (20): owners hold whole
-    /// requests, and a third of a small limit holds few. The rest, and the
-    /// tenth of the limit that is allowed beside, is for what is sent a little
-    /// later than it was granted.
+    /// requests, and a third of a small limit holds few. The rest is for what
+    /// is not counted here.
     double m_spare = 16;
-    /// Above this share of its bucket a limit is far from being reached, and
-    /// programs begin without further question: a bucket is nearly full at six
-    /// tenths of the limit and never at all of it.
-    double m_ample = 0.95;
-    /// Share of a bucket that is kept for programs under way.
-    double m_reserve = 0.3;
-    /// What is left above the reserve may be spent within this many seconds:
-    /// twice as long as programs take.
-    double m_spend_s = 8;
+    /// Share of the limit that is granted above it, half of what the operator
+    /// tolerates (a tenth), for the same reasons.
+    double m_excess = 0.05;
+    /// Share of the window that programs may be expected to fill. More than
+    /// all of it: their calls can wait a little for room, and a program that
+    /// ends late is worth more than one that never began.
+    double m_fill = 1.15;
     /// Calls a second of a program while none has ended: a turn and a tool or
     /// two within the second.
     double m_usual_pace = 4;
+    /// Calls of a program while none has ended.
+    double m_usual_calls = 16;
 
     friend bool operator==(const limiter_settings&,
                            const limiter_settings&) = default;
 };
 
+/// What is learnt of programs that have ended; fades.
+struct program_habits
+{
+    double m_programs = 0;
+    double m_calls = 0;
+    double m_seconds = 0;
+
+    friend bool operator==(const program_habits&,
+                           const program_habits&) = default;
+};
+
+/// Instants at which calls to come are summed up: quarters of the window.
+constexpr std::size_t horizons = 4;
+using call_forecast = std::array<double, horizons>;
+
 /// A program that has begun.
 struct counted_program
 {
     std::uint32_t m_calls = 0;
     instant m_first{};
     instant m_last{};
+    /// One of its calls was refused: how it ends says nothing of others.
+    bool m_cut = false;
 
     friend bool operator==(const counted_program&,
                            const counted_program&) = default;
 };
 
+/// A place kept for a call that was refused and told when to come back.
+struct kept_place
+{
+    std::uint64_t m_program = 0;
+    std::int64_t m_slot = 0;
+
+    friend bool operator==(const kept_place&, const kept_place&) = default;
+};
+
 /// One workspace at one owner.
 struct limiter_row
 {
     request_limit m_limit;
     std::uint64_t m_config_revision = 0;
     double m_share = 0;
-    double m_tokens = 0;
-    instant m_filled{};
+    /// Nobody else has granted this share since.
+    instant m_since{};
+    /// Grants from before this are not counted one by one.
+    instant m_exact_since{};
+    instant m_asked{};
+    limit_window m_window;
+    /// In the order in which they were given.
+    std::vector<kept_place> m_kept;
     /// Programs under way, by the hash of their ids.
     std::unordered_map<std::uint64_t, counted_program> m_programs;
-    /// Calls of programs that have ended, and the seconds they took; both
-    /// fade.
-    double m_ended_calls = 0;
-    double m_ended_s = 0;
+    program_habits m_habits;
+    /// Calls to come of the programs under way, and when it was summed up.
+    call_forecast m_to_come{};
+    instant m_forecast_at{};
     /// When a call of a program under way was last refused.
     instant m_cut_at{};
     /// When programs were last looked through for ended ones.
@@ -125,20 +165,33 @@
     friend bool operator==(const limiter_row&, const limiter_row&) = default;
 };
 
+/// What one window may hold at an owner of \p share.
+[[nodiscard]] double most_in_window(const request_limit& limit, double share,
+                                    const limiter_settings& settings);
+
 /// Counts one question.
 /// \param share of the limit that this VM may grant, above 0
-[[nodiscard]] quota_answer take_request(limiter_row& row,
-                                        const quota_question& question,
-                                        double share, instant now,
-                                        const limiter_settings& settings);
+/// \param since nobody else grants this share from then on
+/// \param all what is learnt of the programs of all workspaces
+[[nodiscard]] quota_answer
+take_request(limiter_row& row, const quota_question& question, double share,
+             instant since, instant now, const limiter_settings& settings,
+             program_habits& all);
 
 /// Puts a grant back that was not used.
 void return_request(limiter_row& row, const quota_question& question,
-                    const limiter_settings& settings);
+                    instant now);
 
-/// Calls a second of one program under way, as seen.
-[[nodiscard]] double program_pace(const limiter_row& row,
-                                  const limiter_settings& settings);
+/// Calls of one program, and calls a second, as seen of this workspace and,
+/// while that is little, of all of them.
+struct expected_program
+{
+    double m_calls = 0;
+    double m_pace = 0;
+};
+[[nodiscard]] expected_program expect_program(const program_habits& own,
+                                              const program_habits& all,
+                                              const limiter_settings& settings);
 
 /// All workspaces at one owner, bounded in number.
 class limiter
@@ -159,6 +212,7 @@
     void forget_unused(instant now);
 
     limiter_settings m_settings;
+    program_habits m_habits;
     std::unordered_map<std::uint64_t, limiter_row> m_rows;
     std::array<std::uint64_t, 3> m_counts{};
 };
--- a/src/fleet/storage_limits.cpp
+++ b/src/fleet/storage_limits.cpp
@@ -94,7 +94,7 @@
               : 0;
     const auto since =
         std::max(m_started, granting_since(m_owners, self, question.m_workspace,
-                                           takeover));
+                                           share, takeover));
     return m_limiter.ask(question, share, since, now);
 }
 
--- a/src/forward/proxy_workspaces.cpp
+++ b/src/forward/proxy_workspaces.cpp
@@ -15,6 +15,13 @@
 
 /// Spreads those who are told the same time to come back, in milliseconds.
 constexpr std::uint64_t retry_spread = 100;
+/// A call of a program waits for room below a limit for at most this part of
+/// what it and its program have left: a program that is late is worth more
+/// than one that is broken off, and several such waits still fit.
+constexpr milliseconds::rep wait_part = 8;
+/// Nobody waits longer: whoever cannot be served within a second is told when
+/// to come back, and does not hold a connection meanwhile.
+constexpr milliseconds longest_wait{1000};
 
 } // namespace
 
@@ -87,6 +94,11 @@
     question.m_begins = work->m_route->m_stateful &&
                         fields.m_parent_turn.empty() &&
                         fields.m_program_left.has_value();
+    auto left = elapsed(m_time.now(), work->m_deadline);
+    if (fields.m_program_left)
+        left = std::min(left, *fields.m_program_left);
+    left = std::clamp(left / wait_part, milliseconds(0), longest_wait);
+    question.m_patience_ms = static_cast<std::uint32_t>(left.count());
     auto asked = std::make_shared<quota_wait>(m_io);
     spawn(m_io, "proxy.quota",
           [](quota_client& quota, quota_question what,
--- a/src/forward/quota_client.cpp
+++ b/src/forward/quota_client.cpp
@@ -46,10 +46,9 @@
     m_refused_until[std::move(key)] = until;
 }
 
-task<quota_grant> quota_client::take(quota_question question)
+std::vector<std::string>
+quota_client::owners_for(const quota_question& question)
 {
-    quota_grant out;
-    out.m_question = question;
     auto owners = owners_of(m_members, question.m_workspace);
     // A program keeps to one owner, which so knows how far it is; others are
     // asked where that one has no room.
@@ -59,41 +58,76 @@
                     owners.begin() +
                         static_cast<std::ptrdiff_t>(draw % owners.size()),
                     owners.end());
+    return owners;
+}
+
+task<std::optional<instant>>
+quota_client::ask_owner(std::string owner, quota_question question,
+                        std::shared_ptr<quota_grant> out)
+{
+    if (!m_links.connected(owner))
+        co_return std::nullopt;
+    ++out->m_asked;
+    const auto answer =
+        co_await m_links.ask(owner, 0, question, m_time.now() + ask_patience);
+    const auto* told =
+        answer ? std::get_if<quota_answer>(&answer->m_body) : nullptr;
+    if (told == nullptr || told->m_outcome == quota_outcome::not_owner)
+        co_return std::nullopt;
+    out->m_outcome = told->m_outcome;
+    if (told->m_outcome == quota_outcome::over_limit)
+        co_return m_time.now() + milliseconds(told->m_retry_ms);
+    out->m_owner = owner;
+    out->m_place = told->m_retry_ms;
+    out->m_waited = wait_of_place(told->m_retry_ms);
+    co_return std::nullopt;
+}
+
+task<quota_grant> quota_client::take(quota_question question)
+{
+    const auto out = std::make_shared<quota_grant>();
+    out->m_question = question;
+    auto at_once = question;
+    at_once.m_patience_ms = 0;
     std::optional<instant> room_at;
-    const auto note_room = [&](instant at) {
-        out.m_outcome = quota_outcome::over_limit;
-        room_at = std::min(room_at.value_or(at), at);
-    };
-    for (const auto& owner : owners)
+    std::string first_to_have;
+    for (const auto& owner : owners_for(question))
     {
-        const refusal_key key{question.m_workspace, question.m_begins, owner};
-        if (const auto until = refused_until(key))
-        {
-            note_room(*until);
-            continue;
-        }
-        if (!m_links.connected(owner))
+        const refusal_key key{question.m_workspace, owner};
+        auto until =
+            question.m_begins ? refused_until(key) : std::optional<instant>{};
+        if (until)
+            out->m_outcome = quota_outcome::over_limit;
+        else
+            until = co_await ask_owner(owner, at_once, out);
+        if (out->m_outcome == quota_outcome::granted)
+            co_return *out;
+        if (!until)
             continue;
-        ++out.m_asked;
-        const auto answer = co_await m_links.ask(owner, 0, question,
-                                                 m_time.now() + ask_patience);
-        const auto* told =
-            answer ? std::get_if<quota_answer>(&answer->m_body) : nullptr;
-        if (told == nullptr || told->m_outcome == quota_outcome::not_owner)
+        if (question.m_begins)
+            note_refusal(key, *until);
+        if (room_at && *room_at <= *until)
             continue;
-        if (told->m_outcome == quota_outcome::granted)
-        {
-            out.m_outcome = quota_outcome::granted;
-            out.m_owner = owner;
-            co_return out;
-        }
-        const auto until = m_time.now() + milliseconds(told->m_retry_ms);
-        note_refusal(key, until);
-        note_room(until);
+        room_at = until;
+        first_to_have = owner;
+    }
+    if (!room_at)
+        co_return *out;
+    if (question.m_patience_ms > 0 && !question.m_begins)
+    {
+        const auto again = co_await ask_owner(first_to_have, question, out);
+        room_at = again ? again : room_at;
+    }
+    if (out->m_outcome != quota_outcome::granted)
+    {
+        out->m_retry = elapsed(m_time.now(), *room_at);
+        co_return *out;
     }
-    if (room_at)
-        out.m_retry = elapsed(m_time.now(), *room_at);
-    co_return out;
+    async_event never(m_io);
+    const auto begins = m_time.now() + out->m_waited;
+    while (m_time.now() < begins)
+        co_await never.wait_until(begins);
+    co_return *out;
 }
 
 void quota_client::give_back(const quota_grant& grant)
@@ -102,6 +136,7 @@
         return;
     auto question = grant.m_question;
     question.m_returned = true;
+    question.m_patience_ms = grant.m_place;
     m_links.call(grant.m_owner, 0, question,
                  [](const std::optional<frame>&) {});
 }
--- a/src/tenancy/limit_owners.cpp
+++ b/src/tenancy/limit_owners.cpp
@@ -78,13 +78,14 @@
 }
 
 instant granting_since(const owner_history& history, const std::string& self,
-                       std::uint64_t workspace, milliseconds takeover)
+                       std::uint64_t workspace, double share,
+                       milliseconds takeover)
 {
     const auto& periods = history.m_periods;
     for (auto row = periods.rbegin(); row != periods.rend(); ++row)
     {
         if (row->m_until != instant::max() &&
-            share_in(row->m_members, self, workspace) == 0)
+            share_in(row->m_members, self, workspace) < share)
             return row->m_until + takeover;
     }
     return instant{};
--- /dev/null
+++ b/src/tenancy/limit_window.cpp
@@ -0,0 +1,216 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/tenancy/limit_window.hpp"
+
+#include <algorithm>
+
+namespace pepperturn {
+
+namespace {
+
+/// Limits that change more often than this within a window are taken together
+/// at their lowest.
+constexpr std::size_t most_bounds = 8;
+constexpr std::int64_t steps_in_window = slots_in_window / slots_in_step;
+/// Sums of fractions come out a little beside whole numbers.
+constexpr double rounding = 1e-3;
+
+std::size_t index_of(std::int64_t slot)
+{
+    return static_cast<std::size_t>(slot) % limit_window::ring_size;
+}
+
+/// The oldest slot that a window up to now reaches: slots are counted whole,
+/// so one more than the window is long.
+std::int64_t oldest_slot(const limit_window& window)
+{
+    return window.m_now - slots_in_window;
+}
+
+/// Sums of grants from the oldest slot on, so that any span is one difference.
+class running_sums
+{
+public:
+    explicit running_sums(const limit_window& window)
+        : m_first(oldest_slot(window))
+    {
+        const auto last = std::max(window.m_now, window.m_tail);
+        double sum = 0;
+        for (auto slot = m_first; slot <= last; ++slot)
+        {
+            sum += static_cast<double>(window.m_counts.at(index_of(slot)));
+            m_sums.at(static_cast<std::size_t>(slot - m_first)) = sum;
+        }
+        m_last = last;
+    }
+
+    /// Grants in the slots \p from to \p until, both included.
+    [[nodiscard]] double between(std::int64_t from, std::int64_t until) const
+    {
+        return up_to(until) - up_to(from - 1);
+    }
+
+private:
+    [[nodiscard]] double up_to(std::int64_t slot) const
+    {
+        if (slot < m_first)
+            return 0;
+        return m_sums[static_cast<std::size_t>(std::min(slot, m_last) -
+                                               m_first)];
+    }
+
+    std::int64_t m_first;
+    std::int64_t m_last = 0;
+    std::array<double, limit_window::ring_size> m_sums{};
+};
+
+/// The span of \p steps that ends with \p end may hold one more.
+bool has_room(const limit_window& window, const running_sums& sums,
+              std::int64_t end, std::int64_t steps)
+{
+    const auto begin = end - steps * slots_in_step;
+    const double share = span_share(steps);
+    double most = 0;
+    for (auto row = window.m_bounds.rbegin(); row != window.m_bounds.rend();
+         ++row)
+    {
+        most = std::max(most, row->m_most);
+        const auto from = std::max(begin, row->m_from);
+        if (sums.between(from, end) + 1 > most * share + rounding)
+            return false;
+        if (row->m_from <= begin)
+            break;
+    }
+    return true;
+}
+
+bool has_room_at(const limit_window& window, const running_sums& sums,
+                 std::int64_t slot)
+{
+    for (std::int64_t steps = 1; steps <= steps_in_window; ++steps)
+    {
+        const auto last =
+            std::clamp(window.m_tail, slot, slot + steps * slots_in_step);
+        for (auto end = slot; end <= last; ++end)
+        {
+            if (!has_room(window, sums, end, steps))
+                return false;
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+std::int64_t slot_at(instant at)
+{
+    return at.time_since_epoch() / slot_length;
+}
+
+instant start_of_slot(std::int64_t slot)
+{
+    return instant{} + slot * slot_length;
+}
+
+double span_share(std::int64_t steps)
+{
+    return burst_share + (1 - burst_share) * static_cast<double>(steps) /
+                             static_cast<double>(steps_in_window);
+}
+
+void advance_window(limit_window& window, std::int64_t now)
+{
+    if (now <= window.m_now)
+        return;
+    // What leaves the window is cleared, for the ring to be used anew.
+    const auto first = oldest_slot(window);
+    const auto last =
+        std::min(now - slots_in_window,
+                 first + static_cast<std::int64_t>(limit_window::ring_size));
+    for (auto slot = first; slot < last; ++slot)
+        window.m_counts.at(index_of(slot)) = 0;
+    window.m_now = now;
+    window.m_tail = std::max(window.m_tail, now);
+    auto& bounds = window.m_bounds;
+    while (bounds.size() > 1 && bounds[1].m_from <= oldest_slot(window))
+        bounds.erase(bounds.begin());
+}
+
+void bound_window(limit_window& window, double most)
+{
+    auto& bounds = window.m_bounds;
+    if (bounds.empty())
+        bounds.push_back({oldest_slot(window), most});
+    if (bounds.back().m_most == most)
+        return;
+    // Within one slot grants before and after a change are not told apart: all
+    // of them count below the new bound.
+    if (bounds.size() < most_bounds)
+        bounds.push_back({window.m_now, most});
+    else
+        bounds.back().m_most = std::min(bounds.back().m_most, most);
+}
+
+void shrink_window(limit_window& window, double part)
+{
+    for (auto slot = oldest_slot(window); slot <= window.m_now; ++slot)
+        window.m_counts.at(index_of(slot)) *= static_cast<float>(part);
+    for (auto& row : window.m_bounds)
+        row.m_most *= part;
+}
+
+std::optional<std::int64_t> find_room(const limit_window& window,
+                                      std::int64_t from, std::int64_t until)
+{
+    const running_sums sums(window);
+    for (auto slot = from; slot <= until; ++slot)
+    {
+        if (has_room_at(window, sums, slot))
+            return slot;
+    }
+    return std::nullopt;
+}
+
+void take_place(limit_window& window, std::int64_t slot)
+{
+    window.m_counts.at(index_of(slot)) += 1;
+    window.m_tail = std::max(window.m_tail, slot);
+}
+
+void free_place(limit_window& window, std::int64_t slot)
+{
+    if (slot < oldest_slot(window) || slot > window.m_tail)
+        return;
+    auto& count = window.m_counts.at(index_of(slot));
+    count = std::max(0.0F, count - 1);
+    while (window.m_tail > window.m_now &&
+           window.m_counts.at(index_of(window.m_tail)) == 0)
+        --window.m_tail;
+}
+
+void assume_granted(limit_window& window, std::int64_t until, double most)
+{
+    double counted = 0;
+    for (std::int64_t steps = 1; steps <= steps_in_window; ++steps)
+    {
+        const double next = most * span_share(steps);
+        const auto slot = until - (steps - 1) * slots_in_step;
+        if (slot >= oldest_slot(window) && slot <= window.m_now)
+            window.m_counts.at(index_of(slot)) +=
+                static_cast<float>(next - counted);
+        counted = next;
+    }
+}
+
+double used_lately(const limit_window& window, std::int64_t slots)
+{
+    const running_sums sums(window);
+    return sums.between(window.m_now - slots, window.m_tail);
+}
+
+double places_ahead(const limit_window& window)
+{
+    const running_sums sums(window);
+    return sums.between(window.m_now + 1, window.m_tail);
+}
+
+} // namespace pepperturn
--- a/src/tenancy/limiter.cpp
+++ b/src/tenancy/limiter.cpp
@@ -10,7 +10,7 @@
 /// Rows beyond this are looked through for unused ones: more workspaces than
 /// the largest fleet has.
 constexpr std::size_t most_rows = 4096;
-/// A row that was not asked for this long has a full bucket again and no
+/// A row that was not asked for this long has an empty window again and no
 /// program under way.
 constexpr milliseconds unused_after{60000};
 /// A program without a call for this long has ended; pauses between calls are
@@ -22,87 +22,101 @@
 /// A program that has ended took this much longer than from its first call to
 /// its last, in seconds: the time of a call.
 constexpr double last_call_s = 0.3;
-/// As many calls at the usual pace count as seen.
-constexpr double usual_calls = 30;
-/// Programs that end within this long after one of them was refused say
-/// nothing of their pace: slowed ones would let ever more begin.
+/// As many programs as usual count as seen, and as many of all workspaces.
+constexpr double usual_programs = 3;
+/// For this long after a call of a program under way was refused, no program
+/// is expected to end soon: too many have been let in, whatever their sizes
+/// seemed to be.
 constexpr milliseconds cut_memory{6000};
 /// Programs beyond this are not told apart; a share never holds as many.
 constexpr std::size_t most_programs = 20000;
+/// Of what a program usually asks for, this much is expected even of one that
+/// has asked for more.
+constexpr double least_to_come = 0.25;
+/// Calls to come are summed up anew no sooner: with thousands of programs
+/// under way each first call would look through all of them.
+constexpr milliseconds forecast_interval{50};
+/// A kept place that nobody came for is free again after this: the spread of
+/// the times that callers are told, and their way.
+constexpr std::int64_t kept_slots = 10;
+/// Callers beyond these are told a time, but no place is kept.
+constexpr std::size_t most_kept = 512;
 /// Refused callers come back no sooner than this, nor wait longer.
 constexpr milliseconds soonest_retry{100};
 constexpr milliseconds latest_retry{5000};
 constexpr double ms_per_s = 1000;
 
-double capacity_of(const limiter_row& row, const limiter_settings& settings)
-{
-    return row.m_share * (row.m_limit.m_burst + settings.m_spare);
-}
-
-double rate_of(const limiter_row& row)
-{
-    return row.m_share * row.m_limit.m_rate_per_s;
-}
+/// A packed place has this many bits for the wait.
+constexpr unsigned wait_bits = 16;
+constexpr std::uint32_t wait_mask = (1U << wait_bits) - 1;
 
-void refill(limiter_row& row, instant now, const limiter_settings& settings)
+double horizon_s(std::size_t index)
 {
-    const double span = std::max(0.0, to_seconds(now - row.m_filled));
-    row.m_filled = now;
-    row.m_tokens = std::min(capacity_of(row, settings),
-                            row.m_tokens + span * rate_of(row));
+    return to_seconds(limit_span) * static_cast<double>(index + 1) /
+           static_cast<double>(horizons);
 }
 
-/// Takes the newest limit that any VM knows, at once; what was refilled until
-/// now was by the one before.
+/// Takes the newest limit that any VM knows, at once, and this VM's share.
 void take_limit(limiter_row& row, const quota_question& question, double share,
-                instant now, const limiter_settings& settings)
+                instant since, instant now, const limiter_settings& settings)
 {
     const bool is_first = row.m_share == 0;
-    if (!is_first)
-        refill(row, now, settings);
+    advance_window(row.m_window, slot_at(now));
     if (is_first || question.m_config_revision >= row.m_config_revision)
     {
         row.m_config_revision = question.m_config_revision;
         row.m_limit = question.m_limit;
     }
+    if (share < row.m_share)
+    {
+        shrink_window(row.m_window, share / row.m_share);
+        row.m_kept.clear();
+        row.m_exact_since = now;
+    }
     row.m_share = share;
-    if (is_first)
-        refill(row, now, settings);
-    row.m_tokens = std::min(row.m_tokens, capacity_of(row, settings));
+    const double most = most_in_window(row.m_limit, share, settings);
+    bound_window(row.m_window, most);
+    if (is_first || since > row.m_since)
+        assume_granted(row.m_window, slot_at(since), most);
+    row.m_since = is_first ? since : std::max(row.m_since, since);
+    row.m_exact_since = std::max(row.m_exact_since, row.m_since);
+    row.m_asked = now;
 }
 
-std::uint32_t retry_after(double missing, double rate)
+std::uint32_t as_retry(milliseconds wait)
 {
-    const auto longest = static_cast<double>(latest_retry.count());
-    const double ms = rate > 0 ? missing / rate * ms_per_s : longest;
     return static_cast<std::uint32_t>(
-        std::clamp(ms, static_cast<double>(soonest_retry.count()), longest));
+        std::clamp(wait, soonest_retry, latest_retry).count());
 }
 
-void note_ended(limiter_row& row, const counted_program& program)
+void learn(program_habits& habits, const counted_program& program)
 {
-    row.m_ended_calls += program.m_calls;
-    row.m_ended_s += to_seconds(program.m_last - program.m_first) + last_call_s;
-    if (row.m_ended_calls < calls_remembered)
+    habits.m_programs += 1;
+    habits.m_calls += program.m_calls;
+    habits.m_seconds +=
+        to_seconds(program.m_last - program.m_first) + last_call_s;
+    if (habits.m_calls < calls_remembered)
         return;
-    row.m_ended_calls /= 2;
-    row.m_ended_s /= 2;
+    habits.m_programs /= 2;
+    habits.m_calls /= 2;
+    habits.m_seconds /= 2;
 }
 
-/// Takes out programs that have ended, and learns their pace.
-void sweep_programs(limiter_row& row, instant now)
+/// Takes out programs that have ended, and learns from them.
+void sweep_programs(limiter_row& row, instant now, program_habits& all)
 {
     if (now - row.m_swept < sweep_interval)
         return;
     row.m_swept = now;
-    const bool cut =
-        row.m_cut_at != instant{} && now - row.m_cut_at < cut_memory;
     std::erase_if(row.m_programs, [&](const auto& entry) {
         const auto& program = entry.second;
         if (now - program.m_last < ended_after)
             return false;
-        if (!cut)
-            note_ended(row, program);
+        if (!program.m_cut)
+        {
+            learn(row.m_habits, program);
+            learn(all, program);
+        }
         return true;
     });
 }
@@ -117,23 +131,136 @@
     seen.m_last = now;
 }
 
-/// The limit bears another program beside those under way.
-/// \param missing calls a second that it lacks
-bool bears_program(const limiter_row& row, const limiter_settings& settings,
-                   double& missing)
+void note_cut(limiter_row& row, std::uint64_t program, instant now)
 {
-    const double capacity = capacity_of(row, settings);
-    if (row.m_tokens >= settings.m_ample * capacity)
-        return true;
-    const double spare =
-        std::max(0.0, row.m_tokens - settings.m_reserve * capacity);
-    const double room = rate_of(row) + spare / settings.m_spend_s;
-    // Where there is no room here its calls go to the other owners as well.
-    const auto programs =
-        static_cast<double>(row.m_programs.size()) + row.m_share;
-    missing = programs * program_pace(row, settings) - room;
+    row.m_cut_at = now;
+    const auto found = row.m_programs.find(program);
+    if (found != row.m_programs.end())
+        found->second.m_cut = true;
+}
+
+/// Calls that a program makes until each of the horizons.
+call_forecast calls_to_come(const expected_program& usual, double left)
+{
+    call_forecast out{};
+    for (std::size_t i = 0; i < horizons; ++i)
+        out.at(i) = std::min(left, usual.m_pace * horizon_s(i));
+    return out;
+}
+
+void add(call_forecast& sum, const call_forecast& more, double weight)
+{
+    for (std::size_t i = 0; i < horizons; ++i)
+        sum.at(i) += weight * more.at(i);
+}
+
+void sum_up(limiter_row& row, const expected_program& usual, instant now)
+{
+    if (now - row.m_forecast_at < forecast_interval)
+        return;
+    row.m_forecast_at = now;
+    row.m_to_come = {};
+    const bool cut =
+        row.m_cut_at != instant{} && now - row.m_cut_at < cut_memory;
+    for (const auto& [id, program] : row.m_programs)
+    {
+        const double left = cut ? usual.m_pace * horizon_s(horizons - 1)
+                                : std::max(usual.m_calls - program.m_calls,
+                                           usual.m_calls * least_to_come);
+        // The longer it has been silent, the likelier it has ended.
+        const double silent =
+            to_seconds(now - program.m_last) / to_seconds(ended_after);
+        add(row.m_to_come, calls_to_come(usual, left),
+            std::clamp(1 - silent, 0.0, 1.0));
+    }
+}
+
+/// The window will hold another program beside those under way.
+/// \param missing calls that it lacks room for
+bool bears_program(limiter_row& row, const limiter_settings& settings,
+                   const program_habits& all, instant now, double& missing)
+{
+    const auto usual = expect_program(row.m_habits, all, settings);
+    sum_up(row, usual, now);
+    const double most =
+        settings.m_fill * most_in_window(row.m_limit, row.m_share, settings);
+    const auto own = calls_to_come(usual, usual.m_calls);
+    missing = 0;
+    for (std::size_t i = 0; i < horizons; ++i)
+    {
+        const auto still_inside =
+            slots_in_window -
+            static_cast<std::int64_t>(horizon_s(i) / to_seconds(slot_length));
+        const double used = used_lately(row.m_window, still_inside);
+        missing =
+            std::max(missing, used + row.m_to_come.at(i) + own.at(i) - most);
+    }
     // One at a time goes on, however small the limit is.
-    return (missing <= 0 && spare >= 1) || row.m_programs.empty();
+    if (missing > 0 && !row.m_programs.empty())
+        return false;
+    add(row.m_to_come, own, 1);
+    return true;
+}
+
+/// Places that nobody has come for are free again.
+void drop_kept(limiter_row& row)
+{
+    std::erase_if(row.m_kept, [&](const kept_place& kept) {
+        if (kept.m_slot + kept_slots >= row.m_window.m_now)
+            return false;
+        free_place(row.m_window, kept.m_slot);
+        return true;
+    });
+}
+
+/// The place that was kept for a call of \p program, if it may wait for it;
+/// it is free then.
+bool claim_kept(limiter_row& row, const quota_question& question)
+{
+    const auto latest =
+        row.m_window.m_now + milliseconds(question.m_patience_ms) / slot_length;
+    const auto found =
+        std::find_if(row.m_kept.begin(), row.m_kept.end(), [&](const auto& at) {
+            return at.m_program == question.m_program && at.m_slot <= latest;
+        });
+    if (question.m_program == 0 || found == row.m_kept.end())
+        return false;
+    free_place(row.m_window, found->m_slot);
+    row.m_kept.erase(found);
+    return true;
+}
+
+quota_answer grant(limiter_row& row, const quota_question& question,
+                   std::int64_t slot, instant now)
+{
+    note_call(row, question.m_program, now);
+    take_place(row.m_window, slot);
+    // Rounded up: no sooner than its slot begins.
+    const auto wait = slot > row.m_window.m_now
+                          ? elapsed(now, start_of_slot(slot)) + milliseconds(1)
+                          : milliseconds(0);
+    return {quota_outcome::granted, pack_place(slot, wait)};
+}
+
+/// No room within the caller's patience: tells when there is, and keeps that
+/// place for whoever said that it would have waited.
+quota_answer refuse(limiter_row& row, const quota_question& question,
+                    std::int64_t from, instant now)
+{
+    if (!question.m_begins)
+        note_cut(row, question.m_program, now);
+    const auto last = row.m_window.m_now + slots_ahead - kept_slots;
+    const auto slot = find_room(row.m_window, from, last);
+    if (!slot)
+        return {quota_outcome::over_limit, as_retry(latest_retry)};
+    if (question.m_patience_ms > 0 && question.m_program != 0 &&
+        row.m_kept.size() < most_kept)
+    {
+        take_place(row.m_window, *slot);
+        row.m_kept.push_back({question.m_program, *slot});
+    }
+    return {quota_outcome::over_limit,
+            as_retry(elapsed(now, start_of_slot(*slot)))};
 }
 
 } // namespace
@@ -152,41 +279,89 @@
     return "unknown";
 }
 
-double program_pace(const limiter_row& row, const limiter_settings& settings)
+std::uint32_t pack_place(std::int64_t slot, milliseconds wait)
+{
+    const auto bounded =
+        std::clamp<milliseconds::rep>(wait.count(), 0, wait_mask);
+    return static_cast<std::uint32_t>(slot) << wait_bits |
+           static_cast<std::uint32_t>(bounded);
+}
+
+milliseconds wait_of_place(std::uint32_t packed)
 {
-    return (row.m_ended_calls + usual_calls) /
-           (row.m_ended_s + usual_calls / settings.m_usual_pace);
+    return milliseconds(packed & wait_mask);
+}
+
+std::int64_t slot_of_place(std::uint32_t packed, std::int64_t now)
+{
+    const auto behind = static_cast<std::int16_t>(
+        static_cast<std::uint16_t>(now) -
+        static_cast<std::uint16_t>(packed >> wait_bits));
+    return now - behind;
+}
+
+double most_in_window(const request_limit& limit, double share,
+                      const limiter_settings& settings)
+{
+    const double allowed =
+        limit.m_rate_per_s * to_seconds(limit_span) + limit.m_burst;
+    return share * (allowed * (1 + settings.m_excess) + settings.m_spare);
+}
+
+expected_program expect_program(const program_habits& own,
+                                const program_habits& all,
+                                const limiter_settings& settings)
+{
+    const auto blend = [](const program_habits& seen, double calls,
+                          double seconds) {
+        const double programs = seen.m_programs + usual_programs;
+        return program_habits{
+            1, (seen.m_calls + usual_programs * calls) / programs,
+            (seen.m_seconds + usual_programs * seconds) / programs};
+    };
+    const auto any = blend(all, settings.m_usual_calls,
+                           settings.m_usual_calls / settings.m_usual_pace);
+    const auto usual = blend(own, any.m_calls, any.m_seconds);
+    return {usual.m_calls, usual.m_calls / usual.m_seconds};
 }
 
 quota_answer take_request(limiter_row& row, const quota_question& question,
-                          double share, instant now,
-                          const limiter_settings& settings)
+                          double share, instant since, instant now,
+                          const limiter_settings& settings, program_habits& all)
 {
-    take_limit(row, question, share, now, settings);
-    sweep_programs(row, now);
-    const double rate = rate_of(row);
-    if (row.m_tokens < 1)
-    {
-        if (!question.m_begins)
-            row.m_cut_at = now;
-        return {quota_outcome::over_limit, retry_after(1 - row.m_tokens, rate)};
-    }
+    take_limit(row, question, share, since, now, settings);
+    sweep_programs(row, now, all);
+    drop_kept(row);
+    const auto here = row.m_window.m_now;
     double missing = 0;
-    if (question.m_begins && !bears_program(row, settings, missing))
+    if (question.m_begins && !bears_program(row, settings, all, now, missing))
+    {
+        const double rate = most_in_window(row.m_limit, share, settings) /
+                            to_seconds(limit_span);
+        const double ms = std::min(missing / rate * ms_per_s,
+                                   static_cast<double>(latest_retry.count()));
         return {quota_outcome::over_limit,
-                retry_after(missing * settings.m_spend_s, rate)};
-    note_call(row, question.m_program, now);
-    row.m_tokens -= 1;
-    return {quota_outcome::granted, 0};
+                as_retry(milliseconds(static_cast<milliseconds::rep>(ms)))};
+    }
+    (void)claim_kept(row, question);
+    const auto latest =
+        std::min(here + milliseconds(question.m_patience_ms) / slot_length,
+                 here + slots_ahead);
+    if (const auto slot = find_room(row.m_window, here, latest))
+        return grant(row, question, *slot, now);
+    return refuse(row, question, latest + 1, now);
 }
 
 void return_request(limiter_row& row, const quota_question& question,
-                    const limiter_settings& settings)
+                    instant now)
 {
     const auto found = row.m_programs.find(question.m_program);
     if (found != row.m_programs.end() && --found->second.m_calls == 0)
         row.m_programs.erase(found);
-    row.m_tokens = std::min(capacity_of(row, settings), row.m_tokens + 1);
+    advance_window(row.m_window, slot_at(now));
+    const auto slot = slot_of_place(question.m_patience_ms, row.m_window.m_now);
+    if (start_of_slot(slot) >= row.m_exact_since)
+        free_place(row.m_window, slot);
 }
 
 quota_answer limiter::ask(const quota_question& question, double share,
@@ -197,22 +372,15 @@
     {
         const auto found = m_rows.find(question.m_workspace);
         if (found != m_rows.end())
-            return_request(found->second, question, m_settings);
+            return_request(found->second, question, now);
         return out;
     }
     if (share > 0)
     {
         if (m_rows.size() >= most_rows)
             forget_unused(now);
-        auto& row = m_rows[question.m_workspace];
-        // Another VM may have granted this share before.
-        if (row.m_filled < since)
-        {
-            row.m_share = 0;
-            row.m_tokens = 0;
-            row.m_filled = since;
-        }
-        out = take_request(row, question, share, now, m_settings);
+        out = take_request(m_rows[question.m_workspace], question, share, since,
+                           now, m_settings, m_habits);
     }
     ++m_counts.at(static_cast<std::size_t>(out.m_outcome));
     return out;
@@ -226,7 +394,7 @@
 void limiter::forget_unused(instant now)
 {
     std::erase_if(m_rows, [&](const auto& entry) {
-        return now - entry.second.m_filled > unused_after;
+        return now - entry.second.m_asked > unused_after;
     });
 }
 
