Limits: less at one instant, so that restarts cost less

A fifth of a window may be granted at one instant (two fifths before), told by quarter seconds: after a restart the whole rate comes back, from the first quarter second on. Virtual clock, three owners restarted in the middle of 40 s, programs refused of those asked at 0.8 and 1.0 of the limit: 80 a second 10 of 165 and 23 of 214, now 0 and 14; 1,272 a second 72 of 2,579 and 155 of 3,201, now 4 and 65. Without a restart the same within one or two programs for limits of 5 to 27 a second (0.3 lies between).

--- a/include/pepperturn/tenancy/limit_window.hpp
+++ b/include/pepperturn/tenancy/limit_window.hpp
@@ -11,8 +11,8 @@
 /// Shorter spans are bounded as well (\ref span_share): a VM that restarts has
 /// forgotten its grants and must take them to have been the most allowed. If
 /// all of a window could be granted at one instant, it could grant nothing for
-/// a whole window after; so bounded, room comes back from the first half second
-/// on.
+/// a whole window after; so bounded, room comes back from the first quarter
+/// second on.
 ///
 /// Places may be taken in the near future: a request that waits its turn has
 /// its place counted where it will run.
@@ -36,18 +36,18 @@
 /// Places are taken this far ahead at most: everything that was granted until
 /// now is out of the window by then.
 constexpr std::int64_t slots_ahead = slots_in_window;
-/// Spans that are bounded besides the whole window: every half second.
-constexpr std::int64_t slots_in_step = 10;
-/// Of what a window holds, this much may be granted at one instant: several
+/// Spans that are bounded besides the whole window: every quarter second.
+constexpr std::int64_t slots_in_step = 5;
+/// Of what a window holds, this much may be granted at one instant: a few
 /// programs' calls at a small limit. With more, less comes back after a
-/// restart.
-constexpr double burst_share = 0.4;
+/// restart; so it is the plain rate of the limit and a little more.
+constexpr double burst_share = 0.2;
 
 /// Number of the slot that \p at lies in.
 [[nodiscard]] std::int64_t slot_at(instant at);
 [[nodiscard]] instant start_of_slot(std::int64_t slot);
 
-/// Share of a window's grants that a span of \p steps half seconds may hold.
+/// Share of a window's grants that a span of \p steps quarter seconds may hold.
 [[nodiscard]] double span_share(std::int64_t steps);
 
 /// What a window may hold from an instant on.
