What became of each workspace's requests; no wait for what is answered

A request that begin_turn answers (402, 404) no longer waits for its leave: with waits for a place this had come to a second; a grant that comes later goes back at once.

--- a/include/pepperturn/fleet/storage_node.hpp
+++ b/include/pepperturn/fleet/storage_node.hpp
@@ -72,6 +72,8 @@
     [[nodiscard]] freshness_bound freshness() const;
     [[nodiscard]] std::optional<frame_body> answer(const frame_body& question);
     [[nodiscard]] quota_answer count_request(const quota_question& question);
+    /// What this VM has counted, by workspace.
+    [[nodiscard]] std::string workspace_text() const;
     task<> copy_all();
     /// \param gathered only if the member has gathered what others hold
     task<bool> copy_from(std::string name, std::uint64_t epoch, bool gathered);
@@ -92,6 +94,8 @@
     freshness_keeper m_freshness_keeper;
     staleness_limits m_staleness_limits;
     limiter m_limiter;
+    /// Names of the configuration's workspaces, by their hashes.
+    std::map<std::uint64_t, std::string> m_workspace_names;
     owner_history m_owners;
     bool m_callers_have_keys = false;
     /// Revision of the configuration that says so.
--- a/include/pepperturn/forward/proxy.hpp
+++ b/include/pepperturn/forward/proxy.hpp
@@ -119,6 +119,8 @@
         explicit quota_wait(asio::io_context& io) : m_changed(io) {}
         async_event m_changed;
         bool m_done = false;
+        /// Nobody waits for it any more: a grant goes back.
+        bool m_abandoned = false;
         quota_grant m_grant;
     };
     struct verdict
@@ -154,6 +156,11 @@
     /// Leave to run a request once more, at another runner.
     task<bool> take_another_grant(std::shared_ptr<call> work);
     void give_back_quota(const call& work);
+    /// The request has been answered otherwise.
+    static void abandon_quota(call& work,
+                              const std::shared_ptr<quota_wait>& asked);
+    /// Counts what became of a request of its workspace.
+    void count_workspace(const call& work, unsigned status, bool cut);
     [[nodiscard]] upstream_answer refuse_stale(call& work);
     /// Who goes first when engines have queues.
     [[nodiscard]] call_rank rank_of(const call& work) const;
--- a/include/pepperturn/forward/traffic_metrics.hpp
+++ b/include/pepperturn/forward/traffic_metrics.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "pepperturn/base/latency_histogram.hpp"
+#include "pepperturn/tenancy/workspace_counts.hpp"
 
 #include <map>
 
@@ -18,11 +19,18 @@
     /// Time from a turn's arrival until it was sent to a runner.
     void note_turn_begin(milliseconds took);
 
+    /// What became of the requests of one workspace.
+    [[nodiscard]] workspace_counts& of_workspace(const std::string& name)
+    {
+        return m_workspaces.of(name);
+    }
+
     /// One `name value` a line.
     [[nodiscard]] std::string text() const;
 
 private:
     std::map<std::string, std::uint64_t> m_counters;
+    workspace_totals m_workspaces;
     latency_histogram m_answers;
     latency_histogram m_turn_begins;
 };
--- a/include/pepperturn/tenancy/limiter.hpp
+++ b/include/pepperturn/tenancy/limiter.hpp
@@ -17,6 +17,7 @@
 #pragma once
 
 #include "pepperturn/tenancy/limit_window.hpp"
+#include "pepperturn/tenancy/workspace_counts.hpp"
 #include "pepperturn/tenancy/workspaces.hpp"
 
 #include <unordered_map>
@@ -161,6 +162,8 @@
     instant m_cut_at{};
     /// When programs were last looked through for ended ones.
     instant m_swept{};
+    /// For metrics.
+    workspace_counts m_counts;
 
     friend bool operator==(const limiter_row&, const limiter_row&) = default;
 };
@@ -207,6 +210,9 @@
         return m_rows.size();
     }
     [[nodiscard]] std::uint64_t count(quota_outcome outcome) const;
+    /// Each workspace's counts, by the hash of its name.
+    [[nodiscard]] std::vector<std::pair<std::uint64_t, workspace_counts>>
+    counts() const;
 
 private:
     void forget_unused(instant now);
--- a/src/fleet/storage_limits.cpp
+++ b/src/fleet/storage_limits.cpp
@@ -3,6 +3,8 @@
 // store is, and this VM's shares of the limits of workspaces.
 #include "pepperturn/fleet/storage_node.hpp"
 
+#include "pepperturn/base/hash.hpp"
+
 #include <algorithm>
 #include <glog/logging.h>
 
@@ -42,7 +44,13 @@
         std::string reason;
         const auto config = m_decoders.m_config(state.m_config, reason);
         if (config)
+        {
             m_callers_have_keys = config->m_directory.has_value();
+            m_workspace_names.clear();
+            if (config->m_directory)
+                for (const auto& row : config->m_directory->m_workspaces)
+                    m_workspace_names[hash64(row.m_name)] = row.m_name;
+        }
         else
             LOG(ERROR) << "event=config_unreadable revision="
                        << state.m_config_revision << " reason=\"" << reason
@@ -82,6 +90,20 @@
     return std::nullopt;
 }
 
+std::string storage_node::workspace_text() const
+{
+    std::vector<named_counts> rows;
+    for (const auto& [workspace, counts] : m_limiter.counts())
+    {
+        const auto found = m_workspace_names.find(workspace);
+        rows.push_back({found == m_workspace_names.end()
+                            ? std::to_string(workspace)
+                            : found->second,
+                        counts});
+    }
+    return text_of(std::move(rows));
+}
+
 quota_answer storage_node::count_request(const quota_question& question)
 {
     const auto now = m_time.now();
--- a/src/fleet/storage_node.cpp
+++ b/src/fleet/storage_node.cpp
@@ -134,6 +134,7 @@
           quota_outcome::not_owner})
         write_metric(out, std::string("quota_") + to_string(outcome),
                      m_limiter.count(outcome));
+    out += workspace_text();
     m_server->write_metrics(out);
     return out;
 }
--- a/src/forward/proxy.cpp
+++ b/src/forward/proxy.cpp
@@ -172,6 +172,7 @@
         written = co_await caller->write_answer(*result.m_answer, keep_alive);
     }
     log_end(*work, status);
+    count_workspace(*work, status, result.m_cut);
     co_return written&& keep_alive;
 }
 
@@ -275,14 +276,17 @@
     // Callers that bring their whole history have a budget too.
     if (route.m_stateful || work->m_fields.m_token_budget)
         out.m_answer = co_await begin_turn(work);
-    auto refused = co_await await_quota(work, quota);
-    if (!out.m_answer && refused)
+    if (out.m_answer)
     {
-        settle(*work, 0);
-        out.m_answer = std::move(refused);
+        abandon_quota(*work, quota);
+        co_return out;
     }
+    out.m_answer = co_await await_quota(work, quota);
     if (out.m_answer)
+    {
+        settle(*work, 0);
         co_return out;
+    }
     co_return co_await forward(caller, work);
 }
 
--- a/src/forward/proxy_workspaces.cpp
+++ b/src/forward/proxy_workspaces.cpp
@@ -106,6 +106,8 @@
               state->m_grant = co_await quota.take(what);
               state->m_done = true;
               state->m_changed.notify();
+              if (state->m_abandoned)
+                  quota.give_back(state->m_grant);
           }(*m_guard.m_quota, question, asked));
     return asked;
 }
@@ -153,6 +155,51 @@
     co_return grant.m_outcome == quota_outcome::granted;
 }
 
+void proxy::abandon_quota(call& work, const std::shared_ptr<quota_wait>& asked)
+{
+    if (!asked)
+        return;
+    if (asked->m_done)
+        work.m_grant = asked->m_grant;
+    else
+        asked->m_abandoned = true;
+}
+
+void proxy::count_workspace(const call& work, unsigned status, bool cut)
+{
+    if (work.m_workspace == nullptr)
+        return;
+    constexpr unsigned first_failure = 400;
+    constexpr unsigned too_many_requests = 429;
+    constexpr unsigned unavailable = 503;
+    const auto& grant = work.m_grant;
+    auto& counts = m_metrics.of_workspace(work.m_workspace->m_name);
+    counts.note(workspace_event::asked);
+    if (grant.m_outcome == quota_outcome::granted &&
+        grant.m_waited > milliseconds(0))
+        counts.note(workspace_event::waited);
+    // A stream has been answered already; its status is 0 here.
+    if (!cut && status < first_failure)
+    {
+        counts.note(workspace_event::served);
+        const auto took = elapsed(work.m_arrived, m_time.now());
+        if (!work.m_route->m_stateful && took > work.m_route->m_target_latency)
+            counts.note(workspace_event::late);
+        return;
+    }
+    if (status == too_many_requests)
+        counts.note(grant.m_question.m_begins
+                        ? workspace_event::refused_first_call
+                        : workspace_event::refused_call);
+    else if (status == unavailable && grant.m_owner.empty() &&
+             grant.m_question.m_workspace != 0)
+        counts.note(workspace_event::refused_uncounted);
+    else if (status == unavailable)
+        counts.note(workspace_event::refused_otherwise);
+    else
+        counts.note(workspace_event::failed);
+}
+
 void proxy::give_back_quota(const call& work)
 {
     if (m_guard.m_quota != nullptr && work.m_runs == 0)
--- a/src/forward/traffic_metrics.cpp
+++ b/src/forward/traffic_metrics.cpp
@@ -25,6 +25,7 @@
         write_metric(out, name, value);
     m_answers.write(out, "answer");
     m_turn_begins.write(out, "turn_begin");
+    out += m_workspaces.text();
     return out;
 }
 
--- a/src/tenancy/limiter.cpp
+++ b/src/tenancy/limiter.cpp
@@ -263,6 +263,21 @@
             as_retry(elapsed(now, start_of_slot(*slot)))};
 }
 
+void note_outcome(workspace_counts& counts, const quota_question& question,
+                  const quota_answer& told)
+{
+    counts.note(workspace_event::asked);
+    if (told.m_outcome == quota_outcome::granted)
+    {
+        counts.note(workspace_event::served);
+        if (wait_of_place(told.m_retry_ms) > milliseconds(0))
+            counts.note(workspace_event::waited);
+        return;
+    }
+    counts.note(question.m_begins ? workspace_event::refused_first_call
+                                  : workspace_event::refused_call);
+}
+
 } // namespace
 
 const char* to_string(quota_outcome outcome)
@@ -379,8 +394,10 @@
     {
         if (m_rows.size() >= most_rows)
             forget_unused(now);
-        out = take_request(m_rows[question.m_workspace], question, share, since,
-                           now, m_settings, m_habits);
+        auto& row = m_rows[question.m_workspace];
+        out = take_request(row, question, share, since, now, m_settings,
+                           m_habits);
+        note_outcome(row.m_counts, question, out);
     }
     ++m_counts.at(static_cast<std::size_t>(out.m_outcome));
     return out;
@@ -391,6 +408,15 @@
     return m_counts.at(static_cast<std::size_t>(outcome));
 }
 
+std::vector<std::pair<std::uint64_t, workspace_counts>> limiter::counts() const
+{
+    std::vector<std::pair<std::uint64_t, workspace_counts>> out;
+    out.reserve(m_rows.size());
+    for (const auto& [workspace, row] : m_rows)
+        out.emplace_back(workspace, row.m_counts);
+    return out;
+}
+
 void limiter::forget_unused(instant now)
 {
     std::erase_if(m_rows, [&](const auto& entry) {
