--- a/include/pepperturn/fleet/storage_node.hpp
+++ b/include/pepperturn/fleet/storage_node.hpp
@@ -79,6 +79,8 @@
     [[nodiscard]] bool answer(const frame_body& question,
                               const turn_server::reply& reply);
     [[nodiscard]] quota_answer count_request(const quota_question& question);
+    /// What this VM has counted, by workspace.
+    [[nodiscard]] std::string workspace_text() const;
     task<> copy_all();
     /// \param gathered only if the member has gathered what others hold
     task<bool> copy_from(std::string name, std::uint64_t epoch, bool gathered);
@@ -99,6 +101,8 @@
     freshness_keeper m_freshness_keeper;
     staleness_limits m_staleness_limits;
     limiter m_limiter;
+    /// Names of the configuration's workspaces, by their hashes.
+    std::map<std::uint64_t, std::string> m_workspace_names;
     owner_history m_owners;
     storage_places m_places;
     runner_list m_runners;
--- a/src/fleet/storage_limits.cpp
+++ b/src/fleet/storage_limits.cpp
@@ -3,6 +3,8 @@
 // store is, and this VM's shares of the limits of workspaces.
 #include "pepperturn/fleet/storage_node.hpp"
 
+#include "pepperturn/base/hash.hpp"
+
 #include <algorithm>
 #include <glog/logging.h>
 
@@ -45,6 +47,10 @@
         {
             m_callers_have_keys = config->m_directory.has_value();
             m_places.take_config(*config);
+            m_workspace_names.clear();
+            if (config->m_directory)
+                for (const auto& row : config->m_directory->m_workspaces)
+                    m_workspace_names[hash64(row.m_name)] = row.m_name;
         }
         else
             LOG(ERROR) << "event=config_unreadable revision="
@@ -95,6 +101,20 @@
     return true;
 }
 
+std::string storage_node::workspace_text() const
+{
+    std::vector<named_counts> rows;
+    for (const auto& [workspace, counts] : m_limiter.counts())
+    {
+        const auto found = m_workspace_names.find(workspace);
+        rows.push_back({found == m_workspace_names.end()
+                            ? std::to_string(workspace)
+                            : found->second,
+                        counts});
+    }
+    return text_of(std::move(rows));
+}
+
 quota_answer storage_node::count_request(const quota_question& question)
 {
     const auto now = m_time.now();
@@ -107,7 +127,7 @@
               : 0;
     const auto since =
         std::max(m_started, granting_since(m_owners, self, question.m_workspace,
-                                           takeover));
+                                           share, takeover));
     return m_limiter.ask(question, share, since, now);
 }
 
--- a/src/fleet/storage_node.cpp
+++ b/src/fleet/storage_node.cpp
@@ -146,6 +146,7 @@
         write_metric(out, std::string("quota_") + to_string(outcome),
                      m_limiter.count(outcome));
     m_places.write_metrics(out);
+    out += workspace_text();
     m_server->write_metrics(out);
     return out;
 }
--- a/src/forward/proxy_workspaces.cpp
+++ b/src/forward/proxy_workspaces.cpp
@@ -15,6 +15,13 @@
 
 /// Spreads those who are told the same time to come back, in milliseconds.
 constexpr std::uint64_t retry_spread = 100;
+/// A call of a program waits for room below a limit for at most this part of
+/// what it and its program have left: a program that is late is worth more
+/// than one that is broken off, and several such waits still fit.
+constexpr milliseconds::rep wait_part = 8;
+/// Nobody waits longer: whoever cannot be served within a second is told when
+/// to come back, and does not hold a connection meanwhile.
+constexpr milliseconds longest_wait{1000};
 
 } // namespace
 
@@ -87,6 +94,11 @@
     question.m_begins = work->m_route->m_stateful &&
                         fields.m_parent_turn.empty() &&
                         fields.m_program_left.has_value();
+    auto left = elapsed(m_time.now(), work->m_deadline);
+    if (fields.m_program_left)
+        left = std::min(left, *fields.m_program_left);
+    left = std::clamp(left / wait_part, milliseconds(0), longest_wait);
+    question.m_patience_ms = static_cast<std::uint32_t>(left.count());
     auto asked = std::make_shared<quota_wait>(m_io);
     spawn(m_io, "proxy.quota",
           [](quota_client& quota, quota_question what,
@@ -94,6 +106,8 @@
               state->m_grant = co_await quota.take(what);
               state->m_done = true;
               state->m_changed.notify();
+              if (state->m_abandoned)
+                  quota.give_back(state->m_grant);
           }(*m_guard.m_quota, question, asked));
     return asked;
 }
@@ -141,6 +155,51 @@
     co_return grant.m_outcome == quota_outcome::granted;
 }
 
+void proxy::abandon_quota(call& work, const std::shared_ptr<quota_wait>& asked)
+{
+    if (!asked)
+        return;
+    if (asked->m_done)
+        work.m_grant = asked->m_grant;
+    else
+        asked->m_abandoned = true;
+}
+
+void proxy::count_workspace(const call& work, unsigned status, bool cut)
+{
+    if (work.m_workspace == nullptr)
+        return;
+    constexpr unsigned first_failure = 400;
+    constexpr unsigned too_many_requests = 429;
+    constexpr unsigned unavailable = 503;
+    const auto& grant = work.m_grant;
+    auto& counts = m_metrics.of_workspace(work.m_workspace->m_name);
+    counts.note(workspace_event::asked);
+    if (grant.m_outcome == quota_outcome::granted &&
+        grant.m_waited > milliseconds(0))
+        counts.note(workspace_event::waited);
+    // A stream has been answered already; its status is 0 here.
+    if (!cut && status < first_failure)
+    {
+        counts.note(workspace_event::served);
+        const auto took = elapsed(work.m_arrived, m_time.now());
+        if (!work.m_route->m_stateful && took > work.m_route->m_target_latency)
+            counts.note(workspace_event::late);
+        return;
+    }
+    if (status == too_many_requests)
+        counts.note(grant.m_question.m_begins
+                        ? workspace_event::refused_first_call
+                        : workspace_event::refused_call);
+    else if (status == unavailable && grant.m_owner.empty() &&
+             grant.m_question.m_workspace != 0)
+        counts.note(workspace_event::refused_uncounted);
+    else if (status == unavailable)
+        counts.note(workspace_event::refused_otherwise);
+    else
+        counts.note(workspace_event::failed);
+}
+
 void proxy::give_back_quota(const call& work)
 {
     if (m_guard.m_quota != nullptr && work.m_runs == 0)
