Reach: a VM that hears no storage VM hears of the world from a neighbour

Ruled out: places (not asked there). Now the neighbour tells the world for as long as no storage VM is heard.

A call whose caller left is not its engine's failure.

--- a/include/pepperturn/cluster/detours.hpp
+++ b/include/pepperturn/cluster/detours.hpp
@@ -41,6 +41,13 @@
     /// a VM that tells it has just started.
     void follow(std::vector<neighbour> neighbours);
     void stop();
+    /// Called for what a neighbour tells of the world.
+    void on_state(std::function<void(const cluster_state&)> handler)
+    {
+        m_on_state = std::move(handler);
+    }
+    /// Neighbours are to tell of the world from now on, or not any more.
+    void want_news(bool wanted);
 
     /// Some neighbour may reach \p member.
     [[nodiscard]] bool hopeful(const std::string& member) const;
@@ -141,6 +148,8 @@
     std::map<std::uint64_t, open_question> m_questions;
     std::map<std::string, member_row> m_members;
     std::uint64_t m_next_question = 1;
+    std::function<void(const cluster_state&)> m_on_state;
+    bool m_wants_news = false;
     bool m_watching = false;
     bool m_stopped = false;
     detour_counts m_counts;
--- a/include/pepperturn/cluster/relay_server.hpp
+++ b/include/pepperturn/cluster/relay_server.hpp
@@ -4,8 +4,10 @@
 ///
 /// It keeps nothing of what passes: no key, turn or limit is stored or logged.
 /// Epoch and status go through as they are, so that members fence an asker
-/// with an old view as on its own link. A question that it cannot pass on is
-/// answered at once, with a failure, so that the asker tries the next
+/// with an old view as on its own link. Who hears no storage VM at all is told
+/// of the world from here, as storage VMs tell it: with an old view it would be
+/// fenced off for as long as it is cut off. A question that it cannot pass on
+/// is answered at once, with a failure, so that the asker tries the next
 /// neighbour.
 #pragma once
 
@@ -44,12 +46,16 @@
             std::string member, std::uint64_t epoch, frame_body body,
             instant until)>
             m_ask;
+        /// All that is known here, for those who hear no storage VM.
+        std::function<cluster_state()> m_world;
     };
 
     relay_server(asio::io_context& io, const clock& time, hooks what,
                  const relay_limits& limits = {});
 
     [[nodiscard]] bool listen(const tcp::endpoint& at, std::string& reason);
+    /// Tells those who hear no storage VM what has changed.
+    void tell_news(const cluster_state& news);
     /// Closes all connections, so that askers turn to others at once.
     void stop();
     [[nodiscard]] const relay_counts& counts() const
@@ -61,6 +67,8 @@
     task<> accept_links();
     void add_link(tcp::socket socket);
     void take_frame(const std::shared_ptr<frame_link>& link, frame value);
+    void take_hello(const std::shared_ptr<frame_link>& link,
+                    const hello_message& hello);
     /// The question in \p value; empty: it may not be passed on.
     [[nodiscard]] std::optional<frame>
     read_question(const relayed_message& value, std::string& reason) const;
@@ -79,6 +87,8 @@
     relay_budget m_budget;
     tcp::acceptor m_acceptor;
     std::set<std::shared_ptr<frame_link>> m_links;
+    /// Those that want news.
+    std::set<std::shared_ptr<frame_link>> m_listeners;
     std::size_t m_under_way = 0;
     relay_counts m_counts;
     instant m_next_line{};
--- a/include/pepperturn/fleet/edge_reach.hpp
+++ b/include/pepperturn/fleet/edge_reach.hpp
@@ -14,8 +14,20 @@
 class edge_reach
 {
 public:
+    /// \param world what this VM knows, for neighbours that ask
     edge_reach(asio::io_context& io, const clock& time,
-               const fleet_settings& settings, member_links& links);
+               const fleet_settings& settings, member_links& links,
+               std::function<cluster_state()> world);
+    /// Called for what a neighbour tells while no storage VM is heard.
+    void on_state(std::function<void(const cluster_state&)> handler)
+    {
+        m_detours.on_state(std::move(handler));
+    }
+    /// Tells neighbours that hear no storage VM what has changed.
+    void tell_news(const cluster_state& news)
+    {
+        m_server.tell_news(news);
+    }
 
     /// Before the links connect, as their greeting says where this VM relays.
     [[nodiscard]] bool start(std::string& reason);
@@ -33,6 +45,8 @@
         return !m_relay_address.empty();
     }
     void ask_neighbours();
+    /// No storage VM is heard on its own link.
+    [[nodiscard]] bool cut_off() const;
 
     const clock& m_time;
     member_links& m_links;
--- a/src/cluster/detours.cpp
+++ b/src/cluster/detours.cpp
@@ -67,6 +67,18 @@
     }
 }
 
+void detours::want_news(bool wanted)
+{
+    if (std::exchange(m_wants_news, wanted) == wanted)
+        return;
+    for (const auto& row : m_rows)
+    {
+        if (row->m_link)
+            row->m_link->send(
+                {0, 0, frame_status::ok, hello_message{m_self_name, wanted}});
+    }
+}
+
 void detours::stop()
 {
     m_stopped = true;
@@ -179,7 +191,8 @@
             if (const auto held = weak.lock())
                 lose(*held);
         });
-    link->send({0, 0, frame_status::ok, hello_message{m_self_name, false}});
+    link->send(
+        {0, 0, frame_status::ok, hello_message{m_self_name, m_wants_news}});
     for (const auto id : std::exchange(row->m_queued, {}))
     {
         const auto question = m_questions.find(id);
@@ -228,6 +241,12 @@
     row->m_heard = m_time.now();
     row->m_failures = 0;
     row->m_avoid_until = {};
+    if (const auto* news = std::get_if<cluster_state>(&value.m_body))
+    {
+        if (m_on_state)
+            m_on_state(*news);
+        return;
+    }
     const auto question = m_questions.find(value.m_call);
     const auto* told = std::get_if<relayed_message>(&value.m_body);
     if (told == nullptr || question == m_questions.end() ||
--- a/src/cluster/member_links.cpp
+++ b/src/cluster/member_links.cpp
@@ -355,8 +355,9 @@
     frame notice{0, 0, frame_status::ok, std::move(body)};
     if (m_detours != nullptr && !reached(facts_of(row), m_time.now()) &&
         may_be_relayed(notice.m_body) && m_detours->hopeful(name))
-        m_detours->ask(name, reason_of(row), notice,
-                       [](const std::optional<frame>&) {});
+        m_detours->ask(
+            name, reason_of(row), notice, [](const std::optional<frame>&) {},
+            usual_silence);
     else if (row.m_link)
         row.m_link->send(notice);
 }
--- a/src/cluster/relay_server.cpp
+++ b/src/cluster/relay_server.cpp
@@ -72,6 +72,7 @@
             if (from && from->violated())
                 note_violation(reason);
             m_links.erase(from);
+            m_listeners.erase(from);
         });
 }
 
@@ -107,8 +108,11 @@
 void relay_server::take_frame(const std::shared_ptr<frame_link>& link,
                               frame value)
 {
-    if (std::holds_alternative<hello_message>(value.m_body))
+    if (const auto* hello = std::get_if<hello_message>(&value.m_body))
+    {
+        take_hello(link, *hello);
         return;
+    }
     auto* relayed = std::get_if<relayed_message>(&value.m_body);
     if (relayed == nullptr || value.m_call == 0)
     {
@@ -138,6 +142,21 @@
                   std::move(*question)));
 }
 
+void relay_server::take_hello(const std::shared_ptr<frame_link>& link,
+                              const hello_message& hello)
+{
+    if (!hello.m_wants_news)
+        m_listeners.erase(link);
+    else if (m_hooks.m_world && m_listeners.insert(link).second)
+        link->send({0, 0, frame_status::ok, m_hooks.m_world()});
+}
+
+void relay_server::tell_news(const cluster_state& news)
+{
+    for (const auto& link : std::set(m_listeners))
+        link->send({0, 0, frame_status::ok, news});
+}
+
 void relay_server::refuse(frame_link& link, std::uint64_t call,
                           const std::string& member)
 {
--- a/src/fleet/edge_node.cpp
+++ b/src/fleet/edge_node.cpp
@@ -35,7 +35,9 @@
                      state_decoders decoders, world_source& source)
     : m_io(io), m_time(time), m_settings(settings),
       m_decoders(std::move(decoders)), m_source(source),
-      m_links(io, time, settings.m_name), m_reach(io, time, settings, m_links),
+      m_links(io, time, settings.m_name),
+      m_reach(io, time, settings, m_links,
+              [this] { return whole_of(m_state); }),
       m_config_fetcher(io, time, m_links, settings.m_availability_zone,
                        [this](const cluster_state& news) { take_state(news); }),
       m_turns(io, time, m_links, settings.m_availability_zone,
@@ -100,6 +102,12 @@
             m_config_fetcher.note_announced(from, news.m_config_revision);
         });
     m_source.on_state([this](const cluster_state& news) { take_state(news); });
+    m_reach.on_state([this](const cluster_state& news) {
+        take_state(news);
+        // A long configuration is asked for through a neighbour as well.
+        for (const auto& row : m_members)
+            m_config_fetcher.note_announced(row.m_name, news.m_config_revision);
+    });
     m_started = m_time.now();
     m_links.seek(m_settings.m_seeds);
     // Before the fleet is founded the store has no views.
@@ -149,6 +157,8 @@
         take_runners(change.m_runners);
     if (!change.m_views.empty())
         follow_views();
+    if (change.any())
+        m_reach.tell_news(parts_of(m_state, change));
 }
 
 void edge_node::follow_views()
--- a/src/fleet/edge_reach.cpp
+++ b/src/fleet/edge_reach.cpp
@@ -3,6 +3,8 @@
 
 #include "pepperturn/base/latency_histogram.hpp"
 
+#include <algorithm>
+
 namespace pepperturn {
 
 namespace {
@@ -16,7 +18,8 @@
 } // namespace
 
 edge_reach::edge_reach(asio::io_context& io, const clock& time,
-                       const fleet_settings& settings, member_links& links)
+                       const fleet_settings& settings, member_links& links,
+                       std::function<cluster_state()> world)
     : m_time(time), m_links(links), m_relay_address(settings.m_relay_address),
       m_availability_zone(settings.m_availability_zone),
       m_detours(io, time, settings.m_name, settings.m_availability_zone),
@@ -28,7 +31,8 @@
                          frame_body body, instant until) {
                     return links.ask_directly(std::move(member), epoch,
                                               std::move(body), until);
-                }})
+                },
+                std::move(world)})
 {}
 
 bool edge_reach::start(std::string& reason)
@@ -61,10 +65,20 @@
     if (!enabled())
         return;
     m_links.tick();
+    m_detours.want_news(cut_off());
     if (m_time.now() >= m_next_ask)
         ask_neighbours();
 }
 
+bool edge_reach::cut_off() const
+{
+    return !m_members.empty() &&
+           std::none_of(m_members.begin(), m_members.end(),
+                        [this](const std::string& name) {
+                            return m_links.reached_directly(name);
+                        });
+}
+
 void edge_reach::ask_neighbours()
 {
     for (std::size_t i = 0; i < m_members.size(); ++i)
--- a/src/forward/proxy_places.cpp
+++ b/src/forward/proxy_places.cpp
@@ -153,10 +153,18 @@
     const auto* row = m_runners.find_incarnation(work.m_runner);
     report.m_runner = row != nullptr ? row->m_hash : 0;
     report.m_end = end_of(result);
-    const auto first = result.m_first_byte.value_or(result.m_took);
-    report.m_first_byte_ms = in_wire_ms(first);
-    report.m_run_ms = in_wire_ms(result.m_took - first);
-    report.m_tokens = events * work.m_tokens_per_event;
+    const bool left = work.m_aborter->cause() == abort_cause::caller_left ||
+                      work.m_aborter->cause() == abort_cause::not_read;
+    if (left && result.m_first_byte)
+        // The engine did its part; what came says nothing of its pace.
+        report.m_end = place_end::whole;
+    else
+    {
+        const auto first = result.m_first_byte.value_or(result.m_took);
+        report.m_first_byte_ms = in_wire_ms(first);
+        report.m_run_ms = in_wire_ms(result.m_took - first);
+        report.m_tokens = events * work.m_tokens_per_event;
+    }
     m_places->tell_end(work.m_place, report);
 }
 
--- a/test/fleet/test_reach.cpp
+++ b/test/fleet/test_reach.cpp
@@ -92,6 +92,36 @@
     CHECK(edge.m_client.connected());
 }
 
+TEST_CASE("a VM that hears no storage VM hears of the world from a neighbour",
+          "[reach]")
+{
+    // With the views of before it would be refused as stale until it is heard
+    // again.
+    reach_world fleet;
+    reach_edge helper(fleet, "edge-1", "y");
+    reach_edge edge(fleet, "edge-0", "z");
+    await_neighbours(fleet, edge, 1);
+    CHECK(edge.m_told.m_views.empty());
+    edge.cut();
+    check_turns(edge);
+    REQUIRE(fleet.wait(
+        [&] { return edge.m_told.m_views == fleet.m_state.m_views; }));
+    cluster_state news;
+    news.m_config_revision = 77;
+    helper.m_reach.tell_news(news);
+    CHECK(fleet.wait([&] { return edge.m_told.m_config_revision == 77; }));
+    // Heard again, it is told by storage VMs alone.
+    edge.heal();
+    REQUIRE(fleet.wait([&] { return edge.all_direct(); }));
+    const auto settled = fleet.m_time.now() + milliseconds(300);
+    fleet.wait([&] { return fleet.m_time.now() >= settled; });
+    news.m_config_revision = 78;
+    helper.m_reach.tell_news(news);
+    const auto later = fleet.m_time.now() + milliseconds(200);
+    fleet.wait([&] { return fleet.m_time.now() >= later; });
+    CHECK(edge.m_told.m_config_revision == 77);
+}
+
 TEST_CASE("a VM that serves through a neighbour stays ready without callers",
           "[reach]")
 {
@@ -446,7 +476,7 @@
     fleet_settings settings;
     settings.m_name = "edge";
     settings.m_relay_address = "here";
-    edge_reach reach(io, time, settings, links);
+    edge_reach reach(io, time, settings, links, [] { return cluster_state{}; });
     std::string reason;
     CHECK_FALSE(reach.start(reason));
     CHECK(reason.find("[listen] relay: ") == 0);
--- a/test/support/fleet/reach_world.hpp
+++ b/test/support/fleet/reach_world.hpp
@@ -49,11 +49,14 @@
                const std::string& availability_zone, bool relays = true)
         : m_fleet(fleet), m_settings(settings(fleet, name, availability_zone)),
           m_links(fleet.m_io, fleet.m_time, name),
-          m_reach(fleet.m_io, fleet.m_time, m_settings, m_links),
+          m_reach(fleet.m_io, fleet.m_time, m_settings, m_links,
+                  [&fleet] { return fleet.m_state; }),
           m_client(fleet.m_io, fleet.m_time, m_links, "vm-0", 1)
     {
         if (!relays)
             m_settings.m_relay_address.clear();
+        m_reach.on_state(
+            [this](const cluster_state& news) { merge_state(m_told, news); });
         std::string reason;
         INFO(reason);
         REQUIRE(m_reach.start(reason));
@@ -134,6 +137,8 @@
     member_links m_links;
     edge_reach m_reach;
     turn_client m_client;
+    /// What neighbours have told of the world.
+    cluster_state m_told;
 
 private:
     static fleet_settings settings(reach_world& fleet, const std::string& name,
