Places: rows of memory that fit their vector

96 rows and 32 parts fill 128. Ruled out: shrinking the vector after each call, which allocates each time.

--- a/include/pepperturn/scheduling/engine_memory.hpp
+++ b/include/pepperturn/scheduling/engine_memory.hpp
@@ -19,8 +19,9 @@
 /// Parts of a prompt that are looked at; what comes after counts as not held.
 constexpr std::size_t most_prompt_parts = 32;
 /// Rows kept for an engine at most; the least recently used go first. An
-/// engine has room for some dozens of long parts or histories.
-constexpr std::size_t most_memory_rows = 128;
+/// engine has room for some dozens of long parts or histories. With a prompt's
+/// parts on top they fill a vector of 128.
+constexpr std::size_t most_memory_rows = 96;
 
 /// A part that an engine holds.
 struct held_part
--- a/include/pepperturn/scheduling/engine_record.hpp
+++ b/include/pepperturn/scheduling/engine_record.hpp
@@ -51,12 +51,10 @@
     std::uint64_t m_call = 0;
     instant m_since{};
     std::vector<prompt_part> m_parts;
-    std::uint32_t m_cached_tokens = 0;
     std::uint32_t m_fresh_tokens = 0;
     /// Calls under way when it came.
     std::uint32_t m_beside = 0;
-    /// What a token was thought to take when it came.
-    double m_token_ms = 0;
+    /// Wait and reading as expected, in milliseconds.
     double m_wait_ms = 0;
     double m_read_ms = 0;
     /// To its end, as expected, and if it is a long one.
--- a/src/scheduling/engine_pace.cpp
+++ b/src/scheduling/engine_pace.cpp
@@ -14,8 +14,8 @@
 /// Smallest and largest step of a quantile, as a share of its value.
 constexpr double least_step = 0.02;
 constexpr double most_step = 0.5;
-/// Share of a new value in the lasting pace once it has settled: a quarter
-/// of a minute's calls make up most of it.
+/// Share of a new value in the lasting pace once it has settled: the last
+/// dozen calls make up most of it.
 constexpr double lasting_share = 0.08;
 /// Values further off, as logarithms, count as if they were only so far off:
 /// a call that hung does not make a good engine a slow one for long.
--- a/src/scheduling/engine_record.cpp
+++ b/src/scheduling/engine_record.cpp
@@ -219,10 +219,8 @@
     call.m_since = now;
     call.m_parts = question.m_parts;
     call.m_parts.resize(std::min(call.m_parts.size(), most_prompt_parts));
-    call.m_cached_tokens = outlook.m_cached_tokens;
     call.m_fresh_tokens = outlook.m_fresh_tokens;
     call.m_beside = outlook.m_under_way;
-    call.m_token_ms = outlook.m_token_ms;
     call.m_wait_ms = run.m_wait_ms;
     call.m_read_ms = run.m_read_ms;
     call.m_expected_ms = finish_ms(run) + norm.m_first_byte_ms.m_value;
