Places: metrics of full engines and of prompts in memory

Cause: an operator could not see what share of the prompts was placed where it is in memory, nor how many engines are full.

Ruled out: figures by engine, some hundred lines on a large site.

Before: no such lines.

--- a/include/pepperturn/scheduling/place_service.hpp
+++ b/include/pepperturn/scheduling/place_service.hpp
@@ -23,6 +23,9 @@
 struct place_counters
 {
     std::uint64_t m_placed = 0;
+    /// Of the prompts placed, and what of them was thought to be in memory.
+    std::uint64_t m_prompt_tokens = 0;
+    std::uint64_t m_cached_tokens = 0;
     std::uint64_t m_waited = 0;
     std::uint64_t m_no_room = 0;
     /// Placed beyond an engine's slots, as their program had begun.
@@ -67,6 +70,7 @@
     {
         return m_line.m_size;
     }
+    [[nodiscard]] std::size_t full_engines() const;
     [[nodiscard]] std::size_t under_way() const
     {
         return m_places.size();
--- a/src/scheduling/engine_places.cpp
+++ b/src/scheduling/engine_places.cpp
@@ -82,19 +82,24 @@
 {
     place_counters sum;
     std::uint64_t engines = 0;
+    std::uint64_t full = 0;
     std::uint64_t under_way = 0;
     std::uint64_t waiting = 0;
     for (const auto& [hash, service] : m_state->m_services)
     {
         sum = sum + service.counters();
         engines += service.engines().size();
+        full += service.full_engines();
         under_way += service.under_way();
         waiting += service.waiting();
     }
     write_metric(out, "places_engines", engines);
+    write_metric(out, "places_engines_full", full);
     write_metric(out, "places_under_way", under_way);
     write_metric(out, "places_waiting", waiting);
     write_metric(out, "places_placed_total", sum.m_placed);
+    write_metric(out, "places_prompt_tokens_total", sum.m_prompt_tokens);
+    write_metric(out, "places_cached_tokens_total", sum.m_cached_tokens);
     write_metric(out, "places_waited_total", sum.m_waited);
     write_metric(out, "places_no_room_total", sum.m_no_room);
     write_metric(out, "places_forced_total", sum.m_forced);
--- a/src/scheduling/place_service.cpp
+++ b/src/scheduling/place_service.cpp
@@ -44,6 +44,8 @@
 {
     place_counters sum = left;
     sum.m_placed += right.m_placed;
+    sum.m_prompt_tokens += right.m_prompt_tokens;
+    sum.m_cached_tokens += right.m_cached_tokens;
     sum.m_waited += right.m_waited;
     sum.m_no_room += right.m_no_room;
     sum.m_forced += right.m_forced;
@@ -231,6 +233,14 @@
     }
 }
 
+std::size_t place_service::full_engines() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_engines.begin(), m_engines.end(), [](const engine_record& row) {
+            return row.m_calls.size() >= row.m_facts.m_slots;
+        }));
+}
+
 bool place_service::has_engines() const
 {
     return std::any_of(
@@ -250,6 +260,8 @@
     start_call(engine, m_norm, question, choice.m_outlook, now);
     m_places[question.m_call] = engine.m_facts.m_runner;
     ++m_counters.m_placed;
+    m_counters.m_prompt_tokens += question.m_prompt_tokens;
+    m_counters.m_cached_tokens += choice.m_outlook.m_cached_tokens;
     return place_answer{
         .m_outcome = place_outcome::placed,
         .m_runner = engine.m_facts.m_runner,
--- a/test/scheduling/test_engine_choice.cpp
+++ b/test/scheduling/test_engine_choice.cpp
@@ -26,6 +26,8 @@
         ask(places, make_question(2), start + milliseconds(200));
     CHECK(second.m_runner == first.m_runner);
     CHECK(second.m_cached_tokens == shared_tokens);
+    CHECK(shows(places, "places_prompt_tokens_total 27200"));
+    CHECK(shows(places, "places_cached_tokens_total 12600"));
     const auto other =
         ask(places, make_question(3, 2), start + milliseconds(200));
     CHECK(other.m_runner != first.m_runner);
--- a/test/scheduling/test_engine_places.cpp
+++ b/test/scheduling/test_engine_places.cpp
@@ -116,6 +116,8 @@
         CHECK(ask(places, make_question(call)).m_outcome ==
               place_outcome::placed);
     CHECK_FALSE(places.ask(make_question(4), start).has_value());
+    CHECK(shows(places, "places_engines_full 1"));
+    CHECK(shows(places, "places_waiting 1"));
     CHECK(places.take_decided(start + milliseconds(50)).empty());
     places.report(make_report(1), start + milliseconds(100));
     const auto decided = places.take_decided(start + milliseconds(100));
