Limits: first calls in line, three quarters of the tenth, a fill of 1.3

Programs that are not begun come back no sooner than in 0.3 s; those told within a second are waited for, so that whoever asks later does not take their place. Owners grant three quarters of the tolerated tenth and nine tenths of the fixed tolerance: the count is exact, and what is granted lies between its request's sending and its arrival.

--- a/include/pepperturn/tenancy/limiter.hpp
+++ b/include/pepperturn/tenancy/limiter.hpp
@@ -80,17 +80,17 @@
 struct limiter_settings
 {
     /// Requests above the limit that counting over many VMs may let through,
-    /// four fifths of what the operator allows for it (20): owners hold whole
+    /// nine tenths of what the operator allows for it (20): owners hold whole
     /// requests, and a third of a small limit holds few. The rest is for what
     /// is not counted here.
-    double m_spare = 16;
-    /// Share of the limit that is granted above it, half of what the operator
-    /// tolerates (a tenth), for the same reasons.
-    double m_excess = 0.05;
+    double m_spare = 18;
+    /// Share of the limit that is granted above it, three quarters of what
+    /// the operator tolerates (a tenth), for the same reasons.
+    double m_excess = 0.075;
     /// Share of the window that programs may be expected to fill. More than
     /// all of it: their calls can wait a little for room, and a program that
     /// ends late is worth more than one that never began.
-    double m_fill = 1.15;
+    double m_fill = 1.3;
     /// Calls a second of a program while none has ended: a turn and a tool or
     /// two within the second.
     double m_usual_pace = 4;
@@ -138,6 +138,15 @@
     friend bool operator==(const kept_place&, const kept_place&) = default;
 };
 
+/// A program that was not begun and told when to come back.
+struct told_program
+{
+    std::uint64_t m_program = 0;
+    instant m_at{};
+
+    friend bool operator==(const told_program&, const told_program&) = default;
+};
+
 /// One workspace at one owner.
 struct limiter_row
 {
@@ -152,6 +161,8 @@
     limit_window m_window;
     /// In the order in which they were given.
     std::vector<kept_place> m_kept;
+    /// In the order in which they asked first.
+    std::vector<told_program> m_told;
     /// Programs under way, by the hash of their ids.
     std::unordered_map<std::uint64_t, counted_program> m_programs;
     program_habits m_habits;
--- a/src/fleet/storage_node.cpp
+++ b/src/fleet/storage_node.cpp
@@ -14,7 +14,7 @@
 constexpr milliseconds beat_interval{500};
 constexpr milliseconds expiry_interval{2000};
 /// Of the tolerance for limits that is given out, see limiter_settings.
-constexpr double spare_share = 0.8;
+constexpr double spare_share = 0.9;
 /// Answers under way go out before the process ends.
 constexpr milliseconds stop_linger{150};
 
--- a/src/forward/quota_client.cpp
+++ b/src/forward/quota_client.cpp
@@ -10,6 +10,11 @@
 /// An owner answers from memory within a millisecond or two; a slow one is
 /// left for the next.
 constexpr milliseconds ask_patience{50};
+/// An owner that has just refused a first call is not asked again for this
+/// long: it is told most of what a burst begins, by all VMs.
+constexpr milliseconds refusal_memory{100};
+/// Whoever is refused from memory comes back no sooner than this.
+constexpr milliseconds soonest_begin{300};
 /// More refusals than this are not remembered: all workspaces of a large
 /// fleet at all their owners.
 constexpr std::size_t most_refusals_known = 16384;
@@ -97,15 +102,18 @@
         auto until =
             question.m_begins ? refused_until(key) : std::optional<instant>{};
         if (until)
+        {
             out->m_outcome = quota_outcome::over_limit;
+            until = m_time.now() + soonest_begin;
+        }
         else
             until = co_await ask_owner(owner, at_once, out);
         if (out->m_outcome == quota_outcome::granted)
             co_return *out;
         if (!until)
             continue;
-        if (question.m_begins)
-            note_refusal(key, *until);
+        if (question.m_begins && !refused_until(key))
+            note_refusal(key, m_time.now() + refusal_memory);
         if (room_at && *room_at <= *until)
             continue;
         room_at = until;
@@ -113,7 +121,7 @@
     }
     if (!room_at)
         co_return *out;
-    if (question.m_patience_ms > 0 && !question.m_begins)
+    if (question.m_patience_ms > 0)
     {
         const auto again = co_await ask_owner(first_to_have, question, out);
         room_at = again ? again : room_at;
--- a/src/tenancy/limiter.cpp
+++ b/src/tenancy/limiter.cpp
@@ -41,6 +41,14 @@
 constexpr std::int64_t kept_slots = 10;
 /// Callers beyond these are told a time, but no place is kept.
 constexpr std::size_t most_kept = 512;
+/// A program that is not begun comes back no sooner: calls of those under way
+/// end meanwhile, and its client has few tries.
+constexpr milliseconds soonest_begin{300};
+/// Beyond this nobody is waited for: clients come back no later than a third
+/// of the time that they have.
+constexpr milliseconds latest_begin{1000};
+/// Whoever has not come back by then does not come.
+constexpr milliseconds told_patience{500};
 /// Refused callers come back no sooner than this, nor wait longer.
 constexpr milliseconds soonest_retry{100};
 constexpr milliseconds latest_retry{5000};
@@ -175,16 +183,32 @@
     }
 }
 
-/// The window will hold another program beside those under way.
+/// Programs that asked before \p program and are about to come back.
+double told_before(const limiter_row& row, std::uint64_t program)
+{
+    const auto found =
+        std::find_if(row.m_told.begin(), row.m_told.end(), [&](const auto& at) {
+            return program != 0 && at.m_program == program;
+        });
+    return static_cast<double>(found - row.m_told.begin());
+}
+
+/// The window will hold another program beside those under way and those that
+/// were told to come back.
 /// \param missing calls that it lacks room for
-bool bears_program(limiter_row& row, const limiter_settings& settings,
-                   const program_habits& all, instant now, double& missing)
+bool bears_program(limiter_row& row, const quota_question& question,
+                   const limiter_settings& settings, const program_habits& all,
+                   instant now, double& missing)
 {
+    std::erase_if(row.m_told, [&](const told_program& at) {
+        return now - at.m_at > told_patience;
+    });
     const auto usual = expect_program(row.m_habits, all, settings);
     sum_up(row, usual, now);
     const double most =
         settings.m_fill * most_in_window(row.m_limit, row.m_share, settings);
     const auto own = calls_to_come(usual, usual.m_calls);
+    const double before = told_before(row, question.m_program);
     missing = 0;
     for (std::size_t i = 0; i < horizons; ++i)
     {
@@ -192,16 +216,46 @@
             slots_in_window -
             static_cast<std::int64_t>(horizon_s(i) / to_seconds(slot_length));
         const double used = used_lately(row.m_window, still_inside);
-        missing =
-            std::max(missing, used + row.m_to_come.at(i) + own.at(i) - most);
+        missing = std::max(missing, used + row.m_to_come.at(i) +
+                                        (before + 1) * own.at(i) - most);
     }
     // One at a time goes on, however small the limit is.
-    if (missing > 0 && !row.m_programs.empty())
+    if (missing > 0 && (!row.m_programs.empty() || before > 0))
         return false;
     add(row.m_to_come, own, 1);
+    std::erase_if(row.m_told, [&](const told_program& at) {
+        return at.m_program == question.m_program;
+    });
     return true;
 }
 
+/// A program that is not begun now: tells when to come back, and lets those
+/// who come later wait for it, if that is soon.
+quota_answer put_off(limiter_row& row, const quota_question& question,
+                     double missing, instant now,
+                     const limiter_settings& settings)
+{
+    const double rate = most_in_window(row.m_limit, row.m_share, settings) /
+                        to_seconds(limit_span);
+    const double ms = std::min(missing / rate * ms_per_s,
+                               static_cast<double>(latest_retry.count()));
+    const auto retry = std::max(
+        soonest_begin, milliseconds(static_cast<milliseconds::rep>(ms)));
+    const bool is_kept = question.m_patience_ms > 0 &&
+                         question.m_program != 0 && retry <= latest_begin &&
+                         row.m_told.size() < most_kept;
+    if (is_kept)
+    {
+        const auto index =
+            static_cast<std::size_t>(told_before(row, question.m_program));
+        if (index < row.m_told.size())
+            row.m_told[index].m_at = now + retry;
+        else
+            row.m_told.push_back({question.m_program, now + retry});
+    }
+    return {quota_outcome::over_limit, as_retry(retry)};
+}
+
 /// Places that nobody has come for are free again.
 void drop_kept(limiter_row& row)
 {
@@ -349,15 +403,9 @@
     drop_kept(row);
     const auto here = row.m_window.m_now;
     double missing = 0;
-    if (question.m_begins && !bears_program(row, settings, all, now, missing))
-    {
-        const double rate = most_in_window(row.m_limit, share, settings) /
-                            to_seconds(limit_span);
-        const double ms = std::min(missing / rate * ms_per_s,
-                                   static_cast<double>(latest_retry.count()));
-        return {quota_outcome::over_limit,
-                as_retry(milliseconds(static_cast<milliseconds::rep>(ms)))};
-    }
+    if (question.m_begins &&
+        !bears_program(row, question, settings, all, now, missing))
+        return put_off(row, question, missing, now, settings);
     (void)claim_kept(row, question);
     const auto latest =
         std::min(here + milliseconds(question.m_patience_ms) / slot_length,
