--- a/include/pepperturn/config/fleet_settings.hpp
+++ b/include/pepperturn/config/fleet_settings.hpp
@@ -39,6 +39,8 @@
     std::uint32_t m_apply_ms = 3000;
     /// Requests that counting over many VMs may let through above a limit.
     std::uint32_t m_quota_slack = 20;
+    /// The same, as a share of the limit.
+    double m_quota_excess = 0;
     /// A turn whose prompt has a shared part of this many tokens asks a storage
     /// VM for a place at an engine; 0: edge VMs choose by themselves.
     std::uint32_t m_place_from_tokens = 0;
--- a/src/config/fleet_settings.cpp
+++ b/src/config/fleet_settings.cpp
@@ -15,6 +15,7 @@
 constexpr std::uint32_t least_bound_ms = 100;
 constexpr std::uint32_t most_bound_ms = 3600000;
 constexpr std::uint32_t most_quota_slack = 1000000;
+constexpr double most_quota_excess = 1;
 constexpr std::uint32_t most_prompt_tokens = 100000000;
 constexpr std::uint32_t most_memory_mb = 16U << 20U;
 
@@ -69,6 +70,8 @@
             reader.read("config_apply_ms", out.m_apply_ms, least_bound_ms,
                         most_bound_ms);
             reader.read("quota_slack", out.m_quota_slack, 0, most_quota_slack);
+            reader.read("quota_excess", out.m_quota_excess, 0,
+                        most_quota_excess);
         }
         else if (name == "placement")
             reader.read("from_shared_tokens", out.m_place_from_tokens, 0,
--- a/src/fleet/storage_node.cpp
+++ b/src/fleet/storage_node.cpp
@@ -14,8 +14,9 @@
 constexpr std::uint32_t segment_bytes = 16U << 20U;
 constexpr milliseconds beat_interval{500};
 constexpr milliseconds expiry_interval{2000};
-/// Of the tolerance for limits that is given out, see limiter_settings.
-constexpr double spare_share = 0.8;
+/// Of the tolerances for limits that are given out, see limiter_settings.
+constexpr double spare_share = 0.9;
+constexpr double excess_share = 0.75;
 /// Edge VMs that start beside this one ask for what it knows, and can serve
 /// nothing before; a configuration of a thousand routes takes a tenth of a
 /// second to read on a small share of a core.
@@ -58,7 +59,8 @@
            true}),
       m_staleness_limits{milliseconds(settings.m_revoke_ms),
                          milliseconds(settings.m_apply_ms)},
-      m_limiter({spare_share * settings.m_quota_slack}),
+      m_limiter({.m_spare = spare_share * settings.m_quota_slack,
+                 .m_excess = excess_share * settings.m_quota_excess}),
       m_owners(unknown_history()), m_places(time)
 {}
 
--- a/test/fleet/test_reach.cpp
+++ b/test/fleet/test_reach.cpp
@@ -395,7 +395,8 @@
                              async_event never(io);
                              co_await never.wait_until(until);
                              co_return std::nullopt;
-                         }},
+                         },
+                         {}},
                         each.m_limits);
     const auto port = free_port(io);
     std::string reason;
