--- a/include/pepperturn/cluster/detours.hpp
+++ b/include/pepperturn/cluster/detours.hpp
@@ -55,7 +55,8 @@
     /// \param reason why it is not reached directly, for the log
     /// \param question its epoch goes with it as it is
     /// \param done comes exactly once; at once if nobody can be asked
-    /// \param patience the next neighbour is tried after it at the latest
+    /// \param patience the next neighbour is tried after it at the latest; one
+    /// below \ref usual_silence ends the question at twice its length
     void ask(const std::string& member, const char* reason,
              const frame& question, frame_done done, milliseconds patience);
     /// Asks a member that is not reached directly for a sign of life, unless
--- a/src/cluster/detours.cpp
+++ b/src/cluster/detours.cpp
@@ -132,7 +132,9 @@
                    relayed_message{member, std::move(bytes)}};
     row.m_done = std::move(done);
     row.m_patience = patience;
-    row.m_until = m_time.now() + question_patience;
+    // An asker with little time has gone elsewhere by then.
+    row.m_until = m_time.now() +
+                  (patience < usual_silence ? 2 * patience : question_patience);
     ++m_counts.m_asked;
     try_next(id);
     start_watch();
