--- a/test/fleet/test_readers.cpp
+++ b/test/fleet/test_readers.cpp
@@ -217,6 +217,7 @@
                                           std::string(1000000, 'b'),
                                           std::string(1500000, 'c')};
     std::vector<runner_step> steps;
+    steps.reserve(bodies.size());
     for (const auto& body : bodies)
         steps.push_back({whole_answer(200, body)});
     edge.m_first.script(steps);
