Limits: what the window holds beyond the plain rate may come at once

A fixed part is too little for small limits and too much for large ones, whose restarts it slows.

Now the part beyond rate x 5 may be granted at once: 32 of 82 at 10 a second, 1,440 of 6,400 at 1,000. After a restart the limit's rate is there again from the first quarter second on, whatever the limit is.

--- a/include/pepperturn/tenancy/limit_window.hpp
+++ b/include/pepperturn/tenancy/limit_window.hpp
@@ -8,10 +8,10 @@
 /// window as a whole has room. Here grants are counted in short slots, and a
 /// grant is given whenever no window over its instant is full.
 ///
-/// Shorter spans are bounded as well (\ref span_share): a VM that restarts has
-/// forgotten its grants and must take them to have been the most allowed. If
-/// all of a window could be granted at one instant, it could grant nothing for
-/// a whole window after; so bounded, room comes back from the first quarter
+/// Shorter spans are bounded as well (\ref most_in_span): a VM that restarts
+/// has forgotten its grants and must take them to have been the most allowed.
+/// If all of a window could be granted at one instant, it could grant nothing
+/// for a whole window after; so bounded, room comes back from the first quarter
 /// second on.
 ///
 /// Places may be taken in the near future: a request that waits its turn has
@@ -38,27 +38,27 @@
 constexpr std::int64_t slots_ahead = slots_in_window;
 /// Spans that are bounded besides the whole window: every quarter second.
 constexpr std::int64_t slots_in_step = 5;
-/// Of what a window holds, this much may be granted at one instant: a few
-/// programs' calls at a small limit. With more, less comes back after a
-/// restart; so it is the plain rate of the limit and a little more.
-constexpr double burst_share = 0.2;
-
 /// Number of the slot that \p at lies in.
 [[nodiscard]] std::int64_t slot_at(instant at);
 [[nodiscard]] instant start_of_slot(std::int64_t slot);
 
-/// Share of a window's grants that a span of \p steps quarter seconds may hold.
-[[nodiscard]] double span_share(std::int64_t steps);
-
-/// What a window may hold from an instant on.
+/// What spans may hold from an instant on.
 struct window_bound
 {
     std::int64_t m_from = 0;
+    /// In a whole window.
     double m_most = 0;
+    /// Of that, at one instant. The rest comes evenly: with less of it, a VM
+    /// that restarts would get less back in each second.
+    double m_at_once = 0;
 
     friend bool operator==(const window_bound&, const window_bound&) = default;
 };
 
+/// What a span of \p steps quarter seconds may hold.
+[[nodiscard]] double most_in_span(const window_bound& bound,
+                                  std::int64_t steps);
+
 struct limit_window
 {
     /// Slots behind and ahead, and some to spare; a power of two.
@@ -82,8 +82,8 @@
 /// Lets time go on; forgets what no window reaches any more.
 void advance_window(limit_window& window, std::int64_t now);
 
-/// From now on windows may hold \p most.
-void bound_window(limit_window& window, double most);
+/// From now on windows may hold \p most, and \p at_once of it at one instant.
+void bound_window(limit_window& window, double most, double at_once);
 
 /// From now on this window is only \p part of what it was: so are its bounds
 /// and what was granted. Whoever takes the rest counts the rest of these
@@ -100,8 +100,8 @@
 void free_place(limit_window& window, std::int64_t slot);
 
 /// Counts the most that may have been granted up to \p until by someone who
-/// granted \p most in a window.
-void assume_granted(limit_window& window, std::int64_t until, double most);
+/// kept the newest bound.
+void assume_granted(limit_window& window, std::int64_t until);
 
 /// Grants in the last \p slots up to now, and places ahead.
 [[nodiscard]] double used_lately(const limit_window& window,
--- a/src/tenancy/limit_window.cpp
+++ b/src/tenancy/limit_window.cpp
@@ -68,14 +68,13 @@
               std::int64_t end, std::int64_t steps)
 {
     const auto begin = end - steps * slots_in_step;
-    const double share = span_share(steps);
     double most = 0;
     for (auto row = window.m_bounds.rbegin(); row != window.m_bounds.rend();
          ++row)
     {
-        most = std::max(most, row->m_most);
+        most = std::max(most, most_in_span(*row, steps));
         const auto from = std::max(begin, row->m_from);
-        if (sums.between(from, end) + 1 > most * share + rounding)
+        if (sums.between(from, end) + 1 > most + rounding)
             return false;
         if (row->m_from <= begin)
             break;
@@ -111,10 +110,11 @@
     return instant{} + slot * slot_length;
 }
 
-double span_share(std::int64_t steps)
+double most_in_span(const window_bound& bound, std::int64_t steps)
 {
-    return burst_share + (1 - burst_share) * static_cast<double>(steps) /
-                             static_cast<double>(steps_in_window);
+    return bound.m_at_once + (bound.m_most - bound.m_at_once) *
+                                 static_cast<double>(steps) /
+                                 static_cast<double>(steps_in_window);
 }
 
 void advance_window(limit_window& window, std::int64_t now)
@@ -135,19 +135,21 @@
         bounds.erase(bounds.begin());
 }
 
-void bound_window(limit_window& window, double most)
+void bound_window(limit_window& window, double most, double at_once)
 {
     auto& bounds = window.m_bounds;
     if (bounds.empty())
-        bounds.push_back({oldest_slot(window), most});
-    if (bounds.back().m_most == most)
+        bounds.push_back({oldest_slot(window), most, at_once});
+    auto& newest = bounds.back();
+    if (newest.m_most == most && newest.m_at_once == at_once)
         return;
     // Within one slot grants before and after a change are not told apart: all
     // of them count below the new bound.
     if (bounds.size() < most_bounds)
-        bounds.push_back({window.m_now, most});
+        bounds.push_back({window.m_now, most, at_once});
     else
-        bounds.back().m_most = std::min(bounds.back().m_most, most);
+        newest = {newest.m_from, std::min(newest.m_most, most),
+                  std::min(newest.m_at_once, at_once)};
 }
 
 void shrink_window(limit_window& window, double part)
@@ -155,7 +157,10 @@
     for (auto slot = oldest_slot(window); slot <= window.m_now; ++slot)
         window.m_counts.at(index_of(slot)) *= static_cast<float>(part);
     for (auto& row : window.m_bounds)
+    {
         row.m_most *= part;
+        row.m_at_once *= part;
+    }
 }
 
 std::optional<std::int64_t> find_room(const limit_window& window,
@@ -187,12 +192,13 @@
         --window.m_tail;
 }
 
-void assume_granted(limit_window& window, std::int64_t until, double most)
+void assume_granted(limit_window& window, std::int64_t until)
 {
+    const auto& bound = window.m_bounds.back();
     double counted = 0;
     for (std::int64_t steps = 1; steps <= steps_in_window; ++steps)
     {
-        const double next = most * span_share(steps);
+        const double next = most_in_span(bound, steps);
         const auto slot = until - (steps - 1) * slots_in_step;
         if (slot >= oldest_slot(window) && slot <= window.m_now)
             window.m_counts.at(index_of(slot)) +=
--- a/src/tenancy/limiter.cpp
+++ b/src/tenancy/limiter.cpp
@@ -83,9 +83,13 @@
     }
     row.m_share = share;
     const double most = most_in_window(row.m_limit, share, settings);
-    bound_window(row.m_window, most);
+    // All that the window holds beyond the plain rate may come at one instant,
+    // so that after a restart the plain rate is there again at once.
+    const double at_rate =
+        share * row.m_limit.m_rate_per_s * to_seconds(limit_span);
+    bound_window(row.m_window, most, std::max(0.0, most - at_rate));
     if (is_first || since > row.m_since)
-        assume_granted(row.m_window, slot_at(since), most);
+        assume_granted(row.m_window, slot_at(since));
     row.m_since = is_first ? since : std::max(row.m_since, since);
     row.m_exact_since = std::max(row.m_exact_since, row.m_since);
     row.m_asked = now;
