--- a/test/fleet/test_reach.cpp
+++ b/test/fleet/test_reach.cpp
@@ -338,7 +338,8 @@
                              instant) -> task<std::optional<frame>> {
                              ++asked;
                              co_return std::nullopt;
-                         }});
+                         },
+                         {}});
     const tcp::endpoint at(asio::ip::make_address("127.0.0.1"), free_port(io));
     std::string reason;
     REQUIRE(server.listen(at, reason));
