--- a/test/platform/test_command_line.cpp
+++ b/test/platform/test_command_line.cpp
@@ -84,6 +84,15 @@
           "[store] address is missing"}},
         {std::string(good_settings) + "[bounds]\nrevoke_ms = 1\n",
          {"[bounds] revoke_ms: "}},
+        {std::string(good_settings) +
+             "[bounds]\nquota_excess = -0.1\nquota_slack = some\n"
+             "[placement]\nfrom_shared_tokens = -1\nfrom = 2\n",
+         {"[bounds] quota_excess: ", "[bounds] quota_slack: ",
+          "[placement] from_shared_tokens: ", "[placement] from"}},
+        {std::string(good_settings) + "[bounds]\nquota_excess = 2\n"
+                                      "[placement]\n"
+                                      "from_shared_tokens = 8192\n",
+         {"[bounds] quota_excess: "}},
         {"[vm]\nname = e1\nhost = h\n[store]\naddress = nowhere\n"
          "[listen]\nready = 1.2.3.4\nseeds = 1.2.3.4:5,x\n",
          {"[store] address: 'nowhere'", "[listen] ready: '1.2.3.4'",
