Limits: a grant's place has fields of its own on the wire

It went in the fields of the time to come back and of the patience, which a reader could not guess. Old comments lose their measured figures.

--- a/include/pepperturn/scheduling/refusal.hpp
+++ b/include/pepperturn/scheduling/refusal.hpp
@@ -16,9 +16,7 @@
 constexpr milliseconds come_back_soon{60};
 /// This VM hears no storage VM. The other VMs of its zone may be cut off with
 /// it, and the balancer takes two misses a second apart to leave them out. A
-/// turn is tried six times or more in all, so that these reach past that. At
-/// 60 ms, 2.2 in 100 programs were refused on a day that cut a zone of two VMs
-/// off, at this 0.5 (three plays each).
+/// turn is tried six times or more in all, so that these reach past that.
 constexpr milliseconds come_back_cut_off{400};
 /// The storage VMs did not answer, or the runner named a later time: they are
 /// asked again within tens of milliseconds, a restarted one is back within
--- a/include/pepperturn/tenancy/limiter.hpp
+++ b/include/pepperturn/tenancy/limiter.hpp
@@ -39,9 +39,10 @@
     bool m_begins = false;
     /// A grant that was not used comes back; nothing is asked.
     bool m_returned = false;
-    /// Longest wait for room below the limit, in milliseconds; of a grant
-    /// that comes back: its \ref quota_answer::m_retry_ms.
+    /// Longest wait for room below the limit, in milliseconds.
     std::uint32_t m_patience_ms = 0;
+    /// Of a grant that comes back: its \ref quota_answer::m_place.
+    std::uint32_t m_place = 0;
 
     friend bool operator==(const quota_question&,
                            const quota_question&) = default;
@@ -61,9 +62,10 @@
 struct quota_answer
 {
     quota_outcome m_outcome = quota_outcome::not_owner;
-    /// Over the limit: when there is room again, in milliseconds. Granted:
-    /// the place that it has (\ref pack_place).
+    /// Over the limit: when there is room again, in milliseconds.
     std::uint32_t m_retry_ms = 0;
+    /// Granted: the place that it has (\ref pack_place).
+    std::uint32_t m_place = 0;
 
     friend bool operator==(const quota_answer&, const quota_answer&) = default;
 };
--- a/src/forward/quota_client.cpp
+++ b/src/forward/quota_client.cpp
@@ -83,8 +83,8 @@
     if (told->m_outcome == quota_outcome::over_limit)
         co_return m_time.now() + milliseconds(told->m_retry_ms);
     out->m_owner = owner;
-    out->m_place = told->m_retry_ms;
-    out->m_waited = wait_of_place(told->m_retry_ms);
+    out->m_place = told->m_place;
+    out->m_waited = wait_of_place(told->m_place);
     co_return std::nullopt;
 }
 
@@ -144,7 +144,7 @@
         return;
     auto question = grant.m_question;
     question.m_returned = true;
-    question.m_patience_ms = grant.m_place;
+    question.m_place = grant.m_place;
     m_links.call(grant.m_owner, 0, question,
                  [](const std::optional<frame>&) {});
 }
--- a/src/tenancy/limiter.cpp
+++ b/src/tenancy/limiter.cpp
@@ -297,7 +297,8 @@
     const auto wait = slot > row.m_window.m_now
                           ? elapsed(now, start_of_slot(slot)) + milliseconds(1)
                           : milliseconds(0);
-    return {quota_outcome::granted, pack_place(slot, wait)};
+    return {.m_outcome = quota_outcome::granted,
+            .m_place = pack_place(slot, wait)};
 }
 
 /// No room within the caller's patience: tells when there is, and keeps that
@@ -328,7 +329,7 @@
     if (told.m_outcome == quota_outcome::granted)
     {
         counts.note(workspace_event::served);
-        if (wait_of_place(told.m_retry_ms) > milliseconds(0))
+        if (wait_of_place(told.m_place) > milliseconds(0))
             counts.note(workspace_event::waited);
         return;
     }
@@ -426,7 +427,7 @@
     if (found != row.m_programs.end() && --found->second.m_calls == 0)
         row.m_programs.erase(found);
     advance_window(row.m_window, slot_at(now));
-    const auto slot = slot_of_place(question.m_patience_ms, row.m_window.m_now);
+    const auto slot = slot_of_place(question.m_place, row.m_window.m_now);
     if (start_of_slot(slot) >= row.m_exact_since)
         free_place(row.m_window, slot);
 }
--- a/src/turns/messages.cpp
+++ b/src/turns/messages.cpp
@@ -137,12 +137,14 @@
         out.setReturned(body.m_returned);
         out.setProgram(body.m_program);
         out.setPatienceMs(body.m_patience_ms);
+        out.setPlace(body.m_place);
     }
     void operator()(const quota_answer& body)
     {
         auto out = m_out.initQuotaAnswer();
         out.setOutcome(static_cast<std::uint8_t>(body.m_outcome));
         out.setRetryMs(body.m_retry_ms);
+        out.setPlace(body.m_place);
     }
     void operator()(const want_neighbours_message&)
     {
@@ -263,14 +265,14 @@
     return {in.getWorkspace(),      {in.getRatePerS(), in.getBurst()},
             in.getConfigRevision(), in.getProgram(),
             in.getBegins(),         in.getReturned(),
-            in.getPatienceMs()};
+            in.getPatienceMs(),     in.getPlace()};
 }
 
 quota_answer read_answer(turns_wire::QuotaAnswer::Reader in)
 {
     // What is not known here grants nothing.
     return {read_enum(in.getOutcome(), quota_outcome::not_owner),
-            in.getRetryMs()};
+            in.getRetryMs(), in.getPlace()};
 }
 
 hello_message read_hello(turns_wire::Hello::Reader in)
--- a/test/tenancy/test_limit_histories.cpp
+++ b/test/tenancy/test_limit_histories.cpp
@@ -144,8 +144,8 @@
             if (told.m_outcome != quota_outcome::granted)
                 break;
             ++granted;
-            m_last_place = told.m_retry_ms;
-            m_grants.push_back(m_now + wait_of_place(told.m_retry_ms));
+            m_last_place = told.m_place;
+            m_grants.push_back(m_now + wait_of_place(told.m_place));
         }
         return granted;
     }
@@ -153,7 +153,7 @@
     void give_back(owner_vm& vm, quota_question question)
     {
         question.m_returned = true;
-        question.m_patience_ms = m_last_place;
+        question.m_place = m_last_place;
         (void)vm.m_limiter.ask(question, 0, instant{}, m_now);
         m_grants.pop_back();
     }
--- a/test/tenancy/test_limiter.cpp
+++ b/test/tenancy/test_limiter.cpp
@@ -65,8 +65,7 @@
                 out.m_begun += row.m_begun ? 0 : 1;
                 row.m_begun = true;
                 row.m_came_back = false;
-                row.m_next =
-                    now + between_calls + wait_of_place(told.m_retry_ms);
+                row.m_next = now + between_calls + wait_of_place(told.m_place);
                 if (--row.m_calls_left == 0)
                     ++out.m_whole;
             }
@@ -142,10 +141,10 @@
     // Of a window's 82.5 a quarter second holds 32.5 and 2.5.
     CHECK(granted == 35);
     question.m_returned = true;
-    question.m_patience_ms = last.m_retry_ms;
+    question.m_place = last.m_place;
     (void)counting.ask(question, 1.0, since, now);
     question.m_returned = false;
-    question.m_patience_ms = 0;
+    question.m_place = 0;
     CHECK(counting.ask(question, 1.0, since, now).m_outcome ==
           quota_outcome::granted);
     const auto told = counting.ask(question, 1.0, since, now);
@@ -199,8 +198,8 @@
     full_limit full;
     const auto told = full.ask(600);
     CHECK(told.m_outcome == quota_outcome::granted);
-    CHECK(wait_of_place(told.m_retry_ms) > milliseconds(250));
-    CHECK(wait_of_place(told.m_retry_ms) < milliseconds(350));
+    CHECK(wait_of_place(told.m_place) > milliseconds(250));
+    CHECK(wait_of_place(told.m_place) < milliseconds(350));
     // It is the first in line: nobody who comes later goes before it.
     full.m_now += milliseconds(310);
     int granted = 0;
@@ -286,7 +285,7 @@
     {
         const auto told = full.ask(UINT32_MAX);
         if (told.m_outcome == quota_outcome::granted)
-            CHECK(wait_of_place(told.m_retry_ms) <= milliseconds(5001));
+            CHECK(wait_of_place(told.m_place) <= milliseconds(5001));
         else
             CHECK(told.m_retry_ms <= 5000);
     }
