--- a/src/forward/proxy_places.cpp
+++ b/src/forward/proxy_places.cpp
@@ -6,6 +6,9 @@
 #include "pepperturn/base/hash.hpp"
 #include "pepperturn/scheduling/refusal.hpp"
 
+#include <algorithm>
+#include <limits>
+
 namespace pepperturn {
 
 namespace {
