--- a/test/tenancy/test_limit_histories.cpp
+++ b/test/tenancy/test_limit_histories.cpp
@@ -21,7 +21,7 @@
 constexpr request_limit usual_limit{100, 100};
 constexpr milliseconds window{5000};
 
-/// A VM in touch knows of a change after this time: what it believes of the
+/// A VM that hears the store knows of a change by then: what it believes of the
 /// configuration is no older.
 constexpr milliseconds config_known{2000};
 /// The longest wait for a place, as edge VMs ask for it.
@@ -157,7 +157,7 @@
         (void)vm.m_limiter.ask(question, 0, instant{}, m_now);
         m_grants.pop_back();
     }
-    /// The operator changes the limit; who is in touch hears of it in time.
+    /// The operator changes the limit; VMs that hear the store know it in time.
     void change_limit(const request_limit& limit)
     {
         m_limits.push_back({m_now, limit});
