--- a/include/pepperturn/config/fleet_settings.hpp
+++ b/include/pepperturn/config/fleet_settings.hpp
@@ -41,6 +41,10 @@
     std::uint32_t m_quota_slack = 20;
     /// The same, as a share of the limit.
     double m_quota_excess = 0;
+    /// Requests that counting over many VMs may send to a cold runner above
+    /// what it bears: a factor, and a number.
+    double m_cold_excess = 1;
+    std::uint32_t m_cold_slack = 0;
     /// A turn whose prompt has a shared part of this many tokens asks a storage
     /// VM for a place at an engine; 0: edge VMs choose by themselves.
     std::uint32_t m_place_from_tokens = 0;
--- a/include/pepperturn/fleet/edge_node.hpp
+++ b/include/pepperturn/fleet/edge_node.hpp
@@ -31,8 +31,6 @@
 
 private:
     void take_state(const cluster_state& news);
-    /// Decodes the entries that moved and passes all runners on.
-    void take_runners(const std::vector<std::string>& moved);
     void choose_source();
     /// Looks for storage VMs beside the seeds, which may be down or late.
     task<> find_members();
@@ -63,6 +61,7 @@
     freshness_keeper m_freshness_keeper;
     staleness_limits m_staleness_limits;
     quota_client m_quota;
+    cold_client m_cold;
     place_client m_places;
     proxy m_proxy;
     status_server m_status;
@@ -73,7 +72,6 @@
     bool m_subscribed = false;
     /// Revision of the last configuration that could be read.
     std::uint64_t m_config_revision = 0;
-    runner_list m_runners;
     bool m_stopping = false;
     bool m_own_source = false;
     instant m_started{};
--- a/include/pepperturn/fleet/storage_node.hpp
+++ b/include/pepperturn/fleet/storage_node.hpp
@@ -106,8 +106,7 @@
     std::map<std::uint64_t, std::string> m_workspace_names;
     owner_knowledge m_owners;
     storage_places m_places;
-    runner_list m_runners;
-    bool m_callers_have_keys = false;
+    bool m_counts_shares = false;
     /// Revision of the configuration that says so.
     std::uint64_t m_config_looked_at = 0;
     std::unique_ptr<turn_log> m_log;
--- a/include/pepperturn/fleet/storage_places.hpp
+++ b/include/pepperturn/fleet/storage_places.hpp
@@ -8,6 +8,7 @@
 #include "pepperturn/scheduling/engine_places.hpp"
 #include "pepperturn/turns/turn_server.hpp"
 
+#include <set>
 #include <unordered_map>
 
 namespace pepperturn {
@@ -18,7 +19,9 @@
     explicit storage_places(const clock& time);
 
     void take_config(const routing_config& config);
-    void take_runners(const std::map<std::string, runner_info>& runners);
+    void take_changes(const std::vector<runner_change>& changes);
+    /// No places at engines of \p zones.
+    void evacuate(const std::vector<std::string>& zones);
 
     /// \param asker number of its connection
     void ask(std::uint64_t asker, const place_question& question,
@@ -46,13 +49,28 @@
     /// Notes whose call it is.
     void note_asker(std::uint64_t asker, const place_question& question);
     void forget_call(std::uint64_t call);
-    void refresh();
+    /// Follows a service's engines if this VM is asked for places there; the
+    /// work goes with its runners.
+    void refresh(const std::string& service);
+    void refresh_asked();
+    void note_asked(std::uint64_t service);
 
     const clock& m_time;
     engine_places m_places;
     /// Of services that are engines, by name.
-    std::map<std::string, engine_profile> m_engines;
-    std::vector<runner_info> m_runners;
+    std::map<std::string, service> m_engines;
+    /// A runner, and until when it is cold.
+    struct known_runner
+    {
+        runner_info m_info;
+        instant m_cold_until{};
+    };
+    std::map<std::string, known_runner> m_runners;
+    std::set<std::string> m_evacuated;
+    /// Services whose engines have changed since they were followed.
+    std::set<std::string> m_outdated;
+    /// When places of a service were last asked for here, by its hash.
+    std::unordered_map<std::uint64_t, instant> m_asked;
     std::unordered_map<std::uint64_t, collector> m_collectors;
     /// Calls with a place or in line, by asker; each with its service.
     std::unordered_map<std::uint64_t,
--- a/include/pepperturn/forward/proxy.hpp
+++ b/include/pepperturn/forward/proxy.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "pepperturn/forward/caller_connection.hpp"
+#include "pepperturn/forward/cold_client.hpp"
 #include "pepperturn/forward/engine_gate.hpp"
 #include "pepperturn/forward/place_client.hpp"
 #include "pepperturn/forward/quota_client.hpp"
@@ -49,7 +50,20 @@
     {
         return m_config && m_config->m_directory;
     }
+    /// Takes the whole list of runners.
     void take_runners(const std::vector<runner_info>& runners);
+    void take_changes(const std::vector<runner_change>& changes);
+    /// Nothing more goes to the runners of \p zones.
+    void evacuate(const std::vector<std::string>& zones);
+    /// Callers and runners are spread by what is drawn from \p seed; VMs whose
+    /// seeds are alike draw alike.
+    void seed_draws(std::uint64_t seed);
+    /// Counts calls to cold runners with others; until this is called, none is
+    /// used while another one is there.
+    void ask_for_cold(cold_client& leaves)
+    {
+        m_cold = &leaves;
+    }
     /// \param memory_mb of the VM, for this process; 0: not told
     void bound_memory(std::uint32_t memory_mb)
     {
@@ -140,6 +154,8 @@
     {
         unsigned m_may_have_run = 0;
         unsigned m_refusals = 0;
+        /// Cold runners that bear no further call now.
+        unsigned m_cold_denied = 0;
         /// The attempt under way may be followed by another if it may have
         /// run.
         bool m_may_repeat = false;
@@ -165,6 +181,9 @@
         bool m_cut = false;
     };
 
+    /// Lets go of connections to runners that are no longer used.
+    /// \param restarted ids
+    void follow_runners(const std::vector<std::string>& restarted);
     task<> accept_callers();
     task<> serve(std::shared_ptr<caller_connection> caller);
     task<> refuse_unread(std::shared_ptr<caller_connection> caller,
@@ -219,6 +238,8 @@
     /// The engine of the place, if this VM can use it; null: it chooses.
     [[nodiscard]] const runner_row*
     placed_runner(const call& work, const runner_choice& choice) const;
+    /// Leave to send a call to a runner that is cold; others need none.
+    task<bool> may_use_cold(std::shared_ptr<call> work, runner_row target);
     /// Tells how the attempt ended.
     /// \param events that came
     void end_place(call& work, const attempt_result& result,
@@ -278,6 +299,8 @@
     runner_table m_runners;
     engine_gate m_gate;
     workspace_guard m_guard;
+    /// Null: calls to cold runners are not counted.
+    cold_client* m_cold = nullptr;
     /// Null: this VM chooses engines by itself.
     place_client* m_places = nullptr;
     std::shared_ptr<const routing_config> m_config;
--- a/include/pepperturn/forward/quota_client.hpp
+++ b/include/pepperturn/forward/quota_client.hpp
@@ -61,7 +61,7 @@
     void note_refusal(refusal_key key, instant until);
     /// The owners of its workspace, the one that its program keeps to first.
     [[nodiscard]] std::vector<std::string>
-    owners_for(const quota_question& question);
+    ranked_owners(const quota_question& question);
     /// Asks one owner, and takes its answer into \p out.
     /// \returns when there is room, if there is none now
     [[nodiscard]] task<std::optional<instant>>
--- a/include/pepperturn/forward/routing_config.hpp
+++ b/include/pepperturn/forward/routing_config.hpp
@@ -85,6 +85,8 @@
     /// Connections that one runner takes from all callers together.
     std::uint32_t m_max_connections = 64;
     std::optional<engine_profile> m_engine;
+    /// Requests a second that a runner bears while it is cold; 0: any number.
+    double m_cold_per_s = 0;
 
     friend bool operator==(const service&, const service&) = default;
 };
@@ -132,10 +134,23 @@
     /// Unix milliseconds of its start; 0: not told. A runner that starts anew
     /// under its id holds and knows nothing of before.
     std::uint64_t m_born = 0;
+    /// For how much longer it is cold, from when this was told.
+    milliseconds m_cold_left{0};
 
     friend bool operator==(const runner_info&, const runner_info&) = default;
 };
 
+/// A runner that is new or told something new, or has gone.
+struct runner_change
+{
+    std::string m_id;
+    /// Empty: it has gone.
+    std::optional<runner_info> m_info;
+
+    friend bool operator==(const runner_change&,
+                           const runner_change&) = default;
+};
+
 /// One life of a runner, as other VMs and later calls name it.
 [[nodiscard]] std::string incarnation_of(const runner_info& info);
 
--- a/include/pepperturn/forward/runner_table.hpp
+++ b/include/pepperturn/forward/runner_table.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "pepperturn/forward/routing_config.hpp"
+#include "pepperturn/scheduling/placement.hpp"
 
 #include <functional>
 #include <set>
@@ -32,6 +33,8 @@
     /// it fades, so that a runner gets another chance.
     double m_trouble = 0;
     instant m_trouble_at{};
+    /// It bears few requests until then.
+    instant m_cold_until{};
 };
 
 struct runner_choice
@@ -46,19 +49,48 @@
     std::uint64_t m_draw = 0;
     /// Whether a kept connection to a runner is idle; empty: never.
     std::function<bool(const std::string&)> m_connected = {};
+    /// Hash of the beginning that its prompt shares with others; 0: none.
+    std::uint64_t m_shared_part = 0;
+    /// Cold runners are left alone.
+    bool m_warm_only = false;
 };
 
+/// Of a service with many runners a VM weighs these for one call: several
+/// times what one VM has under way, so that it finds an idle one among them.
+constexpr std::size_t most_candidates = 64;
+/// Runners of each zone on which prompts with one shared part meet: enough to
+/// bear the loss of some, few enough that the part is seldom read anew.
+constexpr std::size_t runners_for_part = 4;
+
 class runner_table
 {
 public:
-    /// Takes the current list; keeps what was seen of those that stay.
+    /// \param seed of this VM: which runners of a large service it uses
+    explicit runner_table(std::uint64_t seed = 0) : m_seed(seed) {}
+
+    void set_seed(std::uint64_t seed)
+    {
+        m_seed = seed;
+    }
+    /// Takes what changed; keeps what was seen of those that stay.
     /// \returns ids of runners that have started anew
-    std::vector<std::string> replace(const std::vector<runner_info>& runners);
+    std::vector<std::string> update(const std::vector<runner_change>& changes,
+                                    instant now = {});
+    /// Takes the current list: whoever is not in it has gone.
+    std::vector<std::string> replace(const std::vector<runner_info>& runners,
+                                     instant now = {});
+    /// Runners of \p zones get nothing.
+    void evacuate(const std::vector<std::string>& zones);
 
     /// The runner with the least load, or the preferred one unless it is
-    /// clearly busier; null: none is left.
-    [[nodiscard]] const runner_row* choose(const runner_choice& choice,
-                                           instant now) const;
+    /// clearly busier; null: none is left. Of many runners it weighs some:
+    /// each VM its own, so that all together use all.
+    /// \param weighed if given, how many runners were looked at is added
+    [[nodiscard]] const runner_row*
+    choose(const runner_choice& choice, instant now,
+           std::size_t* weighed = nullptr) const;
+    /// It may be sent requests.
+    [[nodiscard]] bool usable(const runner_row& row) const;
 
     [[nodiscard]] const runner_row* find(const std::string& id) const;
     /// Null: that life of a runner is over.
@@ -87,11 +119,40 @@
     void note_full(const std::string& id, instant now);
 
 private:
+    /// Runners in the order of their hashes: each point is followed by another
+    /// one, and comes and goes of others move few points.
+    using ring = std::map<std::uint64_t, const runner_row*>;
+    struct service_rows
+    {
+        ring m_all;
+        std::map<std::string, ring> m_zones;
+    };
+
     [[nodiscard]] runner_row* locate(const std::string& id);
+    void add(const runner_info& info, runner_row& row, instant now);
+    void remove(const runner_row& row);
+    /// Those that \p choice may go to, most of them of its own zone.
+    using row_list = std::vector<const runner_row*>;
+    /// Those that \p choice may go to, most of them of its own zone.
+    [[nodiscard]] row_list gather(const service_rows& rows,
+                                  const runner_choice& choice) const;
+    /// Where prompts with the call's shared part meet.
+    [[nodiscard]] row_list homes_of_part(const service_rows& rows,
+                                         const runner_choice& choice) const;
+    /// \param homes some of them, preferred a little
+    [[nodiscard]] const runner_row* choose_among(const row_list& rows,
+                                                 const row_list& homes,
+                                                 const runner_choice& choice,
+                                                 instant now) const;
+    [[nodiscard]] placement_candidate candidate_of(const runner_row& row,
+                                                   const runner_choice& choice,
+                                                   instant now) const;
 
+    std::uint64_t m_seed;
     std::map<std::string, runner_row> m_rows;
-    std::map<std::string, std::vector<std::string>> m_by_service;
-    std::unordered_map<std::uint64_t, std::string> m_by_hash;
+    std::map<std::string, service_rows> m_by_service;
+    std::unordered_map<std::uint64_t, const runner_row*> m_by_hash;
+    std::set<std::string> m_evacuated;
     /// Smoothed time to the first byte on each route, in milliseconds.
     std::map<std::string, double> m_usual_ms;
 };
--- a/include/pepperturn/scheduling/engine_places.hpp
+++ b/include/pepperturn/scheduling/engine_places.hpp
@@ -38,6 +38,9 @@
     std::uint64_t m_token_capacity = 0;
     /// It takes no new calls.
     bool m_draining = false;
+    /// Until then it bears so many calls a second; 0: any number.
+    instant m_cold_until{};
+    double m_cold_per_s = 0;
 
     friend bool operator==(const engine_facts&, const engine_facts&) = default;
 };
--- a/include/pepperturn/scheduling/engine_record.hpp
+++ b/include/pepperturn/scheduling/engine_record.hpp
@@ -69,6 +69,15 @@
     friend bool operator==(const running_call&, const running_call&) = default;
 };
 
+/// Calls to a cold engine in the second that began at \ref m_since.
+struct cold_second
+{
+    instant m_since{};
+    std::uint32_t m_calls = 0;
+
+    friend bool operator==(const cold_second&, const cold_second&) = default;
+};
+
 struct engine_record
 {
     engine_facts m_facts;
@@ -84,6 +93,8 @@
     /// Start of the latest call that has ended whole.
     instant m_proven_since{};
 
+    cold_second m_cold;
+
     friend bool operator==(const engine_record&,
                            const engine_record&) = default;
 };
@@ -98,6 +109,9 @@
                                             const place_question& question,
                                             instant now);
 
+/// It is cold, and has had what it bears in this second.
+[[nodiscard]] bool is_cold_full(const engine_record& engine, instant now);
+
 /// True if calls rather wait for another engine than go there: it seems to
 /// hang, or fails most calls.
 [[nodiscard]] bool is_shunned(const engine_outlook& outlook,
--- a/include/pepperturn/scheduling/place_service.hpp
+++ b/include/pepperturn/scheduling/place_service.hpp
@@ -121,6 +121,8 @@
     };
 
     std::vector<engine_record> m_engines;
+    /// Where each runner's row is.
+    std::unordered_map<std::uint64_t, std::size_t> m_index;
     service_norm m_norm;
     /// Runner of each call under way.
     std::unordered_map<std::uint64_t, std::uint64_t> m_places;
--- a/include/pepperturn/scheduling/placement.hpp
+++ b/include/pepperturn/scheduling/placement.hpp
@@ -29,6 +29,10 @@
     double m_slowness = 1;
     /// Share of the calls that went wrong lately.
     double m_trouble = 0;
+    /// Prompts that begin alike meet here: it has read that part, most likely.
+    bool m_shares_part = false;
+    /// It has just started, or its memory is empty: it bears few calls.
+    bool m_cold = false;
     /// It refused or failed just now: used only if all others did too.
     bool m_avoided = false;
     /// Decides among equals.
--- a/include/pepperturn/tenancy/limit_owners.hpp
+++ b/include/pepperturn/tenancy/limit_owners.hpp
@@ -33,8 +33,10 @@
 
 /// The owners of \p workspace among \p members, first one first.
 /// \param workspace hash of its name
+/// \param wanted owners, where there are as many members
 [[nodiscard]] std::vector<std::string>
-owners_of(const std::vector<std::string>& members, std::uint64_t workspace);
+owners_of(const std::vector<std::string>& members, std::uint64_t workspace,
+          std::size_t wanted = owners_wanted);
 
 /// Lists of members that one VM has known.
 struct owner_history
@@ -71,7 +73,8 @@
 /// The share of the limit that \p self may grant now, from 0 to 1.
 [[nodiscard]] double share_of(const owner_history& history,
                               const std::string& self, std::uint64_t workspace,
-                              instant now, milliseconds takeover);
+                              instant now, milliseconds takeover,
+                              std::size_t wanted = owners_wanted);
 
 /// Since when nobody but \p self has granted what it grants now, as far as it
 /// remembers; the epoch of the clock: all the time.
@@ -79,6 +82,7 @@
 [[nodiscard]] instant granting_since(const owner_history& history,
                                      const std::string& self,
                                      std::uint64_t workspace, double share,
-                                     milliseconds takeover);
+                                     milliseconds takeover,
+                                     std::size_t wanted = owners_wanted);
 
 } // namespace pepperturn
--- a/include/pepperturn/tenancy/limiter.hpp
+++ b/include/pepperturn/tenancy/limiter.hpp
@@ -16,6 +16,7 @@
 /// granted before and takes it to have been the most allowed.
 #pragma once
 
+#include "pepperturn/tenancy/limit_owners.hpp"
 #include "pepperturn/tenancy/limit_window.hpp"
 #include "pepperturn/tenancy/workspace_counts.hpp"
 #include "pepperturn/tenancy/workspaces.hpp"
@@ -43,11 +44,17 @@
     std::uint32_t m_patience_ms = 0;
     /// Of a grant that comes back: its \ref quota_answer::m_place.
     std::uint32_t m_place = 0;
+    /// Nothing is granted beyond the limit, and one owner has all of it: such
+    /// limits are small, and there are many of them.
+    bool m_exact = false;
 
     friend bool operator==(const quota_question&,
                            const quota_question&) = default;
 };
 
+/// Among how many owners the limit is divided, where there are as many.
+[[nodiscard]] std::size_t owners_for(const quota_question& question);
+
 /// The question with a patience of \p longest at most: an owner grants no place
 /// in a time when another may grant the same.
 [[nodiscard]] quota_question with_patience(quota_question question,
--- a/src/config/fleet_settings.cpp
+++ b/src/config/fleet_settings.cpp
@@ -16,6 +16,7 @@
 constexpr std::uint32_t most_bound_ms = 3600000;
 constexpr std::uint32_t most_quota_slack = 1000000;
 constexpr double most_quota_excess = 1;
+constexpr double most_cold_excess = 100;
 constexpr std::uint32_t most_prompt_tokens = 100000000;
 constexpr std::uint32_t most_memory_mb = 16U << 20U;
 
@@ -72,6 +73,8 @@
             reader.read("quota_slack", out.m_quota_slack, 0, most_quota_slack);
             reader.read("quota_excess", out.m_quota_excess, 0,
                         most_quota_excess);
+            reader.read("cold_excess", out.m_cold_excess, 0, most_cold_excess);
+            reader.read("cold_slack", out.m_cold_slack, 0, most_quota_slack);
         }
         else if (name == "placement")
             reader.read("from_shared_tokens", out.m_place_from_tokens, 0,
--- a/src/fleet/edge_node.cpp
+++ b/src/fleet/edge_node.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "pepperturn/fleet/edge_node.hpp"
 
+#include "pepperturn/base/hash.hpp"
+
 #include <algorithm>
 #include <glog/logging.h>
 
@@ -52,6 +54,7 @@
       m_staleness_limits{milliseconds(settings.m_revoke_ms),
                          milliseconds(settings.m_apply_ms)},
       m_quota(io, time, m_links),
+      m_cold(time, m_quota, settings.m_cold_excess, settings.m_cold_slack),
       m_places(io, time, m_links, settings.m_place_from_tokens),
       m_proxy(io, time, std::move(names), settings.m_availability_zone,
               m_turns),
@@ -96,6 +99,8 @@
     m_proxy.guard_workspaces(
         {[this] { return config_age(); }, m_staleness_limits, &m_quota});
     m_proxy.place_by(m_places);
+    m_proxy.ask_for_cold(m_cold);
+    m_proxy.seed_draws(hash64(m_settings.m_name));
     m_links.on_state(
         [this](const std::string& from, const cluster_state& news) {
             take_state(news);
@@ -154,7 +159,10 @@
                        << '"';
     }
     if (!change.m_runners.empty())
-        take_runners(change.m_runners);
+        m_proxy.take_changes(
+            decode_runners(m_state, change.m_runners, m_decoders));
+    if (!change.m_evacuations.empty())
+        m_proxy.evacuate(evacuated_zones(m_state));
     if (!change.m_views.empty())
         follow_views();
     if (change.any())
@@ -226,16 +234,6 @@
         [this](const std::string& name) { return m_links.hopeful(name); }));
 }
 
-void edge_node::take_runners(const std::vector<std::string>& moved)
-{
-    update_runners(m_runners, m_state, moved, m_decoders);
-    std::vector<runner_info> runners;
-    runners.reserve(m_runners.size());
-    for (const auto& [name, info] : m_runners)
-        runners.push_back(info);
-    m_proxy.take_runners(runners);
-}
-
 void edge_node::choose_source()
 {
     const auto now = m_time.now();
--- a/src/fleet/runner_list.cpp
+++ b/src/fleet/runner_list.cpp
@@ -6,40 +6,50 @@
 
 namespace pepperturn {
 
-void update_runners(runner_list& runners, const cluster_state& state,
-                    const std::vector<std::string>& moved,
-                    const state_decoders& decoders)
+std::vector<runner_change> decode_runners(const cluster_state& state,
+                                          const std::vector<std::string>& moved,
+                                          const state_decoders& decoders)
 {
+    std::vector<runner_change> out;
+    out.reserve(moved.size());
     std::uint64_t newest = 0;
     std::size_t draining = 0;
+    std::size_t gone = 0;
     for (const auto& name : moved)
     {
+        runner_change change{name, std::nullopt};
         const auto* row = find_runner(state.m_runners, name);
-        if (row == nullptr)
+        if (row != nullptr)
+            newest = std::max(newest, row->m_revision);
+        if (row != nullptr && !row->m_gone)
         {
-            // Gone, and forgotten since.
-            runners.erase(name);
-            continue;
+            std::string reason;
+            change.m_info = decoders.m_runner(name, row->m_text, reason);
+            if (!change.m_info)
+                LOG(ERROR) << "event=runner_unreadable runner=" << name
+                           << " reason=\"" << reason << '"';
         }
-        newest = std::max(newest, row->m_revision);
-        std::string reason;
-        auto info = row->m_gone
-                        ? std::nullopt
-                        : decoders.m_runner(row->m_name, row->m_text, reason);
-        if (!row->m_gone && !info)
-            LOG(ERROR) << "event=runner_unreadable runner=" << row->m_name
-                       << " reason=\"" << reason << '"';
-        if (!info)
-        {
-            runners.erase(name);
-            continue;
-        }
-        draining += info->m_draining ? 1 : 0;
-        runners.insert_or_assign(name, std::move(*info));
+        draining += change.m_info && change.m_info->m_draining ? 1 : 0;
+        gone += change.m_info ? 0 : 1;
+        out.push_back(std::move(change));
     }
     LOG(INFO) << "event=runners_taken revision=" << newest
-              << " runners=" << runners.size() << " moved=" << moved.size()
-              << " moved_draining=" << draining;
+              << " known=" << state.m_runners.size()
+              << " moved=" << moved.size() << " draining=" << draining
+              << " gone=" << gone;
+    return out;
+}
+
+void apply_changes(runner_list& runners,
+                   const std::vector<runner_change>& changes)
+{
+    for (const auto& change : changes)
+    {
+        if (change.m_info)
+            runners.insert_or_assign(change.m_id, *change.m_info);
+        else
+            runners.erase(change.m_id);
+    }
 }
 
 } // namespace pepperturn
--- a/src/fleet/storage_limits.cpp
+++ b/src/fleet/storage_limits.cpp
@@ -19,6 +19,14 @@
 /// all be gone.
 constexpr std::ptrdiff_t most_turns = 3;
 
+/// Some of its runners bear few calls while they are cold.
+bool has_cold_limits(const routing_config& config)
+{
+    return std::any_of(
+        config.m_services.begin(), config.m_services.end(),
+        [](const auto& row) { return row.second.m_cold_per_s > 0; });
+}
+
 } // namespace
 
 std::vector<std::string> storage_node::freshness_sources() const
@@ -45,7 +53,7 @@
         const auto config = m_decoders.m_config(state.m_config, reason);
         if (config)
         {
-            m_callers_have_keys = config->m_directory.has_value();
+            m_counts_shares = config->m_directory || has_cold_limits(*config);
             m_places.take_config(*config);
             m_workspace_names.clear();
             if (config->m_directory)
@@ -62,15 +70,15 @@
 
 void storage_node::keep_fresh()
 {
-    // Where callers have no keys, nothing hangs on its age.
+    // Where nothing is shared out, nothing hangs on its age.
     const auto own = std::find(m_watch_order.begin(), m_watch_order.end(),
                                m_settings.m_name);
     m_source.keep_fresh(
-        {m_callers_have_keys && m_source.running(),
+        {m_counts_shares && m_source.running(),
          [this] { return m_freshness_keeper.freshness().m_config_at; },
          check_stagger * std::min<std::ptrdiff_t>(own - m_watch_order.begin(),
                                                   most_turns)});
-    m_freshness_keeper.want(m_callers_have_keys);
+    m_freshness_keeper.want(m_counts_shares);
 }
 
 freshness_bound storage_node::freshness() const
@@ -119,14 +127,16 @@
 {
     const auto now = m_time.now();
     const auto& self = m_settings.m_name;
+    const auto& history = m_owners.m_history;
+    const auto workspace = question.m_workspace;
     const auto takeover = m_staleness_limits.m_revoke;
+    const auto wanted = owners_for(question);
     const auto left = use_left(m_staleness_limits, freshness().m_views_at, now);
-    const double share = left ? share_of(m_owners.m_history, self,
-                                         question.m_workspace, now, takeover)
-                              : 0;
-    const auto since = std::max(
-        m_started, granting_since(m_owners.m_history, self,
-                                  question.m_workspace, share, takeover));
+    const double share =
+        left ? share_of(history, self, workspace, now, takeover, wanted) : 0;
+    const auto since =
+        std::max(m_started, granting_since(history, self, workspace, share,
+                                           takeover, wanted));
     return m_limiter.ask(with_patience(question, left), share, since, now);
 }
 
--- a/src/fleet/storage_node.cpp
+++ b/src/fleet/storage_node.cpp
@@ -173,11 +173,10 @@
         if (change.m_config && m_answering)
             follow_config();
         if (!change.m_runners.empty())
-        {
-            update_runners(m_runners, m_server->state(), change.m_runners,
-                           m_decoders);
-            m_places.take_runners(m_runners);
-        }
+            m_places.take_changes(decode_runners(m_server->state(),
+                                                 change.m_runners, m_decoders));
+        if (!change.m_evacuations.empty())
+            m_places.evacuate(evacuated_zones(m_server->state()));
     });
     m_server->on_question([this](std::uint64_t asker,
                                  const frame_body& question,
--- a/src/fleet/storage_places.cpp
+++ b/src/fleet/storage_places.cpp
@@ -9,6 +9,10 @@
 
 namespace {
 
+/// A service whose places nobody has asked for here for this long is asked for
+/// elsewhere.
+constexpr milliseconds asked_memory{10000};
+
 /// Decisions that nobody asks for are dropped beyond this many; their places
 /// come back by themselves. More calls than one service has in line.
 constexpr std::size_t most_decided = 4096;
@@ -22,42 +26,100 @@
     m_engines.clear();
     for (const auto& [name, row] : config.m_services)
     {
-        if (row.m_engine)
-            m_engines[name] = *row.m_engine;
+        if (!row.m_engine)
+            continue;
+        m_engines[name] = row;
+        m_outdated.insert(name);
+    }
+    refresh_asked();
+}
+
+void storage_places::take_changes(const std::vector<runner_change>& changes)
+{
+    const auto now = m_time.now();
+    for (const auto& change : changes)
+    {
+        const auto known = m_runners.find(change.m_id);
+        if (known != m_runners.end())
+            m_outdated.insert(known->second.m_info.m_service);
+        if (change.m_info)
+        {
+            const auto& info = *change.m_info;
+            m_outdated.insert(info.m_service);
+            m_runners[change.m_id] = {info, now + info.m_cold_left};
+        }
+        else if (known != m_runners.end())
+            m_runners.erase(known);
     }
-    refresh();
+    refresh_asked();
 }
 
-void storage_places::take_runners(
-    const std::map<std::string, runner_info>& runners)
+void storage_places::evacuate(const std::vector<std::string>& zones)
 {
-    m_runners.clear();
-    for (const auto& [name, info] : runners)
-        m_runners.push_back(info);
-    refresh();
+    m_evacuated = {zones.begin(), zones.end()};
+    for (const auto& [name, row] : m_engines)
+        m_outdated.insert(name);
+    refresh_asked();
 }
 
-void storage_places::refresh()
+void storage_places::refresh_asked()
 {
     const auto now = m_time.now();
+    std::erase_if(m_asked, [&](const auto& entry) {
+        return now - entry.second > asked_memory;
+    });
     std::vector<std::uint64_t> services;
-    for (const auto& [name, profile] : m_engines)
+    for (const auto& [name, row] : m_engines)
     {
-        std::vector<engine_facts> engines;
-        for (const auto& info : m_runners)
-        {
-            if (info.m_service == name)
-                engines.push_back({hash64(incarnation_of(info)),
-                                   info.m_availability_zone, info.m_slots,
-                                   profile.m_token_capacity, info.m_draining});
-        }
+        if (!m_asked.contains(hash64(name)))
+            continue;
         services.push_back(hash64(name));
-        m_places.follow(services.back(), engines, now);
+        refresh(name);
     }
     m_places.retain(services);
     answer_decided();
 }
 
+void storage_places::refresh(const std::string& service)
+{
+    if (m_outdated.erase(service) == 0)
+        return;
+    const auto& profile = m_engines.at(service);
+    std::vector<engine_facts> engines;
+    for (const auto& [id, row] : m_runners)
+    {
+        const auto& info = row.m_info;
+        if (info.m_service != service)
+            continue;
+        engines.push_back(
+            {.m_runner = hash64(incarnation_of(info)),
+             .m_availability_zone = info.m_availability_zone,
+             .m_slots = info.m_slots,
+             .m_token_capacity = profile.m_engine->m_token_capacity,
+             .m_draining = info.m_draining ||
+                           m_evacuated.contains(info.m_availability_zone),
+             .m_cold_until = row.m_cold_until,
+             .m_cold_per_s = profile.m_cold_per_s});
+    }
+    m_places.follow(hash64(service), engines, m_time.now());
+}
+
+void storage_places::note_asked(std::uint64_t service)
+{
+    const bool is_new = !m_asked.contains(service);
+    m_asked[service] = m_time.now();
+    if (!is_new)
+        return;
+    for (const auto& [name, row] : m_engines)
+    {
+        if (hash64(name) != service)
+            continue;
+        // It may have been followed, and dropped since.
+        m_outdated.insert(name);
+        refresh(name);
+    }
+}
+
 void storage_places::note_asker(std::uint64_t asker,
                                 const place_question& question)
 {
@@ -105,6 +167,7 @@
 void storage_places::ask(std::uint64_t asker, const place_question& question,
                          const turn_server::reply& reply)
 {
+    note_asked(question.m_service);
     note_asker(asker, question);
     if (question.m_collects)
     {
--- a/src/forward/proxy.cpp
+++ b/src/forward/proxy.cpp
@@ -5,6 +5,7 @@
 #include "pepperturn/scheduling/start_hold.hpp"
 
 #include <algorithm>
+#include <boost/algorithm/string/join.hpp>
 #include <glog/logging.h>
 
 namespace pepperturn {
@@ -70,7 +71,16 @@
 
 void proxy::take_runners(const std::vector<runner_info>& runners)
 {
-    const auto restarted = m_runners.replace(runners);
+    follow_runners(m_runners.replace(runners, m_time.now()));
+}
+
+void proxy::take_changes(const std::vector<runner_change>& changes)
+{
+    follow_runners(m_runners.update(changes, m_time.now()));
+}
+
+void proxy::follow_runners(const std::vector<std::string>& restarted)
+{
     m_pool.retain([&](const std::string& id) {
         const auto* row = m_runners.find(id);
         return row != nullptr && !row->m_info.m_draining &&
@@ -82,6 +92,19 @@
                   << m_runners.find(id)->m_incarnation;
 }
 
+void proxy::evacuate(const std::vector<std::string>& zones)
+{
+    LOG(INFO) << "event=zones_evacuated zones=\""
+              << boost::algorithm::join(zones, ",") << '"';
+    m_runners.evacuate(zones);
+}
+
+void proxy::seed_draws(std::uint64_t seed)
+{
+    m_draw = seed;
+    m_runners.set_seed(seed);
+}
+
 void proxy::begin_drain()
 {
     m_draining = true;
--- a/src/forward/proxy_attempts.cpp
+++ b/src/forward/proxy_attempts.cpp
@@ -16,6 +16,9 @@
 /// Runners that may refuse one request before it is refused itself; each
 /// costs a round trip.
 constexpr unsigned most_refusals = 4;
+/// Cold runners that may have no room for one call before it keeps to warm
+/// ones: each question costs a round trip or two.
+constexpr unsigned most_cold_denials = 2;
 /// The most urgent routes go in front of the engines' default of 5.
 constexpr std::uint32_t first_urgency = 3;
 constexpr std::uint32_t lowest_priority = 6;
@@ -139,6 +142,10 @@
         if (work.m_workspace != nullptr)
             priority = work.m_workspace->m_priority.value_or(priority);
         work.m_urgency = first_urgency + std::min(priority, lowest_priority);
+        // The last part is the conversation's own.
+        const auto& parts = work.m_fields.m_prompt_parts;
+        if (parts.size() > 1)
+            choice.m_shared_part = parts.front().m_id;
         // No preference for open connections: a conversation stays where it
         // begins, and its memory there is worth more than a connect.
         return choice;
@@ -331,6 +338,26 @@
     co_return out;
 }
 
+task<bool> proxy::may_use_cold(std::shared_ptr<call> work, runner_row target)
+{
+    if (target.m_cold_until <= m_time.now())
+        co_return true;
+    const auto found = work->m_config->m_services.find(target.m_info.m_service);
+    const double per_s = found == work->m_config->m_services.end()
+                             ? 0
+                             : found->second.m_cold_per_s;
+    if (per_s <= 0)
+        co_return true;
+    const bool granted =
+        m_cold != nullptr && co_await m_cold->take(target.m_hash, per_s);
+    m_metrics.count(granted ? "cold_granted" : "cold_denied");
+    LOG(INFO) << "event=cold_runner id=" << work->m_fields.m_id
+              << " runner=" << target.m_info.m_id << " granted=" << granted
+              << " cold_for_ms="
+              << elapsed(m_time.now(), target.m_cold_until).count();
+    co_return granted;
+}
+
 task<proxy::verdict> proxy::forward(std::shared_ptr<caller_connection> caller,
                                     std::shared_ptr<call> work)
 {
@@ -366,14 +393,21 @@
         const auto* row = may_go_on ? placed_runner(*work, choice) : nullptr;
         if (may_go_on && row == nullptr)
             row = m_runners.choose(choice, m_time.now());
+        const auto target = row != nullptr ? *row : runner_row{};
+        if (row != nullptr && !co_await may_use_cold(work, target))
+        {
+            choice.m_excluded.insert(target.m_info.m_id);
+            choice.m_warm_only = ++state.m_cold_denied >= most_cold_denials;
+            continue;
+        }
         if (row == nullptr && relay->begun())
             co_return co_await finish_stream(caller, work, cut, *relay);
         if (row == nullptr)
             co_return give_up(*work, state, given_up);
-        choice.m_excluded.insert(row->m_info.m_id);
+        choice.m_excluded.insert(target.m_info.m_id);
         state.m_may_repeat = may_repeat(*work, state);
         const auto events_before = relay->events().whole_events();
-        auto result = co_await attempt(work, *row, state.m_may_repeat,
+        auto result = co_await attempt(work, target, state.m_may_repeat,
                                        relay->last_event(), sink);
         end_place(*work, result,
                   relay->events().whole_events() - events_before);
--- a/src/forward/proxy_places.cpp
+++ b/src/forward/proxy_places.cpp
@@ -141,7 +141,7 @@
         return nullptr;
     const auto* row = m_runners.find_hashed(work.m_place.m_answer.m_runner);
     // The lists of runners may differ for a moment.
-    const bool usable = row != nullptr && !row->m_info.m_draining &&
+    const bool usable = row != nullptr && m_runners.usable(*row) &&
                         row->m_info.m_service == choice.m_service &&
                         !choice.m_excluded.contains(row->m_info.m_id);
     return usable ? row : nullptr;
--- a/src/forward/quota_client.cpp
+++ b/src/forward/quota_client.cpp
@@ -53,9 +53,10 @@
 }
 
 std::vector<std::string>
-quota_client::owners_for(const quota_question& question)
+quota_client::ranked_owners(const quota_question& question)
 {
-    auto owners = owners_of(m_members, question.m_workspace);
+    auto owners =
+        owners_of(m_members, question.m_workspace, owners_for(question));
     // A program keeps to one owner, which so knows how far it is; others are
     // asked where that one has no room.
     const auto draw = question.m_program == 0 ? ++m_draw : question.m_program;
@@ -114,7 +115,7 @@
     at_once.m_patience_ms = 0;
     std::optional<instant> room_at;
     std::string first_to_have;
-    for (const auto& owner : owners_for(question))
+    for (const auto& owner : ranked_owners(question))
     {
         const refusal_key key{question.m_workspace, owner};
         auto until =
--- a/src/forward/runner_table.cpp
+++ b/src/forward/runner_table.cpp
@@ -2,7 +2,6 @@
 #include "pepperturn/forward/runner_table.hpp"
 
 #include "pepperturn/base/hash.hpp"
-#include "pepperturn/scheduling/placement.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -36,34 +35,84 @@
 } // namespace
 
 std::vector<std::string>
-runner_table::replace(const std::vector<runner_info>& runners)
+runner_table::update(const std::vector<runner_change>& changes, instant now)
 {
     std::vector<std::string> restarted;
-    std::map<std::string, runner_row> next;
-    m_by_service.clear();
-    m_by_hash.clear();
-    for (const auto& info : runners)
+    for (const auto& change : changes)
     {
-        auto& row = next[info.m_id];
-        const auto found = m_rows.find(info.m_id);
+        const auto found = m_rows.find(change.m_id);
         const bool known = found != m_rows.end();
-        const bool same_life =
-            known && found->second.m_info.m_born == info.m_born;
+        if (known)
+            remove(found->second);
+        if (!change.m_info)
+        {
+            if (known)
+                m_rows.erase(found);
+            continue;
+        }
+        auto& row = m_rows[change.m_id];
         // What was seen of an earlier life says nothing of this one.
-        if (same_life)
-            row = std::move(found->second);
-        else if (known)
-            restarted.push_back(info.m_id);
-        row.m_info = info;
-        row.m_incarnation = incarnation_of(info);
-        row.m_hash = hash64(row.m_incarnation);
-        m_by_hash[row.m_hash] = info.m_id;
-        m_by_service[info.m_service].push_back(info.m_id);
+        if (known && row.m_info.m_born != change.m_info->m_born)
+        {
+            restarted.push_back(change.m_id);
+            row = {};
+        }
+        add(*change.m_info, row, now);
     }
-    m_rows = std::move(next);
     return restarted;
 }
 
+std::vector<std::string>
+runner_table::replace(const std::vector<runner_info>& runners, instant now)
+{
+    std::vector<runner_change> changes;
+    std::set<std::string> listed;
+    for (const auto& info : runners)
+    {
+        changes.push_back({info.m_id, info});
+        listed.insert(info.m_id);
+    }
+    for (const auto& [id, row] : m_rows)
+    {
+        if (!listed.contains(id))
+            changes.push_back({id, std::nullopt});
+    }
+    return update(changes, now);
+}
+
+void runner_table::add(const runner_info& info, runner_row& row, instant now)
+{
+    row.m_info = info;
+    row.m_incarnation = incarnation_of(info);
+    row.m_hash = hash64(row.m_incarnation);
+    row.m_cold_until =
+        info.m_cold_left > milliseconds(0) ? now + info.m_cold_left : instant{};
+    m_by_hash[row.m_hash] = &row;
+    auto& service = m_by_service[info.m_service];
+    service.m_all[row.m_hash] = &row;
+    service.m_zones[info.m_availability_zone][row.m_hash] = &row;
+}
+
+void runner_table::remove(const runner_row& row)
+{
+    m_by_hash.erase(row.m_hash);
+    auto& service = m_by_service[row.m_info.m_service];
+    service.m_all.erase(row.m_hash);
+    auto& zone = service.m_zones[row.m_info.m_availability_zone];
+    zone.erase(row.m_hash);
+}
+
+void runner_table::evacuate(const std::vector<std::string>& zones)
+{
+    m_evacuated = {zones.begin(), zones.end()};
+}
+
+bool runner_table::usable(const runner_row& row) const
+{
+    return !row.m_info.m_draining &&
+           !m_evacuated.contains(row.m_info.m_availability_zone);
+}
+
 runner_row* runner_table::locate(const std::string& id)
 {
     const auto found = m_rows.find(id);
@@ -85,37 +134,129 @@
 const runner_row* runner_table::find_hashed(std::uint64_t hash) const
 {
     const auto found = m_by_hash.find(hash);
-    return found == m_by_hash.end() ? nullptr : find(found->second);
+    return found == m_by_hash.end() ? nullptr : found->second;
 }
 
-const runner_row* runner_table::choose(const runner_choice& choice,
-                                       instant now) const
+namespace {
+
+/// Adds the runners that follow \p count points drawn by \p key.
+void take_from_ring(const std::map<std::uint64_t, const runner_row*>& ring,
+                    std::uint64_t key, std::size_t count,
+                    std::vector<const runner_row*>& out)
 {
-    const auto listed = m_by_service.find(choice.m_service);
-    if (listed == m_by_service.end())
-        return nullptr;
-    std::vector<const runner_row*> rows;
+    for (std::size_t i = 0; i < count && !ring.empty(); ++i)
+    {
+        auto at = ring.lower_bound(hash_combine(key, i));
+        out.push_back(at == ring.end() ? ring.begin()->second : at->second);
+    }
+}
+
+} // namespace
+
+runner_table::row_list
+runner_table::homes_of_part(const service_rows& rows,
+                            const runner_choice& choice) const
+{
+    row_list out;
+    const auto near = rows.m_zones.find(choice.m_availability_zone);
+    if (choice.m_shared_part != 0 && near != rows.m_zones.end())
+        take_from_ring(near->second, choice.m_shared_part, runners_for_part,
+                       out);
+    return out;
+}
+
+runner_table::row_list runner_table::gather(const service_rows& rows,
+                                            const runner_choice& choice) const
+{
+    row_list out;
+    const auto near = rows.m_zones.find(choice.m_availability_zone);
+    if (near != rows.m_zones.end())
+    {
+        take_from_ring(near->second, m_seed, most_candidates, out);
+    }
+    if (const auto* kept = find_incarnation(choice.m_preferred))
+    {
+        if (kept->m_info.m_service == choice.m_service)
+            out.push_back(kept);
+    }
+    const auto may_use = [&](const runner_row* row) {
+        return usable(*row) && !choice.m_excluded.contains(row->m_info.m_id);
+    };
+    // A zone may be empty, emptied, or its few runners may all have refused.
+    if (std::none_of(out.begin(), out.end(), may_use))
+        take_from_ring(rows.m_all, m_seed, most_candidates, out);
+    std::sort(out.begin(), out.end());
+    out.erase(std::unique(out.begin(), out.end()), out.end());
+    return out;
+}
+
+placement_candidate runner_table::candidate_of(const runner_row& row,
+                                               const runner_choice& choice,
+                                               instant now) const
+{
+    const auto& id = row.m_info.m_id;
+    placement_candidate out;
+    out.m_load = static_cast<double>(row.m_in_flight) / row.m_info.m_slots;
+    out.m_other_zone =
+        row.m_info.m_availability_zone != choice.m_availability_zone;
+    out.m_connected = choice.m_connected && choice.m_connected(id);
+    out.m_has_prompt = row.m_incarnation == choice.m_preferred;
+    out.m_slowness = row.m_slowness;
+    out.m_trouble = faded_trouble(row, now);
+    out.m_avoided = row.m_avoid_until > now;
+    out.m_cold = row.m_cold_until > now;
+    out.m_draw = hash64(id, choice.m_draw);
+    return out;
+}
+
+const runner_row* runner_table::choose_among(const row_list& rows,
+                                             const row_list& homes,
+                                             const runner_choice& choice,
+                                             instant now) const
+{
+    row_list used;
     std::vector<placement_candidate> candidates;
-    for (const auto& id : listed->second)
+    for (const auto* row : rows)
     {
-        const auto& row = m_rows.at(id);
-        if (row.m_info.m_draining || choice.m_excluded.contains(id))
+        if (!usable(*row) || choice.m_excluded.contains(row->m_info.m_id) ||
+            (choice.m_warm_only && row->m_cold_until > now))
             continue;
-        placement_candidate out;
-        out.m_load = static_cast<double>(row.m_in_flight) / row.m_info.m_slots;
-        out.m_other_zone =
-            row.m_info.m_availability_zone != choice.m_availability_zone;
-        out.m_connected = choice.m_connected && choice.m_connected(id);
-        out.m_has_prompt = row.m_incarnation == choice.m_preferred;
-        out.m_slowness = row.m_slowness;
-        out.m_trouble = faded_trouble(row, now);
-        out.m_avoided = row.m_avoid_until > now;
-        out.m_draw = hash64(id, choice.m_draw);
-        rows.push_back(&row);
-        candidates.push_back(out);
+        used.push_back(row);
+        candidates.push_back(candidate_of(*row, choice, now));
+        candidates.back().m_shares_part =
+            std::find(homes.begin(), homes.end(), row) != homes.end();
     }
     const auto best = choose_placement(candidates);
-    return best ? rows[*best] : nullptr;
+    return best ? used[*best] : nullptr;
+}
+
+const runner_row* runner_table::choose(const runner_choice& choice, instant now,
+                                       std::size_t* weighed) const
+{
+    const auto listed = m_by_service.find(choice.m_service);
+    if (listed == m_by_service.end())
+        return nullptr;
+    const auto& service = listed->second;
+    row_list rows;
+    row_list homes;
+    const bool few = service.m_all.size() <= most_candidates;
+    if (!few)
+    {
+        homes = homes_of_part(service, choice);
+        rows = gather(service, choice);
+        rows.insert(rows.end(), homes.begin(), homes.end());
+    }
+    const auto* best = choose_among(rows, homes, choice, now);
+    if (weighed != nullptr)
+        *weighed += rows.size();
+    if (best != nullptr)
+        return best;
+    rows.clear();
+    for (const auto& [hash, row] : service.m_all)
+        rows.push_back(row);
+    if (weighed != nullptr)
+        *weighed += rows.size();
+    return choose_among(rows, homes, choice, now);
 }
 
 void runner_table::note_sent(const std::string& id)
--- a/src/scheduling/engine_record.cpp
+++ b/src/scheduling/engine_record.cpp
@@ -47,6 +47,9 @@
 /// beside it.
 constexpr double least_generating = 0.3;
 
+/// What a cold engine bears is told for each second.
+constexpr milliseconds cold_span{1000};
+
 double milliseconds_since(instant then, instant now)
 {
     return std::max(to_seconds(now - then) * 1e3, 0.0);
@@ -219,6 +222,14 @@
            outlook.m_trouble > shunned_trouble;
 }
 
+bool is_cold_full(const engine_record& engine, instant now)
+{
+    const auto& facts = engine.m_facts;
+    return facts.m_cold_per_s > 0 && now < facts.m_cold_until &&
+           now - engine.m_cold.m_since < cold_span &&
+           engine.m_cold.m_calls + 1 > facts.m_cold_per_s;
+}
+
 void start_call(engine_record& engine, const service_norm& norm,
                 const place_question& question, const engine_outlook& outlook,
                 instant now)
@@ -240,6 +251,9 @@
             std::max(norm.m_long_tokens.m_value / norm.m_tokens.m_value, 1.0);
         call.m_long_ms = call.m_expected_ms + (more - 1) * run.m_generate_ms;
     }
+    if (now - engine.m_cold.m_since >= cold_span)
+        engine.m_cold = {now, 0};
+    ++engine.m_cold.m_calls;
     engine.m_total_read_ms += run.m_read_ms;
     call.m_total_read_ms = engine.m_total_read_ms;
     engine.m_reading_until = std::max(engine.m_reading_until, now) +
--- a/src/scheduling/place_service.cpp
+++ b/src/scheduling/place_service.cpp
@@ -60,19 +60,19 @@
 void place_service::follow(const std::vector<engine_facts>& engines)
 {
     std::vector<engine_record> next;
+    std::unordered_map<std::uint64_t, std::size_t> index;
     next.reserve(engines.size());
+    index.reserve(engines.size());
     for (const auto& facts : engines)
     {
-        const auto is_same = [&facts](const engine_record& row) {
-            return row.m_facts.m_runner == facts.m_runner;
-        };
-        if (std::any_of(next.begin(), next.end(), is_same))
+        if (!index.emplace(facts.m_runner, next.size()).second)
             continue;
         auto* known = find(facts.m_runner);
         next.push_back(known == nullptr ? engine_record{} : std::move(*known));
         next.back().m_facts = facts;
     }
     m_engines = std::move(next);
+    m_index = std::move(index);
     std::erase_if(m_places, [this](const auto& row) {
         return find(row.second) == nullptr;
     });
@@ -277,7 +277,7 @@
     for (std::size_t i = 0; i < m_engines.size(); ++i)
     {
         const auto& engine = m_engines[i];
-        if (engine.m_facts.m_draining)
+        if (engine.m_facts.m_draining || is_cold_full(engine, now))
             continue;
         choice row;
         row.m_engine = i;
@@ -389,11 +389,8 @@
 
 engine_record* place_service::find(std::uint64_t runner)
 {
-    const auto row = std::find_if(m_engines.begin(), m_engines.end(),
-                                  [runner](const engine_record& engine) {
-                                      return engine.m_facts.m_runner == runner;
-                                  });
-    return row == m_engines.end() ? nullptr : &*row;
+    const auto row = m_index.find(runner);
+    return row == m_index.end() ? nullptr : &m_engines[row->second];
 }
 
 } // namespace pepperturn
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -24,6 +24,12 @@
 /// A runner that fails every request is as bad as one with its slots taken
 /// twice over; one that fails a few in a hundred stays in use.
 constexpr double trouble_load = 2.0;
+/// Reading a shared part anew costs less than reading a whole conversation, and
+/// as much as one call more in a batch of six.
+constexpr double shared_part_load = 0.17;
+/// A cold runner is used once the others have half of their slots taken: it
+/// bears few calls, and each asks for leave.
+constexpr double cold_load = 0.5;
 /// More than any other cost: avoided ones come last, but they come.
 constexpr double avoided_load = 100.0;
 
@@ -40,6 +46,10 @@
         cost -= prompt_load + other_zone_load;
     cost += slow_load * std::max(row.m_slowness - slow_margin, 0.0);
     cost += trouble_load * row.m_trouble;
+    if (row.m_shares_part)
+        cost -= shared_part_load;
+    if (row.m_cold)
+        cost += cold_load;
     if (row.m_avoided)
         cost += avoided_load;
     return cost;
--- a/src/tenancy/limit_owners.cpp
+++ b/src/tenancy/limit_owners.cpp
@@ -14,9 +14,10 @@
 constexpr int takeovers_remembered = 3;
 
 double share_in(const std::vector<std::string>& members,
-                const std::string& self, std::uint64_t workspace)
+                const std::string& self, std::uint64_t workspace,
+                std::size_t wanted)
 {
-    const auto owners = owners_of(members, workspace);
+    const auto owners = owners_of(members, workspace, wanted);
     if (std::find(owners.begin(), owners.end(), self) == owners.end())
         return 0;
     return 1.0 / static_cast<double>(owners.size());
@@ -25,13 +26,13 @@
 } // namespace
 
 std::vector<std::string> owners_of(const std::vector<std::string>& members,
-                                   std::uint64_t workspace)
+                                   std::uint64_t workspace, std::size_t wanted)
 {
     std::vector<std::pair<std::uint64_t, std::string>> ranked;
     ranked.reserve(members.size());
     for (const auto& name : members)
         ranked.emplace_back(hash64(name, workspace), name);
-    const auto count = std::min(ranked.size(), owners_wanted);
+    const auto count = std::min(ranked.size(), wanted);
     const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(count);
     std::partial_sort(ranked.begin(), end, ranked.end());
     std::vector<std::string> out;
@@ -70,7 +71,8 @@
 }
 
 double share_of(const owner_history& history, const std::string& self,
-                std::uint64_t workspace, instant now, milliseconds takeover)
+                std::uint64_t workspace, instant now, milliseconds takeover,
+                std::size_t wanted)
 {
     if (history.m_periods.empty())
         return 0;
@@ -79,20 +81,21 @@
     {
         if (row.m_until != instant::max() && now - row.m_until > takeover)
             continue;
-        share = std::min(share, share_in(row.m_members, self, workspace));
+        share =
+            std::min(share, share_in(row.m_members, self, workspace, wanted));
     }
     return share;
 }
 
 instant granting_since(const owner_history& history, const std::string& self,
                        std::uint64_t workspace, double share,
-                       milliseconds takeover)
+                       milliseconds takeover, std::size_t wanted)
 {
     const auto& periods = history.m_periods;
     for (auto row = periods.rbegin(); row != periods.rend(); ++row)
     {
         if (row->m_until != instant::max() &&
-            share_in(row->m_members, self, workspace) < share)
+            share_in(row->m_members, self, workspace, wanted) < share)
             return row->m_until + takeover;
     }
     return instant{};
--- a/src/tenancy/limiter.cpp
+++ b/src/tenancy/limiter.cpp
@@ -353,6 +353,11 @@
     return "unknown";
 }
 
+std::size_t owners_for(const quota_question& question)
+{
+    return question.m_exact ? 1 : owners_wanted;
+}
+
 quota_question with_patience(quota_question question,
                              std::optional<milliseconds> longest)
 {
@@ -458,8 +463,11 @@
         if (m_rows.size() >= most_rows)
             forget_unused(now);
         auto& row = m_rows[question.m_workspace];
-        out = take_request(row, question, share, since, now, m_settings,
-                           m_habits);
+        auto settings = m_settings;
+        if (question.m_exact)
+            settings.m_spare = settings.m_excess = 0;
+        out =
+            take_request(row, question, share, since, now, settings, m_habits);
         note_outcome(row.m_counts, question, out);
     }
     ++m_counts.at(static_cast<std::size_t>(out.m_outcome));
--- a/src/turns/messages.cpp
+++ b/src/turns/messages.cpp
@@ -138,6 +138,7 @@
         out.setProgram(body.m_program);
         out.setPatienceMs(body.m_patience_ms);
         out.setPlace(body.m_place);
+        out.setExact(body.m_exact);
     }
     void operator()(const quota_answer& body)
     {
@@ -265,7 +266,8 @@
     return {in.getWorkspace(),      {in.getRatePerS(), in.getBurst()},
             in.getConfigRevision(), in.getProgram(),
             in.getBegins(),         in.getReturned(),
-            in.getPatienceMs(),     in.getPlace()};
+            in.getPatienceMs(),     in.getPlace(),
+            in.getExact()};
 }
 
 quota_answer read_answer(turns_wire::QuotaAnswer::Reader in)
--- a/test/cluster/test_state.cpp
+++ b/test/cluster/test_state.cpp
@@ -224,3 +224,99 @@
     merge_state(state, whole(0, {{"r-5000", "text", 2 * gone_count}}));
     CHECK(count_runners(state) == 0);
 }
+
+TEST_CASE("orders about zones move forward, whoever tells of them", "[state]")
+{
+    cluster_state state;
+    cluster_state news;
+    news.m_evacuations = {{"z", 5, false}, {"a", 6, false}};
+    auto change = merge_state(state, news);
+    CHECK(change.m_evacuations == std::vector<std::string>{"z", "a"});
+    CHECK(parts_of(state, change).m_evacuations == state.m_evacuations);
+    CHECK(whole_of(state).m_evacuations == state.m_evacuations);
+    CHECK(evacuated_zones(state) == std::vector<std::string>{"a", "z"});
+    // Two operators: the later write counts, however late the earlier comes.
+    news.m_evacuations = {{"z", 8, true}, {"a", 4, true}};
+    change = merge_state(state, news);
+    CHECK(change.m_evacuations == std::vector<std::string>{"z"});
+    news.m_evacuations = {{"z", 7, false}};
+    CHECK_FALSE(merge_state(state, news).any());
+    CHECK(evacuated_zones(state) == std::vector<std::string>{"a"});
+}
+
+TEST_CASE("the work of a change goes with what changed", "[state]")
+{
+    // Texts too long to be kept within a row: whoever moves or copies a row
+    // shows by where its text lies, or by where the row lies.
+    const auto fleet = GENERATE(250, 1000);
+    const std::string text(100, 't');
+    const auto name = [](int i) { return "runner-" + std::to_string(i); };
+    cluster_state news;
+    news.m_runners_revision = 10;
+    for (int i = 0; i < fleet; ++i)
+        news.m_runners.push_back({name(i), text, 5});
+    cluster_state state;
+    CHECK(merge_state(state, news).m_runners.size() ==
+          static_cast<std::size_t>(fleet));
+    std::map<std::string, std::pair<const void*, const void*>> places;
+    for (const auto& row : state.m_runners)
+        places[row.m_name] = {&row, row.m_text.data()};
+    cluster_state delta;
+    delta.m_runners = {{name(7), text + "new", 11}, {name(9), "", 12, true}};
+    const auto change = merge_state(state, delta);
+    CHECK(change.m_runners == std::vector<std::string>{name(7), name(9)});
+    std::size_t touched = 0;
+    for (const auto& row : state.m_runners)
+        touched +=
+            places.at(row.m_name) ==
+                    std::pair<const void*, const void*>{&row, row.m_text.data()}
+                ? 0
+                : 1;
+    CHECK(touched <= 2);
+    CHECK(parts_of(state, change).m_runners.size() == 2);
+}
+
+TEST_CASE("as many that went are remembered as there are runners", "[state]")
+{
+    const auto fleet = GENERATE(300, 1200);
+    cluster_state state;
+    std::uint64_t revision = 0;
+    const auto tell = [&](const std::string& name, bool gone) {
+        cluster_state news;
+        news.m_runners = {{name, gone ? "" : "text", ++revision, gone}};
+        merge_state(state, news);
+    };
+    const auto name = [](int i) { return "runner-" + std::to_string(i); };
+    for (int i = 0; i < fleet; ++i)
+        tell(name(i), false);
+    // Half of them are replaced.
+    for (int i = 0; i < fleet / 2; ++i)
+    {
+        tell(name(fleet + i), false);
+        tell(name(i), true);
+    }
+    // Whoever is behind cannot bring one back.
+    for (int i = 0; i < fleet / 2; ++i)
+    {
+        cluster_state old;
+        old.m_runners = {{name(i), "text", 1}};
+        CHECK_FALSE(merge_state(state, old).any());
+    }
+    CHECK(count_runners(state) == static_cast<std::size_t>(fleet));
+    CHECK(state.m_runners.size() <=
+          static_cast<std::size_t>(std::max(3 * fleet, 1024 + fleet)));
+}
+
+TEST_CASE("entries that go on from what is known are complete", "[state]")
+{
+    cluster_state state;
+    merge_state(state, whole(10, {{"a", "a", 5}}));
+    cluster_state news;
+    news.m_runners = {{"b", "b", 12}};
+    news.m_runners_since = GENERATE(10, 11);
+    news.m_runners_revision = 12;
+    merge_state(state, news);
+    CHECK(alive(state).size() == 2);
+    // After a gap it is not known what is missing.
+    CHECK(state.m_runners_revision == (news.m_runners_since == 10 ? 12U : 10U));
+}
--- a/test/fleet/test_proxy.cpp
+++ b/test/fleet/test_proxy.cpp
@@ -417,3 +417,39 @@
                         milliseconds(2000)));
     CHECK(has(edge.m_received, "Retry-After: "));
 }
+
+TEST_CASE("a cold runner that nobody counts gets nothing", "[proxy]")
+{
+    world edge;
+    const bool other_is_cold = GENERATE(false, true);
+    edge.limit_cold(20);
+    edge.m_first.script({{whole_answer(200, "first")}});
+    edge.m_second.script({{whole_answer(200, "second")}});
+    runner_info first{"r1", "svc", edge.m_first.address(), "z", 4, false};
+    runner_info second{"r2", "svc", edge.m_second.address(), "y", 4, false};
+    first.m_cold_left = milliseconds(60000);
+    second.m_cold_left = milliseconds(other_is_cold ? 60000 : 0);
+    edge.m_proxy.take_runners({first, second});
+    const auto got = edge.ask(world::post("/once/", "x"), "\r\n\r\n");
+    CHECK(has(got, other_is_cold ? "HTTP/1.1 503 " : "HTTP/1.1 200 "));
+    CHECK(edge.m_first.requests().empty());
+    CHECK(edge.m_second.requests().empty() == other_is_cold);
+    // Whoever was refused may come back soon, and its runners are warm.
+    first.m_cold_left = milliseconds(0);
+    edge.m_proxy.take_runners({first, second});
+    CHECK(
+        has(edge.ask(world::post("/once/", "x"), "\r\n\r\n"), "HTTP/1.1 200 "));
+    CHECK(edge.m_first.requests().size() == 1);
+}
+
+TEST_CASE("an evacuated zone is refused at once if no other serves", "[proxy]")
+{
+    world edge;
+    edge.m_second.script({{whole_answer(200, "second")}});
+    edge.m_proxy.evacuate({"z"});
+    CHECK(has(edge.ask(world::post("/once/", "x"), "second"), "200"));
+    CHECK(edge.m_first.requests().empty());
+    edge.m_proxy.evacuate({"y", "z"});
+    CHECK(
+        has(edge.ask(world::post("/once/", "x"), "\r\n\r\n"), "HTTP/1.1 503 "));
+}
--- a/test/forward/test_runner_table.cpp
+++ b/test/forward/test_runner_table.cpp
@@ -2,6 +2,7 @@
 #include "pepperturn/forward/runner_table.hpp"
 
 #include <catch2/catch.hpp>
+#include <map>
 
 namespace {
 
@@ -198,3 +199,113 @@
     CHECK(table.find_incarnation(before) == nullptr);
     CHECK(table.find_incarnation(row->m_incarnation) == row);
 }
+
+TEST_CASE("runners of an evacuated zone get nothing", "[runner_table]")
+{
+    runner_table table;
+    table.replace({runner("a", "z1"), runner("b", "z2")});
+    runner_choice choice{"svc", "", "z1", {}, 1, {}};
+    choice.m_preferred = "a";
+    CHECK(chosen(table, choice) == "a");
+    table.evacuate({"z1", "nowhere"});
+    CHECK(chosen(table, choice) == "b");
+    // The last zone as well: nobody else may serve it.
+    table.evacuate({"z1", "z2"});
+    CHECK(chosen(table, choice) == "-");
+    table.evacuate({});
+    CHECK(chosen(table, choice) == "a");
+}
+
+TEST_CASE("cold runners are used when others are busy", "[runner_table]")
+{
+    const instant now = instant{} + milliseconds(10000);
+    runner_table table;
+    auto cold = runner("cold", "z1");
+    cold.m_cold_left = milliseconds(3000);
+    (void)table.replace({cold, runner("warm", "z1")}, now);
+    runner_choice choice{"svc", "", "z1", {}, 1, {}};
+    CHECK(chosen(table, choice, now) == "warm");
+    for (int i = 0; i < 3; ++i)
+        table.note_sent("warm");
+    CHECK(chosen(table, choice, now) == "cold");
+    choice.m_warm_only = true;
+    CHECK(chosen(table, choice, now) == "warm");
+    CHECK(chosen(table, choice, now + milliseconds(3000)) == "cold");
+    // It turns cold again under the same id.
+    cold.m_cold_left = milliseconds(500);
+    (void)table.update({{"cold", cold}}, now + milliseconds(4000));
+    CHECK(chosen(table, choice, now + milliseconds(4400)) == "warm");
+}
+
+TEST_CASE("a choice looks at as many runners however many there are",
+          "[runner_table]")
+{
+    const auto fleet = GENERATE(500, 2000);
+    std::vector<runner_info> runners;
+    for (int i = 0; i < fleet; ++i)
+        runners.push_back(
+            runner("r" + std::to_string(i), "z" + std::to_string(i % 5)));
+    runner_table table(7);
+    (void)table.replace(runners);
+    std::size_t weighed = 0;
+    runner_choice choice{"svc", "", "z1", {}, 1, {}};
+    choice.m_shared_part = 99;
+    const auto* row = table.choose(choice, {}, &weighed);
+    REQUIRE(row != nullptr);
+    CHECK(row->m_info.m_availability_zone == "z1");
+    CHECK(weighed <= most_candidates + runners_for_part + 1);
+    // The zone is emptied: another one's are looked at as well.
+    table.evacuate({"z1"});
+    row = table.choose(choice, {}, &weighed);
+    REQUIRE(row != nullptr);
+    CHECK(weighed <= 3 * (most_candidates + runners_for_part + 1));
+}
+
+TEST_CASE("all VMs together use all of many runners", "[runner_table]")
+{
+    constexpr int fleet = 400;
+    constexpr std::uint64_t vms = 800;
+    std::vector<runner_info> runners;
+    for (int i = 0; i < fleet; ++i)
+        runners.push_back(runner("r" + std::to_string(i), "z1"));
+    const auto busiest = [&](bool own_seeds) {
+        std::map<std::string, int> calls;
+        for (std::uint64_t vm = 1; vm <= vms; ++vm)
+        {
+            runner_table table(own_seeds ? vm * 7919 : 0);
+            (void)table.replace(runners);
+            // The first call of each VM.
+            const runner_choice choice{
+                "svc", "", "z1", {}, own_seeds ? vm * 7919 : 1, {}};
+            ++calls[chosen(table, choice)];
+        }
+        int most = 0;
+        for (const auto& [id, count] : calls)
+            most = std::max(most, count);
+        return most;
+    };
+    // With one seed for all, all first calls meet at one runner.
+    CHECK(busiest(false) == static_cast<int>(vms));
+    CHECK(busiest(true) <= 20);
+}
+
+TEST_CASE("prompts that begin alike meet at few of many runners",
+          "[runner_table]")
+{
+    std::vector<runner_info> runners;
+    for (int i = 0; i < 400; ++i)
+        runners.push_back(runner("r" + std::to_string(i), "z1"));
+    std::map<std::string, int> calls;
+    for (std::uint64_t vm = 1; vm <= 100; ++vm)
+    {
+        runner_table table(vm * 7919);
+        (void)table.replace(runners);
+        runner_choice choice{"svc", "", "z1", {}, vm * 7919, {}};
+        choice.m_shared_part = 99;
+        ++calls[chosen(table, choice)];
+        // A VM that has a call there takes another one that has read it.
+        table.note_sent(chosen(table, choice));
+        ++calls[chosen(table, choice)];
+    }
+    CHECK(calls.size() <= runners_for_part);
+}
--- a/test/platform/test_cluster_source.cpp
+++ b/test/platform/test_cluster_source.cpp
@@ -27,7 +27,7 @@
           m_source(m_io, m_time, m_store.address(), longest_backoff)
     {
         m_source.on_state(
-            [this](const cluster_state& state) { m_state = state; });
+            [this](const cluster_state& news) { merge_state(m_state, news); });
     }
 
     [[nodiscard]] std::string text_of(const std::string& runner) const
@@ -292,3 +292,64 @@
     }
     CHECK_FALSE(world.m_source.running());
 }
+
+TEST_CASE("a zone that is evacuated, and taken back", "[cluster_source]")
+{
+    followed world;
+    const std::vector<std::string> both{"y", "z"};
+    const auto evacuated = [&](const std::vector<std::string>& zones) {
+        return run_until(world.m_io, [&] {
+            return evacuated_zones(world.m_state) == zones;
+        });
+    };
+    world.m_store.put("op/evacuate/z", "{}");
+    world.m_source.start();
+    CHECK(evacuated({"z"}));
+    // Of a zone that nobody has heard of, and once more.
+    world.m_store.put("op/evacuate/y", "{}");
+    world.m_store.put("op/evacuate/z", "{}");
+    CHECK(evacuated(both));
+    world.m_store.remove("op/evacuate/z");
+    CHECK(evacuated({"y"}));
+    SECTION("while the store is away and forgets its history")
+    {
+        world.m_store.set_down(true);
+        world.m_store.remove("op/evacuate/y");
+        world.m_store.compact();
+        world.m_store.set_down(false);
+        CHECK(evacuated({}));
+    }
+    SECTION("again at once")
+    {
+        world.m_store.remove("op/evacuate/y");
+        world.m_store.put("op/evacuate/y", "{}");
+        world.m_store.put("op/evacuate/x", "{}");
+        CHECK(evacuated({"x", "y"}));
+    }
+}
+
+TEST_CASE("orders that were taken back while all were down end",
+          "[cluster_source]")
+{
+    // Another VM tells what it finds on its disk, sooner or later than the
+    // store is read.
+    const bool told_late = GENERATE(false, true);
+    followed world;
+    world.m_store.put("op/evacuate/z", "{}");
+    world.m_store.remove("op/evacuate/z");
+    world.m_store.put("op/config", "one");
+    cluster_state kept;
+    kept.m_evacuations = {{"z", 1, false}};
+    kept.m_retirements = {{"vm-1", 1, false}};
+    merge_state(world.m_state, kept);
+    if (!told_late)
+        world.m_source.learn(kept);
+    world.m_source.start();
+    REQUIRE(run_until(world.m_io, [&] { return world.m_source.synced(); }));
+    if (told_late)
+        world.m_source.learn(kept);
+    CHECK(run_until(world.m_io, [&] {
+        return evacuated_zones(world.m_state).empty() &&
+               !is_retired(world.m_state, "vm-1");
+    }));
+}
--- a/test/platform/test_decode.cpp
+++ b/test/platform/test_decode.cpp
@@ -256,3 +256,28 @@
     INFO(all);
     CHECK(all.find(each.m_error) != std::string::npos);
 }
+
+TEST_CASE("how long a runner is cold, by what it tells", "[platform]")
+{
+    struct sample
+    {
+        const char* m_told;
+        int m_ms;
+    };
+    const auto each =
+        GENERATE(values<sample>({{R"(,"cold_left_ms":2500)", 2500},
+                                 {R"(,"cold_left_ms":0.2)", 1},
+                                 {R"(,"cold_left_ms":-5)", 0},
+                                 {R"(,"cold_left_ms":1e300)", 60000},
+                                 {R"(,"cold_left_ms":"x")", 0},
+                                 {R"(,"cold_left_ms":null)", 0},
+                                 {"", 0}}));
+    std::string reason;
+    const auto info = decode_runner(
+        "r1",
+        std::string(R"({"service":"a","address":"1.2.3.4:5","zone":"z",)") +
+            R"("slots":4,"state":"ready","seq":1)" + each.m_told + "}",
+        reason);
+    REQUIRE(info);
+    CHECK(info->m_cold_left == milliseconds(each.m_ms));
+}
--- a/test/support/fleet/lonely_edge.hpp
+++ b/test/support/fleet/lonely_edge.hpp
@@ -23,6 +23,19 @@
 {
 public:
     lonely_edge() : proxy_world(m_own_io, m_own_turns) {}
+
+    /// Cold runners bear \p per_s calls, and nobody is there to count them.
+    void limit_cold(double per_s)
+    {
+        auto changed = config(2);
+        changed.m_services["svc"].m_cold_per_s = per_s;
+        m_proxy.take_config(std::move(changed));
+        m_proxy.ask_for_cold(m_cold);
+    }
+
+private:
+    quota_client m_quota{m_own_io, m_own_time, m_own_links};
+    cold_client m_cold{m_own_time, m_quota, 1.5, 5};
 };
 
 } // namespace pepperturn::test
--- a/test/tenancy/test_limit_histories.cpp
+++ b/test/tenancy/test_limit_histories.cpp
@@ -3,6 +3,7 @@
 // in no span of five seconds may a workspace be granted more than its limit
 // and the tolerance that counting over many VMs has.
 #include "pepperturn/cluster/owner_views.hpp"
+#include "pepperturn/tenancy/cold_allowance.hpp"
 #include "pepperturn/tenancy/freshness.hpp"
 #include "pepperturn/tenancy/limit_owners.hpp"
 #include "pepperturn/tenancy/limiter.hpp"
@@ -151,12 +152,14 @@
         const auto left = m_broken == broken::freshness
                               ? milliseconds::max()
                               : use_left(bounds, vm.m_views_at, m_now);
-        const auto share = left ? share_of(vm.m_owners.m_history, vm.m_name,
-                                           some_workspace, m_now, takeover_of())
+        const auto wanted = owners_for(question);
+        const auto& history = vm.m_owners.m_history;
+        const auto share = left ? share_of(history, vm.m_name, some_workspace,
+                                           m_now, takeover_of(), wanted)
                                 : 0;
         const auto since = std::max(
-            vm.m_started, granting_since(vm.m_owners.m_history, vm.m_name,
-                                         some_workspace, share, takeover_of()));
+            vm.m_started, granting_since(history, vm.m_name, some_workspace,
+                                         share, takeover_of(), wanted));
         int granted = 0;
         for (int i = 0; i < count; ++i)
         {
@@ -220,6 +223,15 @@
         });
         return keeps;
     }
+    /// The most grants in any \p span.
+    [[nodiscard]] std::size_t most_in(milliseconds span) const
+    {
+        std::size_t most = 0;
+        each_span(span, [&](instant, std::size_t count) {
+            most = std::max(most, count);
+        });
+        return most;
+    }
     [[nodiscard]] std::size_t owners() const
     {
         return owners_of(writers_of(m_view), some_workspace).size();
@@ -243,6 +255,11 @@
     };
 
     template <typename Visit> void each_window(const Visit& visit) const
+    {
+        each_span(window, visit);
+    }
+    template <typename Visit>
+    void each_span(milliseconds span, const Visit& visit) const
     {
         std::vector<instant> grants;
         for (const auto& each : m_grants)
@@ -252,7 +269,7 @@
         for (const auto at : grants)
         {
             inside.push_back(at);
-            while (at - inside.front() >= window)
+            while (at - inside.front() >= span)
                 inside.pop_front();
             visit(at, inside.size());
         }
@@ -570,3 +587,75 @@
         RC_ASSERT(all.keeps_limits());
     }));
 }
+
+TEST_CASE("a cold runner's bound holds over all that count it", "[tenancy]")
+{
+    const auto bound =
+        GENERATE(values<cold_bound>({{20, 1.5, 5}, {4, 1, 0}, {300, 1.2, 20}}));
+    const double most = bound.m_per_s * bound.m_excess + bound.m_slack;
+    const auto play = [&](bool exact) {
+        fleet all(5);
+        auto question = cold_question(some_workspace, bound);
+        question.m_workspace = some_workspace;
+        question.m_exact = exact;
+        int granted = 0;
+        for (int tick = 0; tick < 600; ++tick)
+        {
+            for (std::size_t i = 0; i < 5; ++i)
+            {
+                all.hear(all.vm(i));
+                granted += all.ask(all.vm(i), 1000, question);
+            }
+            // An owner restarts, one after the other.
+            if (tick % 100 == 99)
+                all.restart(all.vm(static_cast<std::size_t>(tick) / 100), true);
+            all.pass(milliseconds(20));
+        }
+        return std::pair(all.most_in(milliseconds(1000) + longest_cold_use),
+                         granted);
+    };
+    const auto [busiest, granted] = play(true);
+    CHECK(static_cast<double>(busiest) <= most);
+    // Of 12 seconds, with what three owners round down and restarts cost.
+    CHECK(granted >= 12 * 0.3 * most);
+    // With what workspaces are tolerated it is passed.
+    CHECK(static_cast<double>(play(false).first) > most);
+}
+
+TEST_CASE("no history of owners overruns a cold runner", "[tenancy][property]")
+{
+    const cold_bound bound{20, 1.5, 5};
+    CHECK(rc::check("cold runners", [&] {
+        const std::size_t size = 4;
+        fleet all(size);
+        auto question = cold_question(some_workspace, bound);
+        question.m_workspace = some_workspace;
+        const auto steps = *rc::gen::inRange(0, 100);
+        for (int i = 0; i < steps; ++i)
+        {
+            auto& vm = all.vm(*rc::gen::inRange<std::size_t>(0, size));
+            switch (*rc::gen::inRange(0, 8))
+            {
+            case 0:
+                all.toggle_member(*rc::gen::inRange<std::size_t>(0, size));
+                break;
+            case 1:
+            case 2:
+                all.hear(vm);
+                break;
+            case 3:
+                all.restart(vm, *rc::gen::arbitrary<bool>());
+                break;
+            default:
+                for (std::size_t each = 0; each < size; ++each)
+                    (void)all.ask(all.vm(each), *rc::gen::inRange(0, 50),
+                                  question);
+                break;
+            }
+            all.pass(milliseconds(*rc::gen::inRange(0, 800)));
+        }
+        RC_ASSERT(static_cast<double>(
+                      all.most_in(milliseconds(1000) + longest_cold_use)) <=
+                  bound.m_per_s * bound.m_excess + bound.m_slack);
+    }));
+}
