Fleet: news, lists and connections go with what changes and what is asked

Change: beyond [links] kept = 48 storage VMs an edge VM connects to those it asks; storage VMs beyond that number hear the world through three of their zone; a listener says what it knows and is told what came later; a list is encoded once for all; the source tells what moved; only seeds found a fleet, and nobody reads runners before.

--- a/include/pepperturn/cluster/frame_link.hpp
+++ b/include/pepperturn/cluster/frame_link.hpp
@@ -6,6 +6,7 @@
 #include "pepperturn/base/async.hpp"
 #include "pepperturn/turns/messages.hpp"
 
+#include <deque>
 #include <functional>
 #include <memory>
 
@@ -29,6 +30,8 @@
     void start(std::function<void(frame)> on_frame,
                std::function<void(const std::string& reason)> on_closed);
     void send(const frame& value);
+    /// Sends an encoded frame that others are sent as well.
+    void send(std::shared_ptr<const std::string> bytes);
     void close(const std::string& reason);
     [[nodiscard]] bool open() const
     {
@@ -45,6 +48,8 @@
     // first.
     static task<> read_frames(std::shared_ptr<frame_link> self);
     static task<> write_queued(std::shared_ptr<frame_link> self);
+    /// Ends the link if its peer has left too much unread.
+    void start_writing();
     /// Hands whole frames in \p buffer on and takes them out of it.
     void take_frames(std::string& buffer);
 
@@ -53,7 +58,10 @@
     std::size_t m_most_bytes;
     std::function<void(frame)> m_on_frame;
     std::function<void(const std::string&)> m_on_closed;
+    /// Whole frames, each as it is shared with other links, or some together.
+    std::deque<std::shared_ptr<const std::string>> m_shared;
     std::string m_queue;
+    std::size_t m_queued_bytes = 0;
     bool m_writing = false;
     bool m_open = true;
     bool m_violated = false;
--- a/include/pepperturn/cluster/member_links.hpp
+++ b/include/pepperturn/cluster/member_links.hpp
@@ -34,6 +34,20 @@
     void subscribe(std::vector<std::string> sources);
     void stop();
 
+    /// While there are more members than \p most, only those whose news are
+    /// heard are connected to all the time, the others when they are asked.
+    /// Without this every process of a fleet holds a connection, and beats on
+    /// it, for each storage VM.
+    void keep_connected_up_to(std::size_t most)
+    {
+        m_most_kept = most;
+    }
+    /// \param revision up to which this process knows all runners; 0: none. It
+    /// is told only what came later.
+    void on_greeting(std::function<std::uint64_t()> revision)
+    {
+        m_known_runners = std::move(revision);
+    }
     /// Questions to members that say nothing go through neighbours from now
     /// on.
     /// \param ways must outlive this
@@ -69,8 +83,11 @@
     /// Tells a member the view, which it seems not to know.
     void tell_view(const std::string& name, const cluster_view& view);
 
-    /// It is connected to, or answered through a neighbour lately.
+    /// It is connected to, or answered through a neighbour lately, or would be
+    /// connected to if it were asked.
     [[nodiscard]] bool connected(const std::string& name) const;
+    /// It is connected, and was heard within two beats if that can be told.
+    [[nodiscard]] bool reachable(const std::string& name) const;
     /// It is heard on its own link.
     [[nodiscard]] bool reached_directly(const std::string& name) const;
     /// Number of the connection to the member, no other one has it; 0: there is
@@ -114,6 +131,10 @@
     };
     struct link_row
     {
+        explicit link_row(asio::io_context& io) : m_wake(io) {}
+
+        /// Notified when it is needed, or dropped.
+        async_event m_wake;
         std::string m_name;
         std::string m_address;
         std::shared_ptr<frame_link> m_link;
@@ -130,6 +151,11 @@
         bool m_told_wants = false;
         /// The last try to connect failed, or the connection ended.
         bool m_failed = false;
+        instant m_failed_at{};
+        /// When it was last asked anything.
+        instant m_used{};
+        /// Sent once it is connected to.
+        std::vector<std::pair<frame, std::optional<direct_call>>> m_waiting;
         bool m_dropped = false;
     };
 
@@ -140,6 +166,21 @@
     take_row(std::map<std::string, std::shared_ptr<link_row>>& rows,
              const member& target);
     task<> keep_connected(std::shared_ptr<link_row> row);
+    /// Members are connected to when they are asked.
+    [[nodiscard]] bool on_demand() const
+    {
+        return m_following && m_rows.size() > m_most_kept;
+    }
+    /// The member is to be connected to.
+    [[nodiscard]] bool needed(const link_row& row) const;
+    /// Not connected to, and nothing speaks against it.
+    [[nodiscard]] bool presumed(const link_row& row) const;
+    /// Connects to the member, and sends it \p value then.
+    void send_later(link_row& row, frame value,
+                    std::optional<direct_call> asked);
+    void send_waiting(link_row& row);
+    void fail_waiting(link_row& row);
+    void wake_needed();
     [[nodiscard]] dial_times choose_times(unsigned failures) const;
     /// Takes frames until the connection ends.
     /// \returns why it did
@@ -182,6 +223,8 @@
     /// Empty: everybody.
     std::optional<std::vector<std::string>> m_sources;
     bool m_following = false;
+    std::size_t m_most_kept = SIZE_MAX;
+    std::function<std::uint64_t()> m_known_runners;
     std::uint64_t m_next_call = 1;
     std::uint64_t m_last_number = 0;
     instant m_store_heard{};
--- a/include/pepperturn/cluster/news_sources.hpp
+++ b/include/pepperturn/cluster/news_sources.hpp
@@ -33,6 +33,19 @@
 [[nodiscard]] std::vector<std::string>
 watch_order(const std::vector<member>& members);
 
+/// Storage VMs of each zone that hear the world from the watchers, where the
+/// others hear it from them.
+constexpr std::size_t relays_in_zone = 3;
+
+/// The storage VMs that a storage VM hears the world from. Up to
+/// \p most_direct of them all hear it from the watchers. Beyond, a few of each
+/// zone do, and the others of the zone hear it from these: the watchers tell
+/// no more VMs than there are zones for, and each list crosses a zone's edge
+/// as often however many VMs it has.
+[[nodiscard]] std::vector<std::string>
+storage_sources(const std::vector<member>& members, const std::string& self,
+                std::size_t most_direct);
+
 /// What a storage VM knows when it decides whether to watch.
 struct watch_facts
 {
--- a/include/pepperturn/cluster/state.hpp
+++ b/include/pepperturn/cluster/state.hpp
@@ -115,6 +115,11 @@
 /// What a VM is told that may know nothing yet.
 [[nodiscard]] cluster_state whole_of(const cluster_state& state);
 
+/// What a VM is told that knows all runners up to \p known: of these only what
+/// came later, if all of that is known here.
+[[nodiscard]] cluster_state news_since(const cluster_state& state,
+                                       std::uint64_t known);
+
 /// The operator wants \p vm emptied.
 [[nodiscard]] bool is_retired(const cluster_state& state,
                               const std::string& vm);
--- a/include/pepperturn/config/fleet_settings.hpp
+++ b/include/pepperturn/config/fleet_settings.hpp
@@ -48,6 +48,9 @@
     /// A turn whose prompt has a shared part of this many tokens asks a storage
     /// VM for a place at an engine; 0: edge VMs choose by themselves.
     std::uint32_t m_place_from_tokens = 0;
+    /// Up to so many storage VMs an edge VM holds a connection to each; beyond,
+    /// it connects to those that it asks, and lets go of them again.
+    std::uint32_t m_kept_links = 48;
     /// Of the VM, for this process; 0: not told.
     std::uint32_t m_memory_mb = 0;
     /// From the order to stop until the process is killed.
--- a/include/pepperturn/fleet/storage_node.hpp
+++ b/include/pepperturn/fleet/storage_node.hpp
@@ -59,6 +59,10 @@
     [[nodiscard]] std::optional<cluster_view> view_to_look_after() const;
     /// Connects to the own set and to whoever watches the store.
     void follow_views();
+    /// Hears the world from the VMs that are to tell it, if any is there.
+    void choose_news();
+    /// Whether this VM reads the store before the fleet is founded: a few do.
+    [[nodiscard]] bool may_found() const;
     /// Watches the store, or stops, by what the other storage VMs say.
     void choose_watching();
     [[nodiscard]] watch_facts gather_watch_facts();
@@ -125,6 +129,8 @@
     instant m_isolated_until{};
     /// The order in which storage VMs watch the store.
     std::vector<std::string> m_watch_order;
+    /// Who is to tell this VM the world.
+    std::vector<std::string> m_news_sources;
     /// Since when too few watch it.
     std::optional<instant> m_too_few_since;
     /// A view that is newer than this is waited for before the next change.
--- a/include/pepperturn/fleet/world_source.hpp
+++ b/include/pepperturn/fleet/world_source.hpp
@@ -64,6 +64,10 @@
     /// Ends after the call that is under way.
     virtual void pause() = 0;
 
+    /// Until the fleet is founded, only what it has written itself is read:
+    /// hundreds of VMs start, and each would read every runner.
+    virtual void await_founding() = 0;
+
     /// Asks the store once for the views of the replica sets, which may be
     /// seconds old; for a VM that knows no storage VM yet.
     [[nodiscard]] virtual task<> read_views() = 0;
--- a/include/pepperturn/turns/messages.hpp
+++ b/include/pepperturn/turns/messages.hpp
@@ -37,6 +37,8 @@
     /// IP:PORT where it passes on what others ask; empty: it does not.
     std::string m_relay_address = {};
     std::string m_availability_zone = {};
+    /// It knows all runners up to this revision; 0: none.
+    std::uint64_t m_known_runners = 0;
     friend bool operator==(const hello_message&,
                            const hello_message&) = default;
 };
--- a/include/pepperturn/turns/turn_server.hpp
+++ b/include/pepperturn/turns/turn_server.hpp
@@ -105,6 +105,14 @@
         /// What it is being told, if it copies.
         std::shared_ptr<const holdings> m_holdings;
     };
+    /// What listeners are told that come, encoded once.
+    struct told_news
+    {
+        std::uint64_t m_changes = 0;
+        std::uint64_t m_known = 0;
+        std::uint64_t m_epoch = 0;
+        std::shared_ptr<const std::string> m_bytes;
+    };
     struct waiting_answer
     {
         std::shared_ptr<frame_link> m_link;
@@ -118,6 +126,10 @@
                     const hello_message& hello);
     /// Connected edge VMs that may stand in for the link of \p asker.
     [[nodiscard]] neighbours_message neighbours_of(const peer& asker) const;
+    /// Tells a listener what it lacks.
+    /// \param known revision up to which it knows all runners
+    void tell_all(const peer& to, std::uint64_t known);
+    void tell_change(const state_change& change);
     task<> accept_links();
     void add_link(tcp::socket socket);
     void take_frame(const std::shared_ptr<peer>& from, frame value);
@@ -162,6 +174,12 @@
     latency_histogram m_syncs;
     /// Questions by the status of their answer.
     std::map<frame_status, std::uint64_t> m_answered;
+    /// Changes of the state so far.
+    std::uint64_t m_changes = 0;
+    std::optional<told_news> m_told_all;
+    /// Revision of the runners that all listeners know.
+    std::uint64_t m_told_runners = 0;
+    std::uint64_t m_news_bytes = 0;
     bool m_state_saved = true;
     bool m_disk_good = true;
     std::map<std::string, std::uint64_t> m_copied_at;
--- a/src/cluster/frame_link.cpp
+++ b/src/cluster/frame_link.cpp
@@ -46,8 +46,28 @@
 {
     if (!m_open)
         return;
-    m_queue += encode_frame(value);
-    if (m_queue.size() > max_queued_bytes)
+    const auto bytes = encode_frame(value);
+    m_queued_bytes += bytes.size();
+    m_queue += bytes;
+    start_writing();
+}
+
+void frame_link::send(std::shared_ptr<const std::string> bytes)
+{
+    if (!m_open)
+        return;
+    // In the order in which they were sent.
+    if (!m_queue.empty())
+        m_shared.push_back(
+            std::make_shared<const std::string>(std::exchange(m_queue, {})));
+    m_queued_bytes += bytes->size();
+    m_shared.push_back(std::move(bytes));
+    start_writing();
+}
+
+void frame_link::start_writing()
+{
+    if (m_queued_bytes > max_queued_bytes)
     {
         close("too much unread");
         return;
@@ -124,11 +144,16 @@
 
 task<> frame_link::write_queued(std::shared_ptr<frame_link> self)
 {
-    while (self->m_open && !self->m_queue.empty())
+    while (self->m_open && self->m_queued_bytes > 0)
     {
-        const auto batch = std::exchange(self->m_queue, {});
+        if (self->m_shared.empty())
+            self->m_shared.push_back(std::make_shared<const std::string>(
+                std::exchange(self->m_queue, {})));
+        const auto batch = std::move(self->m_shared.front());
+        self->m_shared.pop_front();
+        self->m_queued_bytes -= batch->size();
         error_code ec;
-        co_await asio::async_write(self->m_socket, asio::buffer(batch),
+        co_await asio::async_write(self->m_socket, asio::buffer(*batch),
                                    into(ec));
         if (ec)
         {
--- a/src/cluster/member_links.cpp
+++ b/src/cluster/member_links.cpp
@@ -12,6 +12,10 @@
 
 /// A beat that tells of the platform's store within this is good news.
 constexpr milliseconds fresh_store{2500};
+/// How often a connection is looked at that may be of no more use.
+constexpr milliseconds unused_check{1000};
+/// Why such a connection is closed.
+constexpr const char* unused_reason = "not used any more";
 } // namespace
 
 member_links::member_links(asio::io_context& io, const clock& time,
@@ -28,7 +32,7 @@
 
 void member_links::add_row(const std::string& name, const std::string& address)
 {
-    auto fresh = std::make_shared<link_row>();
+    auto fresh = std::make_shared<link_row>(m_io);
     fresh->m_name = name;
     fresh->m_address = address;
     // Silence counts from now on.
@@ -61,6 +65,8 @@
     for (const auto& [name, row] : before)
     {
         row->m_dropped = true;
+        row->m_wake.notify();
+        fail_waiting(*row);
         if (m_detours != nullptr)
             m_detours->end(name);
         if (const auto link = row->m_link)
@@ -100,6 +106,7 @@
 
 void member_links::greet_anew()
 {
+    wake_needed();
     for (const auto& [name, row] : m_rows)
     {
         if (row->m_link && row->m_told_wants != wants_news_of(name))
@@ -118,7 +125,8 @@
     row.m_told_wants = wants_news_of(row.m_name);
     row.m_link->send({0, 0, frame_status::ok,
                       hello_message{m_self_name, row.m_told_wants,
-                                    m_relay_address, m_availability_zone}});
+                                    m_relay_address, m_availability_zone,
+                                    m_known_runners ? m_known_runners() : 0}});
 }
 
 void member_links::stop()
@@ -137,6 +145,12 @@
     unsigned failures = 0;
     while (!row->m_dropped && !m_stopped)
     {
+        if (!needed(*row))
+        {
+            failures = 0;
+            co_await row->m_wake.wait_until(instant::max());
+            continue;
+        }
         std::string reason;
         const auto times = choose_times(failures);
         auto link = co_await connect_frames(m_io, row->m_address,
@@ -146,6 +160,8 @@
         row->m_failed = !link;
         if (!link)
         {
+            row->m_failed_at = m_time.now();
+            fail_waiting(*row);
             if (failures++ == 0)
                 LOG(WARNING) << "event=storage_unreachable vm=" << row->m_name
                              << " address=" << row->m_address << " reason=\""
@@ -155,8 +171,11 @@
         }
         failures = 0;
         const auto closed_reason = co_await serve_link(row, link);
-        LOG(WARNING) << "event=storage_lost vm=" << row->m_name << " reason=\""
-                     << closed_reason << '"';
+        if (closed_reason == unused_reason)
+            LOG(INFO) << "event=storage_released vm=" << row->m_name;
+        else
+            LOG(WARNING) << "event=storage_lost vm=" << row->m_name
+                         << " reason=\"" << closed_reason << '"';
     }
 }
 
@@ -175,12 +194,18 @@
             closed.notify();
         });
     greet(*row);
+    send_waiting(*row);
     LOG(INFO) << "event=storage_connected vm=" << row->m_name
               << " address=" << row->m_address;
     while (link->open())
-        co_await closed.wait_until(instant::max());
+    {
+        co_await closed.wait_until(m_time.now() + unused_check);
+        if (link->open() && !needed(*row) && row->m_calls.empty())
+            link->close(unused_reason);
+    }
     row->m_link = nullptr;
-    row->m_failed = true;
+    row->m_failed = reason != unused_reason;
+    row->m_failed_at = m_time.now();
     end_calls(row->m_name, *row);
     note_lost();
     co_return reason;
@@ -266,10 +291,11 @@
         return;
     }
     const auto row = found->second;
+    row->m_used = m_time.now();
     const bool may_go_round = m_detours != nullptr && may_be_relayed(body);
     frame question{0, epoch, frame_status::ok, std::move(body)};
-    if (may_go_round && !reached(facts_of(*row), m_time.now()) &&
-        m_detours->hopeful(name))
+    if (may_go_round && !presumed(*row) &&
+        !reached(facts_of(*row), m_time.now()) && m_detours->hopeful(name))
     {
         m_detours->ask(name, reason_of(*row), question, std::move(done),
                        silence_before_detour(patience));
@@ -284,6 +310,11 @@
 
 void member_links::ask_link(link_row& row, frame question, direct_call asked)
 {
+    if (presumed(row))
+    {
+        send_later(row, std::move(question), std::move(asked));
+        return;
+    }
     if (!row.m_link)
     {
         asked.m_done(std::nullopt);
@@ -352,10 +383,13 @@
     const auto found = m_rows.find(name);
     if (found == m_rows.end())
         return;
-    const auto& row = *found->second;
+    auto& row = *found->second;
+    row.m_used = m_time.now();
     frame notice{0, 0, frame_status::ok, std::move(body)};
-    if (m_detours != nullptr && !reached(facts_of(row), m_time.now()) &&
-        may_be_relayed(notice.m_body) && m_detours->hopeful(name))
+    if (presumed(row))
+        send_later(row, std::move(notice), std::nullopt);
+    else if (m_detours != nullptr && !reached(facts_of(row), m_time.now()) &&
+             may_be_relayed(notice.m_body) && m_detours->hopeful(name))
         m_detours->ask(
             name, reason_of(row), notice, [](const std::optional<frame>&) {},
             usual_silence);
@@ -379,7 +413,7 @@
     const auto found = m_rows.find(name);
     if (found == m_rows.end())
         return false;
-    return found->second->m_link != nullptr ||
+    return found->second->m_link != nullptr || presumed(*found->second) ||
            (m_detours != nullptr &&
             m_time.now() - m_detours->last_heard(name) < heard_within);
 }
--- a/src/cluster/member_silence.cpp
+++ b/src/cluster/member_silence.cpp
@@ -141,7 +141,7 @@
     const auto now = m_time.now();
     for (const auto& [name, row] : std::map(m_rows))
     {
-        if (wants_probe(facts_of(*row), now))
+        if (needed(*row) && wants_probe(facts_of(*row), now))
             m_detours->probe(name, reason_of(*row));
     }
 }
--- a/src/cluster/news_sources.cpp
+++ b/src/cluster/news_sources.cpp
@@ -46,6 +46,35 @@
     return out;
 }
 
+std::vector<std::string> storage_sources(const std::vector<member>& members,
+                                         const std::string& self,
+                                         std::size_t most_direct)
+{
+    const auto order = watch_order(members);
+    const auto direct = std::min(order.size(), watch_candidates);
+    const std::vector<std::string> watchers(
+        order.begin(), order.begin() + static_cast<std::ptrdiff_t>(direct));
+    const auto own =
+        std::find_if(members.begin(), members.end(),
+                     [&](const member& row) { return row.m_name == self; });
+    if (members.size() <= most_direct || own == members.end())
+        return watchers;
+    std::map<std::string, std::string> zones;
+    for (const auto& row : members)
+        zones[row.m_name] = row.m_availability_zone;
+    std::vector<std::string> relays;
+    for (const auto& name : order)
+    {
+        if (relays.size() < relays_in_zone &&
+            zones[name] == own->m_availability_zone)
+            relays.push_back(name);
+    }
+    const auto tells = [&](const std::vector<std::string>& names) {
+        return std::find(names.begin(), names.end(), self) != names.end();
+    };
+    return tells(watchers) || tells(relays) ? watchers : relays;
+}
+
 bool should_watch(const watch_facts& facts)
 {
     const auto position = facts.m_position.value_or(SIZE_MAX);
--- a/src/cluster/state.cpp
+++ b/src/cluster/state.cpp
@@ -148,6 +148,10 @@
     auto changed = merge.finish();
     if (whole || goes)
         forget_oldest_gone(state);
+    // Of those that came and went before, a list says nothing.
+    if (whole)
+        state.m_gone_known_since =
+            std::max(state.m_gone_known_since, news.m_runners_revision);
     if (whole || continues(state, news))
         state.m_runners_revision =
             std::max(state.m_runners_revision, news.m_runners_revision);
@@ -305,6 +309,26 @@
     return out;
 }
 
+cluster_state news_since(const cluster_state& state, std::uint64_t known)
+{
+    const bool traceable = known > 0 && known >= state.m_gone_known_since &&
+                           known <= state.m_runners_revision;
+    if (!traceable)
+        return whole_of(state);
+    cluster_state out;
+    tell_config(state, out);
+    out.m_runners_revision = state.m_runners_revision;
+    out.m_runners_since = known;
+    std::copy_if(
+        state.m_runners.begin(), state.m_runners.end(),
+        std::back_inserter(out.m_runners),
+        [&](const runner_entry& row) { return row.m_revision > known; });
+    out.m_views = state.m_views;
+    out.m_retirements = state.m_retirements;
+    out.m_evacuations = state.m_evacuations;
+    return out;
+}
+
 bool is_retired(const cluster_state& state, const std::string& vm)
 {
     return std::any_of(state.m_retirements.begin(), state.m_retirements.end(),
--- a/src/config/fleet_settings.cpp
+++ b/src/config/fleet_settings.cpp
@@ -18,6 +18,7 @@
 constexpr double most_quota_excess = 1;
 constexpr double most_cold_excess = 100;
 constexpr std::uint32_t most_prompt_tokens = 100000000;
+constexpr std::uint32_t most_kept_links = 100000;
 constexpr std::uint32_t most_memory_mb = 16U << 20U;
 
 } // namespace
@@ -79,6 +80,8 @@
         else if (name == "placement")
             reader.read("from_shared_tokens", out.m_place_from_tokens, 0,
                         most_prompt_tokens);
+        else if (name == "links")
+            reader.read("kept", out.m_kept_links, 1, most_kept_links);
         else if (name == "store")
             reader.read("address", out.m_store_address);
         else
--- a/src/fleet/edge_node.cpp
+++ b/src/fleet/edge_node.cpp
@@ -114,6 +114,8 @@
             m_config_fetcher.note_announced(row.m_name, news.m_config_revision);
     });
     m_started = m_time.now();
+    m_links.keep_connected_up_to(m_settings.m_kept_links);
+    m_links.on_greeting([this] { return m_state.m_runners_revision; });
     m_links.seek(m_settings.m_seeds);
     // Before the fleet is founded the store has no views.
     if (!m_settings.m_bootstrap)
@@ -200,7 +202,9 @@
         const bool watches = m_links.watches_store(row.m_name);
         const bool far =
             row.m_availability_zone != m_settings.m_availability_zone;
-        ranked.emplace_back((watches ? 0 : 2) + (far ? 1 : 0), row.m_name);
+        const bool linked = m_links.reached_directly(row.m_name);
+        ranked.emplace_back(
+            (linked ? 0 : 4) + (watches ? 0 : 2) + (far ? 1 : 0), row.m_name);
     }
     std::sort(ranked.begin(), ranked.end());
     std::vector<std::string> out;
--- a/src/fleet/storage_membership.cpp
+++ b/src/fleet/storage_membership.cpp
@@ -87,10 +87,12 @@
 {
     // Only a first start may begin with nothing; else an empty store means
     // that it was read wrongly.
-    if (!m_settings.m_bootstrap || !m_source.synced())
+    if (!m_settings.m_bootstrap)
         co_return;
-    if (!m_announced)
+    if (!m_announced && (m_source.synced() || !may_found()))
         m_announced = co_await m_source.announce(self());
+    if (!m_source.synced())
+        co_return;
     auto vms = m_source.announced();
     const auto own =
         std::find_if(vms.begin(), vms.end(), [&](const member& row) {
--- a/src/fleet/storage_node.cpp
+++ b/src/fleet/storage_node.cpp
@@ -24,6 +24,9 @@
 /// The loop has its turn after each stretch that is read of the disk; all
 /// pauses together are some tens of milliseconds.
 constexpr milliseconds load_pause{1};
+/// A storage VM that is no seed hears of the fleet from one by then; else it
+/// takes part in founding it.
+constexpr milliseconds founders_patience{5000};
 /// Answers under way go out before the process ends.
 constexpr milliseconds stop_linger{150};
 
@@ -185,6 +188,8 @@
     });
     m_server->on_gone(
         [this](std::uint64_t asker) { m_places.note_gone(asker); });
+    m_links.on_greeting(
+        [this] { return m_server->state().m_runners_revision; });
     m_links.on_state(
         [this](const std::string& from, const cluster_state& news) {
             take_state(news);
@@ -200,7 +205,13 @@
                        m_started, m_staleness_limits.m_revoke);
     // An entry that lapsed while every VM was down has time to come back.
     m_source.learn(m_server->state());
-    m_source.start();
+    if (m_settings.m_bootstrap && m_server->state().m_views.empty())
+        m_source.await_founding();
+    // Seeds found the fleet, and tell the others.
+    if (may_found() || !m_server->state().m_views.empty())
+        m_source.start();
+    else
+        m_links.seek(m_settings.m_seeds);
     load_disk();
     spawn(m_io, "storage_node.follow_config", follow_first_config());
     return true;
@@ -223,16 +234,19 @@
 {
     const auto members = members_of(m_server->state().m_views);
     m_watch_order = watch_order(members);
-    const auto candidates = std::min(m_watch_order.size(), watch_candidates);
-    const std::vector<std::string> sources(
-        m_watch_order.begin(),
-        m_watch_order.begin() + static_cast<std::ptrdiff_t>(candidates));
+    const auto watchers = m_watch_order.begin() +
+                          static_cast<std::ptrdiff_t>(
+                              std::min(m_watch_order.size(), watch_candidates));
+    m_news_sources =
+        storage_sources(members, m_settings.m_name, m_settings.m_kept_links);
+    // The watchers' beats tell how old the news are, whoever passes them on.
+    std::set<std::string> heard(m_watch_order.begin(), watchers);
+    heard.insert(m_news_sources.begin(), m_news_sources.end());
     std::vector<member> wanted;
     for (const auto& row : members)
     {
         if (find_member(m_server->own_view(), row.m_name) != nullptr ||
-            std::find(sources.begin(), sources.end(), row.m_name) !=
-                sources.end())
+            heard.contains(row.m_name))
             wanted.push_back(row);
     }
     const auto takeover = m_staleness_limits.m_revoke;
@@ -240,11 +254,34 @@
                     takeover))
         LOG(WARNING) << "event=views_missed owners=unknown for_ms="
                      << takeover.count();
-    m_links.subscribe(sources);
+    choose_news();
     m_links.follow(wanted);
     m_config_fetcher.follow(members);
 }
 
+void storage_node::choose_news()
+{
+    const bool silent = std::none_of(
+        m_news_sources.begin(), m_news_sources.end(),
+        [this](const auto& name) { return m_links.hopeful(name); });
+    // All that pass the news on in this zone are away: the watchers tell.
+    const auto watchers = std::min(m_watch_order.size(), watch_candidates);
+    m_links.subscribe(silent ? std::vector<std::string>(
+                                   m_watch_order.begin(),
+                                   m_watch_order.begin() +
+                                       static_cast<std::ptrdiff_t>(watchers))
+                             : m_news_sources);
+}
+
+bool storage_node::may_found() const
+{
+    const auto& seeds = m_settings.m_seeds;
+    return seeds.empty() ||
+           std::find(seeds.begin(), seeds.end(), m_settings.m_frames_address) !=
+               seeds.end() ||
+           m_time.now() - m_started >= founders_patience;
+}
+
 watch_facts storage_node::gather_watch_facts()
 {
     watch_facts facts;
@@ -272,7 +309,8 @@
 {
     // Before there are views, nobody can tell whom to hear.
     const auto facts = gather_watch_facts();
-    const bool wanted = m_watch_order.empty() || should_watch(facts);
+    const bool wanted =
+        m_watch_order.empty() ? may_found() : should_watch(facts);
     if (wanted == m_source.running())
         return;
     LOG(INFO) << "event=watching_chosen watching=" << wanted
@@ -297,6 +335,8 @@
     const auto now = m_time.now();
     note_isolation();
     choose_watching();
+    if (!m_news_sources.empty())
+        choose_news();
     keep_fresh();
     m_places.tick();
     if (now >= m_next_beat)
--- a/src/turns/messages.cpp
+++ b/src/turns/messages.cpp
@@ -31,6 +31,7 @@
         out.setWantsNews(body.m_wants_news);
         out.setRelayAddress(body.m_relay_address);
         out.setZone(body.m_availability_zone);
+        out.setKnownRunners(body.m_known_runners);
     }
     void operator()(const cluster_state& body)
     {
@@ -280,7 +281,8 @@
 hello_message read_hello(turns_wire::Hello::Reader in)
 {
     return {text_of(in.getName()), in.getWantsNews(),
-            text_of(in.getRelayAddress()), text_of(in.getZone())};
+            text_of(in.getRelayAddress()), text_of(in.getZone()),
+            in.getKnownRunners()};
 }
 
 neighbours_message
--- a/src/turns/turn_client.cpp
+++ b/src/turns/turn_client.cpp
@@ -94,11 +94,9 @@
         auto operator<=>(const candidate&) const = default;
     };
     std::vector<candidate> candidates;
-    const auto now = m_time.now();
     for (const auto& row : set.m_view.m_members)
     {
-        if (takes_writes(row.m_state) && m_links.connected(row.m_name) &&
-            now - m_links.last_heard(row.m_name) < heard_within)
+        if (takes_writes(row.m_state) && m_links.reachable(row.m_name))
             candidates.push_back(
                 {row.m_state == member_state::joining,
                  row.m_availability_zone != m_availability_zone,
--- a/src/turns/turn_server.cpp
+++ b/src/turns/turn_server.cpp
@@ -108,7 +108,23 @@
                      hello.m_availability_zone};
     const bool wanted = std::exchange(from->m_wants_news, hello.m_wants_news);
     if (from->m_wants_news && !wanted)
-        answer(from, 0, frame_status::ok, whole_of(m_state));
+        tell_all(*from, hello.m_known_runners);
+}
+
+void turn_server::tell_all(const peer& to, std::uint64_t known)
+{
+    // Hundreds may ask at the same moment, most of them for the same.
+    const auto epoch = m_own_view.m_epoch;
+    const bool same = m_told_all && m_told_all->m_changes == m_changes &&
+                      m_told_all->m_known == known &&
+                      m_told_all->m_epoch == epoch;
+    if (!same)
+        m_told_all = told_news{
+            m_changes, known, epoch,
+            std::make_shared<const std::string>(encode_frame(
+                {0, epoch, frame_status::ok, news_since(m_state, known)}))};
+    m_news_bytes += m_told_all->m_bytes->size();
+    to.m_link->send(m_told_all->m_bytes);
 }
 
 neighbours_message turn_server::neighbours_of(const peer& asker) const
@@ -128,6 +144,7 @@
                  static_cast<std::uint64_t>(std::count_if(
                      m_peers.begin(), m_peers.end(),
                      [](const auto& row) { return row->m_wants_news; })));
+    write_metric(out, "news_bytes", m_news_bytes);
     write_metric(out, "replica_set", m_own_view.m_set);
     write_metric(out, "view_epoch", m_own_view.m_epoch);
     write_metric(out, "view_members", m_own_view.m_members.size());
@@ -158,6 +175,7 @@
     if (!change.any())
         return;
     m_state_saved = false;
+    ++m_changes;
     const auto* home = find_home(m_state.m_views, m_name);
     const auto own = home == nullptr ? cluster_view{} : *home;
     if (own != m_own_view)
@@ -172,14 +190,30 @@
               << " moved=" << change.m_runners.size()
               << " views_moved=" << change.m_views.size()
               << " set=" << m_own_view.m_set << " epoch=" << m_own_view.m_epoch;
-    const auto parts = parts_of(m_state, change);
+    tell_change(change);
+    if (m_on_change)
+        m_on_change(change);
+}
+
+void turn_server::tell_change(const state_change& change)
+{
+    auto parts = parts_of(m_state, change);
+    // Whoever listens has been told all up to there.
+    if (m_told_runners > 0)
+    {
+        parts.m_runners_since = m_told_runners;
+        parts.m_runners_revision = m_state.m_runners_revision;
+    }
+    m_told_runners = m_state.m_runners_revision;
+    const auto bytes = std::make_shared<const std::string>(
+        encode_frame({0, m_own_view.m_epoch, frame_status::ok, parts}));
     for (const auto& row : std::set(m_peers))
     {
-        if (row->m_wants_news)
-            answer(row, 0, frame_status::ok, parts);
+        if (!row->m_wants_news)
+            continue;
+        m_news_bytes += bytes->size();
+        row->m_link->send(bytes);
     }
-    if (m_on_change)
-        m_on_change(change);
 }
 
 void turn_server::save_own_view()
@@ -206,6 +240,7 @@
     }
     take_state(*state);
     m_state.m_settled_epoch = state->m_settled_epoch;
+    m_state.m_gone_known_since = state->m_gone_known_since;
     m_state_saved = true;
 }
 
@@ -232,8 +267,10 @@
 void turn_server::send_beat(milliseconds store_age, bool watches)
 {
     const auto age = static_cast<std::uint32_t>(store_age.count());
+    const auto bytes = std::make_shared<const std::string>(encode_frame(
+        {0, m_own_view.m_epoch, frame_status::ok, beat_message{age, watches}}));
     for (const auto& row : std::set(m_peers))
-        answer(row, 0, frame_status::ok, beat_message{age, watches});
+        row->m_link->send(bytes);
 }
 
 void turn_server::answer(const std::shared_ptr<peer>& from, std::uint64_t call,
--- a/src/turns/wire_rows.cpp
+++ b/src/turns/wire_rows.cpp
@@ -166,6 +166,7 @@
     out.setRunnersRevision(state.m_runners_revision);
     out.setRunnersSince(state.m_runners_since);
     out.setSettledEpoch(state.m_settled_epoch);
+    out.setGoneKnownSince(state.m_gone_known_since);
     auto runners = out.initRunners(state.m_runners.size());
     for (unsigned i = 0; i < runners.size(); ++i)
     {
@@ -219,6 +220,7 @@
     state.m_runners_revision = in.getRunnersRevision();
     state.m_runners_since = in.getRunnersSince();
     state.m_settled_epoch = in.getSettledEpoch();
+    state.m_gone_known_since = in.getGoneKnownSince();
     for (const auto row : in.getRunners())
         state.m_runners.push_back({text_of(row.getName()),
                                    text_of(row.getText()), row.getRevision(),
--- a/test/cluster/test_news_sources.cpp
+++ b/test/cluster/test_news_sources.cpp
@@ -118,3 +118,41 @@
     CHECK(sources[1].front() == 'b');
     CHECK(sources[2].front() == 'b');
 }
+
+TEST_CASE("the watchers tell as many, however many storage VMs there are",
+          "[news_sources]")
+{
+    const auto per_zone = GENERATE(20, 80);
+    std::vector<member> members;
+    for (const char* zone : {"a", "b", "c", "d", "e"})
+    {
+        for (int i = 0; i < per_zone; ++i)
+            members.push_back(
+                {zone + std::to_string(i), "", zone, 1, member_state::full});
+    }
+    const auto watchers = storage_sources(members, "nobody", 48);
+    CHECK(watchers.size() == watch_candidates);
+    std::map<std::string, std::size_t> listeners;
+    for (const auto& row : members)
+    {
+        const auto sources = storage_sources(members, row.m_name, 48);
+        CHECK(sources.size() >= relays_in_zone);
+        for (const auto& name : sources)
+            ++listeners[name];
+    }
+    for (const auto& name : watchers)
+        CHECK(listeners[name] <= 5 * relays_in_zone + watch_candidates +
+                                     static_cast<std::size_t>(per_zone));
+    // Nobody hears it from further than two steps behind the watchers.
+    std::set<std::string> relays;
+    for (const auto& row : members)
+    {
+        for (const auto& name : storage_sources(members, row.m_name, 48))
+            relays.insert(name);
+    }
+    for (const auto& name : relays)
+        CHECK(storage_sources(members, name, 48) == watchers);
+    // While they are few, all hear the watchers.
+    for (const auto& row : members)
+        CHECK(storage_sources(members, row.m_name, members.size()) == watchers);
+}
--- a/test/fleet/test_member_links.cpp
+++ b/test/fleet/test_member_links.cpp
@@ -25,6 +25,7 @@
                       member_state::full}};
         m_links.on_state([this](const std::string&, const cluster_state& news) {
             ++m_told;
+            m_entries += news.m_runners.size();
             merge_state(m_state, news);
         });
     }
@@ -65,6 +66,8 @@
     std::vector<member> m_members;
     cluster_state m_state;
     int m_told = 0;
+    /// Of runners, in all that was told.
+    std::size_t m_entries = 0;
 };
 
 } // namespace
@@ -175,3 +178,101 @@
     world.sync();
     CHECK(world.m_told == 1);
 }
+
+namespace {
+
+/// Members that all listen at one server, and how many connections it has.
+struct many_members : told_world
+{
+    explicit many_members(int count)
+    {
+        const auto address = m_members.front().m_address;
+        m_members.clear();
+        for (int i = 0; i < count; ++i)
+            m_members.push_back({"vm-" + std::to_string(i), address, "z", 1,
+                                 member_state::full});
+    }
+    std::size_t connections()
+    {
+        std::string figures;
+        m_server.write_metrics(figures);
+        const auto at = figures.find("connected_vms ");
+        return std::stoul(figures.substr(at + 14));
+    }
+};
+
+} // namespace
+
+TEST_CASE("connections go with what is asked, however many members there are",
+          "[member_links]")
+{
+    const auto count = GENERATE(20, 80);
+    many_members world(count);
+    world.m_links.keep_connected_up_to(10);
+    world.m_links.subscribe({"vm-0", "vm-1"});
+    world.m_links.follow(world.m_members);
+    REQUIRE(world.wait_for([&] { return world.connections() == 2; }));
+    CHECK(world.connections() == 2);
+    CHECK(world.m_links.connected("vm-7"));
+    CHECK(world.m_links.reachable("vm-7"));
+    CHECK_FALSE(world.m_links.reached_directly("vm-7"));
+    // A question brings its connection, and waits for it.
+    int answers = 0;
+    for (const char* name : {"vm-7", "vm-7", "vm-8"})
+        world.m_links.call(name, 0, want_neighbours_message{},
+                           [&](const std::optional<frame>& answer) {
+                               answers += answer ? 1 : 0;
+                           });
+    CHECK(world.wait_for([&] { return answers == 3; }));
+    CHECK(world.connections() == 4);
+}
+
+TEST_CASE("a member that is not there is left alone for a while",
+          "[member_links]")
+{
+    many_members world(20);
+    world.m_members[7].m_address = "127.0.0.1:1";
+    world.m_links.keep_connected_up_to(10);
+    world.m_links.subscribe({"vm-0"});
+    world.m_links.follow(world.m_members);
+    bool ended = false;
+    const auto ask = [&] {
+        ended = false;
+        world.m_links.call("vm-7", 0, want_neighbours_message{},
+                           [&](const std::optional<frame>& answer) {
+                               ended = true;
+                               CHECK_FALSE(answer);
+                           });
+    };
+    ask();
+    CHECK_FALSE(ended);
+    CHECK(world.wait_for([&] { return ended; }));
+    CHECK_FALSE(world.m_links.reachable("vm-7"));
+    // Whoever asks meanwhile is told at once.
+    ask();
+    CHECK(ended);
+}
+
+TEST_CASE("a listener that comes back is told what it missed", "[member_links]")
+{
+    told_world world;
+    cluster_state all;
+    all.m_runners_revision = 10;
+    for (int i = 0; i < 500; ++i)
+        all.m_runners.push_back({"r" + std::to_string(i), "text", 5});
+    world.m_server.take_state(all);
+    const std::uint64_t known = GENERATE(0, 10);
+    if (known > 0)
+        merge_state(world.m_state, all);
+    world.m_links.on_greeting([&] { return known; });
+    cluster_state news;
+    news.m_runners_since = 10;
+    news.m_runners_revision = 12;
+    news.m_runners = {{"r1", "new", 11}, {"r2", "", 12, true}};
+    world.m_server.take_state(news);
+    world.m_links.follow(world.m_members);
+    REQUIRE(
+        world.wait_for([&] { return world.m_state.m_runners_revision == 12; }));
+    CHECK(count_runners(world.m_state) == 499);
+    CHECK(world.m_entries == (known == 0 ? 499U : 2U));
+}
