Regions in placement and news; allowed regions; first source heard alone in large fleets

Runners, engines, members and sources of another region count as further than those of another zone (settings: [vm] zones). Requests of routes and workspaces with allowed regions go to runners there only, and their turns are refused unless their replica set lies there; replica sets by region are not built. In fleets beyond [links] kept an edge VM hears one source first.

--- a/include/pepperturn/cluster/news_sources.hpp
+++ b/include/pepperturn/cluster/news_sources.hpp
@@ -11,6 +11,7 @@
 #pragma once
 
 #include "pepperturn/base/time.hpp"
+#include "pepperturn/base/zone_map.hpp"
 #include "pepperturn/cluster/view.hpp"
 
 #include <functional>
@@ -64,12 +65,31 @@
 
 [[nodiscard]] bool should_watch(const watch_facts& facts);
 
+/// What an edge VM knows when it decides how many sources to hear.
+struct listener_facts
+{
+    /// The fleet is so large that a list of its runners takes long to read.
+    bool m_large_fleet = false;
+    /// Some source has told all that it knows.
+    bool m_told = false;
+    milliseconds m_since_start{0};
+
+    friend bool operator==(const listener_facts&,
+                           const listener_facts&) = default;
+};
+
+/// In a large fleet the first source is heard alone for a moment: the others
+/// then need only tell what came later, and the first list comes sooner on a
+/// small share of a core and of a link.
+[[nodiscard]] std::size_t sources_wanted(const listener_facts& facts);
+
 /// The storage VMs that \p self should hear the world from: those of its own
 /// zone first, each VM in an order of its own.
 /// \param usable whether a VM is connected
 [[nodiscard]] std::vector<std::string>
 choose_sources(const std::vector<member>& members, const std::string& self,
                const std::string& availability_zone,
-               const std::function<bool(const std::string&)>& usable);
+               const std::function<bool(const std::string&)>& usable,
+               const zone_map& zones = {});
 
 } // namespace pepperturn
--- a/include/pepperturn/config/fleet_settings.hpp
+++ b/include/pepperturn/config/fleet_settings.hpp
@@ -3,6 +3,7 @@
 /// Settings of an edge VM's or a storage VM's process, from its INI file.
 #pragma once
 
+#include "pepperturn/base/zone_map.hpp"
 #include "pepperturn/config/ini.hpp"
 
 namespace pepperturn {
@@ -12,6 +13,8 @@
     std::string m_name;
     std::string m_host;
     std::string m_availability_zone;
+    /// The region of every zone; empty: there is one region.
+    zone_map m_zones;
     /// The whole fleet starts for the first time, with empty disks.
     bool m_bootstrap = false;
     /// IP:PORT for callers; edge VMs only.
--- a/include/pepperturn/fleet/storage_places.hpp
+++ b/include/pepperturn/fleet/storage_places.hpp
@@ -4,6 +4,7 @@
 /// current, answers edge VMs, and decides for those that wait in line.
 #pragma once
 
+#include "pepperturn/base/zone_map.hpp"
 #include "pepperturn/fleet/world_source.hpp"
 #include "pepperturn/scheduling/engine_places.hpp"
 #include "pepperturn/turns/turn_server.hpp"
@@ -16,7 +17,7 @@
 class storage_places
 {
 public:
-    explicit storage_places(const clock& time);
+    storage_places(const clock& time, zone_map zones);
 
     void take_config(const routing_config& config);
     void take_changes(const std::vector<runner_change>& changes);
@@ -56,6 +57,7 @@
     void note_asked(std::uint64_t service);
 
     const clock& m_time;
+    zone_map m_zones;
     engine_places m_places;
     /// Of services that are engines, by name.
     std::map<std::string, service> m_engines;
--- a/include/pepperturn/forward/proxy.hpp
+++ b/include/pepperturn/forward/proxy.hpp
@@ -55,6 +55,11 @@
     void take_changes(const std::vector<runner_change>& changes);
     /// Nothing more goes to the runners of \p zones.
     void evacuate(const std::vector<std::string>& zones);
+    void know_zones(const zone_map& zones)
+    {
+        m_zones = zones;
+        m_runners.set_zones(zones);
+    }
     /// Callers and runners are spread by what is drawn from \p seed; VMs whose
     /// seeds are alike draw alike.
     void seed_draws(std::uint64_t seed);
@@ -297,6 +302,7 @@
     memory_guard m_memory;
     upstream_pool m_pool;
     runner_table m_runners;
+    zone_map m_zones;
     engine_gate m_gate;
     workspace_guard m_guard;
     /// Null: calls to cold runners are not counted.
--- a/include/pepperturn/forward/routing_config.hpp
+++ b/include/pepperturn/forward/routing_config.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -60,6 +61,9 @@
     milliseconds m_retention{60000};
     /// Callers need no key.
     bool m_public = false;
+    /// Requests are served, and turns kept, in these regions only; empty: in
+    /// any.
+    std::set<std::string> m_regions;
 
     friend bool operator==(const route&, const route&) = default;
 };
--- a/include/pepperturn/forward/runner_table.hpp
+++ b/include/pepperturn/forward/runner_table.hpp
@@ -3,6 +3,7 @@
 /// The runners as one edge VM sees them, and which one a request goes to.
 #pragma once
 
+#include "pepperturn/base/zone_map.hpp"
 #include "pepperturn/forward/routing_config.hpp"
 #include "pepperturn/scheduling/placement.hpp"
 
@@ -53,6 +54,8 @@
     std::uint64_t m_shared_part = 0;
     /// Cold runners are left alone.
     bool m_warm_only = false;
+    /// Only runners of these regions; empty: of any.
+    std::optional<std::set<std::string>> m_regions = {};
 };
 
 /// Of a service with many runners a VM weighs these for one call: several
@@ -79,6 +82,10 @@
     /// Takes the current list: whoever is not in it has gone.
     std::vector<std::string> replace(const std::vector<runner_info>& runners,
                                      instant now = {});
+    void set_zones(zone_map zones)
+    {
+        m_zones = std::move(zones);
+    }
     /// Runners of \p zones get nothing.
     void evacuate(const std::vector<std::string>& zones);
 
@@ -91,6 +98,9 @@
            std::size_t* weighed = nullptr) const;
     /// It may be sent requests.
     [[nodiscard]] bool usable(const runner_row& row) const;
+    /// Of those, by \p choice.
+    [[nodiscard]] bool may_use(const runner_row& row,
+                               const runner_choice& choice) const;
 
     [[nodiscard]] const runner_row* find(const std::string& id) const;
     /// Null: that life of a runner is over.
@@ -149,6 +159,7 @@
                                                    instant now) const;
 
     std::uint64_t m_seed;
+    zone_map m_zones;
     std::map<std::string, runner_row> m_rows;
     std::map<std::string, service_rows> m_by_service;
     std::unordered_map<std::uint64_t, const runner_row*> m_by_hash;
--- a/include/pepperturn/scheduling/engine_cost.hpp
+++ b/include/pepperturn/scheduling/engine_cost.hpp
@@ -34,6 +34,8 @@
     /// Share of the calls that go wrong there.
     double m_trouble = 0;
     bool m_other_zone = false;
+    /// Of another region, too.
+    bool m_other_region = false;
 
     friend bool operator==(const engine_outlook&,
                            const engine_outlook&) = default;
--- a/include/pepperturn/scheduling/engine_places.hpp
+++ b/include/pepperturn/scheduling/engine_places.hpp
@@ -32,6 +32,8 @@
     /// Hash of the runner's incarnation.
     std::uint64_t m_runner = 0;
     std::string m_availability_zone;
+    /// Empty: not told.
+    std::string m_region = {};
     /// Calls that run at once; more wait in its queue.
     std::uint32_t m_slots = 1;
     /// Prompt and output tokens that fit into its memory; 0: not told.
@@ -72,6 +74,10 @@
     std::uint32_t m_program_left_ms = 0;
     /// Of the VM that asks.
     std::string m_availability_zone;
+    /// Of that VM, as the answering one knows it; empty: not told.
+    std::string m_region = {};
+    /// Regions whose engines it may go to; empty: any.
+    std::vector<std::string> m_regions = {};
     /// Hashes of runners that have refused it.
     std::vector<std::uint64_t> m_excluded;
     /// It waits in line already; answered once that is decided.
--- a/include/pepperturn/scheduling/placement.hpp
+++ b/include/pepperturn/scheduling/placement.hpp
@@ -21,6 +21,8 @@
     /// Calls under way there, in shares of its slots.
     double m_load = 0;
     bool m_other_zone = false;
+    /// Of another region, too.
+    bool m_other_region = false;
     /// A kept connection is idle.
     bool m_connected = false;
     /// The beginning of the prompt is in its memory.
--- a/include/pepperturn/tenancy/workspaces.hpp
+++ b/include/pepperturn/tenancy/workspaces.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -34,6 +35,9 @@
     /// Goes before the priority of a route; 0 is the most urgent.
     std::optional<std::uint32_t> m_priority;
     request_limit m_limit;
+    /// Its requests are served, and turns kept, in these regions only; empty:
+    /// in any.
+    std::set<std::string> m_regions = {};
 
     friend bool operator==(const workspace&, const workspace&) = default;
 };
--- a/include/pepperturn/turns/turn_client.hpp
+++ b/include/pepperturn/turns/turn_client.hpp
@@ -4,10 +4,13 @@
 /// rebuild its chain before it is sent, and to keep it before its answer ends.
 #pragma once
 
+#include "pepperturn/base/zone_map.hpp"
 #include "pepperturn/cluster/member_links.hpp"
 #include "pepperturn/cluster/replica_sets.hpp"
 #include "pepperturn/turns/ledger.hpp"
 
+#include <set>
+
 namespace pepperturn {
 
 enum class begin_outcome : std::uint8_t
@@ -58,6 +61,14 @@
 
     [[nodiscard]] task<begin_result> begin(begin_request request,
                                            instant until);
+    /// Members of nearer zones are asked first.
+    void set_zones(zone_map zones)
+    {
+        m_zones = std::move(zones);
+    }
+    /// Every member that keeps the program's turns lies in \p regions.
+    [[nodiscard]] bool keeps_within(const id_key& program,
+                                    const std::set<std::string>& regions) const;
     /// True once enough disks hold the entry.
     /// \param entry a turn
     [[nodiscard]] task<bool> keep(log_entry entry, instant until);
@@ -127,6 +138,7 @@
     const clock& m_time;
     member_links& m_links;
     std::string m_availability_zone;
+    zone_map m_zones;
     std::uint32_t m_disk_losses;
     /// By set.
     std::vector<set_row> m_sets;
--- a/src/cluster/member_links.cpp
+++ b/src/cluster/member_links.cpp
@@ -433,7 +433,7 @@
 bool member_links::hopeful(const std::string& name) const
 {
     const auto found = m_rows.find(name);
-    return found != m_rows.end() && !found->second->m_failed;
+    return found == m_rows.end() || !found->second->m_failed;
 }
 
 instant member_links::last_heard(const std::string& name) const
--- a/src/cluster/news_sources.cpp
+++ b/src/cluster/news_sources.cpp
@@ -14,6 +14,9 @@
 /// Between one VM in the order and the next: more than a beat, so that the
 /// next one sees that somebody has begun.
 constexpr milliseconds takeover_step{700};
+/// Several times what a list takes to a small VM; then the others are heard
+/// as well.
+constexpr milliseconds first_list_patience{1500};
 /// Those further back wait no longer than this, since the first ones may all
 /// be gone.
 constexpr std::size_t most_steps = 4;
@@ -86,16 +89,25 @@
     return facts.m_too_few_for >= steps * takeover_step;
 }
 
+std::size_t sources_wanted(const listener_facts& facts)
+{
+    const bool alone = facts.m_large_fleet && !facts.m_told &&
+                       facts.m_since_start < first_list_patience;
+    return alone ? 1 : source_count;
+}
+
 std::vector<std::string>
 choose_sources(const std::vector<member>& members, const std::string& self,
                const std::string& availability_zone,
-               const std::function<bool(const std::string&)>& usable)
+               const std::function<bool(const std::string&)>& usable,
+               const zone_map& zones)
 {
-    std::vector<std::tuple<bool, std::uint64_t, std::string>> ranked;
+    std::vector<std::tuple<zone_distance, std::uint64_t, std::string>> ranked;
     for (const auto& row : members)
     {
         if (row.m_name != self && usable(row.m_name))
-            ranked.emplace_back(row.m_availability_zone != availability_zone,
+            ranked.emplace_back(distance_between(zones, row.m_availability_zone,
+                                                 availability_zone),
                                 hash64(row.m_name, hash64(self)), row.m_name);
     }
     std::sort(ranked.begin(), ranked.end());
--- a/src/config/fleet_settings.cpp
+++ b/src/config/fleet_settings.cpp
@@ -44,6 +44,13 @@
             reader.read("name", out.m_name);
             reader.read("host", out.m_host);
             reader.read("availability_zone", out.m_availability_zone);
+            std::string zones;
+            if (reader.read("zones", zones))
+            {
+                const auto fault = parse_zone_map(zones, out.m_zones);
+                if (!fault.empty())
+                    reader.add_error("zones", fault);
+            }
             reader.read("bootstrap", out.m_bootstrap);
             reader.read("grace_s", out.m_grace_s, 1, most_grace_s);
             reader.read("memory_mb", out.m_memory_mb, 0, most_memory_mb);
--- a/src/fleet/edge_node.cpp
+++ b/src/fleet/edge_node.cpp
@@ -98,6 +98,8 @@
     m_proxy.bound_memory(m_settings.m_memory_mb);
     m_proxy.guard_workspaces(
         {[this] { return config_age(); }, m_staleness_limits, &m_quota});
+    m_proxy.know_zones(m_settings.m_zones);
+    m_turns.set_zones(m_settings.m_zones);
     m_proxy.place_by(m_places);
     m_proxy.ask_for_cold(m_cold);
     m_proxy.seed_draws(hash64(m_settings.m_name));
@@ -177,10 +179,8 @@
     LOG(INFO) << "event=views_taken sets=" << m_state.m_views.size()
               << " members=" << m_members.size();
     // Whoever is connected to first must already know whether it is heard.
-    if (!std::exchange(m_subscribed, true))
-        m_links.subscribe(choose_sources(
-            m_members, m_settings.m_name, m_settings.m_availability_zone,
-            [](const std::string&) { return true; }));
+    m_subscribed = true;
+    choose_news();
     m_links.follow(m_members);
     m_reach.follow(m_members);
     choose_news();
@@ -233,9 +233,16 @@
 {
     if (!m_subscribed)
         return;
-    m_links.subscribe(choose_sources(
+    auto sources = choose_sources(
         m_members, m_settings.m_name, m_settings.m_availability_zone,
-        [this](const std::string& name) { return m_links.hopeful(name); }));
+        [this](const std::string& name) { return m_links.hopeful(name); },
+        m_settings.m_zones);
+    const auto wanted =
+        sources_wanted({m_members.size() > m_settings.m_kept_links,
+                        !m_state.m_runners.empty() && m_proxy.has_config(),
+                        elapsed(m_started, m_time.now())});
+    sources.resize(std::min(sources.size(), wanted));
+    m_links.subscribe(std::move(sources));
 }
 
 void edge_node::choose_source()
--- a/src/fleet/storage_node.cpp
+++ b/src/fleet/storage_node.cpp
@@ -64,7 +64,7 @@
                          milliseconds(settings.m_apply_ms)},
       m_limiter({.m_spare = spare_share * settings.m_quota_slack,
                  .m_excess = excess_share * settings.m_quota_excess}),
-      m_places(time)
+      m_places(time, settings.m_zones)
 {}
 
 storage_node::~storage_node()
--- a/src/fleet/storage_places.cpp
+++ b/src/fleet/storage_places.cpp
@@ -19,7 +19,9 @@
 
 } // namespace
 
-storage_places::storage_places(const clock& time) : m_time(time) {}
+storage_places::storage_places(const clock& time, zone_map zones)
+    : m_time(time), m_zones(std::move(zones))
+{}
 
 void storage_places::take_config(const routing_config& config)
 {
@@ -94,6 +96,7 @@
         engines.push_back(
             {.m_runner = hash64(incarnation_of(info)),
              .m_availability_zone = info.m_availability_zone,
+             .m_region = region_of(m_zones, info.m_availability_zone),
              .m_slots = info.m_slots,
              .m_token_capacity = profile.m_engine->m_token_capacity,
              .m_draining = info.m_draining ||
@@ -174,7 +177,9 @@
         collect(question, reply);
         return;
     }
-    auto answer = m_places.ask(question, m_time.now());
+    auto located = question;
+    located.m_region = region_of(m_zones, question.m_availability_zone);
+    auto answer = m_places.ask(located, m_time.now());
     if (!answer)
     {
         answer.emplace();
--- /dev/null
+++ b/src/forward/home_regions.cpp
@@ -0,0 +1,24 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/forward/home_regions.hpp"
+
+#include <algorithm>
+#include <iterator>
+
+namespace pepperturn {
+
+std::optional<std::set<std::string>> home_regions(const route& route,
+                                                  const workspace* owner)
+{
+    const bool owner_binds = owner != nullptr && !owner->m_regions.empty();
+    if (route.m_regions.empty())
+        return owner_binds ? std::optional(owner->m_regions) : std::nullopt;
+    if (!owner_binds)
+        return route.m_regions;
+    std::set<std::string> both;
+    std::set_intersection(route.m_regions.begin(), route.m_regions.end(),
+                          owner->m_regions.begin(), owner->m_regions.end(),
+                          std::inserter(both, both.end()));
+    return both;
+}
+
+} // namespace pepperturn
--- a/src/forward/proxy.cpp
+++ b/src/forward/proxy.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "pepperturn/forward/proxy.hpp"
 
+#include "pepperturn/forward/home_regions.hpp"
 #include "pepperturn/scheduling/refusal.hpp"
 #include "pepperturn/scheduling/start_hold.hpp"
 
@@ -400,6 +401,11 @@
         work->m_keep_alive = false;
         co_return refuse(*work, "no storage VM is heard", come_back_cut_off);
     }
+    const auto homes = home_regions(*work->m_route, owner);
+    if (homes && work->m_route->m_stateful &&
+        !m_turns.keeps_within(begin.m_program, *homes))
+        co_return refuse(*work, "its turns cannot be kept in its regions",
+                         come_back_later);
     work->m_reserved = true;
     auto result = co_await m_turns.begin(
         begin,
--- a/src/forward/proxy_attempts.cpp
+++ b/src/forward/proxy_attempts.cpp
@@ -4,6 +4,7 @@
 #include "pepperturn/forward/proxy.hpp"
 
 #include "pepperturn/base/hash.hpp"
+#include "pepperturn/forward/home_regions.hpp"
 #include "pepperturn/scheduling/refusal.hpp"
 
 #include <algorithm>
@@ -134,6 +135,7 @@
     choice.m_service = pick_service(work);
     choice.m_preferred = work.m_preferred;
     choice.m_availability_zone = m_availability_zone;
+    choice.m_regions = home_regions(*work.m_route, work.m_workspace);
     const auto found = work.m_config->m_services.find(choice.m_service);
     if (found != work.m_config->m_services.end() && found->second.m_engine)
     {
--- a/src/forward/proxy_places.cpp
+++ b/src/forward/proxy_places.cpp
@@ -4,6 +4,7 @@
 #include "pepperturn/forward/proxy.hpp"
 
 #include "pepperturn/base/hash.hpp"
+#include "pepperturn/forward/home_regions.hpp"
 #include "pepperturn/scheduling/refusal.hpp"
 
 #include <algorithm>
@@ -61,6 +62,8 @@
     if (fields.m_program_left)
         out.m_program_left_ms = in_wire_ms(*fields.m_program_left);
     out.m_availability_zone = m_availability_zone;
+    if (const auto homes = home_regions(*work.m_route, work.m_workspace))
+        out.m_regions = {homes->begin(), homes->end()};
     return out;
 }
 
@@ -141,9 +144,8 @@
         return nullptr;
     const auto* row = m_runners.find_hashed(work.m_place.m_answer.m_runner);
     // The lists of runners may differ for a moment.
-    const bool usable = row != nullptr && m_runners.usable(*row) &&
-                        row->m_info.m_service == choice.m_service &&
-                        !choice.m_excluded.contains(row->m_info.m_id);
+    const bool usable = row != nullptr && m_runners.may_use(*row, choice) &&
+                        row->m_info.m_service == choice.m_service;
     return usable ? row : nullptr;
 }
 
--- a/src/forward/runner_table.cpp
+++ b/src/forward/runner_table.cpp
@@ -113,6 +113,15 @@
            !m_evacuated.contains(row.m_info.m_availability_zone);
 }
 
+bool runner_table::may_use(const runner_row& row,
+                           const runner_choice& choice) const
+{
+    const auto& info = row.m_info;
+    return usable(row) && !choice.m_excluded.contains(info.m_id) &&
+           (!choice.m_regions || choice.m_regions->contains(region_of(
+                                     m_zones, info.m_availability_zone)));
+}
+
 runner_row* runner_table::locate(const std::string& id)
 {
     const auto found = m_rows.find(id);
@@ -179,11 +188,20 @@
         if (kept->m_info.m_service == choice.m_service)
             out.push_back(kept);
     }
-    const auto may_use = [&](const runner_row* row) {
-        return usable(*row) && !choice.m_excluded.contains(row->m_info.m_id);
+    const auto none = [&] {
+        return std::none_of(out.begin(), out.end(), [&](const runner_row* row) {
+            return may_use(*row, choice);
+        });
     };
     // A zone may be empty, emptied, or its few runners may all have refused.
-    if (std::none_of(out.begin(), out.end(), may_use))
+    for (const auto& [zone, ring] : rows.m_zones)
+    {
+        if (distance_between(m_zones, zone, choice.m_availability_zone) ==
+                zone_distance::same_region &&
+            none())
+            take_from_ring(ring, m_seed, most_candidates, out);
+    }
+    if (none())
         take_from_ring(rows.m_all, m_seed, most_candidates, out);
     std::sort(out.begin(), out.end());
     out.erase(std::unique(out.begin(), out.end()), out.end());
@@ -197,8 +215,10 @@
     const auto& id = row.m_info.m_id;
     placement_candidate out;
     out.m_load = static_cast<double>(row.m_in_flight) / row.m_info.m_slots;
-    out.m_other_zone =
-        row.m_info.m_availability_zone != choice.m_availability_zone;
+    const auto distance = distance_between(
+        m_zones, row.m_info.m_availability_zone, choice.m_availability_zone);
+    out.m_other_zone = distance != zone_distance::same_zone;
+    out.m_other_region = distance == zone_distance::other_region;
     out.m_connected = choice.m_connected && choice.m_connected(id);
     out.m_has_prompt = row.m_incarnation == choice.m_preferred;
     out.m_slowness = row.m_slowness;
@@ -218,7 +238,7 @@
     std::vector<placement_candidate> candidates;
     for (const auto* row : rows)
     {
-        if (!usable(*row) || choice.m_excluded.contains(row->m_info.m_id) ||
+        if (!may_use(*row, choice) ||
             (choice.m_warm_only && row->m_cold_until > now))
             continue;
         used.push_back(row);
--- a/src/scheduling/engine_cost.cpp
+++ b/src/scheduling/engine_cost.cpp
@@ -11,6 +11,8 @@
 constexpr double full_batch_share = 0.3;
 /// Way to another zone and back, and its bytes.
 constexpr double other_zone_ms = 1.5;
+/// The same for another region, beyond that: a tenth of the aim of a turn.
+constexpr double other_region_ms = 25;
 /// What a call that goes wrong loses before its next try.
 constexpr double failure_ms = 150;
 /// Trouble beyond counts alike: an engine that only fails is still an engine.
@@ -73,6 +75,8 @@
     cost += trouble / (1 - trouble) * (failure_ms + finish_ms(run));
     if (outlook.m_other_zone)
         cost += other_zone_ms;
+    if (outlook.m_other_region)
+        cost += other_region_ms;
     return cost;
 }
 
--- a/src/scheduling/engine_record.cpp
+++ b/src/scheduling/engine_record.cpp
@@ -213,6 +213,10 @@
     outlook.m_trouble = present_trouble(engine.m_trouble, now);
     outlook.m_other_zone =
         engine.m_facts.m_availability_zone != question.m_availability_zone;
+    outlook.m_other_region = outlook.m_other_zone &&
+                             !engine.m_facts.m_region.empty() &&
+                             !question.m_region.empty() &&
+                             engine.m_facts.m_region != question.m_region;
     return outlook;
 }
 
--- a/src/scheduling/place_service.cpp
+++ b/src/scheduling/place_service.cpp
@@ -32,6 +32,14 @@
         std::erase_if(rows, std::not_fn(good));
 }
 
+/// By the regions that the call may go to.
+bool is_allowed(const engine_facts& engine, const place_question& question)
+{
+    const auto& regions = question.m_regions;
+    return regions.empty() || std::find(regions.begin(), regions.end(),
+                                        engine.m_region) != regions.end();
+}
+
 bool contains(const std::vector<std::uint64_t>& values, std::uint64_t value)
 {
     return std::find(values.begin(), values.end(), value) != values.end();
@@ -277,7 +285,8 @@
     for (std::size_t i = 0; i < m_engines.size(); ++i)
     {
         const auto& engine = m_engines[i];
-        if (engine.m_facts.m_draining || is_cold_full(engine, now))
+        if (engine.m_facts.m_draining || is_cold_full(engine, now) ||
+            !is_allowed(engine.m_facts, question))
             continue;
         choice row;
         row.m_engine = i;
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -10,6 +10,9 @@
 /// Share of its slots that another zone's runner must be less loaded by:
 /// one request of a few-slot runner outweighs the bytes between zones.
 constexpr double other_zone_load = 0.1;
+/// The way to another region and back takes as long as a short call, and its
+/// bytes cost several times those between zones.
+constexpr double other_region_load = 0.5;
 /// How much busier the runner with the cached prefix may be. Reading the
 /// prefix anew costs more than a few neighbours in the batch do.
 constexpr double prompt_load = 0.35;
@@ -40,6 +43,8 @@
     double cost = row.m_load;
     if (row.m_other_zone)
         cost += other_zone_load;
+    if (row.m_other_region)
+        cost += other_region_load;
     if (row.m_connected)
         cost -= open_connection_load;
     if (row.m_has_prompt)
--- a/src/turns/messages.cpp
+++ b/src/turns/messages.cpp
@@ -192,6 +192,9 @@
         for (unsigned i = 0; i < excluded.size(); ++i)
             excluded.set(i, body.m_excluded[i]);
         out.setCollects(body.m_collects);
+        auto regions = out.initRegions(body.m_regions.size());
+        for (unsigned i = 0; i < regions.size(); ++i)
+            regions.set(i, body.m_regions[i]);
     }
     void operator()(const place_answer& body)
     {
@@ -315,6 +318,8 @@
     for (const auto runner : in.getExcluded())
         out.m_excluded.push_back(runner);
     out.m_collects = in.getCollects();
+    for (const auto region : in.getRegions())
+        out.m_regions.push_back(text_of(region));
     return out;
 }
 
--- a/src/turns/turn_client.cpp
+++ b/src/turns/turn_client.cpp
@@ -85,7 +85,7 @@
     struct candidate
     {
         bool m_joining = false;
-        bool m_far = false;
+        zone_distance m_distance = zone_distance::same_zone;
         std::uint64_t m_draw = 0;
         std::string m_name;
 
@@ -99,7 +99,8 @@
         if (takes_writes(row.m_state) && m_links.reachable(row.m_name))
             candidates.push_back(
                 {row.m_state == member_state::joining,
-                 row.m_availability_zone != m_availability_zone,
+                 distance_between(m_zones, row.m_availability_zone,
+                                  m_availability_zone),
                  hash64(row.m_name, draw), row.m_name});
     }
     std::sort(candidates.begin(), candidates.end());
@@ -116,18 +117,33 @@
 std::string turn_client::nearest_member(const set_row& set) const
 {
     std::string best;
+    auto nearest = zone_distance::other_region;
     for (const auto& row : set.m_view.m_members)
     {
         if (row.m_state != member_state::full || !m_links.connected(row.m_name))
             continue;
-        if (row.m_availability_zone == m_availability_zone)
-            return row.m_name;
-        if (best.empty())
-            best = row.m_name;
+        const auto distance = distance_between(m_zones, row.m_availability_zone,
+                                               m_availability_zone);
+        if (!best.empty() && distance >= nearest)
+            continue;
+        best = row.m_name;
+        nearest = distance;
     }
     return best;
 }
 
+bool turn_client::keeps_within(const id_key& program,
+                               const std::set<std::string>& regions) const
+{
+    const auto* set = set_for(program);
+    if (set == nullptr)
+        return false;
+    const auto& members = set->m_view.m_members;
+    return std::all_of(members.begin(), members.end(), [&](const member& row) {
+        return regions.contains(region_of(m_zones, row.m_availability_zone));
+    });
+}
+
 void turn_client::ask_member(const std::shared_ptr<round>& work,
                              const member& target)
 {
--- a/test/cluster/test_news_sources.cpp
+++ b/test/cluster/test_news_sources.cpp
@@ -156,3 +156,20 @@
     for (const auto& row : members)
         CHECK(storage_sources(members, row.m_name, members.size()) == watchers);
 }
+
+TEST_CASE("how many sources an edge VM hears", "[news_sources]")
+{
+    struct sample
+    {
+        listener_facts m_facts;
+        std::size_t m_wanted;
+    };
+    const auto each = GENERATE(values<sample>({
+        {{false, false, milliseconds(0)}, source_count},
+        {{true, false, milliseconds(0)}, 1},
+        {{true, true, milliseconds(0)}, source_count},
+        // The first one says nothing.
+        {{true, false, milliseconds(1500)}, source_count},
+    }));
+    CHECK(sources_wanted(each.m_facts) == each.m_wanted);
+}
--- a/test/forward/test_runner_table.cpp
+++ b/test/forward/test_runner_table.cpp
@@ -1,4 +1,5 @@
 // SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/forward/home_regions.hpp"
 #include "pepperturn/forward/runner_table.hpp"
 
 #include <catch2/catch.hpp>
@@ -309,3 +310,43 @@
     }
     CHECK(calls.size() <= runners_for_part);
 }
+
+TEST_CASE("runners of other regions, and those that a request may not go to",
+          "[runner_table]")
+{
+    runner_table table;
+    zone_map zones;
+    REQUIRE(parse_zone_map("n-a=north,n-b=north,s-a=south", zones).empty());
+    table.set_zones(zones);
+    (void)table.replace({runner("near", "n-b"), runner("far", "s-a")});
+    runner_choice choice{"svc", "", "n-a", {}, 1, {}};
+    CHECK(chosen(table, choice) == "near");
+    // A call there is better than the way, all slots taken are not.
+    table.note_sent("near");
+    CHECK(chosen(table, choice) == "near");
+    for (int i = 0; i < 3; ++i)
+        table.note_sent("near");
+    CHECK(chosen(table, choice) == "far");
+    choice.m_regions = std::set<std::string>{"north"};
+    CHECK(chosen(table, choice) == "near");
+    choice.m_regions = std::set<std::string>{"west"};
+    CHECK(chosen(table, choice) == "-");
+    choice.m_regions.emplace();
+    CHECK(chosen(table, choice) == "-");
+}
+
+TEST_CASE("both the route and the workspace bind", "[home_regions]")
+{
+    route where;
+    workspace owner;
+    CHECK_FALSE(home_regions(where, nullptr));
+    CHECK_FALSE(home_regions(where, &owner));
+    where.m_regions = {"a", "b"};
+    CHECK(home_regions(where, &owner) == where.m_regions);
+    owner.m_regions = {"b", "c"};
+    CHECK(home_regions(where, &owner) == std::set<std::string>{"b"});
+    CHECK(home_regions(where, nullptr) == where.m_regions);
+    owner.m_regions = {"c"};
+    CHECK(home_regions(where, &owner) == std::set<std::string>{});
+    CHECK(home_regions(route{}, &owner) == owner.m_regions);
+}
