--- a/include/pepperturn/scheduling/engine_places.hpp
+++ b/include/pepperturn/scheduling/engine_places.hpp
@@ -74,14 +74,14 @@
     std::uint32_t m_program_left_ms = 0;
     /// Of the VM that asks.
     std::string m_availability_zone;
-    /// Of that VM, as the answering one knows it; empty: not told.
-    std::string m_region = {};
-    /// Regions whose engines it may go to; empty: any.
-    std::vector<std::string> m_regions = {};
     /// Hashes of runners that have refused it.
     std::vector<std::uint64_t> m_excluded;
     /// It waits in line already; answered once that is decided.
     bool m_collects = false;
+    /// Of that VM, as the answering one knows it; empty: not told.
+    std::string m_region = {};
+    /// Regions whose engines it may go to; empty: any.
+    std::vector<std::string> m_regions = {};
 
     friend bool operator==(const place_question&,
                            const place_question&) = default;
--- a/test/platform/test_cluster_source.cpp
+++ b/test/platform/test_cluster_source.cpp
@@ -353,3 +353,25 @@
                !is_retired(world.m_state, "vm-1");
     }));
 }
+
+TEST_CASE("forgotten history after a pause is read whole", "[cluster_source]")
+{
+    // What came while it did not follow was taken for gone.
+    followed world;
+    world.m_store.put("servers/i-1", entry("ready", 1));
+    world.m_store.put("pepperturn/sets/0",
+                      R"({"set":0,"sets":1,"members":[]})");
+    world.m_source.await_founding();
+    world.m_source.start();
+    REQUIRE(world.wait_for_runner("i-1", entry("ready", 1)));
+    world.m_source.pause();
+    world.settle(milliseconds(2500));
+    cluster_state told;
+    told.m_runners = {{"i-2", entry("ready", 1), 1000}};
+    merge_state(world.m_state, told);
+    world.m_store.put("servers/i-2", entry("ready", 1));
+    world.m_store.compact();
+    world.m_source.start();
+    world.settle(milliseconds(2500));
+    CHECK(count_runners(world.m_state) == 2);
+}
