Fleet: seeds tell seekers no long lists; only the watchers read the store after a start of all; files split

Ruled out: the order of views and links (single restarts and the founding break nothing). Change: who seeks members is told views and the configuration's revision; storage VMs of a large fleet leave the store to the watchers from their start on. The test counts entries told to a seeker at N and 4N.

--- a/include/pepperturn/cluster/member_links.hpp
+++ b/include/pepperturn/cluster/member_links.hpp
@@ -149,6 +149,8 @@
         instant m_watched{};
         /// What it was last told about whether its news are wanted.
         bool m_told_wants = false;
+        /// It was told that this process knows no members.
+        bool m_told_seeks = false;
         /// The last try to connect failed, or the connection ended.
         bool m_failed = false;
         instant m_failed_at{};
--- a/include/pepperturn/fleet/storage_node.hpp
+++ b/include/pepperturn/fleet/storage_node.hpp
@@ -61,7 +61,8 @@
     void follow_views();
     /// Hears the world from the VMs that are to tell it, if any is there.
     void choose_news();
-    /// Whether this VM reads the store before the fleet is founded: a few do.
+    /// Whether this VM reads the store before it knows the fleet: when all
+    /// start for the first time, a few do.
     [[nodiscard]] bool may_found() const;
     /// Watches the store, or stops, by what the other storage VMs say.
     void choose_watching();
--- a/include/pepperturn/turns/messages.hpp
+++ b/include/pepperturn/turns/messages.hpp
@@ -39,6 +39,8 @@
     std::string m_availability_zone = {};
     /// It knows all runners up to this revision; 0: none.
     std::uint64_t m_known_runners = 0;
+    /// It knows no members yet, and looks for them.
+    bool m_seeks = false;
     friend bool operator==(const hello_message&,
                            const hello_message&) = default;
 };
--- a/src/cluster/member_links.cpp
+++ b/src/cluster/member_links.cpp
@@ -109,7 +109,9 @@
     wake_needed();
     for (const auto& [name, row] : m_rows)
     {
-        if (row->m_link && row->m_told_wants != wants_news_of(name))
+        const bool told = row->m_told_wants == wants_news_of(name) &&
+                          row->m_told_seeks == !m_following;
+        if (row->m_link && !told)
             greet(*row);
     }
 }
@@ -123,10 +125,12 @@
 void member_links::greet(link_row& row)
 {
     row.m_told_wants = wants_news_of(row.m_name);
-    row.m_link->send({0, 0, frame_status::ok,
-                      hello_message{m_self_name, row.m_told_wants,
-                                    m_relay_address, m_availability_zone,
-                                    m_known_runners ? m_known_runners() : 0}});
+    row.m_told_seeks = !m_following;
+    row.m_link->send(
+        {0, 0, frame_status::ok,
+         hello_message{m_self_name, row.m_told_wants, m_relay_address,
+                       m_availability_zone,
+                       m_known_runners ? m_known_runners() : 0, !m_following}});
 }
 
 void member_links::stop()
--- a/src/fleet/storage_node.cpp
+++ b/src/fleet/storage_node.cpp
@@ -207,8 +207,11 @@
     m_source.learn(m_server->state());
     if (m_settings.m_bootstrap && m_server->state().m_views.empty())
         m_source.await_founding();
+    // In a large fleet that starts anew, the watchers alone read the store.
+    if (m_watch_order.size() > m_settings.m_kept_links)
+        choose_watching();
     // Seeds found the fleet, and tell the others.
-    if (may_found() || !m_server->state().m_views.empty())
+    else if (may_found() || !m_watch_order.empty())
         m_source.start();
     else
         m_links.seek(m_settings.m_seeds);
@@ -276,7 +279,7 @@
 bool storage_node::may_found() const
 {
     const auto& seeds = m_settings.m_seeds;
-    return seeds.empty() ||
+    return !m_settings.m_bootstrap || seeds.empty() ||
            std::find(seeds.begin(), seeds.end(), m_settings.m_frames_address) !=
                seeds.end() ||
            m_time.now() - m_started >= founders_patience;
--- a/src/turns/messages.cpp
+++ b/src/turns/messages.cpp
@@ -32,6 +32,7 @@
         out.setRelayAddress(body.m_relay_address);
         out.setZone(body.m_availability_zone);
         out.setKnownRunners(body.m_known_runners);
+        out.setSeeks(body.m_seeks);
     }
     void operator()(const cluster_state& body)
     {
@@ -283,9 +284,9 @@
 
 hello_message read_hello(turns_wire::Hello::Reader in)
 {
-    return {text_of(in.getName()), in.getWantsNews(),
+    return {text_of(in.getName()),         in.getWantsNews(),
             text_of(in.getRelayAddress()), text_of(in.getZone()),
-            in.getKnownRunners()};
+            in.getKnownRunners(),          in.getSeeks()};
 }
 
 neighbours_message
--- a/test/fleet/test_member_links.cpp
+++ b/test/fleet/test_member_links.cpp
@@ -276,3 +276,26 @@
     CHECK(count_runners(world.m_state) == 499);
     CHECK(world.m_entries == (known == 0 ? 499U : 2U));
 }
+
+TEST_CASE("who looks for members is told no long list of runners",
+          "[member_links]")
+{
+    const auto runners = GENERATE(800, 3200);
+    told_world world;
+    cluster_state all;
+    all.m_runners_revision = 10;
+    for (int i = 0; i < runners; ++i)
+        all.m_runners.push_back({"r" + std::to_string(i), "text", 5});
+    all.m_views = {{.m_epoch = 3, .m_members = world.m_members}};
+    world.m_server.take_state(all);
+    world.m_links.seek({world.m_members.front().m_address});
+    REQUIRE(world.wait_for([&] { return !world.m_state.m_views.empty(); }));
+    CHECK(world.m_entries <= 1000);
+    // Its sources tell it all.
+    world.m_links.follow(world.m_members);
+    CHECK(world.wait_for([&] {
+        return count_runners(world.m_state) ==
+               static_cast<std::size_t>(runners);
+    }));
+    CHECK(world.m_entries == static_cast<std::size_t>(runners));
+}
--- /dev/null
+++ b/test/tenancy/owner_fleet.hpp
@@ -0,0 +1,283 @@
+// SPDX-License-Identifier: BSL-1.0
+/// \file
+/// Owners of a limit on the virtual clock: what they know of each other, what
+/// they grant, and what a test breaks on purpose.
+#pragma once
+
+#include "pepperturn/cluster/owner_views.hpp"
+#include "pepperturn/tenancy/freshness.hpp"
+#include "pepperturn/tenancy/limiter.hpp"
+
+#include <algorithm>
+#include <deque>
+
+namespace pepperturn::test {
+
+inline constexpr milliseconds takeover{5000};
+inline constexpr staleness_limits bounds{takeover, milliseconds(3000)};
+inline constexpr std::uint64_t some_workspace = 77;
+inline constexpr request_limit usual_limit{100, 100};
+inline constexpr milliseconds window{5000};
+
+/// A VM that hears the store knows of a change by then: what it believes of the
+/// configuration is no older.
+inline constexpr milliseconds config_known{2000};
+/// The longest wait for a place, as edge VMs ask for it.
+inline constexpr std::uint32_t longest_wait_ms = 1000;
+/// From then on after a change it binds.
+inline constexpr milliseconds config_apply{3000};
+
+/// The operator's rule for one window.
+inline double most_tolerated(const request_limit& limit)
+{
+    return (limit.m_rate_per_s * to_seconds(window) + limit.m_burst) * 1.1 + 20;
+}
+/// What owners grant together in one window.
+inline double most_granted_of(const request_limit& limit)
+{
+    return most_in_window(limit, 1, {});
+}
+
+struct owner_vm
+{
+    explicit owner_vm(std::string name) : m_name(std::move(name)) {}
+
+    std::string m_name;
+    owner_knowledge m_owners;
+    limiter m_limiter;
+    instant m_started{};
+    instant m_views_at{};
+};
+
+/// What a test breaks on purpose.
+enum class broken : std::uint8_t
+{
+    nothing,
+    /// Owners grant however old what they know is.
+    freshness,
+    /// New owners do not wait for the ones before.
+    takeover,
+    /// Owners that restart take it that nothing was granted before.
+    memory,
+    /// What stood between two views that a VM has heard of is not asked for.
+    lineage,
+    /// Callers wait for places at owners that have restarted.
+    places,
+    /// Views that a restarted VM finds on its disk count as old.
+    settling
+};
+
+inline member full_member(const std::string& name)
+{
+    return {.m_name = name, .m_state = member_state::full};
+}
+
+class fleet
+{
+public:
+    explicit fleet(std::size_t size, broken what = broken::nothing)
+        : m_broken(what)
+    {
+        m_now = instant{} + std::chrono::seconds(100);
+        for (std::size_t i = 0; i < size; ++i)
+        {
+            m_vms.emplace_back("vm-" + std::to_string(i));
+            m_view.m_members.push_back(full_member(m_vms.back().m_name));
+        }
+        for (auto& vm : m_vms)
+            hear(vm);
+        pass(std::chrono::seconds(20));
+        for (auto& vm : m_vms)
+            hear(vm);
+    }
+
+    [[nodiscard]] owner_vm& vm(std::size_t index)
+    {
+        return m_vms[index % m_vms.size()];
+    }
+    void pass(milliseconds span)
+    {
+        m_now += span;
+    }
+    /// Its question to the store is answered at once.
+    void hear(owner_vm& vm)
+    {
+        if (m_broken == broken::lineage)
+            vm.m_owners.m_views.clear();
+        (void)take_views(vm.m_owners, {m_view}, m_now, takeover_of());
+        vm.m_views_at = m_now;
+    }
+    void toggle_member(std::size_t index)
+    {
+        const auto& name = vm(index).m_name;
+        auto next = m_view;
+        if (find_member(m_view, name) == nullptr)
+            next.m_members.push_back(full_member(name));
+        else if (m_view.m_members.size() > 1)
+            next = without(m_view, name);
+        else
+            return;
+        m_view = succeed(m_view, std::move(next));
+        ++m_view.m_epoch;
+    }
+    void restart(owner_vm& vm, bool keeps_disk)
+    {
+        vm.m_limiter = limiter{};
+        // Whoever waits for a place there finds its connection gone.
+        if (m_broken != broken::places)
+            std::erase_if(m_grants, [&](const grant& each) {
+                return each.m_owner == &vm && each.m_at > m_now;
+            });
+        vm.m_started = m_now;
+        vm.m_views_at = {};
+        const bool settled = m_broken == broken::settling ||
+                             is_settled(vm.m_owners, m_now, takeover_of());
+        vm.m_owners = keeps_disk ? kept_knowledge(vm.m_owners.m_views, settled,
+                                                  m_now, takeover_of())
+                                 : owner_knowledge{};
+    }
+    /// \returns how many of \p count requests are granted
+    int ask(owner_vm& vm, int count, const request_limit& limit = usual_limit,
+            std::uint64_t revision = 1)
+    {
+        return ask(vm, count,
+                   {some_workspace, limit, revision, 0, false, false});
+    }
+    int ask(owner_vm& vm, int count, const quota_question& question)
+    {
+        const auto left = m_broken == broken::freshness
+                              ? milliseconds::max()
+                              : use_left(bounds, vm.m_views_at, m_now);
+        const auto wanted = owners_for(question);
+        const auto& history = vm.m_owners.m_history;
+        const auto share = left ? share_of(history, vm.m_name, some_workspace,
+                                           m_now, takeover_of(), wanted)
+                                : 0;
+        const auto since = std::max(
+            vm.m_started, granting_since(history, vm.m_name, some_workspace,
+                                         share, takeover_of(), wanted));
+        int granted = 0;
+        for (int i = 0; i < count; ++i)
+        {
+            const auto told = vm.m_limiter.ask(
+                with_patience(question, left), share,
+                m_broken == broken::memory ? instant{} : since, m_now);
+            if (told.m_outcome != quota_outcome::granted)
+                break;
+            ++granted;
+            m_last_place = told.m_place;
+            m_grants.push_back({m_now + wait_of_place(told.m_place), &vm});
+        }
+        return granted;
+    }
+    /// The last grant comes back from \p vm, which gave it, unused.
+    void give_back(owner_vm& vm, quota_question question)
+    {
+        question.m_returned = true;
+        question.m_place = m_last_place;
+        (void)vm.m_limiter.ask(question, 0, instant{}, m_now);
+        m_grants.pop_back();
+    }
+    /// The operator changes the limit; VMs that hear the store know it in time.
+    void change_limit(const request_limit& limit)
+    {
+        m_limits.push_back({m_now, limit});
+    }
+    /// As a VM asks that may not have heard of the last change yet.
+    [[nodiscard]] quota_question question(bool knows_newest) const
+    {
+        const bool may_lag = m_limits.size() > 1 &&
+                             m_now - m_limits.back().m_from < config_known;
+        const auto known = m_limits.size() - (may_lag && !knows_newest ? 2 : 1);
+        return {some_workspace, m_limits[known].m_limit, known + 1, 0, false,
+                false};
+    }
+    /// The most grants in any window.
+    [[nodiscard]] std::size_t most_granted() const
+    {
+        std::size_t most = 0;
+        each_window(
+            [&](instant, std::size_t count) { most = std::max(most, count); });
+        return most;
+    }
+    /// No window holds more than the operator tolerates of the limits that
+    /// may have been in force in it.
+    [[nodiscard]] bool keeps_limits() const
+    {
+        bool keeps = true;
+        each_window([&](instant end, std::size_t count) {
+            double most = 0;
+            for (std::size_t i = 0; i < m_limits.size(); ++i)
+            {
+                const bool over =
+                    i + 1 < m_limits.size() &&
+                    m_limits[i + 1].m_from + config_apply < end - window;
+                if (!over && m_limits[i].m_from <= end)
+                    most = std::max(most, most_tolerated(m_limits[i].m_limit));
+            }
+            keeps = keeps && static_cast<double>(count) <= most;
+        });
+        return keeps;
+    }
+    /// The most grants in any \p span.
+    [[nodiscard]] std::size_t most_in(milliseconds span) const
+    {
+        std::size_t most = 0;
+        each_span(span, [&](instant, std::size_t count) {
+            most = std::max(most, count);
+        });
+        return most;
+    }
+    [[nodiscard]] std::size_t owners() const
+    {
+        return owners_of(writers_of(m_view), some_workspace).size();
+    }
+
+private:
+    [[nodiscard]] milliseconds takeover_of() const
+    {
+        return m_broken == broken::takeover ? milliseconds(0) : takeover;
+    }
+
+    struct grant
+    {
+        instant m_at{};
+        const owner_vm* m_owner = nullptr;
+    };
+    struct limit_period
+    {
+        instant m_from{};
+        request_limit m_limit;
+    };
+
+    template <typename Visit> void each_window(const Visit& visit) const
+    {
+        each_span(window, visit);
+    }
+    template <typename Visit>
+    void each_span(milliseconds span, const Visit& visit) const
+    {
+        std::vector<instant> grants;
+        for (const auto& each : m_grants)
+            grants.push_back(each.m_at);
+        std::sort(grants.begin(), grants.end());
+        std::deque<instant> inside;
+        for (const auto at : grants)
+        {
+            inside.push_back(at);
+            while (at - inside.front() >= span)
+                inside.pop_front();
+            visit(at, inside.size());
+        }
+    }
+
+    broken m_broken;
+    std::vector<limit_period> m_limits{{instant{}, usual_limit}};
+    std::uint32_t m_last_place = 0;
+    instant m_now{};
+    std::vector<owner_vm> m_vms;
+    cluster_view m_view{.m_epoch = 1};
+    std::vector<grant> m_grants;
+};
+
+} // namespace pepperturn::test
