--- a/include/pepperturn/tenancy/cold_allowance.hpp
+++ b/include/pepperturn/tenancy/cold_allowance.hpp
@@ -5,9 +5,9 @@
 /// Load pattern: a zone that comes back with all its runners cold, or a release
 /// that replaces many at once. Each VM by itself sends a cold runner next to
 /// nothing; all of them together send it what a warm one bears, and it falls
-/// over. A cold runner is therefore counted as a workspace is, by one owner, and
-/// nobody sends it a call without leave. A lost owner costs the use of the cold
-/// runners that it counts, which others' runners make good.
+/// over. A cold runner is therefore counted as a workspace is, by one owner,
+/// and nobody sends it a call without leave. A lost owner costs the use of the
+/// cold runners that it counts, which others' runners make good.
 #pragma once
 
 #include "pepperturn/tenancy/limiter.hpp"
--- a/src/cluster/news_sources.cpp
+++ b/src/cluster/news_sources.cpp
@@ -55,7 +55,7 @@
 {
     const auto order = watch_order(members);
     const auto direct = std::min(order.size(), watch_candidates);
-    const std::vector<std::string> watchers(
+    std::vector<std::string> watchers(
         order.begin(), order.begin() + static_cast<std::ptrdiff_t>(direct));
     const auto own =
         std::find_if(members.begin(), members.end(),
--- a/test/forward/test_runner_table.cpp
+++ b/test/forward/test_runner_table.cpp
@@ -243,6 +243,7 @@
 {
     const auto fleet = GENERATE(500, 2000);
     std::vector<runner_info> runners;
+    runners.reserve(fleet);
     for (int i = 0; i < fleet; ++i)
         runners.push_back(
             runner("r" + std::to_string(i), "z" + std::to_string(i % 5)));
@@ -267,6 +268,7 @@
     constexpr int fleet = 400;
     constexpr std::uint64_t vms = 800;
     std::vector<runner_info> runners;
+    runners.reserve(fleet);
     for (int i = 0; i < fleet; ++i)
         runners.push_back(runner("r" + std::to_string(i), "z1"));
     const auto busiest = [&](bool own_seeds) {
@@ -294,6 +296,7 @@
           "[runner_table]")
 {
     std::vector<runner_info> runners;
+    runners.reserve(400);
     for (int i = 0; i < 400; ++i)
         runners.push_back(runner("r" + std::to_string(i), "z1"));
     std::map<std::string, int> calls;
--- a/test/tenancy/owner_fleet.hpp
+++ b/test/tenancy/owner_fleet.hpp
@@ -69,7 +69,7 @@
 
 inline member full_member(const std::string& name)
 {
-    return {.m_name = name, .m_state = member_state::full};
+    return {name, {}, {}, 0, member_state::full, false};
 }
 
 class fleet
@@ -258,6 +258,7 @@
     void each_span(milliseconds span, const Visit& visit) const
     {
         std::vector<instant> grants;
+        grants.reserve(m_grants.size());
         for (const auto& each : m_grants)
             grants.push_back(each.m_at);
         std::sort(grants.begin(), grants.end());
