--- a/src/forward/runner_table.cpp
+++ b/src/forward/runner_table.cpp
@@ -32,6 +32,18 @@
            std::exp(-to_seconds(now - row.m_trouble_at) / trouble_memory_s);
 }
 
+/// Adds the runners that follow \p count points drawn by \p key.
+void take_from_ring(const std::map<std::uint64_t, const runner_row*>& ring,
+                    std::uint64_t key, std::size_t count,
+                    std::vector<const runner_row*>& out)
+{
+    for (std::size_t i = 0; i < count && !ring.empty(); ++i)
+    {
+        auto at = ring.lower_bound(hash_combine(key, i));
+        out.push_back(at == ring.end() ? ring.begin()->second : at->second);
+    }
+}
+
 } // namespace
 
 std::vector<std::string>
@@ -146,22 +158,6 @@
     return found == m_by_hash.end() ? nullptr : found->second;
 }
 
-namespace {
-
-/// Adds the runners that follow \p count points drawn by \p key.
-void take_from_ring(const std::map<std::uint64_t, const runner_row*>& ring,
-                    std::uint64_t key, std::size_t count,
-                    std::vector<const runner_row*>& out)
-{
-    for (std::size_t i = 0; i < count && !ring.empty(); ++i)
-    {
-        auto at = ring.lower_bound(hash_combine(key, i));
-        out.push_back(at == ring.end() ? ring.begin()->second : at->second);
-    }
-}
-
-} // namespace
-
 runner_table::row_list
 runner_table::homes_of_part(const service_rows& rows,
                             const runner_choice& choice) const
