Fleet: an edge VM that starts leaves the store to the watchers while it hears a storage VM

Change: 4 s of patience in place of 0.7 where there are more than [links] kept storage VMs and one is heard. Fleets of fewer storage VMs are served as before.

--- a/include/pepperturn/cluster/news_sources.hpp
+++ b/include/pepperturn/cluster/news_sources.hpp
@@ -83,6 +83,13 @@
 /// small share of a core and of a link.
 [[nodiscard]] std::size_t sources_wanted(const listener_facts& facts);
 
+/// How long an edge VM that starts waits for word of the platform's store
+/// before it asks the store itself. Where there are thousands of runners, all
+/// edge VMs that start at once would otherwise read each of them, on small
+/// shares of a core, and hear nothing else meanwhile.
+/// \param hears_storage some storage VM is heard
+[[nodiscard]] milliseconds store_patience(bool large_fleet, bool hears_storage);
+
 /// The storage VMs that \p self should hear the world from: those of its own
 /// zone first, each VM in an order of its own.
 /// \param usable whether a VM is connected
--- a/src/cluster/news_sources.cpp
+++ b/src/cluster/news_sources.cpp
@@ -17,6 +17,12 @@
 /// Several times what a list takes to a small VM; then the others are heard
 /// as well.
 constexpr milliseconds first_list_patience{1500};
+/// A VM that starts hears of the world from the storage VMs; each question
+/// to the store is priced.
+constexpr milliseconds seed_patience{700};
+/// The watchers of a large fleet read thousands of runners first, and their
+/// word passes two steps: several times what that takes.
+constexpr milliseconds large_fleet_patience{4000};
 /// Those further back wait no longer than this, since the first ones may all
 /// be gone.
 constexpr std::size_t most_steps = 4;
@@ -89,6 +95,11 @@
     return facts.m_too_few_for >= steps * takeover_step;
 }
 
+milliseconds store_patience(bool large_fleet, bool hears_storage)
+{
+    return large_fleet && hears_storage ? large_fleet_patience : seed_patience;
+}
+
 std::size_t sources_wanted(const listener_facts& facts)
 {
     const bool alone = facts.m_large_fleet && !facts.m_told &&
--- a/src/fleet/edge_node.cpp
+++ b/src/fleet/edge_node.cpp
@@ -14,9 +14,6 @@
 /// an edge VM asks the store itself. Storage VMs tell twice a second, and
 /// what they tell may be a watch old.
 constexpr milliseconds relay_patience{3200};
-/// A VM that starts hears of the world from the storage VMs; each question
-/// to the store is priced.
-constexpr milliseconds seed_patience{700};
 /// A seed that runs has answered by then: several round trips.
 constexpr milliseconds seed_answer{15};
 /// While nothing can be served yet: a round trip within the region.
@@ -249,7 +246,9 @@
 {
     const auto now = m_time.now();
     const bool relayed = now - m_links.store_heard() < relay_patience;
-    if (!relayed && now - m_started < seed_patience)
+    const auto patience = store_patience(
+        m_members.size() > m_settings.m_kept_links, m_turns.connected());
+    if (!relayed && now - m_started < patience)
         return;
     if (relayed != m_own_source)
         return;
--- a/test/cluster/test_news_sources.cpp
+++ b/test/cluster/test_news_sources.cpp
@@ -173,3 +173,13 @@
     }));
     CHECK(sources_wanted(each.m_facts) == each.m_wanted);
 }
+
+TEST_CASE("an edge VM that starts leaves the store to others for a while",
+          "[news_sources]")
+{
+    const milliseconds usual = store_patience(false, true);
+    CHECK(store_patience(false, false) == usual);
+    // Nobody is there who could tell it.
+    CHECK(store_patience(true, false) == usual);
+    CHECK(store_patience(true, true) >= 4 * usual);
+}
