Tests: the pause over a lost history catches the fault that it is for

Tried against the faulty line: the test passed, since the entry that others told had a revision above the store's and so outlived the false list. With a revision below it the faulty code keeps 1 of 2 runners, the mended one both. No check changed.

--- a/test/platform/test_cluster_source.cpp
+++ b/test/platform/test_cluster_source.cpp
@@ -367,7 +367,7 @@
     world.m_source.pause();
     world.settle(milliseconds(2500));
     cluster_state told;
-    told.m_runners = {{"i-2", entry("ready", 1), 1000}};
+    told.m_runners = {{"i-2", entry("ready", 1), 1}};
     merge_state(world.m_state, told);
     world.m_store.put("servers/i-2", entry("ready", 1));
     world.m_store.compact();
