Readers: lines tell what the held bytes are for, and who passed the bound

Each change of level now tells the sum by kind, and each change that takes the sum past the bound is a line of its own with its kind and bytes.

--- a/include/pepperturn/forward/held_bytes.hpp
+++ b/include/pepperturn/forward/held_bytes.hpp
@@ -34,6 +34,8 @@
 
 constexpr std::size_t held_kinds = 6;
 
+[[nodiscard]] const char* to_string(held_kind kind);
+
 class held_account;
 
 /// The sums of one VM. Used from one thread.
@@ -67,6 +69,12 @@
     {
         m_on_level = std::move(handler);
     }
+    /// Called with the kind and the bytes of each change that takes the sum
+    /// past the bound; it may not change any account.
+    void on_passed(std::function<void(held_kind, std::uint64_t)> handler)
+    {
+        m_on_passed = std::move(handler);
+    }
     /// The oldest request whose answer was held up for want of room while it
     /// is gathered; null: there is none.
     [[nodiscard]] const held_account* first_gathering() const
@@ -109,6 +117,7 @@
     std::uint64_t m_readers_cut = 0;
     pressure_level m_level = pressure_level::calm;
     std::function<void(pressure_level)> m_on_level;
+    std::function<void(held_kind, std::uint64_t)> m_on_passed;
 };
 
 /// What one request or connection holds; all of it is given back at its end.
--- a/include/pepperturn/forward/memory_guard.hpp
+++ b/include/pepperturn/forward/memory_guard.hpp
@@ -47,6 +47,8 @@
 private:
     [[nodiscard]] bool has_room(const held_account* held) const;
     void take_level(pressure_level level);
+    /// Tells which bytes took the sum past the bound.
+    void take_passed(held_kind kind, std::uint64_t added) const;
     /// Cuts the slowest readers for as long as that is needed.
     task<> relieve();
     void cut_slowest();
--- a/src/forward/held_bytes.cpp
+++ b/src/forward/held_bytes.cpp
@@ -16,6 +16,26 @@
 
 } // namespace
 
+const char* to_string(held_kind kind)
+{
+    switch (kind)
+    {
+    case held_kind::request:
+        return "request";
+    case held_kind::chain:
+        return "chain";
+    case held_kind::late_body:
+        return "late_body";
+    case held_kind::answer:
+        return "answer";
+    case held_kind::incoming:
+        return "incoming";
+    case held_kind::unread:
+        return "unread";
+    }
+    return "unknown";
+}
+
 void held_book::set_bound(std::uint64_t bound)
 {
     m_bound = bound;
@@ -46,6 +66,8 @@
         m_by_workspace.erase(row);
     m_most = std::max(m_most, m_total);
     adjust_level();
+    if (after > before && m_total > m_bound && m_on_passed)
+        m_on_passed(kind, after - before);
 }
 
 void held_book::adjust_level()
--- a/src/forward/memory_guard.cpp
+++ b/src/forward/memory_guard.cpp
@@ -21,6 +21,18 @@
 /// Runners cut off an answer that stays unread for some seconds; longer than
 /// it takes to tell who reads slowly.
 constexpr milliseconds room_patience{2500};
+/// What the bytes are held for, to tell who filled the memory.
+std::string kinds_text(const held_book& book)
+{
+    std::string out;
+    for (std::size_t i = 0; i < held_kinds; ++i)
+    {
+        const auto kind = static_cast<held_kind>(i);
+        out += std::string(" ") + to_string(kind) + '=' +
+               std::to_string(book.of_kind(kind));
+    }
+    return out;
+}
 
 } // namespace
 
@@ -28,12 +40,16 @@
     : m_io(io), m_time(time), m_book(std::make_shared<held_book>(held_bound(0)))
 {
     m_book->on_level([this](pressure_level level) { take_level(level); });
+    m_book->on_passed([this](held_kind kind, std::uint64_t added) {
+        take_passed(kind, added);
+    });
 }
 
 memory_guard::~memory_guard()
 {
     // Accounts of calls that were never ended hold on to the book.
     m_book->on_level(nullptr);
+    m_book->on_passed(nullptr);
 }
 
 void memory_guard::bound_by(std::uint32_t memory_mb)
@@ -85,13 +101,20 @@
 {
     LOG(INFO) << "event=memory_pressure level=" << to_string(level)
               << " held=" << m_book->total() << " bound=" << m_book->bound()
-              << " unread=" << m_book->of_kind(held_kind::unread)
-              << " waiting=" << m_book->waiting().size();
+              << kinds_text(*m_book) << " waiting=" << m_book->waiting().size();
     if (level != pressure_level::cutting || std::exchange(m_relieving, true))
         return;
     spawn(m_io, "memory_guard.relieve", relieve());
 }
 
+void memory_guard::take_passed(held_kind kind, std::uint64_t added) const
+{
+    LOG(WARNING) << "event=held_bound_passed kind=" << to_string(kind)
+                 << " added=" << added << " held=" << m_book->total()
+                 << " bound=" << m_book->bound() << kinds_text(*m_book)
+                 << " waiting=" << m_book->waiting().size();
+}
+
 task<> memory_guard::relieve()
 {
     while (level() == pressure_level::cutting)
