Readers: what may come is reserved before it is read, so that held bytes keep their bound

Cause: bytes were counted after they had come and nothing refused them.

Change: accounts reserve; held and reserved bytes never pass the bound together. Shares for long answers, new work and delivery, so that a crowd leaves room for usual calls and delivery is never shut out. A call without room for its first piece is refused before it is sent.

--- a/include/pepperturn/forward/caller_connection.hpp
+++ b/include/pepperturn/forward/caller_connection.hpp
@@ -88,7 +88,10 @@
     /// \param charged bytes that are held only for this write
     task<bool> write_all(std::string_view head, std::string_view body,
                          std::size_t charged);
-    void begin_wait(std::size_t charged);
+    /// When the caller is given up that has not taken what is written now.
+    [[nodiscard]] instant write_end() const;
+    /// \param room what was found to be free for this wait
+    void begin_wait(std::size_t charged, std::size_t room);
     void end_wait();
     /// Ends the connection, with what the kernel still has for it.
     void cut();
@@ -104,6 +107,8 @@
     std::shared_ptr<held_account> m_held;
     std::optional<instant> m_write_until;
     bool m_cut_unread = false;
+    /// The present answer is a stream.
+    bool m_streaming = false;
     bool m_read_late = false;
     boost::beast::flat_buffer m_buffer;
     bool m_idle = true;
--- a/include/pepperturn/forward/exchange.hpp
+++ b/include/pepperturn/forward/exchange.hpp
@@ -74,6 +74,8 @@
     milliseconds m_took{0};
     /// No first byte came in the time that was left for it.
     bool m_late = false;
+    /// Not sent: this VM has no room for what would come back.
+    bool m_no_memory = false;
     /// Parts of a stream were passed on.
     bool m_streamed = false;
     /// For a runner that said it is full: when it thinks to have room.
@@ -118,9 +120,9 @@
     std::shared_ptr<const void> m_owner = {};
     /// Where the bytes held for it count; null: nowhere.
     std::shared_ptr<held_account> m_held = {};
-    /// Asked before more of an answer is gathered: this VM can hold it. Empty:
-    /// yes.
-    std::function<task<bool>()> m_room = {};
+    /// Asked before more of an answer is gathered: this VM can hold so many
+    /// bytes more. Empty: yes.
+    std::function<task<bool>(std::uint64_t)> m_room = {};
 };
 
 /// Runs one attempt at \p runner.
--- a/include/pepperturn/forward/held_bytes.hpp
+++ b/include/pepperturn/forward/held_bytes.hpp
@@ -2,6 +2,9 @@
 /// \file
 /// Bytes that an edge VM holds for callers and runners: by what they are, by
 /// connection, by workspace and for the whole VM.
+///
+/// Bytes that may come are reserved first. What is held and what is reserved
+/// beyond it never pass the bound together, whoever asks and in which order.
 #pragma once
 
 #include "pepperturn/scheduling/read_pressure.hpp"
@@ -53,6 +56,11 @@
     {
         return m_total;
     }
+    /// Held, and reserved beyond that.
+    [[nodiscard]] std::uint64_t committed() const
+    {
+        return m_committed;
+    }
     /// The most that was ever held at once.
     [[nodiscard]] std::uint64_t most() const
     {
@@ -69,12 +77,14 @@
     {
         m_on_level = std::move(handler);
     }
-    /// Called with the kind and the bytes of each change that takes the sum
-    /// past the bound; it may not change any account.
-    void on_passed(std::function<void(held_kind, std::uint64_t)> handler)
+    /// Called with the kind and the bytes that found no room; it may not
+    /// change any account.
+    void on_refused(std::function<void(held_kind, std::uint64_t)> handler)
     {
-        m_on_passed = std::move(handler);
+        m_on_refused = std::move(handler);
     }
+    /// There is room for \p bytes more now.
+    [[nodiscard]] bool fits(held_kind kind, std::uint64_t bytes) const;
     /// The oldest request whose answer was held up for want of room while it
     /// is gathered; null: there is none.
     [[nodiscard]] const held_account* first_gathering() const
@@ -101,10 +111,16 @@
 
     void change(held_kind kind, const std::string& workspace,
                 std::uint64_t before, std::uint64_t after);
+    /// \returns false and changes nothing if there is no room for it
+    [[nodiscard]] bool commit(held_kind kind, std::uint64_t before,
+                              std::uint64_t after);
+    void count_workspace(const std::string& name, std::uint64_t before,
+                         std::uint64_t after);
     void adjust_level();
 
     std::uint64_t m_bound;
     std::uint64_t m_total = 0;
+    std::uint64_t m_committed = 0;
     std::uint64_t m_most = 0;
     std::array<std::uint64_t, held_kinds> m_by_kind{};
     /// Only those that hold something.
@@ -117,7 +133,7 @@
     std::uint64_t m_readers_cut = 0;
     pressure_level m_level = pressure_level::calm;
     std::function<void(pressure_level)> m_on_level;
-    std::function<void(held_kind, std::uint64_t)> m_on_passed;
+    std::function<void(held_kind, std::uint64_t)> m_on_refused;
 };
 
 /// What one request or connection holds; all of it is given back at its end.
@@ -129,9 +145,22 @@
     held_account(const held_account&) = delete;
     held_account& operator=(const held_account&) = delete;
 
-    void set(held_kind kind, std::uint64_t bytes);
-    void add(held_kind kind, std::uint64_t bytes);
+    /// Sees to it that \p bytes of \p kind may be held from now on, those that
+    /// are held already among them.
+    /// \returns false and changes nothing if there is no room for it
+    [[nodiscard]] bool reserve(held_kind kind, std::uint64_t bytes);
+    /// The same for \p bytes beyond those that are held.
+    [[nodiscard]] bool reserve_more(held_kind kind, std::uint64_t bytes);
+    /// \returns false and changes nothing if there is no room for it, which
+    /// cannot be within what is reserved
+    [[nodiscard]] bool set(held_kind kind, std::uint64_t bytes);
+    [[nodiscard]] bool add(held_kind kind, std::uint64_t bytes);
+    /// Holds all that is reserved of \p kind.
+    void hold_reserved(held_kind kind);
+    /// Holds less; what is reserved stays so.
     void give_back(held_kind kind, std::uint64_t bytes);
+    /// Reserves nothing beyond what is held.
+    void end_reserve(held_kind kind);
     /// Whose the bytes are from now on; empty: nobody's.
     void set_workspace(const std::string& name);
     [[nodiscard]] std::uint64_t total() const;
@@ -157,8 +186,12 @@
     void cut();
 
 private:
+    void hold(held_kind kind, std::uint64_t bytes);
+    [[nodiscard]] std::uint64_t committed(held_kind kind) const;
+
     std::shared_ptr<held_book> m_book;
     std::array<std::uint64_t, held_kinds> m_held{};
+    std::array<std::uint64_t, held_kinds> m_reserved{};
     std::string m_workspace;
     std::uint64_t m_number;
     instant m_since{};
--- a/include/pepperturn/forward/memory_guard.hpp
+++ b/include/pepperturn/forward/memory_guard.hpp
@@ -7,6 +7,8 @@
 #include "pepperturn/base/async.hpp"
 #include "pepperturn/forward/held_bytes.hpp"
 
+#include <optional>
+
 namespace pepperturn {
 
 class memory_guard
@@ -32,11 +34,18 @@
     /// Held up for a moment while the VM is under pressure.
     [[nodiscard]] task<> pause();
     /// Waits until slow readers have made room for more of an answer, for as
-    /// long as a runner keeps one that is not read. The oldest request may go
-    /// on up to the bound.
+    /// long as a runner keeps one that is not read; reserves that room. Where
+    /// it is short the oldest request goes on alone.
+    /// \param bytes of the answer's next piece
     /// \returns false if there is no room
-    [[nodiscard]] task<bool> wait_for_room(std::shared_ptr<held_account> held);
-    /// Counts a request that was refused for the memory of its body.
+    [[nodiscard]] task<bool> wait_for_room(std::shared_ptr<held_account> held,
+                                           std::uint64_t bytes);
+    /// Waits until an answer that is ready may be left unread by its caller.
+    /// \param bytes that are held if it does not read
+    /// \returns false if there is no room by then
+    [[nodiscard]] task<bool> wait_to_deliver(std::uint64_t bytes,
+                                             instant until);
+    /// Counts a request that was refused for want of memory.
     void note_refused()
     {
         ++m_refused;
@@ -45,10 +54,10 @@
     void write_metrics(std::string& out) const;
 
 private:
-    [[nodiscard]] bool has_room(const held_account* held) const;
+    [[nodiscard]] bool take_room(held_account& held, std::uint64_t bytes);
     void take_level(pressure_level level);
-    /// Tells which bytes took the sum past the bound.
-    void take_passed(held_kind kind, std::uint64_t added) const;
+    /// Counts room that was refused; tells it once a second for each kind.
+    void take_refused(held_kind kind, std::uint64_t asked);
     /// Cuts the slowest readers for as long as that is needed.
     task<> relieve();
     void cut_slowest();
@@ -57,6 +66,9 @@
     const clock& m_time;
     std::shared_ptr<held_book> m_book;
     std::uint64_t m_refused = 0;
+    std::array<std::uint64_t, held_kinds> m_no_room{};
+    /// When that was last told.
+    std::array<std::optional<instant>, held_kinds> m_told{};
     bool m_relieving = false;
 };
 
--- a/include/pepperturn/forward/proxy.hpp
+++ b/include/pepperturn/forward/proxy.hpp
@@ -287,6 +287,8 @@
                                                attempt_result result);
     /// The answer when no further attempt is made.
     [[nodiscard]] verdict give_up(call& work, progress& state, bool given_up);
+    /// This VM has no room for an answer.
+    [[nodiscard]] verdict refuse_for_memory(call& work, progress& state);
     [[nodiscard]] upstream_answer refuse(call& work, const std::string& why,
                                          milliseconds come_back);
     [[nodiscard]] upstream_answer fail(call& work, unsigned status,
--- a/include/pepperturn/scheduling/read_pressure.hpp
+++ b/include/pepperturn/scheduling/read_pressure.hpp
@@ -10,6 +10,11 @@
 /// new connections wait for a moment, large requests are refused before they
 /// have run, and at last those that read slowest are cut. A caller that reads
 /// at a usual pace is never cut.
+///
+/// The bound is kept by reserving: what may come is counted before it is read,
+/// and what finds no room is not read. Long answers stop first, then new work,
+/// and the last of the room is for delivering what is ready, which is what
+/// makes room again.
 #pragma once
 
 #include "pepperturn/base/time.hpp"
@@ -43,6 +48,27 @@
 [[nodiscard]] pressure_level next_level(pressure_level now, std::uint64_t held,
                                         std::uint64_t bound);
 
+/// What room is asked for.
+enum class room_use : std::uint8_t
+{
+    /// Requests and answers that are still to come.
+    work,
+    /// What is ready and goes to its caller.
+    delivery
+};
+
+/// The most that may be held and reserved when room is given, in bytes.
+[[nodiscard]] std::uint64_t room_limit(room_use use, std::uint64_t bound);
+
+/// A long answer may be gathered on. What it leaves free is for requests with
+/// usual answers, which are taken beside any crowd that does not read.
+/// \param committed bytes that are held or reserved by all
+/// \param more bytes of its next piece
+/// \param first it is the oldest of those that were held up
+[[nodiscard]] bool may_gather_on(pressure_level level, std::uint64_t committed,
+                                 std::uint64_t bound, std::uint64_t more,
+                                 bool first);
+
 /// A body may be read.
 /// \param body bytes that are still to come, as far as they are known
 [[nodiscard]] bool may_read_body(pressure_level level, std::uint64_t held,
--- a/src/forward/caller_connection.cpp
+++ b/src/forward/caller_connection.cpp
@@ -4,6 +4,7 @@
 #include "pepperturn/scheduling/refusal.hpp"
 
 #include <array>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/status.hpp>
@@ -25,8 +26,8 @@
 constexpr milliseconds discard_patience{500};
 /// A body of the largest size passes in this time on a slow link.
 constexpr milliseconds body_patience{10000};
-/// What the kernel keeps of a stream that is not read on from its runner.
-constexpr std::size_t stream_bytes = upstream_pool::receive_bytes;
+/// The parser reads at most so much at once.
+constexpr std::size_t most_read_bytes = 64U << 10U;
 constexpr std::string_view head_end = "\r\n\r\n";
 
 std::string_view view_of(const boost::beast::flat_buffer& buffer)
@@ -96,6 +97,7 @@
     m_idle = m_buffer.size() == 0;
     m_held = std::make_shared<held_account>(m_memory.book());
     m_write_until.reset();
+    m_streaming = false;
     std::size_t searched = 0;
     std::size_t head_bytes = 0;
     // Not the stream's own expiry, which closes the socket: a slow caller is
@@ -147,7 +149,10 @@
         out.m_request.base() = parser.get().base();
         return out;
     };
-    if (!m_memory.may_read_body(parser.content_length().value_or(0)))
+    const auto length = parser.content_length();
+    // All of a body is held for before any of it comes.
+    if (!m_memory.may_read_body(length.value_or(0)) ||
+        !m_held->set(held_kind::request, length.value_or(0)))
         co_return no_memory();
     if (parser.get()[http::field::expect] == "100-continue")
     {
@@ -158,9 +163,13 @@
     }
     while (!parser.is_done() && !ec)
     {
+        const auto most = m_buffer.size() +
+                          boost::beast::read_size(m_buffer, most_read_bytes);
+        if (!length &&
+            !m_held->set(held_kind::request, parser.get().body().size() + most))
+            co_return no_memory();
         co_await http::async_read_some(m_stream, m_buffer, parser, into(ec));
         const auto size = parser.get().body().size();
-        m_held->set(held_kind::request, size);
         // Least is lost with what has not run.
         if (!ec && !parser.is_done() &&
             m_memory.level() == pressure_level::cutting &&
@@ -182,6 +191,8 @@
     read_result out;
     out.m_outcome = read_outcome::request;
     out.m_request = parser.release();
+    // Less than was asked for above is never refused.
+    (void)m_held->set(held_kind::request, out.m_request.body().size());
     co_return out;
 }
 
@@ -218,6 +229,19 @@
     auto& socket = m_stream.socket();
     error_code ec;
     bool waits = false;
+    // What the caller may leave unread: its copies here and in the kernel.
+    const auto room =
+        charged + std::min<std::size_t>(send_bytes, head.size() + body.size());
+    bool fits = m_memory.book()->fits(held_kind::unread, room);
+    if (!fits)
+        fits = co_await m_memory.wait_to_deliver(room, write_end());
+    if (!fits)
+    {
+        LOG(INFO) << "event=answer_undelivered held=" << m_held->total()
+                  << " asked=" << room
+                  << " cause=no_room held_by_all=" << m_memory.book()->total();
+        cut();
+    }
     while (!ec && !m_cut_unread && head.size() + body.size() > 0)
     {
         const std::array<asio::const_buffer, 2> rest{
@@ -227,7 +251,7 @@
         if (ec == asio::error::would_block)
         {
             if (!std::exchange(waits, true))
-                begin_wait(charged);
+                begin_wait(charged, room);
             co_await socket.async_wait(tcp::socket::wait_write, into(ec));
             continue;
         }
@@ -242,15 +266,24 @@
     co_return !ec && !m_cut_unread;
 }
 
-void caller_connection::begin_wait(std::size_t charged)
+instant caller_connection::write_end() const
+{
+    return m_write_until.value_or(m_time.now() + write_patience);
+}
+
+void caller_connection::begin_wait(std::size_t charged, std::size_t room)
 {
-    m_held->set(held_kind::unread, charged + send_bytes);
+    // The kernel is full, if need be with answers of before; those were not
+    // asked room for, and count as far as there is any.
+    if (!m_held->set(held_kind::unread, charged + send_bytes))
+        (void)m_held->set(held_kind::unread, room);
+    if (m_streaming)
+        m_held->hold_reserved(held_kind::incoming);
     m_held->begin_wait(m_time.now(), [weak = weak_from_this()] {
         if (const auto self = weak.lock())
             self->cut();
     });
-    m_write_timer.expires_at(
-        m_write_until.value_or(m_time.now() + write_patience));
+    m_write_timer.expires_at(write_end());
     m_write_timer.async_wait([weak = weak_from_this(),
                               held = m_held](error_code ec) {
         const auto self = weak.lock();
@@ -268,7 +301,9 @@
 {
     m_write_timer.cancel();
     m_held->end_wait(m_time.now());
-    m_held->set(held_kind::unread, 0);
+    m_held->give_back(held_kind::unread, UINT64_MAX);
+    if (m_streaming)
+        m_held->give_back(held_kind::incoming, UINT64_MAX);
 }
 
 void caller_connection::cut()
@@ -297,9 +332,10 @@
 task<bool> caller_connection::begin_stream(const upstream_answer& head,
                                            bool keep_alive)
 {
+    m_streaming = true;
     auto text = head_text(head, keep_alive);
     text += "Transfer-Encoding: chunked\r\n\r\n";
-    co_return co_await write_all(text, {}, text.size() + stream_bytes);
+    co_return co_await write_all(text, {}, text.size());
 }
 
 task<bool> caller_connection::write_piece(std::string_view bytes)
@@ -311,7 +347,7 @@
     std::string text(size.data(), static_cast<std::size_t>(count));
     text += bytes;
     text += "\r\n";
-    co_return co_await write_all(text, {}, text.size() + stream_bytes);
+    co_return co_await write_all(text, {}, text.size());
 }
 
 task<bool> caller_connection::end_stream()
--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -95,8 +95,6 @@
         state->m_untaken = true;
         state->m_connection->m_stream.close();
     });
-    if (state->m_held)
-        state->m_held->add(held_kind::late_body, upstream_pool::send_bytes);
     error_code ec;
     const std::array<asio::const_buffer, 2> parts{
         asio::buffer(state->m_head),
@@ -112,6 +110,27 @@
     state->m_written = !ec;
 }
 
+/// Reserves room for a first piece of an answer, and for what the kernel has
+/// of it while it is not read on; holds what the kernel keeps of a long body.
+/// \returns false if there is no room
+bool reserve_room(held_account& held, std::size_t body_bytes)
+{
+    const bool late = body_bytes > inline_write_bytes;
+    if (!held.reserve(held_kind::incoming, upstream_pool::receive_bytes))
+        return false;
+    if (!held.reserve_more(held_kind::answer, read_bytes))
+        return false;
+    return !late || held.add(held_kind::late_body, upstream_pool::send_bytes);
+}
+
+/// Gives back what an attempt reserved and did not use.
+void end_reserve(held_account& held)
+{
+    held.end_reserve(held_kind::incoming);
+    held.end_reserve(held_kind::answer);
+    held.end_gathering();
+}
+
 /// Sends the request; large bodies go on being sent after the return.
 task<bool> send_request(asio::io_context& io,
                         std::shared_ptr<attempt_state> state,
@@ -167,20 +186,39 @@
     std::string m_reason;
 };
 
-/// Passes the body to \p take as it comes.
+/// Takes a body as it comes.
+struct body_sink
+{
+    std::function<task<bool>(std::string_view)> m_take;
+    /// Asked for room beyond the first piece; empty: nothing is kept.
+    std::function<task<bool>()> m_room;
+};
+
+/// Passes the body on as it comes.
 /// \param gap_patience longest wait for each piece; empty: no limit
 task<body_read> read_body(std::shared_ptr<attempt_state> state,
                           answer_parser& parser,
                           std::optional<milliseconds> gap_patience,
-                          std::function<task<bool>(std::string_view)> take)
+                          body_sink sink)
 {
     body_read out;
     std::array<char, read_bytes> chunk;
+    auto room = chunk.size();
     auto& connection = *state->m_connection;
     while (!parser.is_done())
     {
+        if (room == 0)
+        {
+            out.m_no_room = !co_await sink.m_room();
+            room = chunk.size();
+        }
+        if (out.m_no_room)
+        {
+            out.m_reason = "longer than this VM can hold";
+            co_return out;
+        }
         parser.get().body().data = chunk.data();
-        parser.get().body().size = chunk.size();
+        parser.get().body().size = room;
         error_code ec;
         if (gap_patience)
             connection.m_stream.expires_after(*gap_patience);
@@ -193,8 +231,11 @@
             out.m_reason = ec.message();
             co_return out;
         }
-        const auto count = chunk.size() - parser.get().body().size;
-        if (count > 0 && !co_await take(std::string_view(chunk.data(), count)))
+        const auto count = room - parser.get().body().size;
+        if (sink.m_room)
+            room -= count;
+        if (count > 0 &&
+            !co_await sink.m_take(std::string_view(chunk.data(), count)))
         {
             out.m_caller_gone = true;
             co_return out;
@@ -287,6 +328,15 @@
         pool.put_back(runner.m_id, state->m_connection, keep_margin);
         co_return result;
     }
+    if (request.m_held && !reserve_room(*request.m_held, request.m_body.size()))
+    {
+        end_reserve(*request.m_held);
+        result.m_outcome = attempt_outcome::not_run;
+        result.m_no_memory = true;
+        result.m_reason = "no memory for its answer";
+        pool.put_back(runner.m_id, state->m_connection, keep_margin);
+        co_return result;
+    }
     aborter->on_pull([kept = state->m_connection] { kept->m_stream.close(); });
     const auto sent_at = time.now();
     const auto left = std::max(
@@ -334,36 +384,37 @@
         result.m_answer.m_fields = head.base();
         const bool stream =
             request.m_streaming && result.m_answer.m_status == 200;
-        std::function<task<bool>(std::string_view)> take =
-            [&](std::string_view bytes) -> task<bool> {
+        body_sink gathered;
+        gathered.m_take = [&](std::string_view bytes) -> task<bool> {
             result.m_answer.m_body += bytes;
+            // Within what was reserved for it.
             if (request.m_held)
-                request.m_held->add(held_kind::answer, bytes.size());
-            if (result.m_answer.m_body.size() > max_answer_bytes)
-                co_return false;
-            const bool usual = result.m_answer.m_body.size() <= read_bytes;
-            if (usual || !request.m_room)
+                (void)request.m_held->add(held_kind::answer, bytes.size());
+            co_return result.m_answer.m_body.size() <= max_answer_bytes;
+        };
+        gathered.m_room = [&]() -> task<bool> {
+            if (!request.m_room)
                 co_return true;
-            co_return co_await request.m_room();
+            co_return co_await request.m_room(read_bytes);
         };
         if (stream)
         {
             result.m_streamed = true;
-            take = sink.m_data;
+            gathered = {sink.m_data, {}};
             if (!co_await sink.m_begin(result.m_answer))
                 body.m_caller_gone = true;
         }
         if (!body.m_caller_gone)
-            body =
-                co_await read_body(state, parser, request.m_gap_patience, take);
-        if (request.m_held)
-            request.m_held->end_gathering();
+            body = co_await read_body(state, parser, request.m_gap_patience,
+                                      gathered);
         if (!stream && std::exchange(body.m_caller_gone, false))
         {
             body.m_no_room = true;
-            body.m_reason = "longer than this VM can hold";
+            body.m_reason = "longer than any answer may be";
         }
     }
+    if (request.m_held)
+        end_reserve(*request.m_held);
     aborter->on_pull(nullptr);
     runners.note_ended(runner.m_id);
     const bool surplus = connection.m_buffer.size() > 0;
--- a/src/forward/held_bytes.cpp
+++ b/src/forward/held_bytes.cpp
@@ -53,6 +53,26 @@
     return m_by_kind.at(index_of(kind));
 }
 
+bool held_book::fits(held_kind kind, std::uint64_t bytes) const
+{
+    const auto use =
+        kind == held_kind::unread ? room_use::delivery : room_use::work;
+    return m_committed + bytes <= room_limit(use, m_bound);
+}
+
+bool held_book::commit(held_kind kind, std::uint64_t before,
+                       std::uint64_t after)
+{
+    if (after > before && !fits(kind, after - before))
+    {
+        if (m_on_refused)
+            m_on_refused(kind, after - before);
+        return false;
+    }
+    m_committed += after - before;
+    return true;
+}
+
 void held_book::change(held_kind kind, const std::string& workspace,
                        std::uint64_t before, std::uint64_t after)
 {
@@ -60,14 +80,18 @@
         return;
     m_total += after - before;
     m_by_kind.at(index_of(kind)) += after - before;
-    const auto row = m_by_workspace.try_emplace(workspace, 0).first;
+    count_workspace(workspace, before, after);
+    m_most = std::max(m_most, m_total);
+    adjust_level();
+}
+
+void held_book::count_workspace(const std::string& name, std::uint64_t before,
+                                std::uint64_t after)
+{
+    const auto row = m_by_workspace.try_emplace(name, 0).first;
     row->second += after - before;
     if (row->second == 0)
         m_by_workspace.erase(row);
-    m_most = std::max(m_most, m_total);
-    adjust_level();
-    if (after > before && m_total > m_bound && m_on_passed)
-        m_on_passed(kind, after - before);
 }
 
 void held_book::adjust_level()
@@ -88,40 +112,80 @@
 {
     m_book->m_waiting.erase(this);
     end_gathering();
-    for (const auto kind :
-         {held_kind::request, held_kind::chain, held_kind::late_body,
-          held_kind::answer, held_kind::incoming, held_kind::unread})
-        set(kind, 0);
+    for (std::size_t i = 0; i < held_kinds; ++i)
+    {
+        const auto kind = static_cast<held_kind>(i);
+        end_reserve(kind);
+        give_back(kind, m_held.at(i));
+    }
 }
 
-void held_account::set(held_kind kind, std::uint64_t bytes)
+std::uint64_t held_account::committed(held_kind kind) const
 {
-    auto& held = m_held.at(index_of(kind));
-    const auto before = std::exchange(held, bytes);
+    const auto index = index_of(kind);
+    return std::max(m_held.at(index), m_reserved.at(index));
+}
+
+void held_account::hold(held_kind kind, std::uint64_t bytes)
+{
+    const auto before = std::exchange(m_held.at(index_of(kind)), bytes);
     m_book->change(kind, m_workspace, before, bytes);
 }
 
-void held_account::add(held_kind kind, std::uint64_t bytes)
+bool held_account::reserve(held_kind kind, std::uint64_t bytes)
+{
+    const auto index = index_of(kind);
+    const auto after = std::max(m_held.at(index), bytes);
+    if (!m_book->commit(kind, committed(kind), after))
+        return false;
+    m_reserved.at(index) = bytes;
+    return true;
+}
+
+bool held_account::reserve_more(held_kind kind, std::uint64_t bytes)
 {
-    set(kind, m_held.at(index_of(kind)) + bytes);
+    return reserve(kind, m_held.at(index_of(kind)) + bytes);
+}
+
+bool held_account::set(held_kind kind, std::uint64_t bytes)
+{
+    const auto after = std::max(bytes, m_reserved.at(index_of(kind)));
+    if (!m_book->commit(kind, committed(kind), after))
+        return false;
+    hold(kind, bytes);
+    return true;
+}
+
+bool held_account::add(held_kind kind, std::uint64_t bytes)
+{
+    return set(kind, m_held.at(index_of(kind)) + bytes);
+}
+
+void held_account::hold_reserved(held_kind kind)
+{
+    hold(kind, committed(kind));
 }
 
 void held_account::give_back(held_kind kind, std::uint64_t bytes)
 {
     const auto held = m_held.at(index_of(kind));
-    set(kind, held - std::min(held, bytes));
+    // Less is never refused.
+    (void)set(kind, held - std::min(held, bytes));
+}
+
+void held_account::end_reserve(held_kind kind)
+{
+    // Less is never refused.
+    (void)reserve(kind, 0);
 }
 
 void held_account::set_workspace(const std::string& name)
 {
     if (name == m_workspace)
         return;
-    const auto held = m_held;
-    for (std::size_t i = 0; i < held.size(); ++i)
-        set(static_cast<held_kind>(i), 0);
+    m_book->count_workspace(m_workspace, total(), 0);
     m_workspace = name;
-    for (std::size_t i = 0; i < held.size(); ++i)
-        set(static_cast<held_kind>(i), held.at(i));
+    m_book->count_workspace(m_workspace, 0, total());
 }
 
 std::uint64_t held_account::total() const
--- a/src/forward/memory_guard.cpp
+++ b/src/forward/memory_guard.cpp
@@ -21,6 +21,9 @@
 /// Runners cut off an answer that stays unread for some seconds; longer than
 /// it takes to tell who reads slowly.
 constexpr milliseconds room_patience{2500};
+/// Those that wait for room ask again and again.
+constexpr milliseconds refused_line_interval{1000};
+
 /// What the bytes are held for, to tell who filled the memory.
 std::string kinds_text(const held_book& book)
 {
@@ -40,8 +43,8 @@
     : m_io(io), m_time(time), m_book(std::make_shared<held_book>(held_bound(0)))
 {
     m_book->on_level([this](pressure_level level) { take_level(level); });
-    m_book->on_passed([this](held_kind kind, std::uint64_t added) {
-        take_passed(kind, added);
+    m_book->on_refused([this](held_kind kind, std::uint64_t asked) {
+        take_refused(kind, asked);
     });
 }
 
@@ -49,7 +52,7 @@
 {
     // Accounts of calls that were never ended hold on to the book.
     m_book->on_level(nullptr);
-    m_book->on_passed(nullptr);
+    m_book->on_refused(nullptr);
 }
 
 void memory_guard::bound_by(std::uint32_t memory_mb)
@@ -76,27 +79,40 @@
         co_await sleep_for(m_io, look_interval);
 }
 
-bool memory_guard::has_room(const held_account* held) const
+bool memory_guard::take_room(held_account& held, std::uint64_t bytes)
 {
-    return level() != pressure_level::cutting ||
-           (m_book->first_gathering() == held &&
-            m_book->total() < m_book->bound());
+    const bool first = m_book->first_gathering() == &held;
+    if (!may_gather_on(level(), m_book->committed(), m_book->bound(), bytes,
+                       first))
+        return false;
+    return held.reserve_more(held_kind::answer, bytes);
 }
 
-task<bool> memory_guard::wait_for_room(std::shared_ptr<held_account> held)
+task<bool> memory_guard::wait_for_room(std::shared_ptr<held_account> held,
+                                       std::uint64_t bytes)
 {
-    if (level() != pressure_level::cutting)
+    bool room = take_room(*held, bytes);
+    if (room)
         co_return true;
     held->begin_gathering();
-    held->set(held_kind::incoming, upstream_pool::receive_bytes);
+    held->hold_reserved(held_kind::incoming);
     const auto until = m_time.now() + room_patience;
-    while (!has_room(held.get()) && m_time.now() < until)
+    while (!room && m_time.now() < until)
+    {
         co_await sleep_for(m_io, look_interval);
-    const bool room = has_room(held.get());
-    held->set(held_kind::incoming, 0);
+        room = take_room(*held, bytes);
+    }
+    held->give_back(held_kind::incoming, upstream_pool::receive_bytes);
     co_return room;
 }
 
+task<bool> memory_guard::wait_to_deliver(std::uint64_t bytes, instant until)
+{
+    while (!m_book->fits(held_kind::unread, bytes) && m_time.now() < until)
+        co_await sleep_for(m_io, look_interval);
+    co_return m_book->fits(held_kind::unread, bytes);
+}
+
 void memory_guard::take_level(pressure_level level)
 {
     LOG(INFO) << "event=memory_pressure level=" << to_string(level)
@@ -107,12 +123,20 @@
     spawn(m_io, "memory_guard.relieve", relieve());
 }
 
-void memory_guard::take_passed(held_kind kind, std::uint64_t added) const
+void memory_guard::take_refused(held_kind kind, std::uint64_t asked)
 {
-    LOG(WARNING) << "event=held_bound_passed kind=" << to_string(kind)
-                 << " added=" << added << " held=" << m_book->total()
-                 << " bound=" << m_book->bound() << kinds_text(*m_book)
-                 << " waiting=" << m_book->waiting().size();
+    const auto index = static_cast<std::size_t>(kind);
+    ++m_no_room.at(index);
+    auto& told = m_told.at(index);
+    const auto now = m_time.now();
+    if (told && now < *told + refused_line_interval)
+        return;
+    told = now;
+    LOG(INFO) << "event=no_room kind=" << to_string(kind) << " asked=" << asked
+              << " held=" << m_book->total()
+              << " committed=" << m_book->committed()
+              << " bound=" << m_book->bound() << kinds_text(*m_book)
+              << " waiting=" << m_book->waiting().size();
 }
 
 task<> memory_guard::relieve()
@@ -151,6 +175,11 @@
     write_metric(out, "held_bytes", m_book->total());
     write_metric(out, "held_bytes_most", m_book->most());
     write_metric(out, "held_bytes_bound", m_book->bound());
+    write_metric(out, "held_bytes_committed", m_book->committed());
+    for (std::size_t i = 0; i < held_kinds; ++i)
+        write_metric(
+            out, std::string("no_room_") + to_string(static_cast<held_kind>(i)),
+            m_no_room.at(i));
     write_metric(out, "slow_readers", m_book->slow_readers());
     write_metric(out, "readers_cut", m_book->readers_cut());
     write_metric(out, "bodies_refused_for_memory", m_refused);
--- a/src/forward/proxy.cpp
+++ b/src/forward/proxy.cpp
@@ -429,9 +429,10 @@
                      home ? m_runners.find_hashed(home->m_runner) : nullptr)
             work->m_preferred = row->m_incarnation;
         work->m_body += work->m_request.body();
-        work->m_held->set(held_kind::chain, work->m_body.size());
-        if (m_memory.level() == pressure_level::cutting &&
-            !m_memory.may_read_body(work->m_body.size()))
+        const bool room =
+            work->m_held->set(held_kind::chain, work->m_body.size());
+        if (!room || (m_memory.level() == pressure_level::cutting &&
+                      !m_memory.may_read_body(work->m_body.size())))
         {
             m_memory.note_refused();
             settle(*work, 0);
--- a/src/forward/proxy_attempts.cpp
+++ b/src/forward/proxy_attempts.cpp
@@ -89,6 +89,17 @@
     return out;
 }
 
+proxy::verdict proxy::refuse_for_memory(call& work, progress& state)
+{
+    m_memory.note_refused();
+    if (state.m_may_have_run > 0)
+        return give_up(work, state, false);
+    settle(work, 0);
+    verdict out;
+    out.m_answer = refuse(work, "no memory for its answer", come_back_later);
+    return out;
+}
+
 std::optional<proxy::verdict> proxy::judge(call& work, progress& state,
                                            attempt_result result)
 {
@@ -236,8 +247,8 @@
         [this, work] { return fresh_enough(*work); },
         work,
         work->m_held,
-        [this, work]() -> task<bool> {
-            return m_memory.wait_for_room(work->m_held);
+        [this, work](std::uint64_t bytes) -> task<bool> {
+            return m_memory.wait_for_room(work->m_held, bytes);
         }};
     auto result = co_await run_attempt(m_io, m_time, m_pool, m_runners, m_names,
                                        runner, request, sink, work->m_aborter);
@@ -413,6 +424,8 @@
                                        relay->last_event(), sink);
         end_place(*work, result,
                   relay->events().whole_events() - events_before);
+        if (result.m_no_memory && !relay->begun())
+            co_return refuse_for_memory(*work, state);
         const bool cut_off = result.m_outcome == attempt_outcome::unknown;
         if (relay->begun() && result.m_outcome == attempt_outcome::not_run)
         {
--- a/src/scheduling/read_pressure.cpp
+++ b/src/scheduling/read_pressure.cpp
@@ -26,6 +26,13 @@
 /// A level ends below this share of where it begins.
 constexpr double level_ends = 0.9;
 
+/// The oldest long answer is gathered up to this share of the bound, the
+/// others up to where readers are cut.
+constexpr double gather_share = 0.85;
+/// New work is taken up to this share: were all of the room promised to it,
+/// nothing that is ready could be delivered, and no room would come back.
+constexpr double work_share = 0.95;
+
 /// Usual requests are smaller; refusing them would free nothing.
 constexpr std::uint64_t large_body = 32U << 10U;
 
@@ -39,12 +46,16 @@
     return level_begins.at(static_cast<std::size_t>(level));
 }
 
+std::uint64_t share_of(double share, std::uint64_t bound)
+{
+    return static_cast<std::uint64_t>(share * static_cast<double>(bound));
+}
+
 /// Bytes held that a cut brings about: calm again, since usual callers are
 /// held up as long as it is not, and who reads so slowly gains nothing.
 std::uint64_t cut_target(std::uint64_t bound)
 {
-    return static_cast<std::uint64_t>(begin_of(pressure_level::pausing) *
-                                      level_ends * static_cast<double>(bound));
+    return share_of(begin_of(pressure_level::pausing) * level_ends, bound);
 }
 
 } // namespace
@@ -91,6 +102,22 @@
     return out;
 }
 
+std::uint64_t room_limit(room_use use, std::uint64_t bound)
+{
+    return use == room_use::delivery ? bound : share_of(work_share, bound);
+}
+
+bool may_gather_on(pressure_level level, std::uint64_t committed,
+                   std::uint64_t bound, std::uint64_t more, bool first)
+{
+    if (first)
+        return committed + more <= share_of(gather_share, bound);
+    if (level == pressure_level::cutting)
+        return false;
+    return committed + more <=
+           share_of(begin_of(pressure_level::cutting), bound);
+}
+
 bool may_read_body(pressure_level level, std::uint64_t held,
                    std::uint64_t bound, std::uint64_t body)
 {
--- a/test/fleet/test_readers.cpp
+++ b/test/fleet/test_readers.cpp
@@ -207,6 +207,63 @@
     CHECK(has(edge.m_proxy.metrics_text(), "held_bytes_most"));
 }
 
+namespace {
+
+/// Who adds bytes while the VM already holds what it may.
+struct late_comers
+{
+    const char* m_what;
+    std::size_t m_count;
+    std::size_t m_request_bytes;
+    std::size_t m_answer_bytes;
+    bool m_reads;
+};
+
+} // namespace
+
+TEST_CASE("held bytes stay within the bound, whoever adds the last",
+          "[readers]")
+{
+    const auto row = GENERATE(values<late_comers>({
+        {"long answers that wait", 40, 0, 100000, false},
+        {"usual answers", 200, 0, 3000, true},
+        {"usual answers that nobody reads", 200, 0, 40000, false},
+        {"small bodies", 100, 30000, 100, true},
+    }));
+    INFO(row.m_what);
+    // 4 MB for callers and runners.
+    readers_world edge(1);
+    const auto bound = edge.m_proxy.held().bound();
+    const auto fill = [&](const std::string& answer) {
+        edge.m_first.script({{answer}});
+        edge.m_second.script({{answer}});
+    };
+    // One that nobody reads holds most of it, the next one asks for more than
+    // is left.
+    fill(whole_answer(200, std::string(3 * megabyte, 'a')));
+    edge.begin(readers_world::get("/get/"));
+    CHECK(edge.run_to([&] { return edge.held() > 3 * megabyte; }));
+    fill(whole_answer(200, std::string(2 * megabyte, 'b')));
+    edge.begin(readers_world::get("/get/"));
+    CHECK(edge.run_to([&] { return edge.held() > 4 * bound / 5; },
+                      milliseconds(1000)));
+    fill(whole_answer(200, std::string(row.m_answer_bytes, 'c')));
+    for (std::size_t i = 0; i < row.m_count; ++i)
+    {
+        const std::string body(row.m_request_bytes, 'r');
+        const auto caller =
+            edge.begin(body.empty() ? readers_world::get("/get/")
+                                    : edge.post("/once/", body));
+        if (row.m_reads)
+            caller->read(4096, milliseconds(0));
+    }
+    edge.run_for(milliseconds(1000));
+    CHECK(edge.m_proxy.held().most() <= bound);
+    for (const auto& caller : edge.m_callers)
+        caller->close();
+    CHECK(edge.run_to([&] { return edge.held() == 0; }));
+}
+
 TEST_CASE("under pressure the slowest reader is cut, no usual one", "[readers]")
 {
     // 4 MB for callers and runners; the three answers are more.
--- a/test/scheduling/test_read_pressure.cpp
+++ b/test/scheduling/test_read_pressure.cpp
@@ -128,3 +128,35 @@
         CHECK(choose_cuts(answers, each.m_held, 1000) == each.m_cut);
     }
 }
+
+TEST_CASE("the last of the room is for usual requests, then for delivery",
+          "[readers]")
+{
+    struct sample
+    {
+        const char* m_what;
+        level m_level;
+        std::uint64_t m_committed;
+        bool m_first;
+        bool m_goes_on;
+    };
+    // The next piece is 10 bytes of 1000.
+    const std::vector<sample> samples{
+        {"calm", level::calm, 0, false, true},
+        {"up to where readers are cut", level::refusing, 690, false, true},
+        {"room is promised, though little is held", level::calm, 691, false,
+         false},
+        {"while readers are cut", level::cutting, 640, false, false},
+        {"the oldest goes on", level::cutting, 840, true, true},
+        {"not into the room of usual requests", level::cutting, 841, true,
+         false},
+    };
+    for (const auto& each : samples)
+    {
+        INFO(each.m_what);
+        CHECK(may_gather_on(each.m_level, each.m_committed, 1000, 10,
+                            each.m_first) == each.m_goes_on);
+    }
+    CHECK(room_limit(room_use::work, 1000) == 950);
+    CHECK(room_limit(room_use::delivery, 1000) == 1000);
+}
