--- a/test/fleet/test_readers.cpp
+++ b/test/fleet/test_readers.cpp
@@ -166,6 +166,7 @@
     CHECK(edge.m_proxy.held().readers_cut() == 0);
 }
 
+// A VM that holds more than its bound is killed with all its calls.
 TEST_CASE("a crowd that does not read leaves the others alone", "[readers]")
 {
     // 12 MB for callers and runners.
