--- a/include/pepperturn/fleet/edge_node.hpp
+++ b/include/pepperturn/fleet/edge_node.hpp
@@ -28,9 +28,14 @@
     void stop();
     /// Periodic work.
     void tick();
+    /// Figures for operators, one line each.
+    [[nodiscard]] std::string metrics_text() const;
 
 private:
     void take_state(const cluster_state& news);
+    /// The same, from another VM or from the platform's store.
+    void take_told(const cluster_state& news);
+    void take_read(const cluster_state& news);
     void choose_source();
     /// Looks for storage VMs beside the seeds, which may be down or late.
     task<> find_members();
@@ -46,7 +51,6 @@
     [[nodiscard]] milliseconds config_age() const;
     /// Callers have keys and this VM may not act on them any more.
     [[nodiscard]] bool config_outdated() const;
-    [[nodiscard]] std::string metrics_text() const;
     task<> drain();
 
     asio::io_context& m_io;
@@ -74,6 +78,9 @@
     std::uint64_t m_config_revision = 0;
     bool m_stopping = false;
     bool m_own_source = false;
+    /// Entries of runners that came so far, known ones among them.
+    std::uint64_t m_entries_told = 0;
+    std::uint64_t m_entries_read = 0;
     instant m_started{};
 };
 
--- a/src/fleet/edge_node.cpp
+++ b/src/fleet/edge_node.cpp
@@ -2,6 +2,7 @@
 #include "pepperturn/fleet/edge_node.hpp"
 
 #include "pepperturn/base/hash.hpp"
+#include "pepperturn/base/latency_histogram.hpp"
 
 #include <algorithm>
 #include <glog/logging.h>
@@ -70,6 +71,8 @@
 {
     auto out = m_proxy.metrics_text();
     m_reach.write_metrics(out);
+    write_metric(out, "runner_entries_told", m_entries_told);
+    write_metric(out, "runner_entries_read", m_entries_read);
     return out;
 }
 
@@ -102,12 +105,12 @@
     m_proxy.seed_draws(hash64(m_settings.m_name));
     m_links.on_state(
         [this](const std::string& from, const cluster_state& news) {
-            take_state(news);
+            take_told(news);
             m_config_fetcher.note_announced(from, news.m_config_revision);
         });
-    m_source.on_state([this](const cluster_state& news) { take_state(news); });
+    m_source.on_state([this](const cluster_state& news) { take_read(news); });
     m_reach.on_state([this](const cluster_state& news) {
-        take_state(news);
+        take_told(news);
         // A long configuration is asked for through a neighbour as well.
         for (const auto& row : m_members)
             m_config_fetcher.note_announced(row.m_name, news.m_config_revision);
@@ -139,6 +142,18 @@
     }
 }
 
+void edge_node::take_told(const cluster_state& news)
+{
+    m_entries_told += news.m_runners.size();
+    take_state(news);
+}
+
+void edge_node::take_read(const cluster_state& news)
+{
+    m_entries_read += news.m_runners.size();
+    take_state(news);
+}
+
 void edge_node::take_state(const cluster_state& news)
 {
     const auto change = merge_state(m_state, news);
--- a/src/forward/proxy.cpp
+++ b/src/forward/proxy.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "pepperturn/forward/proxy.hpp"
 
+#include "pepperturn/base/latency_histogram.hpp"
 #include "pepperturn/forward/home_regions.hpp"
 #include "pepperturn/scheduling/refusal.hpp"
 #include "pepperturn/scheduling/start_hold.hpp"
@@ -199,6 +200,7 @@
 {
     auto out = m_metrics.text();
     m_memory.write_metrics(out);
+    write_metric(out, "config_version", m_config ? m_config->m_version : 0);
     return out;
 }
 
--- a/test/support/fleet/storage_world.hpp
+++ b/test/support/fleet/storage_world.hpp
@@ -30,8 +30,9 @@
     storage_vm(asio::io_context& io, const pepperturn::clock& time,
                const std::string& store, const std::string& name,
                const std::string& folder, bool bootstrap,
-               bool own_metrics_port = true, std::uint32_t revoke_ms = 5000)
-        : m_port(free_port(io)), m_source(io, time, store)
+               bool own_metrics_port = true, std::uint32_t revoke_ms = 5000,
+               std::uint16_t port = 0)
+        : m_port(port != 0 ? port : free_port(io)), m_source(io, time, store)
     {
         fleet_settings settings;
         settings.m_name = name;
@@ -142,6 +143,29 @@
         }));
     }
 
+    /// Ends all VMs and starts them anew with their disks, at the same
+    /// addresses.
+    void restart_all()
+    {
+        std::map<std::string, std::uint16_t> ports;
+        for (const auto& [name, vm] : m_vms)
+        {
+            ports[name] = vm->m_port;
+            vm->m_node->stop();
+            vm->m_source.pause();
+        }
+        for (const auto& [name, port] : ports)
+            run_until(m_io, [&] { return !m_links.connected(name); });
+        m_io.restart();
+        for (auto& [name, vm] : m_vms)
+        {
+            m_stopped.push_back(std::move(vm));
+            vm = std::make_unique<storage_vm>(
+                m_io, m_time, m_store.address(), name, m_folder + '/' + name,
+                false, true, m_revoke_ms, ports[name]);
+        }
+    }
+
     /// Stops a VM and starts it anew with its disk, at another address.
     void restart(const std::string& name)
     {
