--- a/test/support/fleet/proxy_world.hpp
+++ b/test/support/fleet/proxy_world.hpp
@@ -8,6 +8,7 @@
 
 #include "support/fleet/loop.hpp"
 #include "support/fleet/runner.hpp"
+#include "support/fleet/stoppable_clock.hpp"
 
 #include <array>
 #include <boost/asio/write.hpp>
@@ -15,25 +16,6 @@
 
 namespace pepperturn::test {
 
-/// The machine's clock, which a test may stop while a call is under way, so
-/// that no answer is late for what else the machine does.
-class stoppable_clock final : public clock
-{
-public:
-    [[nodiscard]] instant now() const override
-    {
-        return m_stopped_at.value_or(m_real.now());
-    }
-    void stop_now()
-    {
-        m_stopped_at = m_real.now();
-    }
-
-private:
-    system_clock m_real;
-    std::optional<instant> m_stopped_at;
-};
-
 /// A proxy with two runners of one service and a caller's raw connection.
 class proxy_world
 {
