Readers: the line of a call says whether its caller did not read or there was no room

An answer that found no room until its caller's time was over ended with "not read by its caller", which was untrue. Found by reading the change.

--- a/include/pepperturn/forward/caller_connection.hpp
+++ b/include/pepperturn/forward/caller_connection.hpp
@@ -57,11 +57,17 @@
     {
         m_write_until = until;
     }
-    /// It was cut because it did not read.
+    /// It was cut because it did not read, or could not be written to.
     [[nodiscard]] bool cut_unread() const
     {
         return m_cut_unread;
     }
+    /// Why it was cut, for the lines.
+    [[nodiscard]] const char* cut_reason() const
+    {
+        return m_found_room ? " not read by its caller"
+                            : " no room to deliver it";
+    }
 
     /// A whole answer. \returns false if the caller is gone.
     [[nodiscard]] task<bool> write_answer(const upstream_answer& answer,
@@ -107,6 +113,8 @@
     std::shared_ptr<held_account> m_held;
     std::optional<instant> m_write_until;
     bool m_cut_unread = false;
+    /// For what was written last.
+    bool m_found_room = true;
     /// The present answer is a stream.
     bool m_streaming = false;
     bool m_read_late = false;
--- a/src/forward/caller_connection.cpp
+++ b/src/forward/caller_connection.cpp
@@ -232,10 +232,10 @@
     // What the caller may leave unread: its copies here and in the kernel.
     const auto room =
         charged + std::min<std::size_t>(send_bytes, head.size() + body.size());
-    bool fits = m_memory.book()->fits(held_kind::unread, room);
-    if (!fits)
-        fits = co_await m_memory.wait_to_deliver(room, write_end());
-    if (!fits)
+    m_found_room = m_memory.book()->fits(held_kind::unread, room);
+    if (!m_found_room)
+        m_found_room = co_await m_memory.wait_to_deliver(room, write_end());
+    if (!m_found_room)
     {
         LOG(INFO) << "event=answer_undelivered held=" << m_held->total()
                   << " asked=" << room
--- a/src/forward/proxy.cpp
+++ b/src/forward/proxy.cpp
@@ -236,7 +236,7 @@
         written = co_await caller->write_answer(*result.m_answer, keep_alive);
     }
     if (caller->cut_unread())
-        work->m_why += " not read by its caller";
+        work->m_why += caller->cut_reason();
     log_end(*work, status);
     count_workspace(*work, status, result.m_cut);
     co_return written&& keep_alive;
