--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -58,11 +58,12 @@
         : m_bin(std::move(bin)), m_random(seed), m_seconds(seconds),
           m_store(m_io)
     {
-        m_folder =
+        m_kept_folder =
             std::filesystem::temp_directory_path() /
             ("soak-" + std::to_string(seed) + "-" + std::to_string(getpid()));
-        std::filesystem::create_directories(m_folder);
-        m_disks = test::make_scratch_folder("soak");
+        m_folder = test::make_scratch_folder("soak");
+        m_disks = m_folder / "disks";
+        std::filesystem::create_directories(m_disks);
     }
 
     int run();
@@ -117,7 +118,11 @@
     asio::io_context m_io{1};
     promises m_rules;
     platform_store m_store;
+    /// Settings, logs and disks while it runs: the machine's disk would hold
+    /// up the faults and not only the processes.
     std::filesystem::path m_folder;
+    /// Where they are left for a run that failed.
+    std::filesystem::path m_kept_folder;
     /// Of the storage VMs.
     std::filesystem::path m_disks;
     std::vector<std::unique_ptr<vm>> m_vms;
@@ -520,17 +525,15 @@
     std::cout << "turns " << m_served << ", runs " << m_rules.runs()
               << ", programs " << m_ended.size() << ", broken "
               << m_rules.broken().size() << '\n';
-    if (m_rules.broken().empty())
-        std::filesystem::remove_all(m_folder);
-    else
+    if (!m_rules.broken().empty())
     {
         std::error_code ignored;
-        std::filesystem::copy(m_disks, m_folder / "disks",
+        std::filesystem::copy(m_folder, m_kept_folder,
                               std::filesystem::copy_options::recursive,
                               ignored);
-        std::cout << "logs and disks in " << m_folder << '\n';
+        std::cout << "logs and disks in " << m_kept_folder << '\n';
     }
-    std::filesystem::remove_all(m_disks);
+    std::filesystem::remove_all(m_folder);
     return m_rules.broken().empty() && m_served > 0 ? 0 : 1;
 }
 
