--- a/test/support/fleet/storage_world.hpp
+++ b/test/support/fleet/storage_world.hpp
@@ -154,8 +154,8 @@
             vm->m_node->stop();
             vm->m_source.pause();
         }
-        for (const auto& [name, port] : ports)
-            run_until(m_io, [&] { return !m_links.connected(name); });
+        for (const auto& row : ports)
+            run_until(m_io, [&] { return !m_links.connected(row.first); });
         m_io.restart();
         for (auto& [name, vm] : m_vms)
         {
