--- a/test/fleet/test_start_of_all.cpp
+++ b/test/fleet/test_start_of_all.cpp
@@ -61,6 +61,7 @@
     fleet.m_store.set_down(true);
     fleet.restart_all();
     std::vector<std::string> seeds;
+    seeds.reserve(fleet.m_vms.size());
     for (const auto& [name, vm] : fleet.m_vms)
         seeds.push_back("127.0.0.1:" + std::to_string(vm->m_port));
     stoppable_clock time;
