--- a/include/pepperturn/forward/exchange.hpp
+++ b/include/pepperturn/forward/exchange.hpp
@@ -57,6 +57,19 @@
 
 [[nodiscard]] const char* to_string(attempt_outcome outcome);
 
+/// How a response marks the end of its body.
+enum class body_framing : std::uint8_t
+{
+    /// No head was received.
+    unknown,
+    length,
+    chunks,
+    /// Neither of these: the body ends with its connection.
+    connection_close
+};
+
+[[nodiscard]] const char* to_string(body_framing framing);
+
 struct upstream_response
 {
     unsigned m_status = 0;
@@ -78,6 +91,11 @@
     bool m_out_of_memory = false;
     /// The response was forwarded to the caller as a stream.
     bool m_streamed = false;
+    body_framing m_framing = body_framing::unknown;
+    /// Events of a stream that were received whole.
+    std::uint32_t m_complete_events = 0;
+    /// The last bytes of a stream belong to an event whose end is missing.
+    bool m_ended_inside_event = false;
     /// From a runner that refused the request: when it expects to have free
     /// capacity.
     std::optional<milliseconds> m_retry_after;
--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -1,6 +1,9 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "pepperturn/forward/exchange.hpp"
 
+#include "pepperturn/forward/event_boundary.hpp"
+
+#include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -184,6 +187,24 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+body_framing framing_of(const answer_parser& parser)
+{
+    if (parser.need_eof())
+        return body_framing::connection_close;
+    return parser.chunked() ? body_framing::chunks : body_framing::length;
+}
+
+/// Whether the body is a series of events. A streaming route's response is one
+/// unless it names another type.
+bool has_events(const http::fields& head, bool streaming)
+{
+    constexpr std::string_view event_stream = "text/event-stream";
+    const auto type = field(head, "Content-Type");
+    if (type.empty())
+        return streaming;
+    return boost::algorithm::istarts_with(type, event_stream);
+}
+
 struct body_read
 {
     bool m_complete = false;
@@ -204,8 +225,9 @@
 
 /// Reads the body and passes it to \p sink as it arrives.
 /// \param gap_timeout maximum wait for each piece; empty: no limit
+/// \param events receives the bytes of a stream of events; null: not a stream
 task<body_read> read_body(std::shared_ptr<attempt_state> state,
-                          answer_parser& parser,
+                          answer_parser& parser, event_boundary* events,
                           std::optional<milliseconds> gap_timeout,
                           body_sink sink)
 {
@@ -242,6 +264,8 @@
         const auto count = capacity - parser.get().body().size;
         if (sink.m_reserve)
             capacity -= count;
+        if (events != nullptr)
+            (void)events->consume({chunk.data(), count});
         if (count > 0 &&
             !co_await sink.m_write(std::string_view(chunk.data(), count)))
         {
@@ -271,6 +295,22 @@
     return "unknown";
 }
 
+const char* to_string(body_framing framing)
+{
+    switch (framing)
+    {
+    case body_framing::unknown:
+        return "unknown";
+    case body_framing::length:
+        return "length";
+    case body_framing::chunks:
+        return "chunks";
+    case body_framing::connection_close:
+        return "connection_close";
+    }
+    return "unknown";
+}
+
 const char* to_string(attempt_outcome outcome)
 {
     switch (outcome)
@@ -391,6 +431,7 @@
     if (head_good)
     {
         const auto& head = parser.get();
+        result.m_framing = framing_of(parser);
         result.m_response.m_status = head.result_int();
         result.m_response.m_fields = head.base();
         const bool stream =
@@ -416,9 +457,13 @@
             if (!co_await sink.m_begin(result.m_response))
                 body.m_caller_disconnected = true;
         }
+        event_boundary events;
+        auto* tracked = has_events(head, stream) ? &events : nullptr;
         if (!body.m_caller_disconnected)
-            body = co_await read_body(state, parser, request.m_gap_timeout,
-                                      body_out);
+            body = co_await read_body(state, parser, tracked,
+                                      request.m_gap_timeout, body_out);
+        result.m_complete_events = events.complete_events();
+        result.m_ended_inside_event = events.inside_event();
         if (!stream && std::exchange(body.m_caller_disconnected, false))
         {
             body.m_out_of_memory = true;
--- a/src/forward/proxy_attempts.cpp
+++ b/src/forward/proxy_attempts.cpp
@@ -283,12 +283,19 @@
               << " expected_ms=" << work->m_placement.m_reply.m_expected_ms
               << " outcome=" << to_string(result.m_outcome) << " first_byte_ms="
               << result.m_first_byte.value_or(milliseconds(-1)).count()
-              << " ms=" << result.m_duration.count() << " reason=\""
+              << " ms=" << result.m_duration.count()
+              << " framing=" << to_string(result.m_framing)
+              << " events=" << result.m_complete_events
+              << " inside_event=" << result.m_ended_inside_event << " reason=\""
               << result.m_reason << '"';
     if (work->m_holds_gate_slot && result.m_first_byte)
         m_gate.record_call(route.m_name, *result.m_first_byte,
                            result.m_duration - *result.m_first_byte);
     m_metrics.count(std::string("attempts_") + to_string(result.m_outcome));
+    if (result.m_framing == body_framing::connection_close)
+        m_metrics.count("responses_ended_by_close");
+    if (result.m_ended_inside_event)
+        m_metrics.count("streams_ended_inside_event");
     co_return result;
 }
 
--- /dev/null
+++ b/test/forward/test_event_boundary.cpp
@@ -0,0 +1,64 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "pepperturn/forward/event_boundary.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <string>
+
+namespace {
+
+using pepperturn::event_boundary;
+
+} // namespace
+
+TEST_CASE("the end of the last event is found", "[event_boundary]")
+{
+    struct sample
+    {
+        std::string m_ended;
+        std::string m_rest;
+        std::uint32_t m_complete;
+        bool m_inside;
+    };
+    const auto each = GENERATE(values<sample>({
+        {"", "", 0, false},
+        {"data: a\n\n", "", 1, false},
+        {"data: a\r\n\r\n", "", 1, false},
+        {"data: a\r\r", "", 1, false},
+        {"data: a\n\ndata: b\n\n", "", 2, false},
+        {"data: a\n\n", "\n", 1, false},
+        {"data: a\n\n", "d", 1, true},
+        {"data: a\n\n", "data: b", 1, true},
+        {"data: a\n\n", "data: b\n", 1, true},
+        {"data: a\n\n", "data: b\r", 1, true},
+        {"data: a\r\r", "data: b\r\n", 1, true},
+        {"", "id: 1\n", 0, true},
+        // A comment belongs to no event.
+        {"data: a\n\n", ": alive\n", 1, false},
+        {"data: a\n\n", ": alive\n\n", 1, false},
+        {"data: a\n\n", ": ali", 1, false},
+        {"data: a\n\n", "data: b\n: alive\n", 1, true},
+    }));
+    const auto bytes = each.m_ended + each.m_rest;
+    INFO(bytes);
+    event_boundary boundary;
+    CHECK(boundary.consume(bytes) == each.m_ended.size());
+    CHECK(boundary.complete_events() == each.m_complete);
+    CHECK(boundary.inside_event() == each.m_inside);
+}
+
+TEST_CASE("boundaries do not depend on how the bytes are split",
+          "[event_boundary]")
+{
+    CHECK(rc::check("cuts", [] {
+        const auto bytes = *rc::gen::container<std::string>(
+            rc::gen::element('\n', '\r', ':', 'd'));
+        event_boundary whole;
+        (void)whole.consume(bytes);
+        event_boundary pieces;
+        for (const char c : bytes)
+            (void)pieces.consume(std::string_view(&c, 1));
+        RC_ASSERT(whole.complete_events() == pieces.complete_events());
+        RC_ASSERT(whole.inside_event() == pieces.inside_event());
+    }));
+}
