Known red: streams that are broken off look complete

Callers get the last chunk, the turn is stored, and a route that may be resumed is not. With a close before the first event, too.

Cases beside it hold what must stay: streams whose last event has ended are complete however they are framed (passes).

--- /dev/null
+++ b/test/fleet/test_broken_off_streams.cpp
@@ -0,0 +1,222 @@
+// SPDX-License-Identifier: BSL-1.0
+// Streams of events that a runner breaks off, whatever their framing says.
+#include "support/fleet/isolated_edge.hpp"
+#include "support/fleet/storage_fixture.hpp"
+
+namespace {
+
+using namespace pepperturn;
+using namespace pepperturn::test;
+using after = runner_step::after;
+
+constexpr const char* last_chunk = "\r\n0\r\n\r\n";
+constexpr const char* two_events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+/// A signed response of status 200 whose end is marked by \p framing.
+runner_step
+stream_of(body_framing framing, const std::string& body,
+          const std::string& more_lines = "Content-Type: text/event-stream\r\n")
+{
+    std::string out = "HTTP/1.1 200 OK\r\nPepperturn-Call: ID\r\n"
+                      "Pepperturn-Signature: s\r\n" +
+                      more_lines;
+    if (framing == body_framing::length)
+        return {out + "Content-Length: " + std::to_string(body.size()) +
+                "\r\n\r\n" + body};
+    if (framing == body_framing::chunks)
+        return {out + "Transfer-Encoding: chunked\r\n\r\n" +
+                (body.empty() ? "" : chunk_of(body)) + "0\r\n\r\n"};
+    return {out + "\r\n" + body, true, after::close};
+}
+
+const auto all_framings = {body_framing::length, body_framing::chunks,
+                           body_framing::connection_close};
+
+/// Ends of a stream that lie inside its third event.
+const std::vector<std::string> unfinished_events{"i",
+                                                 "id: 3\n",
+                                                 "id: 3\ndata: c",
+                                                 "id: 3\ndata: c\n",
+                                                 "id: 3\r\ndata: c\r\n",
+                                                 "id: 3\rdata: c\r"};
+
+} // namespace
+
+// A caller that takes half an answer for the whole one acts on it.
+TEST_CASE("a stream that ends inside an event never looks complete",
+          "[proxy][broken_off]")
+{
+    for (const auto framing : all_framings)
+    {
+        for (const auto& rest : unfinished_events)
+        {
+            INFO(to_string(framing) << ": " << rest);
+            isolated_edge edge;
+            edge.m_first.script({stream_of(framing, two_events + rest)});
+            edge.m_second.script({{event_answer({"c"})}});
+            const auto got =
+                edge.ask(proxy_fixture::post("/stream/", "x"), last_chunk);
+            CHECK(has(got, "data: b\n\n"));
+            CHECK_FALSE(has(got, last_chunk));
+            CHECK(edge.m_ended);
+            // It may have run, so nobody else runs it.
+            CHECK(edge.m_second.requests().empty());
+        }
+    }
+}
+
+TEST_CASE("a stream that ends inside an event is resumed after its last event",
+          "[proxy][broken_off]")
+{
+    for (const auto framing : all_framings)
+    {
+        for (const auto& rest : unfinished_events)
+        {
+            INFO(to_string(framing) << ": " << rest);
+            isolated_edge edge;
+            edge.m_first.script({stream_of(framing, two_events + rest)});
+            edge.m_second.script({{event_answer({"c", "d"}, true, 3)}});
+            const auto got =
+                edge.ask(proxy_fixture::post("/resume/", "x"), last_chunk);
+            CHECK(has(got, "id: 2\ndata: b\n\n"));
+            CHECK(has(got, "id: 3\ndata: c\n\n"));
+            CHECK(got.find("id: 3") == got.rfind("id: 3"));
+            CHECK(has(got, last_chunk));
+            REQUIRE(edge.m_second.requests().size() == 1);
+            CHECK(
+                has(edge.m_second.requests().front(), "Last-Event-Id: 2\r\n"));
+        }
+    }
+}
+
+TEST_CASE("a stream that closes before its first event never looks complete",
+          "[proxy][broken_off]")
+{
+    isolated_edge edge;
+    edge.m_first.script({stream_of(body_framing::connection_close, "")});
+    edge.m_second.script({{event_answer({"a"})}});
+    const auto got = edge.ask(proxy_fixture::post("/stream/", "x"), last_chunk);
+    CHECK_FALSE(has(got, last_chunk));
+    CHECK(edge.m_second.requests().empty());
+    CHECK(has(edge.ask(proxy_fixture::post("/resume/", "x"), last_chunk),
+              "data: a\n\n"));
+}
+
+TEST_CASE(
+    "a stream whose last event has ended is complete however it is framed",
+    "[proxy]")
+{
+    const std::vector<std::string> samples{
+        two_events,
+        "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n",
+        "id: 1\rdata: a\r\rid: 2\rdata: b\r\r",
+        std::string(two_events) + "\n",
+        // Comments keep a connection alive and belong to no event.
+        std::string(two_events) + ": alive\n",
+        std::string(two_events) + ": alive\n\n",
+    };
+    const auto* path = GENERATE("/stream/", "/resume/");
+    for (const auto framing : all_framings)
+    {
+        for (const auto& body : samples)
+        {
+            INFO(path << ' ' << to_string(framing) << ": " << body);
+            isolated_edge edge;
+            edge.m_first.script({stream_of(framing, body)});
+            const auto got =
+                edge.ask(proxy_fixture::post(path, "x"), last_chunk);
+            CHECK(has(got, "data: b"));
+            CHECK(has(got, last_chunk));
+        }
+    }
+}
+
+TEST_CASE("a streaming route's response of another type needs no events",
+          "[proxy]")
+{
+    for (const auto framing : all_framings)
+    {
+        isolated_edge edge;
+        edge.m_first.script(
+            {stream_of(framing, "{}", "Content-Type: application/json\r\n")});
+        const auto got =
+            edge.ask(proxy_fixture::post("/stream/", "x"), last_chunk);
+        CHECK(has(got, "{}"));
+        CHECK(has(got, last_chunk));
+    }
+}
+
+TEST_CASE("a buffered stream of events that is broken off is no answer",
+          "[proxy][broken_off]")
+{
+    for (const auto framing : all_framings)
+    {
+        isolated_edge edge;
+        const auto broken =
+            stream_of(framing, std::string(two_events) + "id: 3\ndata: c");
+        edge.m_first.script({broken});
+        edge.m_second.script({{whole_answer(200, "whole")}});
+        CHECK(has(edge.ask(proxy_fixture::get("/get/"), "\r\n\r\n"), "whole"));
+        CHECK(has(edge.ask(proxy_fixture::post("/once/", "x"), "\r\n\r\n"),
+                  "HTTP/1.1 502 "));
+        CHECK(edge.m_first.requests().size() == 2);
+        CHECK(edge.m_second.requests().size() == 1);
+    }
+}
+
+namespace {
+
+/// Storage VMs, and a proxy whose streaming routes store their turns.
+class stored_turns_fixture : public storage_fixture, public proxy_fixture
+{
+public:
+    stored_turns_fixture() : proxy_fixture(storage_fixture::m_io, m_client)
+    {
+        start_three();
+        auto config = proxy_fixture::config(2);
+        for (auto& row : config.m_routes)
+        {
+            row.m_stateful = row.m_kind == route_kind::stream;
+            row.m_retention = milliseconds(60000);
+        }
+        REQUIRE(m_proxy.apply_config(config));
+        m_proxy.set_runners({{"r1", "svc", m_first.address(), "z", 4, false}});
+    }
+
+    /// Takes a turn of one program that continues \p parent.
+    std::string take_turn(const std::string& id, const std::string& parent)
+    {
+        auto lines = std::string("Pepperturn-Program: p\r\n"
+                                 "Pepperturn-Token-Count: 10,8\r\n");
+        if (!parent.empty())
+            lines += "Pepperturn-Parent-Turn: " + parent + "\r\n";
+        auto request = post("/stream/", "in;", lines);
+        request.replace(request.find("Call: c1"), 8, "Call: " + id);
+        connect();
+        send(request);
+        CHECK(proxy_fixture::wait_for([&] {
+            return has(m_received, last_chunk) || m_ended ||
+                   (has(m_received, "HTTP/1.1 4") &&
+                    has(m_received, "\r\n\r\n"));
+        }));
+        return m_received;
+    }
+};
+
+} // namespace
+
+// Later turns would go on from half an answer.
+TEST_CASE("a turn that was broken off is not stored", "[proxy][broken_off]")
+{
+    const auto framing = GENERATE(values(all_framings));
+    INFO(to_string(framing));
+    stored_turns_fixture fleet;
+    fleet.m_first.script({stream_of(framing, two_events),
+                          stream_of(framing, std::string(two_events) + "id: 3"),
+                          stream_of(framing, two_events)});
+    CHECK(has(fleet.take_turn("t1", ""), last_chunk));
+    CHECK_FALSE(has(fleet.take_turn("t2", "t1"), last_chunk));
+    CHECK(has(fleet.take_turn("t3", "t2"), "HTTP/1.1 404 "));
+    CHECK(has(fleet.take_turn("t4", "t1"), last_chunk));
+    CHECK(has(fleet.m_first.requests().back(), "in;a\nb\nin;"));
+}
