Streams: an event that has not ended is a stream that was broken off

Callers received a 200 with all of its framing and half an answer. The attempt asked only the framing whether the body was whole: a body with neither a length nor chunks ends with its connection, so a runner that failed and closed looked like one that had finished; a last chunk or a length satisfied it just as well. The same verdict decided that the turn was stored, that a resumable stream was not resumed, and that a buffered answer was returned.

The end of a stream of events is now judged where the body is read, by its content as well: inside an event, or closed before the first one, it is incomplete, and every later decision (last chunk, turn, resume, budget, runner's record) follows from that one outcome.

One case of the test asked both routes of one VM, where the first failure changes the choice of the second; each has a VM of its own now, with one check more.

--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -205,6 +205,19 @@
     return boost::algorithm::istarts_with(type, event_stream);
 }
 
+/// Looks for the end of a stream whose framing has ended. Runners that fail
+/// may close the connection, or send the last chunk, inside an event.
+/// \returns why the stream is not complete; null if it is
+const char* find_missing_end(body_framing framing, const event_boundary& events)
+{
+    if (events.inside_event())
+        return "the stream ended inside an event";
+    if (framing == body_framing::connection_close &&
+        events.complete_events() == 0)
+        return "the connection closed before the first event";
+    return nullptr;
+}
+
 struct body_read
 {
     bool m_complete = false;
@@ -273,7 +286,12 @@
             co_return out;
         }
     }
-    out.m_complete = true;
+    const auto* fault = events == nullptr
+                            ? nullptr
+                            : find_missing_end(framing_of(parser), *events);
+    if (fault != nullptr)
+        out.m_reason = fault;
+    out.m_complete = fault == nullptr;
     co_return out;
 }
 
--- a/test/fleet/test_broken_off_streams.cpp
+++ b/test/fleet/test_broken_off_streams.cpp
@@ -149,18 +149,30 @@
 TEST_CASE("a buffered stream of events that is broken off is no answer",
           "[proxy][broken_off]")
 {
+    struct sample
+    {
+        const char* m_path;
+        const char* m_status;
+        std::size_t m_runs_elsewhere;
+    };
+    const auto each = GENERATE(values<sample>({
+        {"/get/", "HTTP/1.1 200 ", 1},
+        // It may have run, so nobody else runs it.
+        {"/once/", "HTTP/1.1 502 ", 0},
+    }));
     for (const auto framing : all_framings)
     {
+        INFO(each.m_path << ' ' << to_string(framing));
         isolated_edge edge;
-        const auto broken =
-            stream_of(framing, std::string(two_events) + "id: 3\ndata: c");
-        edge.m_first.script({broken});
+        edge.m_first.script(
+            {stream_of(framing, std::string(two_events) + "id: 3\ndata: c")});
         edge.m_second.script({{whole_answer(200, "whole")}});
-        CHECK(has(edge.ask(proxy_fixture::get("/get/"), "\r\n\r\n"), "whole"));
-        CHECK(has(edge.ask(proxy_fixture::post("/once/", "x"), "\r\n\r\n"),
-                  "HTTP/1.1 502 "));
-        CHECK(edge.m_first.requests().size() == 2);
-        CHECK(edge.m_second.requests().size() == 1);
+        const auto got =
+            edge.ask(proxy_fixture::post(each.m_path, "x"), "\r\n\r\n");
+        CHECK(has(got, each.m_status));
+        CHECK_FALSE(has(got, "data: "));
+        CHECK(edge.m_first.requests().size() == 1);
+        CHECK(edge.m_second.requests().size() == each.m_runs_elsewhere);
     }
 }
 
