Events: one definition of where an event ends

Callers of streams whose lines end in carriage returns alone lost their history: such a turn was stored with empty data, and a resumable stream was held back until its end. Comments that keep a connection alive were counted as events, and paid for as tokens. Three places had each their own idea of an event's end (reader, relay, and now the check of a broken-off stream).

The relay uses event_boundary and the reader follows the same rules (line feed, carriage return or both; comments belong to no event); a property compares their counts on random bytes. The new rows of 'only complete events are relayed' and of the reader's table fail on the code before.

--- a/include/pepperturn/forward/event_boundary.hpp
+++ b/include/pepperturn/forward/event_boundary.hpp
@@ -15,9 +15,9 @@
 class event_boundary
 {
 public:
-    /// \returns the number of bytes up to the end of the last event that ends
-    /// within \p bytes, or 0 if none does
-    std::size_t consume(std::string_view bytes);
+    /// \returns how many of \p bytes may be passed on before the rest arrives:
+    /// those up to the last line end at which no event is under way
+    [[nodiscard]] std::size_t consume(std::string_view bytes);
 
     /// Bytes of an event were read, and not its end: a stream that stops here
     /// has been broken off.
@@ -39,8 +39,7 @@
         comment
     };
 
-    /// \returns whether the line ended an event
-    bool end_line();
+    void end_line();
 
     line_state m_line = line_state::empty;
     /// A line feed after a carriage return belongs to the same line end.
--- a/include/pepperturn/forward/event_reader.hpp
+++ b/include/pepperturn/forward/event_reader.hpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: BSL-1.0
 /// \file
 /// Incremental parser for server-sent events: counts the events of a stream
-/// and collects their data.
+/// and collects their data. Lines and events end as in \ref event_boundary.
 #pragma once
 
 #include <cstdint>
@@ -27,7 +27,8 @@
     /// Events of which at least one byte was read, complete or not.
     [[nodiscard]] std::uint32_t started_events() const
     {
-        return m_events + (m_in_event || !m_line.empty() ? 1 : 0);
+        const bool in_field = !m_line.empty() && m_line.front() != ':';
+        return m_events + (m_in_event || in_field ? 1 : 0);
     }
     /// Id of the last complete event with a numeric id.
     [[nodiscard]] std::optional<std::uint64_t> last_id() const
@@ -44,6 +45,8 @@
     void end_line();
 
     bool m_collect_data;
+    /// A line feed after a carriage return belongs to the same line end.
+    bool m_after_return = false;
     bool m_in_event = false;
     bool m_has_data = false;
     std::string m_line;
--- a/include/pepperturn/forward/stream_relay.hpp
+++ b/include/pepperturn/forward/stream_relay.hpp
@@ -4,6 +4,7 @@
 /// which bytes may be forwarded, and after which event the next run resumes.
 #pragma once
 
+#include "pepperturn/forward/event_boundary.hpp"
 #include "pepperturn/forward/event_reader.hpp"
 
 #include <optional>
@@ -49,6 +50,7 @@
     bool m_started = false;
     std::optional<std::uint64_t> m_last_event;
     std::string m_pending;
+    event_boundary m_boundary;
     event_reader m_events;
 };
 
--- a/src/forward/event_boundary.cpp
+++ b/src/forward/event_boundary.cpp
@@ -12,34 +12,27 @@
     {
         const char byte = bytes[at];
         const bool after_return = std::exchange(m_after_return, byte == '\r');
-        if (byte == '\n' && after_return)
+        if (byte != '\n' && byte != '\r')
         {
-            // The second half of the line end that has just ended an event.
-            if (end == at && end > 0)
-                ++end;
+            if (m_line == line_state::empty)
+                m_line = byte == ':' ? line_state::comment : line_state::field;
             continue;
         }
-        if (byte == '\n' || byte == '\r')
-        {
-            if (end_line())
-                end = at + 1;
-        }
-        else if (m_line == line_state::empty)
-            m_line = byte == ':' ? line_state::comment : line_state::field;
+        if (byte != '\n' || !after_return)
+            end_line();
+        if (!m_in_event)
+            end = at + 1;
     }
     return end;
 }
 
-bool event_boundary::end_line()
+void event_boundary::end_line()
 {
     const auto line = std::exchange(m_line, line_state::empty);
     if (line == line_state::field)
         m_in_event = true;
-    if (line != line_state::empty || !m_in_event)
-        return false;
-    m_in_event = false;
-    ++m_complete_events;
-    return true;
+    if (line == line_state::empty && std::exchange(m_in_event, false))
+        ++m_complete_events;
 }
 
 } // namespace pepperturn
--- a/src/forward/event_reader.cpp
+++ b/src/forward/event_reader.cpp
@@ -11,9 +11,12 @@
 {
     for (const char c : bytes)
     {
-        if (c == '\n')
+        const bool after_return = std::exchange(m_after_return, c == '\r');
+        if (c == '\n' && after_return)
+            continue;
+        if (c == '\n' || c == '\r')
             end_line();
-        else if (c != '\r')
+        else
             m_line.push_back(c);
     }
 }
@@ -38,8 +41,11 @@
         m_has_data = false;
         return;
     }
+    const std::string line_text = std::exchange(m_line, {});
+    if (line_text.front() == ':')
+        return;
     m_in_event = true;
-    std::string_view line = m_line;
+    std::string_view line = line_text;
     if (line.starts_with(field))
     {
         line.remove_prefix(field.size());
@@ -58,7 +64,6 @@
             line.remove_prefix(1);
         m_event_id = parse_number(line);
     }
-    m_line.clear();
 }
 
 } // namespace pepperturn
--- a/test/fleet/test_resumed_streams.cpp
+++ b/test/fleet/test_resumed_streams.cpp
@@ -130,8 +130,10 @@
 {
     // Wherever the stream is cut, the relayed bytes and those of the next run
     // make up the whole stream, each event once.
-    const std::string all = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"
-                            "id: 3\ndata: c\n\n";
+    const auto* all_bytes =
+        GENERATE("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n",
+                 "id: 1\rdata: a\r\rid: 2\rdata: b\r\rid: 3\rdata: c\r\r");
+    const std::string all = all_bytes;
     for (std::size_t at = 0; at <= all.size(); ++at)
     {
         stream_relay relay(true, true, 0);
--- a/test/forward/test_event_boundary.cpp
+++ b/test/forward/test_event_boundary.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "pepperturn/forward/event_boundary.hpp"
 
+#include "pepperturn/forward/event_reader.hpp"
+
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 #include <string>
@@ -8,10 +10,18 @@
 namespace {
 
 using pepperturn::event_boundary;
+using pepperturn::event_reader;
+
+std::string any_events()
+{
+    return *rc::gen::container<std::string>(
+        rc::gen::element('\n', '\r', ':', 'd'));
+}
 
 } // namespace
 
-TEST_CASE("the end of the last event is found", "[event_boundary]")
+TEST_CASE("bytes up to the last point between two events are found",
+          "[event_boundary]")
 {
     struct sample
     {
@@ -26,7 +36,8 @@
         {"data: a\r\n\r\n", "", 1, false},
         {"data: a\r\r", "", 1, false},
         {"data: a\n\ndata: b\n\n", "", 2, false},
-        {"data: a\n\n", "\n", 1, false},
+        {"data: a\n\n\n", "", 1, false},
+        {"data: a\r\n\r", "", 1, false},
         {"data: a\n\n", "d", 1, true},
         {"data: a\n\n", "data: b", 1, true},
         {"data: a\n\n", "data: b\n", 1, true},
@@ -34,10 +45,11 @@
         {"data: a\r\r", "data: b\r\n", 1, true},
         {"", "id: 1\n", 0, true},
         // A comment belongs to no event.
-        {"data: a\n\n", ": alive\n", 1, false},
-        {"data: a\n\n", ": alive\n\n", 1, false},
+        {"data: a\n\n: alive\n", "", 1, false},
+        {"data: a\n\n: alive\n\n", "", 1, false},
         {"data: a\n\n", ": ali", 1, false},
         {"data: a\n\n", "data: b\n: alive\n", 1, true},
+        {"data: a\n: alive\n\n", "", 1, false},
     }));
     const auto bytes = each.m_ended + each.m_rest;
     INFO(bytes);
@@ -51,8 +63,7 @@
           "[event_boundary]")
 {
     CHECK(rc::check("cuts", [] {
-        const auto bytes = *rc::gen::container<std::string>(
-            rc::gen::element('\n', '\r', ':', 'd'));
+        const auto bytes = any_events();
         event_boundary whole;
         (void)whole.consume(bytes);
         event_boundary pieces;
@@ -62,3 +73,17 @@
         RC_ASSERT(whole.inside_event() == pieces.inside_event());
     }));
 }
+
+TEST_CASE("events are counted as their boundaries are", "[event_boundary]")
+{
+    CHECK(rc::check("counts", [] {
+        const auto bytes = any_events();
+        event_boundary boundary;
+        (void)boundary.consume(bytes);
+        event_reader reader(false);
+        reader.consume(bytes);
+        RC_ASSERT(reader.complete_events() == boundary.complete_events());
+        RC_ASSERT(reader.started_events() - reader.complete_events() ==
+                  (boundary.inside_event() ? 1U : 0U));
+    }));
+}
--- a/test/forward/test_event_reader.cpp
+++ b/test/forward/test_event_reader.cpp
@@ -31,6 +31,9 @@
         {"\n\n\n", 0, 0, ""},
         {"data: a\n\ndata: b", 1, 2, "a\n"},
         {"data: a\n\nid: 2\n", 1, 2, "a\n"},
+        {"id: 1\rdata: a\r\rdata: b\r\r", 2, 2, "a\nb\n"},
+        // Comments are no events: nobody pays for them.
+        {": alive\n\ndata: a\n: alive\n\n: al", 1, 1, "a\n"},
     }));
     INFO(each.m_bytes);
     event_reader reader(true);
