Attempts: a reset that the send has seen is no end of a body

Callers whose request was still being sent when the runner reset the connection received the half answer as whole: the system reports a connection's error once, to the write, and the read after it sees an ordinary close, which ends a body with neither a length nor chunks.

The attempt remembers that its write failed, and a body that only the close would end is then incomplete, whatever its type.

Two cases beside it asked less than they said: the resumed one shared a VM with a runner that had just failed, so nothing was resumed (each has a VM of its own, and the runs at both runners are counted); the check for the whole answer's body is back.

--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -50,6 +50,9 @@
     std::shared_ptr<const void> m_owner;
     std::shared_ptr<buffer_account> m_held;
     bool m_written = false;
+    /// The connection failed under the request. The system reports such an
+    /// error once: a read that comes after it sees an ordinary close.
+    bool m_write_failed = false;
     bool m_response_started = false;
     /// Aborted because the runner did not read the request in time.
     bool m_send_timed_out = false;
@@ -114,6 +117,7 @@
     state->m_owner.reset();
     state->m_held.reset();
     state->m_written = !ec;
+    state->m_write_failed = static_cast<bool>(ec);
 }
 
 /// Reserves memory for the first piece of a response and for what the kernel
@@ -164,6 +168,7 @@
         asio::buffer(state->m_head), asio::buffer(body.data(), body.size())};
     co_await asio::async_write(state->m_connection->m_stream, parts, into(ec));
     state->m_written = !ec;
+    state->m_write_failed = static_cast<bool>(ec);
     co_return !ec;
 }
 
@@ -205,15 +210,21 @@
     return boost::algorithm::istarts_with(type, event_stream);
 }
 
-/// Looks for the end of a stream whose framing has ended. Runners that fail
-/// may close the connection, or send the last chunk, inside an event.
-/// \returns why the stream is not complete; null if it is
-const char* find_missing_end(body_framing framing, const event_boundary& events)
+/// Looks for the end of a body whose framing has ended. Runners that fail may
+/// close the connection, or send the last chunk, inside an event.
+/// \param events of a stream of events; null: another body
+/// \returns why the body is not complete; null if it is
+const char* find_missing_end(const attempt_state& state, body_framing framing,
+                             const event_boundary* events)
 {
-    if (events.inside_event())
+    const bool closed = framing == body_framing::connection_close;
+    if (closed && state.m_write_failed)
+        return "the connection failed while the request was being sent";
+    if (events == nullptr)
+        return nullptr;
+    if (events->inside_event())
         return "the stream ended inside an event";
-    if (framing == body_framing::connection_close &&
-        events.complete_events() == 0)
+    if (closed && events->complete_events() == 0)
         return "the connection closed before the first event";
     return nullptr;
 }
@@ -286,9 +297,7 @@
             co_return out;
         }
     }
-    const auto* fault = events == nullptr
-                            ? nullptr
-                            : find_missing_end(framing_of(parser), *events);
+    const auto* fault = find_missing_end(*state, framing_of(parser), events);
     if (fault != nullptr)
         out.m_reason = fault;
     out.m_complete = fault == nullptr;
--- a/test/fleet/test_broken_off_streams.cpp
+++ b/test/fleet/test_broken_off_streams.cpp
@@ -92,14 +92,22 @@
 TEST_CASE("a stream that closes before its first event never looks complete",
           "[proxy][broken_off]")
 {
-    isolated_edge edge;
-    edge.m_first.script({stream_of(body_framing::connection_close, "")});
-    edge.m_second.script({{event_answer({"a"})}});
-    const auto got = edge.ask(proxy_fixture::post("/stream/", "x"), last_chunk);
-    CHECK_FALSE(has(got, last_chunk));
-    CHECK(edge.m_second.requests().empty());
-    CHECK(has(edge.ask(proxy_fixture::post("/resume/", "x"), last_chunk),
-              "data: a\n\n"));
+    const auto empty = stream_of(body_framing::connection_close, "");
+    isolated_edge once;
+    once.m_first.script({empty});
+    once.m_second.script({{event_answer({"a"})}});
+    CHECK_FALSE(has(once.ask(proxy_fixture::post("/stream/", "x"), last_chunk),
+                    last_chunk));
+    CHECK(once.m_second.requests().empty());
+    isolated_edge resumed;
+    resumed.m_first.script({empty});
+    resumed.m_second.script({{event_answer({"a"})}});
+    const auto got =
+        resumed.ask(proxy_fixture::post("/resume/", "x"), last_chunk);
+    CHECK(has(got, "data: a\n\n"));
+    CHECK(has(got, last_chunk));
+    CHECK(resumed.m_first.requests().size() == 1);
+    CHECK(resumed.m_second.requests().size() == 1);
 }
 
 TEST_CASE(
@@ -153,12 +161,13 @@
     {
         const char* m_path;
         const char* m_status;
+        const char* m_body;
         std::size_t m_runs_elsewhere;
     };
     const auto each = GENERATE(values<sample>({
-        {"/get/", "HTTP/1.1 200 ", 1},
+        {"/get/", "HTTP/1.1 200 ", "whole", 1},
         // It may have run, so nobody else runs it.
-        {"/once/", "HTTP/1.1 502 ", 0},
+        {"/once/", "HTTP/1.1 502 ", "", 0},
     }));
     for (const auto framing : all_framings)
     {
@@ -170,12 +179,45 @@
         const auto got =
             edge.ask(proxy_fixture::post(each.m_path, "x"), "\r\n\r\n");
         CHECK(has(got, each.m_status));
+        CHECK(has(got, each.m_body));
         CHECK_FALSE(has(got, "data: "));
         CHECK(edge.m_first.requests().size() == 1);
         CHECK(edge.m_second.requests().size() == each.m_runs_elsewhere);
     }
 }
 
+// The send takes the reset's error, and the read sees an ordinary close.
+TEST_CASE("a reset while the request is being sent ends no body",
+          "[proxy][broken_off]")
+{
+    struct sample
+    {
+        const char* m_path;
+        const char* m_body;
+        const char* m_end;
+    };
+    const auto each = GENERATE(values<sample>({
+        {"/stream/", "id: 1\ndata: a\n\n", last_chunk},
+        {"/once/", R"({"a":1)", "\r\n\r\n"},
+    }));
+    isolated_edge edge;
+    constexpr int receive_bytes = 4096;
+    edge.m_first.set_receive_buffer(receive_bytes);
+    auto step = stream_of(body_framing::connection_close, each.m_body,
+                          "Content-Type: text/plain\r\n");
+    step.m_read_all = false;
+    step.m_after = after::reset;
+    // Both the send and the read wait by then.
+    step.m_end_delay = milliseconds(80);
+    edge.m_first.script({step});
+    const std::string unread(95000, 'x');
+    const auto got =
+        edge.ask(proxy_fixture::post(each.m_path, unread), each.m_end);
+    CHECK_FALSE(has(got, last_chunk));
+    CHECK_FALSE(has(got, "Content-Length: 6\r\n"));
+    CHECK(edge.m_second.requests().empty());
+}
+
 namespace {
 
 /// Storage VMs, and a proxy whose streaming routes store their turns.
--- a/test/support/fleet/runner.cpp
+++ b/test/support/fleet/runner.cpp
@@ -80,6 +80,11 @@
     return to_text(m_acceptor.local_endpoint());
 }
 
+void scripted_runner::set_receive_buffer(int bytes)
+{
+    m_acceptor.set_option(asio::socket_base::receive_buffer_size(bytes));
+}
+
 void scripted_runner::script(std::vector<runner_step> steps)
 {
     m_steps = std::move(steps);
@@ -132,6 +137,8 @@
             co_await sleep_for(m_io, now.m_delay);
         const auto bytes = with_id(now.m_bytes, id);
         co_await asio::async_write(*socket, asio::buffer(bytes), into(ec));
+        if (now.m_end_delay > milliseconds(0))
+            co_await sleep_for(m_io, now.m_end_delay);
         if (now.m_after == runner_step::after::close)
         {
             socket->close(ec);
--- a/test/support/fleet/runner.hpp
+++ b/test/support/fleet/runner.hpp
@@ -27,6 +27,8 @@
     /// Sent \ref m_delay later on the kept connection, without a request.
     std::string m_surplus = {};
     milliseconds m_delay{0};
+    /// Between the bytes and the end of the connection.
+    milliseconds m_end_delay{0};
 };
 
 class scripted_runner
@@ -35,6 +37,9 @@
     explicit scripted_runner(asio::io_context& io);
 
     [[nodiscard]] std::string address() const;
+    /// Of connections that are accepted from now on, in bytes: a sender of
+    /// more waits until it is read.
+    void set_receive_buffer(int bytes);
     /// Steps are used in order; the last one stays.
     void script(std::vector<runner_step> steps);
     /// Heads and bodies, in the order of their arrival.
