Streams: a failure's text is judged by its framing alone

Callers got a 502 of ours in place of a runner's own 500 or 504 whose type was text/event-stream: the check of broken-off streams took its text for an event without an end. Found in review of that check, before it was released.

Evidence: 'a failure of the type of a stream is returned unchanged' fails on the code before (no 500, no signature), passes now. Only a 200 is looked at; a stream without any type, which no test sent, has a case too.

--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -38,6 +38,7 @@
 /// An attempt that is aborted without a first byte after at least this long is
 /// counted against the runner; sooner, it says something of the caller only.
 constexpr milliseconds min_unresponsive_time{900};
+constexpr unsigned status_ok = 200;
 constexpr unsigned first_server_error = 500;
 
 /// State of one attempt on one connection.
@@ -200,10 +201,12 @@
 }
 
 /// Whether the body is a series of events. A streaming route's response is one
-/// unless it names another type.
-bool has_events(const http::fields& head, bool streaming)
+/// unless it names another type; a failure's text is none, whatever its type.
+bool has_events(const http::response_header<>& head, bool streaming)
 {
     constexpr std::string_view event_stream = "text/event-stream";
+    if (head.result_int() != status_ok)
+        return false;
     const auto type = field(head, "Content-Type");
     if (type.empty())
         return streaming;
@@ -462,7 +465,7 @@
         result.m_response.m_status = head.result_int();
         result.m_response.m_fields = head.base();
         const bool stream =
-            request.m_streaming && result.m_response.m_status == 200;
+            request.m_streaming && result.m_response.m_status == status_ok;
         body_sink body_out;
         body_out.m_write = [&](std::string_view bytes) -> task<bool> {
             result.m_response.m_body += bytes;
@@ -485,7 +488,7 @@
                 body.m_caller_disconnected = true;
         }
         event_boundary events;
-        auto* tracked = has_events(head, stream) ? &events : nullptr;
+        auto* tracked = has_events(head.base(), stream) ? &events : nullptr;
         if (!body.m_caller_disconnected)
             body = co_await read_body(state, parser, tracked,
                                       request.m_gap_timeout, body_out);
--- a/test/fleet/test_broken_off_streams.cpp
+++ b/test/fleet/test_broken_off_streams.cpp
@@ -218,6 +218,27 @@
     CHECK(edge.m_second.requests().empty());
 }
 
+TEST_CASE("a failure of the type of a stream is returned unchanged", "[proxy]")
+{
+    const auto* path = GENERATE("/stream/", "/once/");
+    isolated_edge edge;
+    edge.m_first.script(
+        {{whole_answer(500, "boom", "Content-Type: text/event-stream\r\n")}});
+    const auto got = edge.ask(proxy_fixture::post(path, "x"), "boom");
+    CHECK(has(got, "HTTP/1.1 500 "));
+    CHECK(has(got, "Pepperturn-Signature: s"));
+}
+
+TEST_CASE("a streaming route's response without a type has events",
+          "[proxy][broken_off]")
+{
+    isolated_edge edge;
+    edge.m_first.script({stream_of(body_framing::connection_close,
+                                   std::string(two_events) + "id: 3", "")});
+    const auto got = edge.ask(proxy_fixture::post("/stream/", "x"), last_chunk);
+    CHECK_FALSE(has(got, last_chunk));
+}
+
 namespace {
 
 /// Storage VMs, and a proxy whose streaming routes store their turns.
