Events: half of a line end, and half of a comment, end nothing

Callers whose stream was cut between the two bytes of its last line end, or inside a comment, got it as complete; and a resumed stream could lose the line feed between two runs. Found in review.

line_ends learns from the first line how a text's lines end; the reader and the boundary both use it. A stream that stops inside any line is broken off.

The metric of broken-off streams counts those that the runner broke off only.

--- a/include/pepperturn/forward/event_boundary.hpp
+++ b/include/pepperturn/forward/event_boundary.hpp
@@ -4,14 +4,16 @@
 /// bytes are split.
 #pragma once
 
+#include "pepperturn/forward/line_ends.hpp"
+
 #include <cstddef>
 #include <cstdint>
 #include <string_view>
 
 namespace pepperturn {
 
-/// Lines end with a line feed, a carriage return or both; an empty line ends an
-/// event. Lines that begin with a colon are comments and belong to no event.
+/// An empty line ends an event; lines that begin with a colon are comments and
+/// belong to no event.
 class event_boundary
 {
 public:
@@ -19,11 +21,11 @@
     /// those up to the last line end at which no event is under way
     [[nodiscard]] std::size_t consume(std::string_view bytes);
 
-    /// Bytes of an event were read, and not its end: a stream that stops here
-    /// has been broken off.
+    /// Bytes of an event, or of any line, were read, and not its end: a stream
+    /// that stops here has been broken off.
     [[nodiscard]] bool inside_event() const
     {
-        return m_in_event || m_line == line_state::field;
+        return m_in_event || m_line != line_state::empty;
     }
     /// Events that have ended.
     [[nodiscard]] std::uint32_t complete_events() const
@@ -41,9 +43,8 @@
 
     void end_line();
 
+    line_ends m_line_ends;
     line_state m_line = line_state::empty;
-    /// A line feed after a carriage return belongs to the same line end.
-    bool m_after_return = false;
     bool m_in_event = false;
     std::uint32_t m_complete_events = 0;
 };
--- a/include/pepperturn/forward/event_reader.hpp
+++ b/include/pepperturn/forward/event_reader.hpp
@@ -4,6 +4,8 @@
 /// and collects their data. Lines and events end as in \ref event_boundary.
 #pragma once
 
+#include "pepperturn/forward/line_ends.hpp"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -45,8 +47,7 @@
     void end_line();
 
     bool m_collect_data;
-    /// A line feed after a carriage return belongs to the same line end.
-    bool m_after_return = false;
+    line_ends m_line_ends;
     bool m_in_event = false;
     bool m_has_data = false;
     std::string m_line;
--- a/src/forward/event_boundary.cpp
+++ b/src/forward/event_boundary.cpp
@@ -11,16 +11,16 @@
     for (std::size_t at = 0; at < bytes.size(); ++at)
     {
         const char byte = bytes[at];
-        const bool after_return = std::exchange(m_after_return, byte == '\r');
-        if (byte != '\n' && byte != '\r')
+        const auto kind = m_line_ends.next(byte);
+        if (kind == line_ends::byte_kind::text)
         {
             if (m_line == line_state::empty)
                 m_line = byte == ':' ? line_state::comment : line_state::field;
             continue;
         }
-        if (byte != '\n' || !after_return)
+        if (kind == line_ends::byte_kind::line_end)
             end_line();
-        if (!m_in_event)
+        if (!inside_event())
             end = at + 1;
     }
     return end;
--- a/src/forward/event_reader.cpp
+++ b/src/forward/event_reader.cpp
@@ -11,13 +11,18 @@
 {
     for (const char c : bytes)
     {
-        const bool after_return = std::exchange(m_after_return, c == '\r');
-        if (c == '\n' && after_return)
-            continue;
-        if (c == '\n' || c == '\r')
-            end_line();
-        else
+        switch (m_line_ends.next(c))
+        {
+        case line_ends::byte_kind::text:
             m_line.push_back(c);
+            break;
+        case line_ends::byte_kind::line_end:
+            end_line();
+            m_line.clear();
+            break;
+        case line_ends::byte_kind::ignored:
+            break;
+        }
     }
 }
 
@@ -41,11 +46,10 @@
         m_has_data = false;
         return;
     }
-    const std::string line_text = std::exchange(m_line, {});
-    if (line_text.front() == ':')
+    if (m_line.front() == ':')
         return;
     m_in_event = true;
-    std::string_view line = line_text;
+    std::string_view line = m_line;
     if (line.starts_with(field))
     {
         line.remove_prefix(field.size());
--- a/src/forward/proxy_attempts.cpp
+++ b/src/forward/proxy_attempts.cpp
@@ -294,7 +294,8 @@
     m_metrics.count(std::string("attempts_") + to_string(result.m_outcome));
     if (result.m_framing == body_framing::connection_close)
         m_metrics.count("responses_ended_by_close");
-    if (result.m_ended_inside_event)
+    if (result.m_ended_inside_event &&
+        result.m_outcome == attempt_outcome::unknown)
         m_metrics.count("streams_ended_inside_event");
     co_return result;
 }
