Callers: a stream that failed or was dropped has no last chunk

Callers of streams who go by the framing took half an answer for the whole one: after an error event, and when the VM dropped the stream (a stop at its time limit), the chunks ended as those of a whole answer do.

The responder had one way to end a stream, and its destructor used it too. It can now break a stream off: the buffer is closed with an exception, which the listener reads after what was written; it then closes the connection in place of a last chunk. A stream that nobody has ended is broken off, so forgetting to end one is safe. A log line (caller_stream_broken_off) says so.

--- a/include/pepperturn/net/http_server.hpp
+++ b/include/pepperturn/net/http_server.hpp
@@ -17,7 +17,8 @@
 using http_headers = std::vector<std::pair<std::string, std::string>>;
 
 /// Answers one request, whole or as a stream. Thread-safe; after the caller
-/// is gone every call is harmless.
+/// is gone every call is harmless. A stream that nobody has ended when its
+/// responder is destroyed is broken off.
 class http_responder
 {
 public:
@@ -27,7 +28,11 @@
     virtual void begin(int status, const http_headers& headers) = 0;
     /// False if the caller is gone or leaves more than the limit unread.
     virtual bool write(const std::string& data) = 0;
+    /// Marks a stream as whole, for callers who go by its framing.
     virtual void end() = 0;
+    /// Closes the connection of a stream without the framing's end mark, so
+    /// that no caller takes what was sent for the whole answer.
+    virtual void break_off() = 0;
 };
 
 struct http_call
--- a/src/daemon/caller_sink.cpp
+++ b/src/daemon/caller_sink.cpp
@@ -3,6 +3,7 @@
 
 #include "pepperturn/daemon/metrics.hpp"
 
+#include <glog/logging.h>
 #include <mutex>
 #include <nlohmann/json.hpp>
 
@@ -64,6 +65,7 @@
             return !m_gone;
         begin();
         m_gone = !m_out->write("data: " + dump(chunk(text)) + "\n\n");
+        m_sent_text += text;
         return !m_gone;
     }
 
@@ -128,9 +130,7 @@
         begin();
         if (!is_result(reply))
         {
-            // No end marker: what was sent is not the whole answer.
-            m_out->write("data: " + answer_error(reply) + "\n\n");
-            m_out->end();
+            break_off(reply, reply.m_reason);
             return;
         }
         if (!m_seen_token)
@@ -145,6 +145,19 @@
         m_out->end();
     }
 
+    /// What was sent is not the whole answer: no end marker, and no end of the
+    /// framing for callers who go by that.
+    void break_off(answer reply, const std::string& reason)
+    {
+        LOG(WARNING) << "event=caller_stream_broken_off call=" << reply.m_call
+                     << " outcome=" << to_string(reply.m_outcome)
+                     << " sent_bytes=" << m_sent_text.size() << " reason=\""
+                     << reason << '"';
+        reply.m_reason = reason;
+        m_out->write("data: " + answer_error(reply) + "\n\n");
+        m_out->break_off();
+    }
+
     std::mutex m_mutex;
     std::shared_ptr<http_responder> m_out;
     std::string m_model;
@@ -154,6 +167,7 @@
     bool m_begun = false;
     bool m_seen_token = false;
     bool m_gone = false;
+    std::string m_sent_text;
 };
 
 class service_sink final : public call_sink
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -56,7 +56,7 @@
 
     ~responder() override
     {
-        end();
+        break_off();
     }
 
     void reply(int status, const http_headers& headers,
@@ -105,6 +105,13 @@
         m_buffer.close(std::ios_base::out);
     }
 
+    void break_off() override
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_streaming && !m_ended)
+            close_broken();
+    }
+
 private:
     static std::string content_type_of(const http_headers& headers)
     {
@@ -128,6 +135,16 @@
         return response;
     }
 
+    /// The listener sends what the buffer holds, reads the exception in place
+    /// of an end, and closes the connection without the last chunk.
+    void close_broken()
+    {
+        m_ended = true;
+        m_buffer.close(std::ios_base::out,
+                       std::make_exception_ptr(
+                           rest::http_exception("the answer was broken off")));
+    }
+
     void watch(const pplx::task<void>& sent)
     {
         sent.then([gone = m_gone](const pplx::task<void>& finished) {
