Callers: a stream that left out a piece has no last chunk

A streaming caller who left more than the limit unread, and read on later, got an answer with a hole in it that ended with [DONE] and a last chunk.

The responder refused the piece that was over the limit, but took later ones once the caller had read: the end marker among them. A refused piece is now remembered: nothing more is taken, and the end breaks the stream off; the chat sink does not write an end marker after a piece that was not taken.

--- a/include/pepperturn/net/http_server.hpp
+++ b/include/pepperturn/net/http_server.hpp
@@ -26,7 +26,8 @@
     virtual void reply(int status, const http_headers& headers,
                        const std::string& body) = 0;
     virtual void begin(int status, const http_headers& headers) = 0;
-    /// False if the caller is gone or leaves more than the limit unread.
+    /// False if the caller is gone or leaves more than the limit unread; the
+    /// stream then takes no more data and is broken off at its end.
     virtual bool write(const std::string& data) = 0;
     /// Marks a stream as whole, for callers who go by its framing.
     virtual void end() = 0;
--- a/src/daemon/caller_sink.cpp
+++ b/src/daemon/caller_sink.cpp
@@ -133,6 +133,11 @@
             break_off(reply, reply.m_reason);
             return;
         }
+        if (m_gone)
+        {
+            break_off(reply, "the caller is gone or left too much unread");
+            return;
+        }
         if (!m_seen_token)
             m_out->write("data: " + dump(chunk(reply.m_body)) + "\n\n");
         auto last = chunk({});
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -83,10 +83,13 @@
     bool write(const std::string& data) override
     {
         const std::lock_guard lock(m_mutex);
-        if (!m_streaming || m_ended || *m_gone)
+        if (!m_streaming || m_ended || m_left_out || *m_gone)
             return false;
         if (m_buffer.in_avail() > m_max_unread)
+        {
+            m_left_out = true;
             return false;
+        }
         // Both act before they return; only their tasks' continuations need a
         // pool thread, so waiting here could block on a pool that is waiting
         // for the caller's lock.
@@ -101,6 +104,11 @@
         const std::lock_guard lock(m_mutex);
         if (!m_streaming || m_ended)
             return;
+        if (m_left_out)
+        {
+            close_broken();
+            return;
+        }
         m_ended = true;
         m_buffer.close(std::ios_base::out);
     }
@@ -166,6 +174,8 @@
     std::atomic<bool> m_begun{false};
     std::atomic<bool> m_streaming{false};
     bool m_ended = false;
+    /// A piece was not taken, so what was sent is not the whole answer.
+    bool m_left_out = false;
     std::shared_ptr<std::atomic<bool>> m_gone =
         std::make_shared<std::atomic<bool>>(false);
 };
--- a/test/net/test_callers_streams.cpp
+++ b/test/net/test_callers_streams.cpp
@@ -93,6 +93,28 @@
     }
 }
 
+TEST_CASE("a stream that left out a piece has no last chunk", "[net]")
+{
+    http_server_options options;
+    options.m_max_unread_bytes = 1000;
+    const auto got = ask_server(
+        [](const auto& out) {
+            // Nothing is read before the response begins.
+            const std::string large(2000, 'x');
+            out->begin(200, event_headers);
+            bool taken = true;
+            for (int i = 0; i < 10000 && taken; ++i)
+                taken = out->write(large);
+            CHECK_FALSE(taken);
+            std::this_thread::sleep_for(milliseconds(300));
+            out->write("data: last\n\n");
+            out->end();
+        },
+        options);
+    CHECK_FALSE(has(got, "data: last"));
+    CHECK_FALSE(has(got, stream_end));
+}
+
 TEST_CASE("a chat that was answered whole ends with its marker", "[net]")
 {
     const auto got = ask_chat({"a", "b"}, answer_with(outcome::ran, 200, "ab"));
