Callers: a stream ends as whole only if it was the answer of record

The answer of record may be another attempt's than the one whose pieces a caller has seen: a VM that is frozen past a takeover holds part of a stream while the call runs again elsewhere. Its caller then got that part, [DONE] and a last chunk; what was missing or different was not said.

The sink asked only whether any piece had been sent. It now keeps what it has sent: if the answer goes on from there, the rest is sent before the end marker; if it differs, the stream is broken off with an error event, and asking again with the same seq gives the answer.

The test plays the sink's calls; the freeze itself was not played.

--- a/src/daemon/caller_sink.cpp
+++ b/src/daemon/caller_sink.cpp
@@ -138,8 +138,17 @@
             break_off(reply, "the caller is gone or left too much unread");
             return;
         }
-        if (!m_seen_token)
-            m_out->write("data: " + dump(chunk(reply.m_body)) + "\n\n");
+        // The answer of record may be another attempt's than the one that the
+        // caller has seen part of.
+        if (!reply.m_body.starts_with(m_sent_text))
+        {
+            break_off(reply, "the answer on record differs from what was "
+                             "streamed; ask again for it");
+            return;
+        }
+        const auto rest = reply.m_body.substr(m_sent_text.size());
+        if (!rest.empty() || m_sent_text.empty())
+            m_out->write("data: " + dump(chunk(rest)) + "\n\n");
         auto last = chunk({});
         last["id"] = reply.m_call;
         last["choices"][0]["delta"] = json::object();
--- a/test/net/test_callers_streams.cpp
+++ b/test/net/test_callers_streams.cpp
@@ -130,3 +130,19 @@
     CHECK_FALSE(has(got, "[DONE]"));
     CHECK_FALSE(has(got, stream_end));
 }
+
+// The answer of record may be another attempt's than the one that the caller
+// has seen part of.
+TEST_CASE("a chat's caller gets the whole answer of record or no end", "[net]")
+{
+    const auto rest =
+        ask_chat({"a", "b"}, answer_with(outcome::ran, 200, "abc"));
+    CHECK(has(rest, "\"content\":\"c\""));
+    CHECK(has(rest, "[DONE]"));
+    CHECK(rest.ends_with(stream_end));
+
+    const auto other =
+        ask_chat({"a", "b"}, answer_with(outcome::ran, 200, "xyz"));
+    CHECK_FALSE(has(other, "[DONE]"));
+    CHECK_FALSE(has(other, stream_end));
+}
