Engines: answers are read event by event

A chat whose end marker's event had not ended was complete. The reader went line by line and did not know where an event ends. It also knew only fields with a blank after the colon and events of one data line: answers of engines that write the others, as they may, lost pieces or counted as aborted, after the engine had done its work. And a connection that was reset after the end marker lost what had been received: lines are read byte by byte, and cpprestsdk reports the reset before the bytes that came first.

A log line (answer_broken_off) says of each attempt that was broken off why.

What cpprestsdk says of plain answers was asked with real sockets and holds: too few bytes of a length, no last chunk, half of one, and a reset are never complete, on the code before as well.

--- a/include/pepperturn/net/http_client.hpp
+++ b/include/pepperturn/net/http_client.hpp
@@ -47,9 +47,11 @@
 /// Fetches the whole reply. \p done comes once, on an HTTP thread.
 void fetch(const http_fetch& request, http_done done);
 
-/// Gives each line of a successful reply to \p on_line as it comes. A reply
-/// with an error status is collected in http_result::m_body instead.
-void fetch_lines(const http_fetch& request,
-                 std::function<void(std::string_view)> on_line, http_done done);
+/// Gives the bytes of a successful reply to \p on_bytes as they come. A reply
+/// with an error status is collected in http_result::m_body instead. The end
+/// is that of the framing alone.
+void fetch_stream(const http_fetch& request,
+                  std::function<void(std::string_view)> on_bytes,
+                  http_done done);
 
 } // namespace pepperturn
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,7 +1,8 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "pepperturn/net/http_client.hpp"
 
-#include <cpprest/containerstream.h>
+#include <algorithm>
+#include <array>
 #include <cpprest/http_client.h>
 #include <mutex>
 
@@ -75,12 +76,12 @@
     return out;
 }
 
-struct line_reader final : std::enable_shared_from_this<line_reader>
+struct stream_reader final : std::enable_shared_from_this<stream_reader>
 {
     client_ptr m_client;
-    concurrency::streams::istream m_stream;
-    concurrency::streams::container_buffer<std::string> m_line;
-    std::function<void(std::string_view)> m_on_line;
+    concurrency::streams::streambuf<std::uint8_t> m_stream;
+    std::array<std::uint8_t, 8192> m_piece{};
+    std::function<void(std::string_view)> m_on_bytes;
     http_done m_done;
     http_result m_result;
 
@@ -95,35 +96,39 @@
 
     void read_next()
     {
-        m_line = concurrency::streams::container_buffer<std::string>();
-        m_stream.read_line(m_line).then(
-            [self =
-                 shared_from_this()](const pplx::task<std::size_t>& finished) {
+        // A read waits until it has all that it asks for, so it asks for what
+        // is there.
+        const auto size =
+            std::clamp<std::size_t>(m_stream.in_avail(), 1, m_piece.size());
+        m_stream.getn(m_piece.data(), size)
+            .then([self = shared_from_this()](
+                      const pplx::task<std::size_t>& finished) {
                 self->on_read(finished);
             });
     }
 
     void on_read(const pplx::task<std::size_t>& finished)
     {
+        std::size_t size = 0;
         try
         {
-            const std::size_t size = finished.get();
-            if (size == 0 && m_stream.is_eof())
-            {
-                m_result.m_end = transfer_end::complete;
-                finish(m_result);
-                return;
-            }
+            size = finished.get();
         }
         catch (...)
         {
             auto failed = failure_of(std::current_exception());
+            failed.m_status = m_result.m_status;
             failed.m_end = transfer_end::cut;
             finish(failed);
             return;
         }
-        const std::string line = m_line.collection();
-        m_on_line(line);
+        if (size == 0)
+        {
+            m_result.m_end = transfer_end::complete;
+            finish(m_result);
+            return;
+        }
+        m_on_bytes({reinterpret_cast<const char*>(m_piece.data()), size});
         read_next();
     }
 
@@ -132,7 +137,7 @@
         m_result.m_status = response.status_code();
         if (m_result.m_status == rest::status_codes::OK)
         {
-            m_stream = response.body();
+            m_stream = response.body().streambuf();
             read_next();
             return;
         }
@@ -183,12 +188,13 @@
         });
 }
 
-void fetch_lines(const http_fetch& request,
-                 std::function<void(std::string_view)> on_line, http_done done)
+void fetch_stream(const http_fetch& request,
+                  std::function<void(std::string_view)> on_bytes,
+                  http_done done)
 {
-    auto reader = std::make_shared<line_reader>();
+    auto reader = std::make_shared<stream_reader>();
     reader->m_client = find_client(request);
-    reader->m_on_line = std::move(on_line);
+    reader->m_on_bytes = std::move(on_bytes);
     reader->m_done = std::move(done);
     reader->m_client->request(make_request(request))
         .then([reader](const pplx::task<rest::http_response>& response) {
--- a/src/net/path_command.cpp
+++ b/src/net/path_command.cpp
@@ -4,6 +4,7 @@
 #include "pepperturn/bench/commands.hpp"
 
 #include "pepperturn/base/time.hpp"
+#include "pepperturn/net/event_splitter.hpp"
 #include "pepperturn/net/http_client.hpp"
 
 #include <algorithm>
@@ -46,6 +47,7 @@
         std::condition_variable m_wake;
         bool m_over = false;
         sample m_sample;
+        event_splitter m_events;
         instant m_begun{};
     };
     const system_clock time;
@@ -66,15 +68,18 @@
     const auto since = [state](const clock& now) {
         return to_seconds(now.now() - state->m_begun) * 1000;
     };
-    fetch_lines(
+    const auto on_data = [state, since, time](const std::string& data) {
+        if (data.find("\"content\"") != std::string::npos &&
+            state->m_sample.m_first_token_ms == 0)
+            state->m_sample.m_first_token_ms = since(time);
+        if (data == "[DONE]")
+            state->m_sample.m_whole = true;
+    };
+    fetch_stream(
         request,
-        [state, since, time](std::string_view line) {
+        [state, on_data](std::string_view bytes) {
             const std::lock_guard lock(state->m_mutex);
-            if (line.find("\"content\"") != std::string_view::npos &&
-                state->m_sample.m_first_token_ms == 0)
-                state->m_sample.m_first_token_ms = since(time);
-            if (line == "data: [DONE]")
-                state->m_sample.m_whole = true;
+            state->m_events.consume(bytes, on_data);
         },
         [state, since, time](const http_result&) {
             const std::lock_guard lock(state->m_mutex);
--- a/src/net/upstream_client.cpp
+++ b/src/net/upstream_client.cpp
@@ -1,6 +1,9 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "pepperturn/net/upstream_client.hpp"
 
+#include "pepperturn/net/event_splitter.hpp"
+
+#include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
 namespace pepperturn {
@@ -51,20 +54,25 @@
     std::uint32_t m_most_tokens = 0;
     std::uint32_t m_seen_tokens = 0;
     bool m_done_marker = false;
+    event_splitter m_events;
     std::function<void(const std::string&)> m_on_token;
 
-    void on_line(std::string_view line)
+    void on_bytes(std::string_view bytes)
+    {
+        m_events.consume(bytes,
+                         [this](const std::string& data) { on_event(data); });
+    }
+
+    void on_event(const std::string& data)
     {
-        constexpr std::string_view prefix = "data: ";
-        if (!line.starts_with(prefix))
+        if (m_done_marker)
             return;
-        line.remove_prefix(prefix.size());
-        if (line == "[DONE]")
+        if (data == "[DONE]")
         {
             m_done_marker = true;
             return;
         }
-        const auto chunk = json::parse(line, nullptr, false);
+        const auto chunk = json::parse(data, nullptr, false);
         if (!chunk.is_object())
             return;
         read_usage(chunk, m_report);
@@ -92,15 +100,32 @@
         else if (result.m_end == transfer_end::not_sent)
             m_report.m_end = attempt_end::not_sent;
         else
-        {
-            m_report.m_end = attempt_end::aborted;
-            m_report.m_no_retry = m_seen_tokens > 0;
-            if (m_report.m_reason.empty())
-                m_report.m_reason = "no end marker";
-        }
+            abort();
+    }
+
+    void abort()
+    {
+        m_report.m_end = attempt_end::aborted;
+        m_report.m_no_retry = m_seen_tokens > 0;
+        if (m_report.m_reason.empty())
+            m_report.m_reason = m_events.inside_event()
+                                    ? "the stream ended inside an event"
+                                    : "no end marker";
     }
 };
 
+void log_broken_off(const call_report& report)
+{
+    if (report.m_end != attempt_end::aborted)
+        return;
+    LOG(WARNING) << "event=answer_broken_off call=" << report.m_call
+                 << " attempt=" << report.m_attempt
+                 << " runner=" << report.m_runner
+                 << " status=" << report.m_status
+                 << " body_bytes=" << report.m_body.size() << " reason=\""
+                 << report.m_reason << '"';
+}
+
 json chat_body(const grant& permit, const std::string& model)
 {
     json messages = json::array();
@@ -158,10 +183,11 @@
     request.m_body = chat_body(permit, model)
                          .dump(-1, ' ', false, json::error_handler_t::replace);
     request.m_timeout = permit.m_timeout;
-    fetch_lines(
-        request, [reader](std::string_view line) { reader->on_line(line); },
+    fetch_stream(
+        request, [reader](std::string_view bytes) { reader->on_bytes(bytes); },
         [reader, done = std::move(done)](const http_result& result) {
             reader->finish(result);
+            log_broken_off(reader->m_report);
             done(reader->m_report);
         });
 }
@@ -194,6 +220,7 @@
             report.m_end = attempt_end::complete;
             break;
         }
+        log_broken_off(report);
         done(std::move(report));
     });
 }
