Engines: an event that cannot be read is a missing piece

A chat answer with an event whose data is no JSON object, and an end marker after it, was returned and recorded as complete without that event's text.

The reader skipped what it could not read. Such an event now ends the answer: the attempt is aborted, nothing after it is passed on, and it is tried again unless the caller has seen part.

--- a/src/net/upstream_client.cpp
+++ b/src/net/upstream_client.cpp
@@ -54,6 +54,8 @@
     std::uint32_t m_most_tokens = 0;
     std::uint32_t m_seen_tokens = 0;
     bool m_done_marker = false;
+    /// Why the answer is not whole, whatever follows; null if nothing says so.
+    const char* m_fault = nullptr;
     event_splitter m_events;
     std::function<void(const std::string&)> m_on_token;
 
@@ -65,7 +67,7 @@
 
     void on_event(const std::string& data)
     {
-        if (m_done_marker)
+        if (m_fault != nullptr || m_done_marker)
             return;
         if (data == "[DONE]")
         {
@@ -74,7 +76,10 @@
         }
         const auto chunk = json::parse(data, nullptr, false);
         if (!chunk.is_object())
+        {
+            m_fault = "an event was not readable";
             return;
+        }
         read_usage(chunk, m_report);
         const auto text = delta_text(chunk);
         if (text.empty())
@@ -107,7 +112,9 @@
     {
         m_report.m_end = attempt_end::aborted;
         m_report.m_no_retry = m_seen_tokens > 0;
-        if (m_report.m_reason.empty())
+        if (m_fault != nullptr)
+            m_report.m_reason = m_fault;
+        else if (m_report.m_reason.empty())
             m_report.m_reason = m_events.inside_event()
                                     ? "the stream ended inside an event"
                                     : "no end marker";
--- a/test/net/test_broken_off_answers.cpp
+++ b/test/net/test_broken_off_answers.cpp
@@ -109,6 +109,13 @@
      attempt_end::aborted, "ab"},
     {"the end marker's event has not ended", two_pieces + "data: [DONE]\n",
      attempt_end::aborted, "ab"},
+    {"an event breaks off and the end marker follows",
+     chunk_with("a") + "data: {\"choices\":[{\"delta\":{\"cont\n\n" +
+         usage_event + end_event,
+     attempt_end::aborted, "a"},
+    {"an event is no object",
+     chunk_with("a") + "data: 7\n\n" + usage_event + end_event,
+     attempt_end::aborted, "a"},
 };
 
 } // namespace
