Engines: an error event breaks an answer off

Engines that fail while they stream say so in an event with an `error` field, and some send the end marker after it. Such an answer was complete, and the part before the error was recorded as a turn.

An event whose `error` is not null now ends the answer as one that cannot be read does.

--- a/src/net/upstream_client.cpp
+++ b/src/net/upstream_client.cpp
@@ -80,6 +80,14 @@
             m_fault = "an event was not readable";
             return;
         }
+        // Engines that fail while they stream say so in an event, and may
+        // send the end marker after it.
+        const auto error = chunk.find("error");
+        if (error != chunk.end() && !error->is_null())
+        {
+            m_fault = "the engine reported an error while it streamed";
+            return;
+        }
         read_usage(chunk, m_report);
         const auto text = delta_text(chunk);
         if (text.empty())
--- a/test/net/test_broken_off_answers.cpp
+++ b/test/net/test_broken_off_answers.cpp
@@ -116,6 +116,15 @@
     {"an event is no object",
      chunk_with("a") + "data: 7\n\n" + usage_event + end_event,
      attempt_end::aborted, "a"},
+    {"an error event and the end marker",
+     chunk_with("a") + "data: {\"error\":{\"message\":\"out of memory\"}}\n\n" +
+         end_event,
+     attempt_end::aborted, "a"},
+    {"an error field of null is none",
+     "data: {\"error\":null,\"choices\":[{\"delta\":{\"content\":\"ab\"}}]}"
+     "\n\n" +
+         end_event,
+     attempt_end::complete, "ab"},
 };
 
 } // namespace
