Services: a series of events that ends inside an event is broken off

A service's answer of type text/event-stream that stopped inside an event was complete if its framing had ended: it was returned, and recorded as the result of a call that may not be repeated.

Only the framing was asked. fetch() now looks for the end of the last event, as the fleet's forwarding does, and, if the body ends with its connection, for at least one event. Other types, and bodies with a content coding, are judged by their framing as before.

--- a/include/pepperturn/net/http_client.hpp
+++ b/include/pepperturn/net/http_client.hpp
@@ -44,7 +44,9 @@
 
 using http_done = std::function<void(const http_result&)>;
 
-/// Fetches the whole reply. \p done comes once, on an HTTP thread.
+/// Fetches the whole reply. A series of events is complete only if its last
+/// event has ended, whatever the framing says. \p done comes once, on an HTTP
+/// thread.
 void fetch(const http_fetch& request, http_done done);
 
 /// Gives the bytes of a successful reply to \p on_bytes as they come. A reply
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,8 +1,11 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "pepperturn/net/http_client.hpp"
 
+#include "pepperturn/forward/event_boundary.hpp"
+
 #include <algorithm>
 #include <array>
+#include <boost/algorithm/string/predicate.hpp>
 #include <cpprest/http_client.h>
 #include <mutex>
 
@@ -157,34 +160,83 @@
     }
 };
 
+/// What the head of a reply says of its body.
+struct reply_head
+{
+    int m_status = 0;
+    bool m_has_events = false;
+    /// The body ends with its connection.
+    bool m_ends_by_close = false;
+};
+
+reply_head head_of(const rest::http_response& response)
+{
+    const auto& headers = response.headers();
+    reply_head out;
+    out.m_status = response.status_code();
+    // What is coded in another way has no events to look for.
+    out.m_has_events = !headers.has(rest::header_names::content_encoding) &&
+                       boost::algorithm::istarts_with(headers.content_type(),
+                                                      "text/event-stream");
+    out.m_ends_by_close = !headers.has(rest::header_names::content_length) &&
+                          !headers.has(rest::header_names::transfer_encoding);
+    return out;
+}
+
+/// Looks for the end of a series of events whose framing has ended.
+/// \returns why it is not complete; null if it is
+const char* find_missing_end(const reply_head& head, const std::string& body)
+{
+    if (!head.m_has_events)
+        return nullptr;
+    event_boundary events;
+    static_cast<void>(events.consume(body));
+    if (events.inside_event())
+        return "the stream ended inside an event";
+    if (head.m_ends_by_close && events.complete_events() == 0)
+        return "the connection closed before the first event";
+    return nullptr;
+}
+
+http_result read_reply(const reply_head& head,
+                       const pplx::task<std::vector<unsigned char>>& body)
+{
+    http_result out;
+    try
+    {
+        const auto bytes = body.get();
+        out.m_body.assign(bytes.begin(), bytes.end());
+    }
+    catch (...)
+    {
+        out = failure_of(std::current_exception());
+        if (head.m_status != 0)
+            out.m_end = transfer_end::cut;
+        return out;
+    }
+    out.m_status = head.m_status;
+    const char* missing = find_missing_end(head, out.m_body);
+    if (missing == nullptr)
+        out.m_end = transfer_end::complete;
+    else
+        out.m_reason = missing;
+    return out;
+}
+
 } // namespace
 
 void fetch(const http_fetch& request, http_done done)
 {
     auto client = find_client(request);
-    auto status = std::make_shared<int>(0);
+    auto head = std::make_shared<reply_head>();
     client->request(make_request(request))
-        .then([status](const rest::http_response& response) {
-            *status = response.status_code();
+        .then([head](const rest::http_response& response) {
+            *head = head_of(response);
             return response.extract_vector();
         })
-        .then([client, status, done = std::move(done)](
+        .then([client, head, done = std::move(done)](
                   const pplx::task<std::vector<unsigned char>>& body) {
-            http_result out;
-            try
-            {
-                const auto bytes = body.get();
-                out.m_body.assign(bytes.begin(), bytes.end());
-                out.m_status = *status;
-                out.m_end = transfer_end::complete;
-            }
-            catch (...)
-            {
-                out = failure_of(std::current_exception());
-                if (*status != 0)
-                    out.m_end = transfer_end::cut;
-            }
-            done(out);
+            done(read_reply(*head, body));
         });
 }
 
--- a/test/net/test_broken_off_answers.cpp
+++ b/test/net/test_broken_off_answers.cpp
@@ -58,6 +58,11 @@
     {"nothing", "", closing::fin, transfer_end::cut},
 };
 
+/// Ends of a stream that lie inside its second event.
+const std::vector<std::string> unfinished_events{
+    "d",           "data: b",   "data: b\n",         "id: 2\n",
+    "data: b\r\n", "data: b\r", "data: b\n: alive\n"};
+
 std::string chunk_with(const std::string& text)
 {
     return "data: {\"choices\":[{\"delta\":{\"content\":\"" + text +
@@ -159,6 +164,58 @@
     }
 }
 
+TEST_CASE("a service's events that end inside an event are broken off", "[net]")
+{
+    const std::string one_event = "data: a\n\n";
+    for (const auto how : all_framings)
+    {
+        for (const auto& rest : unfinished_events)
+        {
+            INFO(to_string(how) << ": " << rest);
+            const raw_server server(
+                answer_of(how, event_type, one_event + rest));
+            CHECK(fetch_from(server).m_end == transfer_end::cut);
+            const auto report = send_service_to(server);
+            CHECK(report.m_end == attempt_end::aborted);
+            CHECK_FALSE(report.m_reason.empty());
+        }
+    }
+}
+
+TEST_CASE("a service's events that ended are complete", "[net]")
+{
+    const std::vector<std::string> samples{
+        "data: a\n\n", "data: a\r\r", "data: a\r\n\r\n", "data: a\n\n: alive\n",
+        "data: a\n\n\n"};
+    for (const auto how : all_framings)
+    {
+        for (const auto& sample : samples)
+        {
+            INFO(to_string(how) << ": " << sample);
+            for (const auto* type :
+                 {"text/event-stream", "Text/Event-Stream; charset=utf-8"})
+            {
+                const raw_server server(answer_of(how, type, sample));
+                const auto got = fetch_from(server);
+                CHECK(got.m_end == transfer_end::complete);
+                CHECK(got.m_body == sample);
+            }
+        }
+    }
+}
+
+TEST_CASE("events that close before the first one are broken off", "[net]")
+{
+    for (const auto how : all_framings)
+    {
+        INFO(to_string(how));
+        const raw_server server(answer_of(how, event_type, ""));
+        CHECK(fetch_from(server).m_end == (how == framing::connection_close
+                                               ? transfer_end::cut
+                                               : transfer_end::complete));
+    }
+}
+
 TEST_CASE("a chat answer is complete only if all of its events came", "[net]")
 {
     for (const auto how : all_framings)
