Stand-ins: what is cut is not framed as whole

The service's `lose_answers` (documented as: effect made, reply cut) sent a whole, empty answer of status 500, and a cancelled stream of the engine ended with a last chunk. Tests that use them would have tested nothing of a cut.

Both break the stream off now. `cut_streams` of the engine stays as it is: a clean end without the end marker is the harder case.

No existing test uses `lose_answers` of the service.

--- a/src/standin/engine_server.cpp
+++ b/src/standin/engine_server.cpp
@@ -177,7 +177,7 @@
         const auto row = m_streams.find(id);
         if (row != m_streams.end())
         {
-            row->second.m_out->end();
+            row->second.m_out->break_off();
             m_streams.erase(row);
         }
         m_wake.notify_all();
--- a/src/standin/plain_servers.cpp
+++ b/src/standin/plain_servers.cpp
@@ -117,9 +117,9 @@
             std::this_thread::sleep_for(milliseconds(delay));
         if (m_faults.take_one("lose_answers") > 0)
         {
-            // A stream that ends at once: the status came, the body did not.
+            // The status came, the body did not.
             out->begin(500, {});
-            out->end();
+            out->break_off();
             return;
         }
         out->reply(200, {},
--- a/test/net/test_callers_streams.cpp
+++ b/test/net/test_callers_streams.cpp
@@ -4,6 +4,7 @@
 #include "support/net/answers.hpp"
 
 #include "pepperturn/daemon/caller_sink.hpp"
+#include "pepperturn/standin/servers.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -146,3 +147,21 @@
     CHECK_FALSE(has(other, "[DONE]"));
     CHECK_FALSE(has(other, stream_end));
 }
+
+TEST_CASE("the stand-in of a service cuts the answers that it loses", "[net]")
+{
+    std::string reason;
+    const auto service = standin::open_service(0, reason);
+    REQUIRE(service != nullptr);
+    const std::string faults = "{\"lose_answers\": 1}";
+    const auto set = ask_raw(
+        service->port(),
+        "PUT /standin/faults HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+        "Content-Length: " +
+            std::to_string(faults.size()) + "\r\n\r\n" + faults,
+        stream_end);
+    REQUIRE(has(set, "200"));
+    const auto got = ask_raw(service->port(), request, stream_end);
+    CHECK(has(got, "500"));
+    CHECK_FALSE(has(got, last_chunk));
+}
