--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,7 +1,11 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "pepperturn/net/http_client.hpp"
 
-#include <cpprest/containerstream.h>
+#include "pepperturn/forward/event_boundary.hpp"
+
+#include <algorithm>
+#include <array>
+#include <boost/algorithm/string/predicate.hpp>
 #include <cpprest/http_client.h>
 #include <mutex>
 
@@ -75,12 +79,12 @@
     return out;
 }
 
-struct line_reader final : std::enable_shared_from_this<line_reader>
+struct stream_reader final : std::enable_shared_from_this<stream_reader>
 {
     client_ptr m_client;
-    concurrency::streams::istream m_stream;
-    concurrency::streams::container_buffer<std::string> m_line;
-    std::function<void(std::string_view)> m_on_line;
+    concurrency::streams::streambuf<std::uint8_t> m_stream;
+    std::array<std::uint8_t, 8192> m_piece{};
+    std::function<void(std::string_view)> m_on_bytes;
     http_done m_done;
     http_result m_result;
 
@@ -95,35 +99,39 @@
 
     void read_next()
     {
-        m_line = concurrency::streams::container_buffer<std::string>();
-        m_stream.read_line(m_line).then(
-            [self =
-                 shared_from_this()](const pplx::task<std::size_t>& finished) {
+        // A read waits until it has all that it asks for, so it asks for what
+        // is there.
+        const auto size =
+            std::clamp<std::size_t>(m_stream.in_avail(), 1, m_piece.size());
+        m_stream.getn(m_piece.data(), size)
+            .then([self = shared_from_this()](
+                      const pplx::task<std::size_t>& finished) {
                 self->on_read(finished);
             });
     }
 
     void on_read(const pplx::task<std::size_t>& finished)
     {
+        std::size_t size = 0;
         try
         {
-            const std::size_t size = finished.get();
-            if (size == 0 && m_stream.is_eof())
-            {
-                m_result.m_end = transfer_end::complete;
-                finish(m_result);
-                return;
-            }
+            size = finished.get();
         }
         catch (...)
         {
             auto failed = failure_of(std::current_exception());
+            failed.m_status = m_result.m_status;
             failed.m_end = transfer_end::cut;
             finish(failed);
             return;
         }
-        const std::string line = m_line.collection();
-        m_on_line(line);
+        if (size == 0)
+        {
+            m_result.m_end = transfer_end::complete;
+            finish(m_result);
+            return;
+        }
+        m_on_bytes({reinterpret_cast<const char*>(m_piece.data()), size});
         read_next();
     }
 
@@ -132,7 +140,7 @@
         m_result.m_status = response.status_code();
         if (m_result.m_status == rest::status_codes::OK)
         {
-            m_stream = response.body();
+            m_stream = response.body().streambuf();
             read_next();
             return;
         }
@@ -152,43 +160,93 @@
     }
 };
 
+/// What the head of a reply says of its body.
+struct reply_head
+{
+    int m_status = 0;
+    bool m_has_events = false;
+    /// The body ends with its connection.
+    bool m_ends_by_close = false;
+};
+
+reply_head head_of(const rest::http_response& response)
+{
+    const auto& headers = response.headers();
+    reply_head out;
+    out.m_status = response.status_code();
+    // What is coded in another way has no events to look for.
+    out.m_has_events = !headers.has(rest::header_names::content_encoding) &&
+                       boost::algorithm::istarts_with(headers.content_type(),
+                                                      "text/event-stream");
+    out.m_ends_by_close = !headers.has(rest::header_names::content_length) &&
+                          !headers.has(rest::header_names::transfer_encoding);
+    return out;
+}
+
+/// Looks for the end of a series of events whose framing has ended.
+/// \returns why it is not complete; null if it is
+const char* find_missing_end(const reply_head& head, const std::string& body)
+{
+    if (!head.m_has_events)
+        return nullptr;
+    event_boundary events;
+    static_cast<void>(events.consume(body));
+    if (events.inside_event())
+        return "the stream ended inside an event";
+    if (head.m_ends_by_close && events.complete_events() == 0)
+        return "the connection closed before the first event";
+    return nullptr;
+}
+
+http_result read_reply(const reply_head& head,
+                       const pplx::task<std::vector<unsigned char>>& body)
+{
+    http_result out;
+    try
+    {
+        const auto bytes = body.get();
+        out.m_body.assign(bytes.begin(), bytes.end());
+    }
+    catch (...)
+    {
+        out = failure_of(std::current_exception());
+        if (head.m_status != 0)
+            out.m_end = transfer_end::cut;
+        return out;
+    }
+    out.m_status = head.m_status;
+    const char* missing = find_missing_end(head, out.m_body);
+    if (missing == nullptr)
+        out.m_end = transfer_end::complete;
+    else
+        out.m_reason = missing;
+    return out;
+}
+
 } // namespace
 
 void fetch(const http_fetch& request, http_done done)
 {
     auto client = find_client(request);
-    auto status = std::make_shared<int>(0);
+    auto head = std::make_shared<reply_head>();
     client->request(make_request(request))
-        .then([status](const rest::http_response& response) {
-            *status = response.status_code();
+        .then([head](const rest::http_response& response) {
+            *head = head_of(response);
             return response.extract_vector();
         })
-        .then([client, status, done = std::move(done)](
+        .then([client, head, done = std::move(done)](
                   const pplx::task<std::vector<unsigned char>>& body) {
-            http_result out;
-            try
-            {
-                const auto bytes = body.get();
-                out.m_body.assign(bytes.begin(), bytes.end());
-                out.m_status = *status;
-                out.m_end = transfer_end::complete;
-            }
-            catch (...)
-            {
-                out = failure_of(std::current_exception());
-                if (*status != 0)
-                    out.m_end = transfer_end::cut;
-            }
-            done(out);
+            done(read_reply(*head, body));
         });
 }
 
-void fetch_lines(const http_fetch& request,
-                 std::function<void(std::string_view)> on_line, http_done done)
+void fetch_stream(const http_fetch& request,
+                  std::function<void(std::string_view)> on_bytes,
+                  http_done done)
 {
-    auto reader = std::make_shared<line_reader>();
+    auto reader = std::make_shared<stream_reader>();
     reader->m_client = find_client(request);
-    reader->m_on_line = std::move(on_line);
+    reader->m_on_bytes = std::move(on_bytes);
     reader->m_done = std::move(done);
     reader->m_client->request(make_request(request))
         .then([reader](const pplx::task<rest::http_response>& response) {
