Soak: no fault begins once the faults have ended

The soak failed with a VM that had "ended by itself", though only its second start had, and it left a daemon running. The loop of faults asked whether they had ended before its pause, so each run began one fault more. Where that fell into the loss of power, it started its VM beside the one just started: the second found its own port taken, and the first one's id was overwritten.

A fault is now counted before it is put on the loop, the loop asks after its pause, and a start of what runs already, or that fails, is a failure of the soak by name.

--- a/test/soak/fleet.cpp
+++ b/test/soak/fleet.cpp
@@ -12,8 +12,10 @@
 
 namespace pepperturn::soak {
 
-void start(daemon_process& process)
+bool start(daemon_process& process)
 {
+    if (process.m_pid > 0)
+        return false;
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO,
@@ -23,9 +25,10 @@
     std::string option = "--settings";
     std::array<char*, 4> arguments{process.m_program.data(), option.data(),
                                    process.m_settings.data(), nullptr};
-    posix_spawn(&process.m_pid, process.m_program.c_str(), &actions, nullptr,
-                arguments.data(), environ);
+    const int fault = posix_spawn(&process.m_pid, process.m_program.c_str(),
+                                  &actions, nullptr, arguments.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
+    return fault == 0;
 }
 
 void send_signal(const daemon_process& process, int signal)
--- a/test/soak/fleet.hpp
+++ b/test/soak/fleet.hpp
@@ -22,7 +22,8 @@
 };
 
 /// Starts the process; it is only ever ended by its id.
-void start(daemon_process& process);
+/// \returns false if it runs already, or none could be made
+[[nodiscard]] bool start(daemon_process& process);
 void send_signal(const daemon_process& process, int signal);
 /// Kills and waits.
 void kill_and_wait(daemon_process& process);
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -107,6 +107,7 @@
     /// Ends every process at once and starts them in another order, within a
     /// second, with the disks they have.
     task<> lose_power();
+    void start_vm(vm& each);
     void note(const std::string& what)
     {
         std::cout << what << '\n';
@@ -138,6 +139,12 @@
     std::vector<program_state> m_ended;
 };
 
+void soak::start_vm(vm& each)
+{
+    if (!start(each.m_process))
+        m_rules.fail(each.m_process.m_name + " could not be started, or twice");
+}
+
 void soak::put_config()
 {
     const auto route = [](const char* name, const char* kind,
@@ -216,7 +223,7 @@
     for (const auto& each : m_vms)
     {
         write_settings(*each, ++number, true);
-        start(each->m_process);
+        start_vm(*each);
     }
 }
 
@@ -341,7 +348,6 @@
 
 task<> soak::hurt_vm(vm& each)
 {
-    ++m_hurting;
     each.m_hurt = true;
     auto& process = each.m_process;
     const auto short_while = milliseconds(100 + draw(1500));
@@ -353,7 +359,7 @@
     case 0:
         kill_and_wait(process);
         co_await sleep_for(m_io, short_while);
-        start(process);
+        start_vm(each);
         break;
     case 1:
         send_signal(process, SIGSTOP);
@@ -369,7 +375,7 @@
             kill_and_wait(process);
             std::filesystem::remove_all(process.m_data_folder);
             co_await sleep_for(m_io, short_while);
-            start(process);
+            start_vm(each);
         }
         else
             send_signal(process, SIGHUP);
@@ -385,7 +391,7 @@
             m_rules.fail(process.m_name + " did not end within its grace");
             kill_and_wait(process);
         }
-        start(process);
+        start_vm(each);
         break;
     }
     }
@@ -399,7 +405,6 @@
 
 task<> soak::hurt_network()
 {
-    ++m_hurting;
     const auto span = milliseconds(200 + draw(1800));
     const auto kind = draw(4);
     note("fault network " + std::to_string(kind) + " for " +
@@ -430,18 +435,24 @@
 
 task<> soak::hurt_for_ever()
 {
-    while (!m_calm)
+    while (true)
     {
         co_await sleep_for(m_io, milliseconds(50 + draw(700)));
+        if (m_calm)
+            co_return;
         auto& each = *m_vms[draw(m_vms.size())];
         const bool storage_hurt =
             std::any_of(m_vms.begin(), m_vms.end(), [](const auto& row) {
                 return row->m_storage && row->m_hurt;
             });
+        // A fault counts from here: it begins only when the loop runs it.
+        ++m_hurting;
         if (draw(3) == 0)
             spawn(m_io, "soak.network", hurt_network());
         else if (!each.m_hurt && !(each.m_storage && storage_hurt))
             spawn(m_io, "soak.vm", hurt_vm(each));
+        else
+            --m_hurting;
     }
 }
 
@@ -461,7 +472,7 @@
     std::shuffle(order.begin(), order.end(), m_random);
     for (auto* each : order)
     {
-        start(each->m_process);
+        start_vm(*each);
         co_await sleep_for(m_io, milliseconds(draw(60)));
     }
 }
