Soak: its daemons end with it, however it ends

A soak that was ended left its daemons running: they were killed at the end of a whole run only.

A daemon's record kills its process when it goes away, and the kernel kills it when the soak itself is gone, which a record cannot.

--- a/test/soak/fleet.cpp
+++ b/test/soak/fleet.cpp
@@ -5,30 +5,50 @@
 #include <chrono>
 #include <csignal>
 #include <fcntl.h>
-#include <spawn.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
 
 namespace pepperturn::soak {
 
+namespace {
+
+/// In the new process: becomes the daemon, which the kernel kills when the
+/// soak ends.
+[[noreturn]] void become(const char* log, char* const* arguments, pid_t soak)
+{
+    constexpr int cannot_run = 127;
+    const int out = open(log, O_WRONLY | O_CREAT | O_APPEND, 0644);
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (out < 0 || getppid() != soak)
+        _exit(cannot_run);
+    dup2(out, STDOUT_FILENO);
+    dup2(out, STDERR_FILENO);
+    execv(arguments[0], arguments);
+    _exit(cannot_run);
+}
+
+} // namespace
+
+daemon_process::~daemon_process()
+{
+    kill_and_wait(*this);
+}
+
 bool start(daemon_process& process)
 {
     if (process.m_pid > 0)
         return false;
-    posix_spawn_file_actions_t actions;
-    posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO,
-                                     process.m_log.c_str(),
-                                     O_WRONLY | O_CREAT | O_APPEND, 0644);
-    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
     std::string option = "--settings";
-    std::array<char*, 4> arguments{process.m_program.data(), option.data(),
-                                   process.m_settings.data(), nullptr};
-    const int fault = posix_spawn(&process.m_pid, process.m_program.c_str(),
-                                  &actions, nullptr, arguments.data(), environ);
-    posix_spawn_file_actions_destroy(&actions);
-    return fault == 0;
+    const std::array<char*, 4> arguments{process.m_program.data(),
+                                         option.data(),
+                                         process.m_settings.data(), nullptr};
+    const pid_t soak = getpid();
+    process.m_pid = fork();
+    if (process.m_pid == 0)
+        become(process.m_log.c_str(), arguments.data(), soak);
+    return process.m_pid > 0;
 }
 
 void send_signal(const daemon_process& process, int signal)
--- a/test/soak/fleet.hpp
+++ b/test/soak/fleet.hpp
@@ -11,8 +11,14 @@
 
 namespace pepperturn::soak {
 
+/// Ends with this object, and with the soak however that ends.
 struct daemon_process
 {
+    daemon_process() = default;
+    daemon_process(const daemon_process&) = delete;
+    daemon_process& operator=(const daemon_process&) = delete;
+    ~daemon_process();
+
     std::string m_name;
     std::string m_program;
     std::string m_settings;
