Soak: daemons hold none of its sockets open

A daemon inherited each socket that the soak had open when it was started, so a connection that the soak closed or reset stayed open in the daemons: the faults of its network were weaker than meant.

What is open beyond standard output is closed before the daemon's program begins.

--- a/test/soak/fleet.cpp
+++ b/test/soak/fleet.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 /// In the new process: becomes the daemon, which the kernel kills when the
-/// soak ends.
+/// soak ends, and which holds none of the soak's sockets open.
 [[noreturn]] void become(const char* log, char* const* arguments, pid_t soak)
 {
     constexpr int cannot_run = 127;
@@ -25,6 +25,7 @@
         _exit(cannot_run);
     dup2(out, STDOUT_FILENO);
     dup2(out, STDERR_FILENO);
+    close_range(STDERR_FILENO + 1, ~0U, 0);
     execv(arguments[0], arguments);
     _exit(cannot_run);
 }
