Soak: listeners' ports below the range of outgoing connections

A daemon of the soak found its port taken at its first start or a later one ("Address already in use"), and the run failed with what follows from that. The ports were those free at the moment, in the range that the kernel gives away, and were free again whenever their daemon was not running.

Ports are drawn below the kernel's range and held: each stays bound alone by a socket that never listens, and that is marked so afterwards that a daemon may listen there beside it. Nobody else binds it, another soak neither. There are no retries: a daemon that cannot start still fails the run.

--- a/test/soak/fleet.hpp
+++ b/test/soak/fleet.hpp
@@ -3,7 +3,10 @@
 /// The real daemons as processes on loopback, started and hurt by the soak.
 #pragma once
 
+#include "pepperturn/base/async.hpp"
+
 #include <cstdint>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -11,6 +14,23 @@
 
 namespace pepperturn::soak {
 
+/// Draws listeners' ports that the kernel gives to no outgoing connection, and
+/// holds them: no other soak, and nobody else, binds them while it lives.
+class port_claims
+{
+public:
+    explicit port_claims(asio::io_context& io) : m_io(io) {}
+
+    /// \returns 0 if none was found
+    [[nodiscard]] std::uint16_t draw();
+
+private:
+    asio::io_context& m_io;
+    /// Its own: where a run's faults fall depends on the seed alone.
+    std::mt19937 m_random{std::random_device{}()};
+    std::vector<tcp::socket> m_claims;
+};
+
 /// Ends with this object, and with the soak however that ends.
 struct daemon_process
 {
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -27,7 +27,6 @@
 namespace {
 
 namespace http = boost::beast::http;
-using test::free_port;
 using test::platform_store;
 using test::run_until;
 
@@ -108,6 +107,7 @@
     /// second, with the disks they have.
     task<> lose_power();
     void start_vm(vm& each);
+    std::string fresh_address();
     void note(const std::string& what)
     {
         std::cout << what << '\n';
@@ -126,6 +126,7 @@
     std::filesystem::path m_kept_folder;
     /// Of the storage VMs.
     std::filesystem::path m_disks;
+    port_claims m_ports{m_io};
     std::vector<std::unique_ptr<vm>> m_vms;
     std::vector<std::unique_ptr<soak_runner>> m_runners;
     std::vector<std::unique_ptr<fault_proxy>> m_proxies;
@@ -139,6 +140,14 @@
     std::vector<program_state> m_ended;
 };
 
+std::string soak::fresh_address()
+{
+    const auto port = m_ports.draw();
+    if (port == 0)
+        m_rules.fail("no port was found for a listener");
+    return "127.0.0.1:" + std::to_string(port);
+}
+
 void soak::start_vm(vm& each)
 {
     if (!start(each.m_process))
@@ -184,9 +193,8 @@
         out << "frames = " << each.m_address
             << "\n[storage]\nfolder = " << process.m_data_folder << '\n';
     else
-        out << "callers = " << each.m_address
-            << "\nready = 127.0.0.1:" << free_port(m_io)
-            << "\nrelay = 127.0.0.1:" << free_port(m_io) << '\n';
+        out << "callers = " << each.m_address << "\nready = " << fresh_address()
+            << "\nrelay = " << fresh_address() << '\n';
     out << "[store]\naddress = " << m_store.address() << '\n';
 }
 
@@ -196,7 +204,7 @@
     {
         auto each = std::make_unique<vm>();
         each->m_storage = i < storage_vms;
-        each->m_address = "127.0.0.1:" + std::to_string(free_port(m_io));
+        each->m_address = fresh_address();
         auto& process = each->m_process;
         process.m_name =
             (each->m_storage ? "storage-" : "edge-") + std::to_string(i);
