Soak: answers that are broken off in more ways, and that must be whole

The soak's runner broke answers off in one way only, a chunked stream without its last chunk, and its callers believed whatever ended. So the soak passed on programs that took half an answer for a whole one.

The runner now also answers streams with neither a length nor chunks (whole ones close the connection between events, broken ones close or reset it inside one), breaks chunked streams off inside an event with the last chunk sent, and answers plain calls without a length (whole: close; broken: reset); all drawn by the seed. It says what it sends, and a caller that takes an answer for whole must have each event of it, ended. After a turn that was broken off, the caller asks to go on from it: that must not run, or, where only the caller's side had broken, with the whole text. The proxy passes resets on, and resets what it has swallowed bytes of: a close would look like the end of an answer without a length.

The check that a plain call has its own answer is now that it has all of what its runner sent; a run that was broken off fails it too.

--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -97,6 +97,15 @@
     task<> call_for_ever();
     task<bool> run_program(bool patient);
     task<bool> take_turn(program_state& program, std::uint64_t budget);
+    void check_whole(const std::string& id, const event_reader& events)
+    {
+        m_rules.taken_for_whole(id, events.data());
+        if (events.started_events() > events.complete_events())
+            m_rules.fail("turn " + id + " looks whole inside an event");
+    }
+    /// Asks for a turn after \p broken, which was broken off on its way.
+    task<> go_on_from(std::string broken, std::string chain,
+                      std::string program, std::uint64_t budget);
     task<caller_answer> ask(std::string target, std::string id,
                             std::string program, std::uint64_t budget,
                             std::string parent, std::string body);
@@ -302,8 +311,11 @@
             event_reader events(true);
             events.consume(answer.m_body);
             m_rules.handed_out(program.m_id, events.complete_events());
-            if (answer.m_whole)
+            if (!answer.m_whole)
+                co_await go_on_from(id, body, program.m_id, budget);
+            else
             {
+                check_whole(id, events);
                 program.m_chain = body + events.data();
                 program.m_last = id;
                 ++m_served;
@@ -322,6 +334,26 @@
     co_return false;
 }
 
+task<> soak::go_on_from(std::string broken, std::string chain,
+                        std::string program, std::uint64_t budget)
+{
+    const auto id = fresh_id();
+    const std::string input = "on\n";
+    // Only this caller's side may have broken: then its text is kept whole.
+    const auto text = m_rules.whole_answer(broken);
+    m_rules.expect(id,
+                   text ? std::optional(chain + *text + input) : std::nullopt);
+    const auto answer =
+        co_await ask("/turn/x", id, program, budget, broken, input);
+    if (answer.m_status != 200)
+        co_return;
+    event_reader events(true);
+    events.consume(answer.m_body);
+    m_rules.handed_out(program, events.complete_events());
+    if (answer.m_whole)
+        check_whole(id, events);
+}
+
 task<bool> soak::run_program(bool patient)
 {
     program_state program;
@@ -339,8 +371,8 @@
             const std::string body(1 + draw(500), 'c');
             m_rules.expect(id, body);
             auto answer = co_await ask("/once/x", id, "", 0, "", body);
-            if (answer.m_status == 200 && answer.m_whole && answer.m_body != id)
-                m_rules.fail("call " + id + " got another answer");
+            if (answer.m_status == 200 && answer.m_whole)
+                m_rules.taken_for_whole(id, answer.m_body);
         }
     }
     if (!program.m_last.empty())
--- a/test/soak/soak_runner.cpp
+++ b/test/soak/soak_runner.cpp
@@ -20,8 +20,8 @@
 constexpr milliseconds proxy_delay{60};
 /// One request in so many is refused as if the runner were full.
 constexpr std::uint64_t refuse_one_in = 25;
-/// One answer in so many is broken off.
-constexpr std::uint64_t cut_one_in = 40;
+/// The ends of answers are drawn of so many.
+constexpr std::uint64_t ends = 80;
 constexpr std::uint64_t most_events = 5;
 
 std::string text_of(boost::beast::string_view view)
@@ -41,6 +41,97 @@
     return size.data() + data + "\r\n";
 }
 
+/// How an answer ends, and with it how it is framed.
+enum class answer_end : std::uint8_t
+{
+    /// Chunks or a length, to their end.
+    framed,
+    /// Neither of them: whole once the connection closes.
+    closed,
+    /// The connection closes before the end of the chunks or the length.
+    framed_cut,
+    /// Chunks, the last one too, of which an event has not ended. This and the
+    /// next two are one for plain answers: no length, and a reset.
+    chunked_cut,
+    /// Neither of them, and closed or reset inside an event.
+    closed_cut,
+    reset_cut
+};
+
+/// One answer in 40 is cut in its framing, one in 80 in each other way, and one
+/// in eight ends by closing its connection.
+answer_end draw_end(std::uint64_t drawn)
+{
+    constexpr std::array cuts{answer_end::framed_cut, answer_end::framed_cut,
+                              answer_end::chunked_cut, answer_end::closed_cut,
+                              answer_end::reset_cut};
+    constexpr std::uint64_t closed = 10;
+    drawn %= ends;
+    if (drawn < cuts.size())
+        return cuts[drawn];
+    return drawn < cuts.size() + closed ? answer_end::closed
+                                        : answer_end::framed;
+}
+
+bool is_whole(answer_end end)
+{
+    return end == answer_end::framed || end == answer_end::closed;
+}
+
+struct made_answer
+{
+    std::vector<std::string> m_pieces;
+    /// What its events or its body say, were it whole.
+    std::string m_text;
+};
+
+made_answer make_plain(const std::string& head, const std::string& id,
+                       answer_end end)
+{
+    const bool framed =
+        end == answer_end::framed || end == answer_end::framed_cut;
+    const auto length =
+        framed ? "Content-Length: " + std::to_string(id.size()) + "\r\n" : "";
+    const auto text = is_whole(end) ? id : id.substr(0, id.size() / 2);
+    return {{head + length + "\r\n" + text}, id};
+}
+
+made_answer make_stream(const std::string& head, const std::string& id,
+                        std::uint64_t drawn, answer_end end)
+{
+    const bool chunked = end == answer_end::framed ||
+                         end == answer_end::framed_cut ||
+                         end == answer_end::chunked_cut;
+    made_answer out;
+    out.m_pieces.push_back(
+        head + (chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n"));
+    const auto count = 1 + drawn % most_events;
+    for (std::uint64_t i = 1; i <= count; ++i)
+    {
+        const auto data = id + "." + std::to_string(i) + "\n";
+        auto event = "id: " + std::to_string(i) + "\ndata: " + data + "\n";
+        out.m_text += data;
+        if (i == count && end == answer_end::framed_cut)
+            return out;
+        if (i == count && !is_whole(end))
+            event.resize(1 + drawn / most_events % (event.size() - 1));
+        out.m_pieces.push_back(chunked ? chunk_of(event) : event);
+    }
+    if (chunked)
+        out.m_pieces.emplace_back("0\r\n\r\n");
+    return out;
+}
+
+void end_connection(tcp::socket& socket, bool reset)
+{
+    error_code ignored;
+    if (reset)
+        socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    else
+        socket.shutdown(tcp::socket::shutdown_send, ignored);
+    socket.close(ignored);
+}
+
 } // namespace
 
 soak_runner::soak_runner(asio::io_context& io, promises& rules, std::string id,
@@ -85,36 +176,28 @@
             continue;
         }
         m_rules.ran(id, request.body());
-        const bool cut = m_draw % cut_one_in == 1;
-        if (!request.target().starts_with("/turn/"))
+        const auto end = draw_end(m_draw);
+        const bool turn = request.target().starts_with("/turn/");
+        const auto answer = turn ? make_stream(head, id, m_draw / ends, end)
+                                 : make_plain(head, id, end);
+        m_rules.answers(id, answer.m_text, is_whole(end));
+        for (const auto& piece : answer.m_pieces)
         {
             co_await sleep_for(m_io, event_pause);
-            const auto answer =
-                head + "Content-Length: " + std::to_string(id.size()) +
-                "\r\n\r\n" + (cut ? id.substr(0, id.size() / 2) : id);
-            co_await asio::async_write(*socket, asio::buffer(answer), into(ec));
-            if (cut || ec)
-                co_return;
-            continue;
+            if (!ec)
+                co_await asio::async_write(*socket, asio::buffer(piece),
+                                           into(ec));
         }
-        head += "Transfer-Encoding: chunked\r\n\r\n";
-        co_await asio::async_write(*socket, asio::buffer(head), into(ec));
-        const auto count = 1 + m_draw / cut_one_in % most_events;
-        for (std::uint64_t i = 1; i <= count && !ec; ++i)
-        {
-            co_await sleep_for(m_io, event_pause);
-            const auto event =
-                chunk_of("id: " + std::to_string(i) + "\ndata: " + id + "." +
-                         std::to_string(i) + "\n\n");
-            if (cut && i == count)
-                co_return;
-            co_await asio::async_write(*socket, asio::buffer(event), into(ec));
-        }
-        const std::string end = "0\r\n\r\n";
-        if (!ec)
-            co_await asio::async_write(*socket, asio::buffer(end), into(ec));
-        if (ec)
-            co_return;
+        const bool kept = end == answer_end::framed ||
+                          (turn && end == answer_end::chunked_cut);
+        if (kept && !ec)
+            continue;
+        co_await sleep_for(m_io, event_pause);
+        // The close of a plain answer without a length would be its end.
+        end_connection(*socket, end == answer_end::reset_cut ||
+                                    (!turn && end != answer_end::framed_cut &&
+                                     !is_whole(end)));
+        co_return;
     }
 }
 
@@ -136,11 +219,7 @@
 void fault_proxy::reset_all()
 {
     for (const auto& socket : std::exchange(m_sockets, {}))
-    {
-        error_code ignored;
-        socket->set_option(asio::socket_base::linger(true, 0), ignored);
-        socket->close(ignored);
-    }
+        end_connection(*socket, true);
 }
 
 task<> fault_proxy::join(std::shared_ptr<tcp::socket> near)
@@ -161,26 +240,31 @@
                          std::shared_ptr<tcp::socket> to, bool answers)
 {
     std::array<char, 4096> chunk;
+    // What was swallowed never looks like the end of what came before it.
+    bool reset = false;
     while (true)
     {
         error_code ec;
         const auto count =
             co_await from->async_read_some(asio::buffer(chunk), into(ec));
+        reset = reset || ec == asio::error::connection_reset;
         if (ec)
             break;
         if (m_mode == proxy_mode::delay)
             co_await sleep_for(m_io, proxy_delay);
         if (m_mode == proxy_mode::silent ||
             (answers && m_mode == proxy_mode::one_way))
+        {
+            reset = true;
             continue;
+        }
         co_await asio::async_write(*to, asio::buffer(chunk.data(), count),
                                    into(ec));
         if (ec)
             break;
     }
-    error_code ignored;
-    from->close(ignored);
-    to->close(ignored);
+    end_connection(*from, reset);
+    end_connection(*to, reset);
     m_sockets.erase(from);
     m_sockets.erase(to);
 }
--- a/test/soak/world.cpp
+++ b/test/soak/world.cpp
@@ -1,11 +1,38 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "soak/world.hpp"
 
+#include <utility>
+
 namespace pepperturn::soak {
 
-void promises::expect(const std::string& id, const std::string& body)
+void promises::expect(const std::string& id, std::optional<std::string> body)
+{
+    m_expected[id] = std::move(body);
+}
+
+void promises::answers(const std::string& id, const std::string& text,
+                       bool whole)
+{
+    m_answers[id] = whole ? std::optional(text) : std::nullopt;
+}
+
+void promises::taken_for_whole(const std::string& id, const std::string& text)
+{
+    const auto sent = m_answers.find(id);
+    if (sent == m_answers.end())
+        fail("request " + id + " was answered, and no runner did");
+    else if (!sent->second)
+        fail("request " + id + " was broken off and looks whole");
+    else if (*sent->second != text)
+        fail("request " + id + " looks whole with " +
+             std::to_string(text.size()) + " bytes of " +
+             std::to_string(sent->second->size()));
+}
+
+std::optional<std::string> promises::whole_answer(const std::string& id) const
 {
-    m_expected[id] = body;
+    const auto sent = m_answers.find(id);
+    return sent == m_answers.end() ? std::nullopt : sent->second;
 }
 
 void promises::ran(const std::string& id, const std::string& body)
@@ -13,9 +40,11 @@
     const auto expected = m_expected.find(id);
     if (expected == m_expected.end())
         fail("a request that no caller sent ran: " + id);
-    else if (expected->second != body)
+    else if (!expected->second)
+        fail("request " + id + " went on from a turn that was broken off");
+    else if (*expected->second != body)
         fail("request " + id + " ran with " + std::to_string(body.size()) +
-             " bytes, not the " + std::to_string(expected->second.size()) +
+             " bytes, not the " + std::to_string(expected->second->size()) +
              " of its chain");
     if (!m_ran.insert(id).second)
         fail("request " + id + " ran twice");
--- a/test/soak/world.hpp
+++ b/test/soak/world.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -18,10 +19,18 @@
 class promises
 {
 public:
-    /// A caller is about to send a turn or a call with this body.
-    void expect(const std::string& id, const std::string& body);
+    /// A caller is about to send a turn or a call with this body; nothing: it
+    /// goes on from a turn that was broken off, and must not run.
+    void expect(const std::string& id, std::optional<std::string> body);
     /// A runner begins to work on it.
     void ran(const std::string& id, const std::string& body);
+    /// A runner answers it with this text, or breaks off before all of it.
+    void answers(const std::string& id, const std::string& text, bool whole);
+    /// A caller took this for all of the answer.
+    void taken_for_whole(const std::string& id, const std::string& text);
+    /// What a runner answered; nothing: it broke off, or has not begun.
+    [[nodiscard]] std::optional<std::string>
+    whole_answer(const std::string& id) const;
     /// A caller was told that it has not run and will not.
     void told_not_run(const std::string& id, unsigned status);
     /// A caller got this much of a turn.
@@ -46,7 +55,9 @@
         std::uint32_t m_most = 0;
         std::uint64_t m_handed_out = 0;
     };
-    std::map<std::string, std::string> m_expected;
+    std::map<std::string, std::optional<std::string>> m_expected;
+    /// Of the runs that began to answer; nothing: broken off.
+    std::map<std::string, std::optional<std::string>> m_answers;
     std::set<std::string> m_ran;
     std::map<std::string, unsigned> m_not_run;
     std::map<std::string, ledger> m_ledgers;
