--- a/test/soak/fleet.cpp
+++ b/test/soak/fleet.cpp
@@ -5,27 +5,84 @@
 #include <chrono>
 #include <csignal>
 #include <fcntl.h>
-#include <spawn.h>
+#include <fstream>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
 
 namespace pepperturn::soak {
 
-void start(daemon_process& process)
+namespace {
+
+/// Below it are ports that well-known servers of the machine may ask for.
+constexpr int lowest_port = 10000;
+
+/// The first port that the kernel gives to outgoing connections.
+int first_outgoing_port()
+{
+    int first = 0;
+    std::ifstream("/proc/sys/net/ipv4/ip_local_port_range") >> first;
+    return first;
+}
+
+/// In the new process: becomes the daemon, which the kernel kills when the
+/// soak ends, and which holds none of the soak's sockets open.
+[[noreturn]] void become(const char* log, char* const* arguments, pid_t soak)
 {
-    posix_spawn_file_actions_t actions;
-    posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO,
-                                     process.m_log.c_str(),
-                                     O_WRONLY | O_CREAT | O_APPEND, 0644);
-    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    constexpr int cannot_run = 127;
+    const int out = open(log, O_WRONLY | O_CREAT | O_APPEND, 0644);
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (out < 0 || getppid() != soak)
+        _exit(cannot_run);
+    dup2(out, STDOUT_FILENO);
+    dup2(out, STDERR_FILENO);
+    close_range(STDERR_FILENO + 1, ~0U, 0);
+    execv(arguments[0], arguments);
+    _exit(cannot_run);
+}
+
+} // namespace
+
+std::uint16_t port_claims::draw()
+{
+    constexpr int most_draws = 1000;
+    const int end = first_outgoing_port();
+    for (int i = 0; i < most_draws && end > lowest_port; ++i)
+    {
+        std::uniform_int_distribution<int> ports(lowest_port, end - 1);
+        const auto port = static_cast<std::uint16_t>(ports(m_random));
+        tcp::socket claim(m_io, tcp::v4());
+        error_code ec;
+        claim.bind({asio::ip::address_v4::loopback(), port}, ec);
+        if (ec)
+            continue;
+        // Bound alone; from here on a daemon may listen there beside it.
+        claim.set_option(tcp::socket::reuse_address(true));
+        m_claims.push_back(std::move(claim));
+        return port;
+    }
+    return 0;
+}
+
+daemon_process::~daemon_process()
+{
+    kill_and_wait(*this);
+}
+
+bool start(daemon_process& process)
+{
+    if (process.m_pid > 0)
+        return false;
     std::string option = "--settings";
-    std::array<char*, 4> arguments{process.m_program.data(), option.data(),
-                                   process.m_settings.data(), nullptr};
-    posix_spawn(&process.m_pid, process.m_program.c_str(), &actions, nullptr,
-                arguments.data(), environ);
-    posix_spawn_file_actions_destroy(&actions);
+    const std::array<char*, 4> arguments{process.m_program.data(),
+                                         option.data(),
+                                         process.m_settings.data(), nullptr};
+    const pid_t soak = getpid();
+    process.m_pid = fork();
+    if (process.m_pid == 0)
+        become(process.m_log.c_str(), arguments.data(), soak);
+    return process.m_pid > 0;
 }
 
 void send_signal(const daemon_process& process, int signal)
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -27,7 +27,6 @@
 namespace {
 
 namespace http = boost::beast::http;
-using test::free_port;
 using test::platform_store;
 using test::run_until;
 
@@ -98,6 +97,15 @@
     task<> call_for_ever();
     task<bool> run_program(bool patient);
     task<bool> take_turn(program_state& program, std::uint64_t budget);
+    void check_whole(const std::string& id, const event_reader& events)
+    {
+        m_rules.taken_for_whole(id, events.data());
+        if (events.started_events() > events.complete_events())
+            m_rules.fail("turn " + id + " looks whole inside an event");
+    }
+    /// Asks for a turn after \p broken, which was broken off on its way.
+    task<> go_on_from(std::string broken, std::string chain,
+                      std::string program, std::uint64_t budget);
     task<caller_answer> ask(std::string target, std::string id,
                             std::string program, std::uint64_t budget,
                             std::string parent, std::string body);
@@ -107,6 +115,8 @@
     /// Ends every process at once and starts them in another order, within a
     /// second, with the disks they have.
     task<> lose_power();
+    void start_vm(vm& each);
+    std::string fresh_address();
     void note(const std::string& what)
     {
         std::cout << what << '\n';
@@ -125,6 +135,7 @@
     std::filesystem::path m_kept_folder;
     /// Of the storage VMs.
     std::filesystem::path m_disks;
+    port_claims m_ports{m_io};
     std::vector<std::unique_ptr<vm>> m_vms;
     std::vector<std::unique_ptr<soak_runner>> m_runners;
     std::vector<std::unique_ptr<fault_proxy>> m_proxies;
@@ -138,6 +149,20 @@
     std::vector<program_state> m_ended;
 };
 
+std::string soak::fresh_address()
+{
+    const auto port = m_ports.draw();
+    if (port == 0)
+        m_rules.fail("no port was found for a listener");
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+void soak::start_vm(vm& each)
+{
+    if (!start(each.m_process))
+        m_rules.fail(each.m_process.m_name + " could not be started, or twice");
+}
+
 void soak::put_config()
 {
     const auto route = [](const char* name, const char* kind,
@@ -177,9 +202,8 @@
         out << "frames = " << each.m_address
             << "\n[storage]\nfolder = " << process.m_data_folder << '\n';
     else
-        out << "callers = " << each.m_address
-            << "\nready = 127.0.0.1:" << free_port(m_io)
-            << "\nrelay = 127.0.0.1:" << free_port(m_io) << '\n';
+        out << "callers = " << each.m_address << "\nready = " << fresh_address()
+            << "\nrelay = " << fresh_address() << '\n';
     out << "[store]\naddress = " << m_store.address() << '\n';
 }
 
@@ -189,7 +213,7 @@
     {
         auto each = std::make_unique<vm>();
         each->m_storage = i < storage_vms;
-        each->m_address = "127.0.0.1:" + std::to_string(free_port(m_io));
+        each->m_address = fresh_address();
         auto& process = each->m_process;
         process.m_name =
             (each->m_storage ? "storage-" : "edge-") + std::to_string(i);
@@ -216,7 +240,7 @@
     for (const auto& each : m_vms)
     {
         write_settings(*each, ++number, true);
-        start(each->m_process);
+        start_vm(*each);
     }
 }
 
@@ -287,8 +311,11 @@
             event_reader events(true);
             events.consume(answer.m_body);
             m_rules.handed_out(program.m_id, events.complete_events());
-            if (answer.m_whole)
+            if (!answer.m_whole)
+                co_await go_on_from(id, body, program.m_id, budget);
+            else
             {
+                check_whole(id, events);
                 program.m_chain = body + events.data();
                 program.m_last = id;
                 ++m_served;
@@ -307,6 +334,26 @@
     co_return false;
 }
 
+task<> soak::go_on_from(std::string broken, std::string chain,
+                        std::string program, std::uint64_t budget)
+{
+    const auto id = fresh_id();
+    const std::string input = "on\n";
+    // Only this caller's side may have broken: then its text is kept whole.
+    const auto text = m_rules.whole_answer(broken);
+    m_rules.expect(id,
+                   text ? std::optional(chain + *text + input) : std::nullopt);
+    const auto answer =
+        co_await ask("/turn/x", id, program, budget, broken, input);
+    if (answer.m_status != 200)
+        co_return;
+    event_reader events(true);
+    events.consume(answer.m_body);
+    m_rules.handed_out(program, events.complete_events());
+    if (answer.m_whole)
+        check_whole(id, events);
+}
+
 task<bool> soak::run_program(bool patient)
 {
     program_state program;
@@ -324,8 +371,8 @@
             const std::string body(1 + draw(500), 'c');
             m_rules.expect(id, body);
             auto answer = co_await ask("/once/x", id, "", 0, "", body);
-            if (answer.m_status == 200 && answer.m_whole && answer.m_body != id)
-                m_rules.fail("call " + id + " got another answer");
+            if (answer.m_status == 200 && answer.m_whole)
+                m_rules.taken_for_whole(id, answer.m_body);
         }
     }
     if (!program.m_last.empty())
@@ -341,7 +388,6 @@
 
 task<> soak::hurt_vm(vm& each)
 {
-    ++m_hurting;
     each.m_hurt = true;
     auto& process = each.m_process;
     const auto short_while = milliseconds(100 + draw(1500));
@@ -353,7 +399,7 @@
     case 0:
         kill_and_wait(process);
         co_await sleep_for(m_io, short_while);
-        start(process);
+        start_vm(each);
         break;
     case 1:
         send_signal(process, SIGSTOP);
@@ -369,7 +415,7 @@
             kill_and_wait(process);
             std::filesystem::remove_all(process.m_data_folder);
             co_await sleep_for(m_io, short_while);
-            start(process);
+            start_vm(each);
         }
         else
             send_signal(process, SIGHUP);
@@ -385,7 +431,7 @@
             m_rules.fail(process.m_name + " did not end within its grace");
             kill_and_wait(process);
         }
-        start(process);
+        start_vm(each);
         break;
     }
     }
@@ -399,7 +445,6 @@
 
 task<> soak::hurt_network()
 {
-    ++m_hurting;
     const auto span = milliseconds(200 + draw(1800));
     const auto kind = draw(4);
     note("fault network " + std::to_string(kind) + " for " +
@@ -430,18 +475,24 @@
 
 task<> soak::hurt_for_ever()
 {
-    while (!m_calm)
+    while (true)
     {
         co_await sleep_for(m_io, milliseconds(50 + draw(700)));
+        if (m_calm)
+            co_return;
         auto& each = *m_vms[draw(m_vms.size())];
         const bool storage_hurt =
             std::any_of(m_vms.begin(), m_vms.end(), [](const auto& row) {
                 return row->m_storage && row->m_hurt;
             });
+        // A fault counts from here: it begins only when the loop runs it.
+        ++m_hurting;
         if (draw(3) == 0)
             spawn(m_io, "soak.network", hurt_network());
         else if (!each.m_hurt && !(each.m_storage && storage_hurt))
             spawn(m_io, "soak.vm", hurt_vm(each));
+        else
+            --m_hurting;
     }
 }
 
@@ -461,7 +512,7 @@
     std::shuffle(order.begin(), order.end(), m_random);
     for (auto* each : order)
     {
-        start(each->m_process);
+        start_vm(*each);
         co_await sleep_for(m_io, milliseconds(draw(60)));
     }
 }
