Services: a failure's text is judged by its framing alone

Callers of pepperturnd got an unknown outcome in place of a service's own 500 whose type was text/event-stream: its text was taken for an event without an end. Only a 200 is looked at.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -174,8 +174,10 @@
     const auto& headers = response.headers();
     reply_head out;
     out.m_status = response.status_code();
-    // What is coded in another way has no events to look for.
-    out.m_has_events = !headers.has(rest::header_names::content_encoding) &&
+    // A failure's text has no events to look for, nor has what is coded in
+    // another way.
+    out.m_has_events = out.m_status == rest::status_codes::OK &&
+                       !headers.has(rest::header_names::content_encoding) &&
                        boost::algorithm::istarts_with(headers.content_type(),
                                                       "text/event-stream");
     out.m_ends_by_close = !headers.has(rest::header_names::content_length) &&
--- a/test/net/test_broken_off_answers.cpp
+++ b/test/net/test_broken_off_answers.cpp
@@ -182,6 +182,21 @@
     }
 }
 
+TEST_CASE("a failure of the type of a stream is returned unchanged", "[net]")
+{
+    for (const auto how : all_framings)
+    {
+        INFO(to_string(how));
+        auto bytes = answer_of(how, event_type, "boom");
+        bytes.replace(bytes.find("200 OK"), 6, "500 No");
+        const raw_server server(bytes);
+        const auto report = send_service_to(server);
+        CHECK(report.m_end == attempt_end::complete);
+        CHECK(report.m_status == 500);
+        CHECK(report.m_body == "boom");
+    }
+}
+
 TEST_CASE("a service's events that ended are complete", "[net]")
 {
     const std::vector<std::string> samples{
