Readers: a caller's time to read ends by the clock that set it

A VM whose clock stands, or is behind the machine's, disconnects a caller that does not read (reader_cut cause=time) before its time is over. Real runs have one clock, so callers of those saw nothing; it was found by reading and is shown by the new test only.

Cause: the deadline was taken from the clock that is passed in and waited for on a timer of the machine's steady clock.

The timer now waits for the time that is left by the passed-in clock, and that clock decides when it expires; if the deadline is still ahead, it is checked again every 20 ms. With the machine's clock the timer expires at the deadline or after it, so there is no second check.

Test: "a caller's time to read is measured by the clock of its VM".

The same kind of deadline is left in proxy::watch_deadline and in the attempt deadline of run_attempt.

--- a/include/pepperturn/forward/caller_connection.hpp
+++ b/include/pepperturn/forward/caller_connection.hpp
@@ -102,6 +102,10 @@
     [[nodiscard]] instant write_deadline() const;
     /// \param reserved bytes that were found to be available for this wait
     void begin_write_wait(std::size_t charged, std::size_t reserved);
+    /// Disconnects the caller at \p deadline if it has unread data then. The
+    /// timer runs on the machine's clock, so what decides is \ref m_time.
+    /// \param wait until the first check
+    void watch_write_deadline(instant deadline, microseconds wait);
     void end_write_wait();
     /// Resets the connection and discards what the kernel still has for it.
     void abort_connection();
--- a/src/forward/caller_connection.cpp
+++ b/src/forward/caller_connection.cpp
@@ -23,6 +23,9 @@
 /// receive window closed, for this long. Longer than usual deadlines, so that a
 /// caller that resumes reading in time gets its response.
 constexpr milliseconds unresponsive_timeout{10000};
+/// How often the deadline of a write is checked once the machine's clock has
+/// reached it and the clock in use has not.
+constexpr milliseconds deadline_recheck{20};
 /// How long the rest of a refused request is read.
 constexpr milliseconds discard_timeout{500};
 /// A body of the maximum size arrives in this time over a slow link.
@@ -288,13 +291,26 @@
         if (const auto self = weak.lock())
             self->abort_connection();
     });
-    m_write_timer.expires_at(write_deadline());
-    m_write_timer.async_wait([weak = weak_from_this(),
-                              account = m_buffered](error_code ec) {
+    const auto deadline = write_deadline();
+    watch_write_deadline(deadline, deadline - m_time.now());
+}
+
+void caller_connection::watch_write_deadline(instant deadline,
+                                             microseconds wait)
+{
+    m_write_timer.expires_after(wait);
+    m_write_timer.async_wait([weak = weak_from_this(), account = m_buffered,
+                              deadline](error_code ec) {
         const auto self = weak.lock();
         if (ec || !self || !account->waits_for_reader())
             return;
-        const auto unread = account->unread(self->m_time.now());
+        const auto now = self->m_time.now();
+        if (now < deadline)
+        {
+            self->watch_write_deadline(deadline, deadline_recheck);
+            return;
+        }
+        const auto unread = account->unread(now);
         LOG(INFO) << "event=reader_cut held=" << unread.m_buffered
                   << " taken=" << unread.m_consumed
                   << " waited_ms=" << unread.m_waited.count() << " cause=time";
--- a/test/fleet/test_readers.cpp
+++ b/test/fleet/test_readers.cpp
@@ -336,6 +336,45 @@
     CHECK(edge.buffered_bytes() == 0);
 }
 
+TEST_CASE("a caller's time to read is measured by the clock of its VM",
+          "[readers]")
+{
+    asio::io_context io{1};
+    stoppable_clock time;
+    time.stop_now();
+    memory_guard memory(io, time);
+    tcp::acceptor acceptor(
+        io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    tcp::socket caller(io, tcp::v4());
+    // Set before the connection exists, else the kernel enlarges them.
+    bound_buffers(caller, 4 * kilobyte, 4 * kilobyte);
+    caller.connect(acceptor.local_endpoint());
+    auto accepted = acceptor.accept();
+    bound_buffers(accepted, caller_connection::send_buffer_bytes,
+                  caller_connection::receive_buffer_bytes);
+    const auto connection = std::make_shared<caller_connection>(
+        io, time, memory, std::move(accepted));
+    constexpr milliseconds allowed{100};
+    connection->set_write_deadline(time.now() + allowed);
+    const auto response = text_response(200, std::string(8 * megabyte, 'b'));
+    std::optional<bool> written;
+    asio::co_spawn(
+        io, connection->write_response(response, false),
+        [&](const std::exception_ptr&, bool whole) { written = whole; });
+    const auto& budget = *memory.budget();
+    REQUIRE(
+        run_until(io, [&] { return budget.waiting_accounts().size() == 1; }));
+    // Only the machine's clock passes the deadline.
+    run_until(
+        io, [] { return false; }, 3 * allowed);
+    CHECK_FALSE(written.has_value());
+    CHECK(budget.disconnected_readers() == 0);
+    time.advance(allowed);
+    CHECK(run_until(io, [&] { return written.has_value(); }));
+    CHECK(written == false);
+    CHECK(budget.disconnected_readers() == 1);
+}
+
 TEST_CASE("a runner that does not read the body times out as unanswered",
           "[readers]")
 {
