--- a/test/fleet/test_readers.cpp
+++ b/test/fleet/test_readers.cpp
@@ -47,17 +47,31 @@
     {
         return m_proxy.buffered().total();
     }
+    /// From now on \ref run_for and \ref run_to measure time in steps.
+    void use_steps()
+    {
+        m_in_steps = true;
+        m_time.stop_now();
+    }
     void run_for(milliseconds span)
     {
-        run_until(
-            m_io, [] { return false; }, span);
+        run_to([] { return false; }, span);
     }
     bool run_to(const std::function<bool()>& done,
                 milliseconds limit = milliseconds(8000))
     {
-        return run_until(m_io, done, limit);
+        return m_in_steps ? run_in_steps(m_io, m_time, done, limit)
+                          : run_until(m_io, done, limit);
+    }
+    /// Requests that the runners have received.
+    [[nodiscard]] std::size_t requests_begun() const
+    {
+        return m_first.requests().size() + m_second.requests().size();
     }
     std::vector<std::shared_ptr<slow_caller>> m_callers;
+
+private:
+    bool m_in_steps = false;
 };
 
 std::vector<std::string> long_events(std::size_t count, std::size_t bytes)
@@ -173,19 +187,28 @@
 {
     // 12 MB for callers and runners.
     constexpr std::uint32_t memory_mb = 56;
-    readers_fixture edge(memory_mb);
+    // Beyond the test's end, so that readers are disconnected for memory only.
+    constexpr milliseconds timeout{600000};
+    constexpr std::size_t crowd = 200;
+    readers_fixture edge(memory_mb, timeout);
+    // Real time still decides when the kernel drops a caller whose window has
+    // been closed for caller_connection's unresponsive_timeout.
+    edge.use_steps();
     const auto bound = edge.m_proxy.buffered().bound();
     const std::string large(64 * kilobyte, 'l');
     const std::string usual(3000, 'u');
     edge.m_first.script({{whole_answer(200, large)}});
     edge.m_second.script({{whole_answer(200, large)}});
-    for (int i = 0; i < 200; ++i)
+    for (std::size_t i = 0; i < crowd; ++i)
     {
         const auto caller = edge.begin(readers_fixture::get("/get/"));
         if (i % 2 == 0)
             caller->read(1, milliseconds(1000));
     }
-    edge.run_for(milliseconds(300));
+    REQUIRE(edge.run_to([&] { return edge.requests_begun() >= crowd; }));
+    REQUIRE(edge.run_to([&] {
+        return edge.m_proxy.buffered().level() == pressure_level::cutting;
+    }));
     edge.m_first.script({{whole_answer(200, usual)}});
     edge.m_second.script({{whole_answer(200, usual)}});
     std::size_t served = 0;
