--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -56,7 +56,7 @@
 
     ~responder() override
     {
-        end();
+        break_off();
     }
 
     void reply(int status, const http_headers& headers,
@@ -83,10 +83,13 @@
     bool write(const std::string& data) override
     {
         const std::lock_guard lock(m_mutex);
-        if (!m_streaming || m_ended || *m_gone)
+        if (!m_streaming || m_ended || m_left_out || *m_gone)
             return false;
         if (m_buffer.in_avail() > m_max_unread)
+        {
+            m_left_out = true;
             return false;
+        }
         // Both act before they return; only their tasks' continuations need a
         // pool thread, so waiting here could block on a pool that is waiting
         // for the caller's lock.
@@ -101,10 +104,22 @@
         const std::lock_guard lock(m_mutex);
         if (!m_streaming || m_ended)
             return;
+        if (m_left_out)
+        {
+            close_broken();
+            return;
+        }
         m_ended = true;
         m_buffer.close(std::ios_base::out);
     }
 
+    void break_off() override
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_streaming && !m_ended)
+            close_broken();
+    }
+
 private:
     static std::string content_type_of(const http_headers& headers)
     {
@@ -128,6 +143,16 @@
         return response;
     }
 
+    /// The listener sends what the buffer holds, reads the exception in place
+    /// of an end, and closes the connection without the last chunk.
+    void close_broken()
+    {
+        m_ended = true;
+        m_buffer.close(std::ios_base::out,
+                       std::make_exception_ptr(
+                           rest::http_exception("the answer was broken off")));
+    }
+
     void watch(const pplx::task<void>& sent)
     {
         sent.then([gone = m_gone](const pplx::task<void>& finished) {
@@ -149,6 +174,8 @@
     std::atomic<bool> m_begun{false};
     std::atomic<bool> m_streaming{false};
     bool m_ended = false;
+    /// A piece was not taken, so what was sent is not the whole answer.
+    bool m_left_out = false;
     std::shared_ptr<std::atomic<bool>> m_gone =
         std::make_shared<std::atomic<bool>>(false);
 };
