A log that failed once acknowledges nothing behind the gap

What callers would see: a turn that was acknowledged is gone after the next restart of its storage VM, on every VM whose disk refused a write in between.

Cause: a batch that cannot be written marks the VM's disk as failed, which refuses new requests. Entries that were queued by then, and entries copied from other members, were still written: at their own offset, behind the gap. The sync of that second batch succeeds, so it was acknowledged. Loading stops at a gap and cuts off what follows. A failed fdatasync leaves such a gap too: the system reports it once.

Change: the log remembers that a write failed; later ones fail.

Evidence: reported by a review of the code as suspected, without a run. Why it works: all batches of a log pass through write_batches, in order, on one thread.

--- a/include/pepperturn/turns/turn_log.hpp
+++ b/include/pepperturn/turns/turn_log.hpp
@@ -79,6 +79,8 @@
     /// Removes and returns the queued batches, for write_batches.
     [[nodiscard]] std::vector<log_batch> take_pending();
     /// Writes and syncs. Blocks; may run on another thread, one at a time.
+    /// Once a write has failed, all later ones fail: loading stops at a gap, so
+    /// what lies behind one would be lost.
     [[nodiscard]] bool write_batches(const std::vector<log_batch>& batches,
                                      std::string& reason);
     /// Releases the copies in memory of what write_batches wrote.
@@ -99,6 +101,7 @@
 private:
     [[nodiscard]] std::string path_of(std::uint32_t segment) const;
     [[nodiscard]] int open_segment(std::uint32_t segment, std::string& reason);
+    [[nodiscard]] bool write_batch(const log_batch& batch, std::string& reason);
     [[nodiscard]] std::optional<std::string>
     read_bytes(std::uint32_t segment, std::uint32_t offset,
                std::uint32_t length) const;
@@ -114,6 +117,8 @@
     /// Bytes that are not yet synced, by segment and offset.
     std::map<log_position, std::string> m_unwritten;
     std::vector<log_batch> m_pending;
+    /// A write has failed. Used by the writer's thread only.
+    bool m_write_failed = false;
     /// Bytes on disk of each segment.
     std::map<std::uint32_t, std::uint32_t> m_on_disk;
     /// Guards m_files, to which the writer's thread adds.
--- a/src/turns/turn_log.cpp
+++ b/src/turns/turn_log.cpp
@@ -374,22 +374,30 @@
     return std::exchange(m_pending, {});
 }
 
+bool turn_log::write_batch(const log_batch& batch, std::string& reason)
+{
+    const int file = open_segment(batch.m_segment, reason);
+    if (file < 0)
+        return false;
+    if (write_all(file, batch.m_bytes, batch.m_offset) && fdatasync(file) == 0)
+        return true;
+    reason = os_error(path_of(batch.m_segment));
+    return false;
+}
+
 bool turn_log::write_batches(const std::vector<log_batch>& batches,
                              std::string& reason)
 {
     for (const auto& batch : batches)
     {
-        const int file = open_segment(batch.m_segment, reason);
-        if (file < 0)
-            return false;
-        if (!write_all(file, batch.m_bytes, batch.m_offset) ||
-            fdatasync(file) != 0)
+        if (m_write_failed)
         {
-            reason = os_error(path_of(batch.m_segment));
+            reason = "an earlier write to this log failed";
             return false;
         }
+        m_write_failed = !write_batch(batch, reason);
     }
-    return true;
+    return !m_write_failed;
 }
 
 void turn_log::written(const std::vector<log_batch>& batches)
