A run that does not continue a stream is not forwarded

What callers saw: a stream that was interrupted at event 2 and resumed at a runner that ignores the last event's id got events 1 and 2 again, then the rest and the last chunk: repeated pieces, joined from two runs, framed as complete. On routes that store turns, the stored turn had them twice too.

Cause: nothing compared the ids of the next run with the last one.

Change: the first event of a run that was asked to continue after an id must have a higher one (ids of a stream rise; not always by one). Else the attempt ends at once as one that may have run: another runner is tried, or the stream ends without its last chunk. The sink of an attempt says why it takes no more, in place of a bool that meant two things. Metric streams_not_continued.

Evidence: four rows (begins again, repeats the last event, events without ids, begins again behind a comment) fail on the code before and pass now. A run that continues with a later id is still forwarded (passes before and after).

Limit: a run that skips events cannot be told.

--- a/include/pepperturn/forward/event_reader.hpp
+++ b/include/pepperturn/forward/event_reader.hpp
@@ -37,6 +37,11 @@
     {
         return m_last_id;
     }
+    /// Whether a stream can be resumed after the last complete event.
+    [[nodiscard]] bool last_event_has_id() const
+    {
+        return m_last_has_id;
+    }
     /// Data of each complete event, each followed by a line feed.
     [[nodiscard]] const std::string& data() const
     {
@@ -56,6 +61,7 @@
     std::uint32_t m_events = 0;
     std::optional<std::uint64_t> m_event_id;
     std::optional<std::uint64_t> m_last_id;
+    bool m_last_has_id = false;
 };
 
 } // namespace pepperturn
--- a/include/pepperturn/forward/exchange.hpp
+++ b/include/pepperturn/forward/exchange.hpp
@@ -102,12 +102,25 @@
     std::string m_reason;
 };
 
-/// Receives a stream as it arrives. Each function returns false if the caller
-/// has disconnected.
+/// What became of a piece of a response.
+enum class sink_result : std::uint8_t
+{
+    accepted,
+    caller_disconnected,
+    /// Longer than a response that is buffered may be.
+    too_long,
+    /// A run that was to resume a stream does not continue it.
+    not_continued
+};
+
+[[nodiscard]] const char* to_string(sink_result result);
+
+/// Receives a stream as it arrives.
 struct stream_sink
 {
+    /// \returns false if the caller has disconnected
     std::function<task<bool>(const upstream_response& head)> m_begin;
-    std::function<task<bool>(std::string_view bytes)> m_data;
+    std::function<task<sink_result>(std::string_view bytes)> m_data;
 };
 
 struct attempt_request
--- a/include/pepperturn/forward/stream_relay.hpp
+++ b/include/pepperturn/forward/stream_relay.hpp
@@ -31,8 +31,15 @@
         return m_started;
     }
 
-    /// \returns what may be forwarded after \p bytes have been received
+    /// \returns what may be forwarded after \p bytes have been received;
+    /// nothing of a run that \ref run_rejected
     [[nodiscard]] std::string consume(std::string_view bytes);
+    /// The run was to continue after \ref last_event, and does not: forwarding
+    /// it would repeat events, or join two responses. Ids of a stream rise.
+    [[nodiscard]] bool run_rejected() const
+    {
+        return m_run_rejected;
+    }
     /// \returns the remaining bytes, once the run has ended completely
     [[nodiscard]] std::string flush();
     /// The run was aborted: discards the bytes of an incomplete event.
@@ -46,8 +53,13 @@
     }
 
 private:
+    [[nodiscard]] bool continues(std::string_view events);
+
     bool m_resumable;
     bool m_started = false;
+    /// No event of the current run has arrived, and its id is to be checked.
+    bool m_awaits_continuation;
+    bool m_run_rejected = false;
     std::optional<std::uint64_t> m_last_event;
     std::string m_pending;
     event_boundary m_boundary;
--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -235,7 +235,7 @@
 struct body_read
 {
     bool m_complete = false;
-    bool m_caller_disconnected = false;
+    sink_result m_sink_result = sink_result::accepted;
     /// This VM could not buffer the response; not the runner's fault.
     bool m_out_of_memory = false;
     std::string m_reason;
@@ -244,7 +244,7 @@
 /// Receives a body as it arrives.
 struct body_sink
 {
-    std::function<task<bool>(std::string_view)> m_write;
+    std::function<task<sink_result>(std::string_view)> m_write;
     /// Reserves memory for each piece after the first; empty: nothing is
     /// buffered.
     std::function<task<bool>()> m_reserve;
@@ -293,10 +293,12 @@
             capacity -= count;
         if (events != nullptr)
             (void)events->consume({chunk.data(), count});
-        if (count > 0 &&
-            !co_await sink.m_write(std::string_view(chunk.data(), count)))
+        if (count > 0)
+            out.m_sink_result =
+                co_await sink.m_write(std::string_view(chunk.data(), count));
+        if (out.m_sink_result != sink_result::accepted)
         {
-            out.m_caller_disconnected = true;
+            out.m_reason = to_string(out.m_sink_result);
             co_return out;
         }
     }
@@ -357,6 +359,22 @@
     return "unknown";
 }
 
+const char* to_string(sink_result result)
+{
+    switch (result)
+    {
+    case sink_result::accepted:
+        return "accepted";
+    case sink_result::caller_disconnected:
+        return "the caller has disconnected";
+    case sink_result::too_long:
+        return "response is longer than the limit for buffered responses";
+    case sink_result::not_continued:
+        return "the run does not continue after the last event";
+    }
+    return "unknown";
+}
+
 void abort_signal::abort(abort_cause cause)
 {
     if (m_cause != abort_cause::none)
@@ -467,13 +485,15 @@
         const bool stream =
             request.m_streaming && result.m_response.m_status == status_ok;
         body_sink body_out;
-        body_out.m_write = [&](std::string_view bytes) -> task<bool> {
+        body_out.m_write = [&](std::string_view bytes) -> task<sink_result> {
             result.m_response.m_body += bytes;
             // Within what was reserved for the response.
             if (request.m_buffered)
                 (void)request.m_buffered->add(buffer_kind::response,
                                               bytes.size());
-            co_return result.m_response.m_body.size() <= max_response_bytes;
+            co_return result.m_response.m_body.size() <= max_response_bytes
+                ? sink_result::accepted
+                : sink_result::too_long;
         };
         body_out.m_reserve = [&]() -> task<bool> {
             if (!request.m_wait_for_memory)
@@ -485,21 +505,17 @@
             result.m_streamed = true;
             body_out = {sink.m_data, {}};
             if (!co_await sink.m_begin(result.m_response))
-                body.m_caller_disconnected = true;
+                body.m_sink_result = sink_result::caller_disconnected;
         }
         event_boundary events;
         auto* tracked = has_events(head.base(), stream) ? &events : nullptr;
-        if (!body.m_caller_disconnected)
+        if (body.m_sink_result == sink_result::accepted)
             body = co_await read_body(state, parser, tracked,
                                       request.m_gap_timeout, body_out);
         result.m_complete_events = events.complete_events();
         result.m_ended_inside_event = events.inside_event();
-        if (!stream && std::exchange(body.m_caller_disconnected, false))
-        {
+        if (body.m_sink_result == sink_result::too_long)
             body.m_out_of_memory = true;
-            body.m_reason =
-                "response is longer than the limit for buffered responses";
-        }
     }
     if (request.m_buffered)
         release_reservations(*request.m_buffered);
@@ -514,7 +530,9 @@
     else
         connection.m_stream.close();
 
-    if (aborter->cause() != abort_cause::none || body.m_caller_disconnected)
+    const bool caller_disconnected =
+        body.m_sink_result == sink_result::caller_disconnected;
+    if (aborter->cause() != abort_cause::none || caller_disconnected)
     {
         if (aborter->cause() == abort_cause::none)
             aborter->abort(abort_cause::caller_left);
--- a/src/forward/proxy_attempts.cpp
+++ b/src/forward/proxy_attempts.cpp
@@ -319,12 +319,18 @@
             head, work->m_keep_alive && !m_draining);
         co_return check_taken(written);
     };
-    sink.m_data = [=](std::string_view bytes) -> task<bool> {
+    sink.m_data = [=, this](std::string_view bytes) -> task<sink_result> {
         const auto complete = relay->consume(bytes);
+        if (relay->run_rejected())
+        {
+            m_metrics.count("streams_not_continued");
+            co_return sink_result::not_continued;
+        }
         if (complete.empty())
-            co_return true;
+            co_return sink_result::accepted;
         const bool written = co_await caller->write_chunk(complete);
-        co_return check_taken(written);
+        co_return check_taken(written) ? sink_result::accepted
+                                       : sink_result::caller_disconnected;
     };
     return sink;
 }
--- a/src/forward/stream_relay.cpp
+++ b/src/forward/stream_relay.cpp
@@ -7,7 +7,9 @@
 
 stream_relay::stream_relay(bool resumable, bool collect_data,
                            std::optional<std::uint64_t> last_event)
-    : m_resumable(resumable), m_last_event(last_event), m_events(collect_data)
+    : m_resumable(resumable),
+      m_awaits_continuation(resumable && last_event.has_value()),
+      m_last_event(last_event), m_events(collect_data)
 {}
 
 std::string stream_relay::consume(std::string_view bytes)
@@ -20,6 +22,9 @@
             out = std::exchange(m_pending, {});
         out += bytes.substr(0, complete);
         m_pending += bytes.substr(complete);
+        m_run_rejected = m_run_rejected || !continues(out);
+        if (m_run_rejected)
+            return {};
     }
     else
         out = bytes;
@@ -33,10 +38,28 @@
     return std::exchange(m_pending, {});
 }
 
+bool stream_relay::continues(std::string_view events)
+{
+    if (!m_awaits_continuation)
+        return true;
+    event_reader first(false);
+    for (const char& byte : events)
+    {
+        first.consume({&byte, 1});
+        if (first.complete_events() == 0)
+            continue;
+        m_awaits_continuation = false;
+        return first.last_event_has_id() && first.last_id() > last_event();
+    }
+    return true;
+}
+
 void stream_relay::discard_partial_event()
 {
     m_pending.clear();
     m_boundary = {};
+    m_run_rejected = false;
+    m_awaits_continuation = m_resumable && last_event().has_value();
 }
 
 std::optional<std::uint64_t> stream_relay::last_event() const
--- a/test/fleet/test_resumed_streams.cpp
+++ b/test/fleet/test_resumed_streams.cpp
@@ -21,6 +21,16 @@
 
 constexpr const char* whole_end = "\r\n0\r\n\r\n";
 
+/// A stream in chunks of events that have no ids.
+std::string unnumbered_answer(const std::vector<std::string>& events,
+                              bool ended = true)
+{
+    auto out = event_answer({}, false);
+    for (const auto& data : events)
+        out += chunk_of("data: " + data + "\n\n");
+    return ended ? out + "0\r\n\r\n" : out;
+}
+
 } // namespace
 
 TEST_CASE("a broken stream is resumed at another runner", "[proxy][resume]")
@@ -94,6 +104,48 @@
     CHECK(edge.m_second.requests().size() == 1);
 }
 
+TEST_CASE("events of a run that does not continue a stream are not forwarded",
+          "[proxy][resume]")
+{
+    struct row
+    {
+        const char* m_what;
+        std::string m_second;
+    };
+    const auto each = GENERATE(values<row>({
+        {"it begins again", event_answer({"a", "b", "c"})},
+        {"it repeats the last event", event_answer({"b", "c"}, true, 2)},
+        {"its events have no ids", unnumbered_answer({"c"})},
+        {"it begins again behind a comment",
+         event_answer({}, false) + chunk_of(": hello\n\nid: 1\ndata: c\n\n") +
+             "0\r\n\r\n"},
+    }));
+    INFO(each.m_what);
+    isolated_edge edge;
+    edge.m_first.script(
+        {{event_answer({"a", "b"}, false), true, after::close}});
+    edge.m_second.script({{each.m_second}});
+    const auto got = edge.ask(proxy_fixture::post("/resume/", "x"), "never");
+    CHECK(count(got, "data: a") == 1);
+    CHECK(count(got, "data: b") == 1);
+    CHECK(count(got, "data: c") == 0);
+    CHECK_FALSE(has(got, whole_end));
+    CHECK(edge.m_ended);
+    CHECK(edge.m_second.requests().size() == 1);
+    CHECK(has(edge.m_proxy.metrics_text(), "streams_not_continued 1\n"));
+}
+
+TEST_CASE("a run may continue with a later id than the next", "[proxy][resume]")
+{
+    // Ids rise, but not always by one.
+    isolated_edge edge;
+    edge.m_first.script({{event_answer({"a"}, false), true, after::close}});
+    edge.m_second.script({{event_answer({"e"}, true, 5)}});
+    const auto got = edge.ask(proxy_fixture::post("/resume/", "x"), whole_end);
+    CHECK(count(got, "data: e") == 1);
+    CHECK(has(got, whole_end));
+}
+
 TEST_CASE("a caller's own resumption of a stream is forwarded",
           "[proxy][resume]")
 {
