A stream is not resumed after an event without an id

What callers saw: a resumable stream whose events have no ids was resumed from its start: every event came twice, with the last chunk.

Cause: the id to resume after was that of the last event that had one, or none at all; events after it were forgotten.

Change: a stream is resumed only if its last whole event has an id. Else it ends without its last chunk.

Evidence: three rows (no ids at all, none on the last event, an id that is no number) fail on the code before and pass now.

--- a/include/pepperturn/forward/stream_relay.hpp
+++ b/include/pepperturn/forward/stream_relay.hpp
@@ -47,6 +47,9 @@
 
     /// Id of the event after which the next run resumes; empty: it starts over.
     [[nodiscard]] std::optional<std::uint64_t> last_event() const;
+    /// Whether another run can go on from what was forwarded: an event without
+    /// an id cannot be named to it.
+    [[nodiscard]] bool can_resume() const;
     [[nodiscard]] const event_reader& events() const
     {
         return m_events;
--- a/src/forward/proxy_attempts.cpp
+++ b/src/forward/proxy_attempts.cpp
@@ -464,7 +464,8 @@
             ++state.m_refusals;
             continue;
         }
-        if (relay->started() && run_lost && state.m_may_retry)
+        if (relay->started() && run_lost && state.m_may_retry &&
+            relay->can_resume())
         {
             ++state.m_possible_runs;
             relay->discard_partial_event();
--- a/src/forward/stream_relay.cpp
+++ b/src/forward/stream_relay.cpp
@@ -67,4 +67,9 @@
     return m_events.last_id() ? m_events.last_id() : m_last_event;
 }
 
+bool stream_relay::can_resume() const
+{
+    return m_events.complete_events() == 0 || m_events.last_event_has_id();
+}
+
 } // namespace pepperturn
--- a/test/fleet/test_resumed_streams.cpp
+++ b/test/fleet/test_resumed_streams.cpp
@@ -146,6 +146,23 @@
     CHECK(has(got, whole_end));
 }
 
+TEST_CASE("a stream is not resumed after an event without an id",
+          "[proxy][resume]")
+{
+    const auto first = GENERATE(values<std::string>(
+        {unnumbered_answer({"a"}, false),
+         event_answer({"z"}, false) + chunk_of("data: a\n\n"),
+         event_answer({}, false) + chunk_of("id: x\ndata: a\n\n")}));
+    isolated_edge edge;
+    edge.m_first.script({{first, true, after::close}});
+    edge.m_second.script({{event_answer({"a", "b"})}});
+    const auto got = edge.ask(proxy_fixture::post("/resume/", "x"), "never");
+    CHECK(count(got, "data: a") == 1);
+    CHECK_FALSE(has(got, whole_end));
+    CHECK(edge.m_ended);
+    CHECK(edge.m_second.requests().empty());
+}
+
 TEST_CASE("a caller's own resumption of a stream is forwarded",
           "[proxy][resume]")
 {
