A turn that is stored whole is not resumed for a caller

What callers saw: a request with a Last-Event-Id of the caller's own, on a route that stores turns, was answered with the events after that one. Only these were stored: turns that continue from it were sent an input that lacks the start of the answer.

Cause: the stored text is what this VM relayed in this request.

Change: such a request is refused with 400, and says what to do. A broken-off turn was never stored, so it can be sent again whole.

Evidence: the new case fails on the code before (no 400) and passes now. That only these events were stored was read, not run: the fixture has no storage VMs.

--- a/src/forward/proxy.cpp
+++ b/src/forward/proxy.cpp
@@ -348,6 +348,14 @@
         out.m_response = fail(*work, 400, std::string(work->m_fields.m_error));
         co_return out;
     }
+    if (route.m_stateful && work->m_fields.m_last_event_id)
+    {
+        // Only what this VM relays is stored: the turn would lack its start.
+        out.m_response = fail(*work, 400,
+                              "a turn is stored whole and cannot be resumed: "
+                              "send it without the last event's id");
+        co_return out;
+    }
     work->m_deadline =
         work->m_arrived +
         std::min(route.m_timeout,
--- a/test/fleet/test_resumed_streams.cpp
+++ b/test/fleet/test_resumed_streams.cpp
@@ -163,6 +163,22 @@
     CHECK(edge.m_second.requests().empty());
 }
 
+TEST_CASE("a turn that is stored whole is not resumed for a caller",
+          "[proxy][resume]")
+{
+    isolated_edge edge;
+    auto config = proxy_fixture::config(2);
+    for (auto& route : config.m_routes)
+        route.m_stateful = true;
+    edge.m_proxy.apply_config(std::move(config));
+    edge.m_first.script({{event_answer({"b"}, true, 2)}});
+    const auto got =
+        edge.ask(proxy_fixture::post("/resume/", "x", "Last-Event-Id: 1\r\n"),
+                 "\r\n\r\n");
+    CHECK(has(got, "HTTP/1.1 400 "));
+    CHECK(edge.m_first.requests().empty());
+}
+
 TEST_CASE("a caller's own resumption of a stream is forwarded",
           "[proxy][resume]")
 {
