Reading a response's body has a file of its own

exchange.cpp had grown to 587 lines: framing, reading the body and the search for a missing end move to response_body, without a change of behaviour. The judgement whether the end is missing is asked by the attempt, which knows whether sending failed. exchange.cpp has 444 lines now.

Tests of the proxy, resumed and broken-off streams pass before and after.

--- a/include/pepperturn/forward/exchange.hpp
+++ b/include/pepperturn/forward/exchange.hpp
@@ -5,6 +5,7 @@
 
 #include "pepperturn/forward/buffer_budget.hpp"
 #include "pepperturn/forward/request_head.hpp"
+#include "pepperturn/forward/response_body.hpp"
 #include "pepperturn/forward/runner_table.hpp"
 #include "pepperturn/forward/upstream_pool.hpp"
 
@@ -57,19 +58,6 @@
 
 [[nodiscard]] const char* to_string(attempt_outcome outcome);
 
-/// How a response marks the end of its body.
-enum class body_framing : std::uint8_t
-{
-    /// No head was received.
-    unknown,
-    length,
-    chunks,
-    /// Neither of these: the body ends with its connection.
-    connection_close
-};
-
-[[nodiscard]] const char* to_string(body_framing framing);
-
 struct upstream_response
 {
     unsigned m_status = 0;
@@ -102,19 +90,6 @@
     std::string m_reason;
 };
 
-/// What became of a piece of a response.
-enum class sink_result : std::uint8_t
-{
-    accepted,
-    caller_disconnected,
-    /// Longer than a response that is buffered may be.
-    too_long,
-    /// A run that was to resume a stream does not continue it.
-    not_continued
-};
-
-[[nodiscard]] const char* to_string(sink_result result);
-
 /// Receives a stream as it arrives.
 struct stream_sink
 {
--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -1,27 +1,21 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "pepperturn/forward/exchange.hpp"
 
-#include "pepperturn/forward/event_boundary.hpp"
+#include "pepperturn/forward/response_body.hpp"
 
-#include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 
 namespace pepperturn {
 
 namespace {
 
-using answer_parser = http::response_parser<http::buffer_body>;
-
 /// A connect takes one round trip; a runner beyond a network partition never
 /// replies.
 constexpr milliseconds connect_timeout{250};
 /// Bodies up to this size in bytes fit into the send buffer, so that writing
 /// them cannot block on the runner's reads.
 constexpr std::size_t inline_write_bytes = 8192;
-constexpr std::size_t read_bytes = 8192;
 constexpr std::size_t max_response_bytes = 16U << 20U;
 /// A long body times out if the runner has not read it within 1/send_share of
 /// the remaining time, since too little would be left for its response; below
@@ -38,7 +32,6 @@
 /// An attempt that is aborted without a first byte after at least this long is
 /// counted against the runner; sooner, it says something of the caller only.
 constexpr milliseconds min_unresponsive_time{900};
-constexpr unsigned status_ok = 200;
 constexpr unsigned first_server_error = 500;
 
 /// State of one attempt on one connection.
@@ -131,7 +124,7 @@
     if (!account.reserve(buffer_kind::receive_buffer,
                          upstream_pool::receive_buffer_bytes))
         return false;
-    if (!account.reserve_more(buffer_kind::response, read_bytes))
+    if (!account.reserve_more(buffer_kind::response, detail::read_bytes))
         return false;
     return !late || account.add(buffer_kind::unsent_body,
                                 upstream_pool::send_buffer_bytes);
@@ -193,122 +186,6 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-body_framing framing_of(const answer_parser& parser)
-{
-    if (parser.need_eof())
-        return body_framing::connection_close;
-    return parser.chunked() ? body_framing::chunks : body_framing::length;
-}
-
-/// Whether the body is a series of events. A streaming route's response is one
-/// unless it names another type; a failure's text is none, whatever its type.
-bool has_events(const http::response_header<>& head, bool streaming)
-{
-    constexpr std::string_view event_stream = "text/event-stream";
-    if (head.result_int() != status_ok)
-        return false;
-    const auto type = field(head, "Content-Type");
-    if (type.empty())
-        return streaming;
-    return boost::algorithm::istarts_with(type, event_stream);
-}
-
-/// Looks for the end of a body whose framing has ended. Runners that fail may
-/// close the connection, or send the last chunk, inside an event.
-/// \param events of a stream of events; null: another body
-/// \returns why the body is not complete; null if it is
-const char* find_missing_end(const attempt_state& state, body_framing framing,
-                             const event_boundary* events)
-{
-    const bool closed = framing == body_framing::connection_close;
-    if (closed && state.m_write_failed)
-        return "the connection failed while the request was being sent";
-    if (events == nullptr)
-        return nullptr;
-    if (events->inside_event())
-        return "the stream ended inside an event";
-    if (closed && events->complete_events() == 0)
-        return "the connection closed before the first event";
-    return nullptr;
-}
-
-struct body_read
-{
-    bool m_complete = false;
-    sink_result m_sink_result = sink_result::accepted;
-    /// This VM could not buffer the response; not the runner's fault.
-    bool m_out_of_memory = false;
-    std::string m_reason;
-};
-
-/// Receives a body as it arrives.
-struct body_sink
-{
-    std::function<task<sink_result>(std::string_view)> m_write;
-    /// Reserves memory for each piece after the first; empty: nothing is
-    /// buffered.
-    std::function<task<bool>()> m_reserve;
-};
-
-/// Reads the body and passes it to \p sink as it arrives.
-/// \param gap_timeout maximum wait for each piece; empty: no limit
-/// \param events receives the bytes of a stream of events; null: not a stream
-task<body_read> read_body(std::shared_ptr<attempt_state> state,
-                          answer_parser& parser, event_boundary* events,
-                          std::optional<milliseconds> gap_timeout,
-                          body_sink sink)
-{
-    body_read out;
-    std::array<char, read_bytes> chunk;
-    auto capacity = chunk.size();
-    auto& connection = *state->m_connection;
-    while (!parser.is_done())
-    {
-        if (capacity == 0)
-        {
-            out.m_out_of_memory = !co_await sink.m_reserve();
-            capacity = chunk.size();
-        }
-        if (out.m_out_of_memory)
-        {
-            out.m_reason = "response exceeds the memory available on this VM";
-            co_return out;
-        }
-        parser.get().body().data = chunk.data();
-        parser.get().body().size = capacity;
-        error_code ec;
-        if (gap_timeout)
-            connection.m_stream.expires_after(*gap_timeout);
-        co_await http::async_read_some(connection.m_stream, connection.m_buffer,
-                                       parser, into(ec));
-        if (ec == http::error::need_buffer)
-            ec = {};
-        if (ec)
-        {
-            out.m_reason = ec.message();
-            co_return out;
-        }
-        const auto count = capacity - parser.get().body().size;
-        if (sink.m_reserve)
-            capacity -= count;
-        if (events != nullptr)
-            (void)events->consume({chunk.data(), count});
-        if (count > 0)
-            out.m_sink_result =
-                co_await sink.m_write(std::string_view(chunk.data(), count));
-        if (out.m_sink_result != sink_result::accepted)
-        {
-            out.m_reason = to_string(out.m_sink_result);
-            co_return out;
-        }
-    }
-    const auto* fault = find_missing_end(*state, framing_of(parser), events);
-    if (fault != nullptr)
-        out.m_reason = fault;
-    out.m_complete = fault == nullptr;
-    co_return out;
-}
-
 } // namespace
 
 const char* to_string(abort_cause cause)
@@ -327,22 +204,6 @@
     return "unknown";
 }
 
-const char* to_string(body_framing framing)
-{
-    switch (framing)
-    {
-    case body_framing::unknown:
-        return "unknown";
-    case body_framing::length:
-        return "length";
-    case body_framing::chunks:
-        return "chunks";
-    case body_framing::connection_close:
-        return "connection_close";
-    }
-    return "unknown";
-}
-
 const char* to_string(attempt_outcome outcome)
 {
     switch (outcome)
@@ -359,22 +220,6 @@
     return "unknown";
 }
 
-const char* to_string(sink_result result)
-{
-    switch (result)
-    {
-    case sink_result::accepted:
-        return "accepted";
-    case sink_result::caller_disconnected:
-        return "the caller has disconnected";
-    case sink_result::too_long:
-        return "response is longer than the limit for buffered responses";
-    case sink_result::not_continued:
-        return "the run does not continue after the last event";
-    }
-    return "unknown";
-}
-
 void abort_signal::abort(abort_cause cause)
 {
     if (m_cause != abort_cause::none)
@@ -455,7 +300,7 @@
         connection.m_stream.expires_after(*request.m_first_byte_timeout);
     else if (request.m_attempt_deadline)
         connection.m_stream.expires_at(*request.m_attempt_deadline);
-    answer_parser parser;
+    detail::response_parser parser;
     parser.header_limit(max_response_head_bytes);
     // Limited below where it is buffered; a stream has no limit.
     parser.body_limit(std::uint64_t{1} << 62U);
@@ -475,16 +320,16 @@
         fault = find_fault(parser.get().base(), names, request.m_request_id);
     }
     const bool head_good = !ec && fault == nullptr;
-    body_read body;
+    detail::body_read body;
     if (head_good)
     {
         const auto& head = parser.get();
-        result.m_framing = framing_of(parser);
+        result.m_framing = detail::framing_of(parser);
         result.m_response.m_status = head.result_int();
         result.m_response.m_fields = head.base();
-        const bool stream =
-            request.m_streaming && result.m_response.m_status == status_ok;
-        body_sink body_out;
+        const bool stream = request.m_streaming &&
+                            result.m_response.m_status == detail::status_ok;
+        detail::body_sink body_out;
         body_out.m_write = [&](std::string_view bytes) -> task<sink_result> {
             result.m_response.m_body += bytes;
             // Within what was reserved for the response.
@@ -498,7 +343,7 @@
         body_out.m_reserve = [&]() -> task<bool> {
             if (!request.m_wait_for_memory)
                 co_return true;
-            co_return co_await request.m_wait_for_memory(read_bytes);
+            co_return co_await request.m_wait_for_memory(detail::read_bytes);
         };
         if (stream)
         {
@@ -508,10 +353,22 @@
                 body.m_sink_result = sink_result::caller_disconnected;
         }
         event_boundary events;
-        auto* tracked = has_events(head.base(), stream) ? &events : nullptr;
+        auto* tracked =
+            detail::has_events(head.base(), stream) ? &events : nullptr;
         if (body.m_sink_result == sink_result::accepted)
-            body = co_await read_body(state, parser, tracked,
-                                      request.m_gap_timeout, body_out);
+            body =
+                co_await detail::read_body(state->m_connection, parser, tracked,
+                                           request.m_gap_timeout, body_out);
+        const auto* missing =
+            body.m_complete
+                ? detail::find_missing_end(result.m_framing,
+                                           state->m_write_failed, tracked)
+                : nullptr;
+        if (missing != nullptr)
+        {
+            body.m_complete = false;
+            body.m_reason = missing;
+        }
         result.m_complete_events = events.complete_events();
         result.m_ended_inside_event = events.inside_event();
         if (body.m_sink_result == sink_result::too_long)
