A segment is removed only once what replaces it is on the disk

What callers would see: turns that were synced and acknowledged are gone after a restart of a storage VM whose disk refused one write, without any sign of damage: the VM comes back as a full member with holes.

Cause: compacting appends the live entries of the oldest segment again and removes the segment in a later call, two seconds after, "when the copies have long been synced". Nothing asked whether they were.

Change: a segment without entries in use is removed once everything that had been appended when it was found so is on the disk.

--- a/include/pepperturn/turns/turn_log.hpp
+++ b/include/pepperturn/turns/turn_log.hpp
@@ -85,6 +85,16 @@
                                      std::string& reason);
     /// Releases the copies in memory of what write_batches wrote.
     void written(const std::vector<log_batch>& batches);
+    /// Where the next entry begins.
+    [[nodiscard]] log_position end() const
+    {
+        return {m_current, m_end};
+    }
+    /// Whether all entries before \p end are durable.
+    [[nodiscard]] bool durable_before(const log_position& end) const
+    {
+        return m_unwritten.empty() || m_unwritten.begin()->first >= end;
+    }
 
     /// The entry at \p position; empty if it cannot be read.
     [[nodiscard]] std::optional<std::string>
--- a/include/pepperturn/turns/turn_store.hpp
+++ b/include/pepperturn/turns/turn_store.hpp
@@ -88,9 +88,19 @@
                             const log_position& position, instant now);
     [[nodiscard]] std::optional<turn_record>
     read_turn(const log_position& position) const;
+    /// Removes the oldest segment in steps, once little in it is in use.
     void compact_oldest(instant now);
 
+    /// A segment of which no entry is in use.
+    struct unused_segment
+    {
+        std::uint32_t m_segment = 0;
+        /// All entries that replace those of the segment are before this.
+        log_position m_replaced_before;
+    };
+
     turn_log& m_log;
+    std::optional<unused_segment> m_unused_segment;
     std::unordered_map<id_key, turn_row, id_key_hash> m_turns;
     std::unordered_map<id_key, program_row, id_key_hash> m_programs;
 };
--- a/src/turns/turn_store.cpp
+++ b/src/turns/turn_store.cpp
@@ -238,11 +238,18 @@
     if (!live.empty())
     {
         // The live entries are appended again first; the segment is removed in
-        // a later call, when the copies have long been synced.
+        // a later call.
         for (const auto& entry : live)
             insert(entry, m_log.append(encode_entry(entry)), now);
         return;
     }
+    // What replaces the segment's entries may not be on the disk yet, and never
+    // is if the disk refuses writes.
+    if (!m_unused_segment || m_unused_segment->m_segment != oldest)
+        m_unused_segment = {oldest, m_log.end()};
+    if (!m_log.durable_before(m_unused_segment->m_replaced_before))
+        return;
+    m_unused_segment.reset();
     LOG(INFO) << "event=segment_removed segment=" << oldest;
     m_log.remove_segment(oldest);
 }
--- a/test/turns/test_turn_store.cpp
+++ b/test/turns/test_turn_store.cpp
@@ -54,11 +54,17 @@
     }
 
     void sync()
+    {
+        REQUIRE(try_sync());
+    }
+    bool try_sync()
     {
         const auto batches = m_log.take_pending();
         std::string reason;
-        REQUIRE(m_log.write_batches(batches, reason));
-        m_log.written(batches);
+        const bool good = m_log.write_batches(batches, reason);
+        if (good)
+            m_log.written(batches);
+        return good;
     }
 
     turn_log m_log;
@@ -212,6 +218,42 @@
     CHECK(original.m_log.segments().size() < before);
 }
 
+TEST_CASE("turns that were synced before a failed write outlive a restart",
+          "[turn_store]")
+{
+    const bool disk_recovers = GENERATE(true, false);
+    constexpr int synced = 40;
+    const auto id = [](int i) { return "t" + std::to_string(i); };
+    const temporary_folder folder;
+    std::filesystem::path refused;
+    {
+        opened_store original(folder.path());
+        for (int i = 0; i < synced; ++i)
+            original.m_store.append(turn(id(i), ""), instant{});
+        original.sync();
+        // The system refuses to open a folder for writing.
+        refused = folder.path() + "/segment-" +
+                  std::to_string(original.m_log.current_segment() + 1);
+        std::filesystem::create_directory(refused);
+        for (int i = synced; original.try_sync(); ++i)
+            original.m_store.append(turn(id(i), ""), instant{});
+        if (disk_recovers)
+            std::filesystem::remove(refused);
+        for (int i = 0; i < 6; ++i)
+        {
+            original.m_store.expire(instant{} + milliseconds(10 * i));
+            CHECK_FALSE(original.try_sync());
+        }
+    }
+    std::filesystem::remove(refused);
+    const opened_store restarted(folder.path());
+    for (int i = 0; i < synced; ++i)
+    {
+        INFO(id(i));
+        CHECK(restarted.m_store.has_turn(id(i)));
+    }
+}
+
 TEST_CASE("a store copied from a listing is equal to the original",
           "[turn_store]")
 {
