Blocks without data need no id, and a caller compares its own event id

A caller's own Last-Event-Id that a runner does not know (many begin at 1 then) ended in a stream broken off before its first event, and counted as a failure of each runner that was tried.

Change: blocks with neither data nor an id are passed over; the first run of a request is not compared with the caller's own id, which the caller can do.

Also new: after a run that does not continue, a third runner's run is used.

--- a/include/pepperturn/forward/event_reader.hpp
+++ b/include/pepperturn/forward/event_reader.hpp
@@ -37,10 +37,11 @@
     {
         return m_last_id;
     }
-    /// Whether a stream can be resumed after the last complete event.
-    [[nodiscard]] bool last_event_has_id() const
+    /// Whether the last complete event has data and no id, so that no run can
+    /// be asked to go on after it.
+    [[nodiscard]] bool last_event_unnumbered() const
     {
-        return m_last_has_id;
+        return m_last_unnumbered;
     }
     /// Data of each complete event, each followed by a line feed.
     [[nodiscard]] const std::string& data() const
@@ -61,7 +62,7 @@
     std::uint32_t m_events = 0;
     std::optional<std::uint64_t> m_event_id;
     std::optional<std::uint64_t> m_last_id;
-    bool m_last_has_id = false;
+    bool m_last_unnumbered = false;
 };
 
 } // namespace pepperturn
--- a/include/pepperturn/forward/stream_relay.hpp
+++ b/include/pepperturn/forward/stream_relay.hpp
@@ -34,8 +34,9 @@
     /// \returns what may be forwarded after \p bytes have been received;
     /// nothing of a run that \ref run_rejected
     [[nodiscard]] std::string consume(std::string_view bytes);
-    /// The run was to continue after \ref last_event, and does not: forwarding
-    /// it would repeat events, or join two responses. Ids of a stream rise.
+    /// The run was to continue the events forwarded before, and does not:
+    /// forwarding it would repeat some, or join two responses. Ids of a stream
+    /// rise.
     [[nodiscard]] bool run_rejected() const
     {
         return m_run_rejected;
@@ -61,7 +62,7 @@
     bool m_resumable;
     bool m_started = false;
     /// No event of the current run has arrived, and its id is to be checked.
-    bool m_awaits_continuation;
+    bool m_awaits_continuation = false;
     bool m_run_rejected = false;
     std::optional<std::uint64_t> m_last_event;
     std::string m_pending;
--- a/src/forward/event_reader.cpp
+++ b/src/forward/event_reader.cpp
@@ -33,10 +33,9 @@
     if (m_line.empty())
     {
         if (m_in_event)
-        {
             ++m_events;
-            m_last_has_id = m_event_id.has_value();
-        }
+        if (m_has_data || m_event_id)
+            m_last_unnumbered = !m_event_id;
         if (m_event_id)
             m_last_id = std::exchange(m_event_id, std::nullopt);
         if (m_has_data && m_collect_data)
--- a/src/forward/stream_relay.cpp
+++ b/src/forward/stream_relay.cpp
@@ -7,9 +7,7 @@
 
 stream_relay::stream_relay(bool resumable, bool collect_data,
                            std::optional<std::uint64_t> last_event)
-    : m_resumable(resumable),
-      m_awaits_continuation(resumable && last_event.has_value()),
-      m_last_event(last_event), m_events(collect_data)
+    : m_resumable(resumable), m_last_event(last_event), m_events(collect_data)
 {}
 
 std::string stream_relay::consume(std::string_view bytes)
@@ -46,10 +44,10 @@
     for (const char& byte : events)
     {
         first.consume({&byte, 1});
-        if (first.complete_events() == 0)
-            continue;
-        m_awaits_continuation = false;
-        return first.last_event_has_id() && first.last_id() > last_event();
+        m_awaits_continuation =
+            !first.last_id() && !first.last_event_unnumbered();
+        if (!m_awaits_continuation)
+            return first.last_id() > last_event();
     }
     return true;
 }
@@ -59,7 +57,8 @@
     m_pending.clear();
     m_boundary = {};
     m_run_rejected = false;
-    m_awaits_continuation = m_resumable && last_event().has_value();
+    // A caller's own id is the caller's to compare.
+    m_awaits_continuation = m_events.last_id().has_value();
 }
 
 std::optional<std::uint64_t> stream_relay::last_event() const
@@ -69,7 +68,7 @@
 
 bool stream_relay::can_resume() const
 {
-    return m_events.complete_events() == 0 || m_events.last_event_has_id();
+    return !m_events.last_event_unnumbered();
 }
 
 } // namespace pepperturn
--- a/test/fleet/test_resumed_streams.cpp
+++ b/test/fleet/test_resumed_streams.cpp
@@ -135,6 +135,58 @@
     CHECK(has(edge.m_proxy.metrics_text(), "streams_not_continued 1\n"));
 }
 
+TEST_CASE("after a run that does not continue a stream another one may",
+          "[proxy][resume]")
+{
+    isolated_edge edge;
+    scripted_runner third(edge.m_io);
+    edge.m_proxy.set_runners(
+        {{"r1", "svc", edge.m_first.address(), "z", 4, false},
+         {"r2", "svc", edge.m_second.address(), "y", 4, false},
+         {"r3", "svc", third.address(), "x", 4, false}});
+    auto config = proxy_fixture::config(2);
+    for (auto& route : config.m_routes)
+        route.m_max_attempts = 3;
+    edge.m_proxy.apply_config(std::move(config));
+    edge.m_first.script({{event_answer({"a"}, false), true, after::close}});
+    edge.m_second.script({{event_answer({"a", "b"})}});
+    const auto* before = GENERATE("", "retry: 3000\n\n", ": hello\n\n");
+    third.script(
+        {{event_answer({}, false) +
+          chunk_of(std::string(before) + "id: 2\ndata: b\n\n") + "0\r\n\r\n"}});
+    const auto got = edge.ask(proxy_fixture::post("/resume/", "x"), whole_end);
+    CHECK(count(got, "data: a") == 1);
+    CHECK(count(got, "data: b") == 1);
+    CHECK(has(got, whole_end));
+    CHECK(third.requests().size() == 1);
+}
+
+TEST_CASE("a stream is resumed after a block without data", "[proxy][resume]")
+{
+    const auto first = GENERATE(values<std::string>(
+        {event_answer({}, false) + chunk_of("retry: 3000\n\n"),
+         event_answer({"a"}, false) + chunk_of("retry: 3000\n\n")}));
+    isolated_edge edge;
+    edge.m_first.script({{first, true, after::close}});
+    edge.m_second.script({{event_answer({"b"}, true, 2)}});
+    const auto got = edge.ask(proxy_fixture::post("/resume/", "x"), whole_end);
+    CHECK(count(got, "data: b") == 1);
+    CHECK(has(got, whole_end));
+}
+
+TEST_CASE("a caller compares its own event id itself", "[proxy][resume]")
+{
+    // Many runners know no such id and begin at the start.
+    isolated_edge edge;
+    edge.m_first.script({{event_answer({"a", "b"})}});
+    const auto got =
+        edge.ask(proxy_fixture::post("/resume/", "x", "Last-Event-Id: 99\r\n"),
+                 whole_end);
+    CHECK(has(got, "data: b"));
+    CHECK(has(got, whole_end));
+    CHECK(edge.m_second.requests().empty());
+}
+
 TEST_CASE("a run may continue with a later id than the next", "[proxy][resume]")
 {
     // Ids rise, but not always by one.
