A resumed run without the stream's events does not end it

What callers saw: a stream was broken off after two events, or inside the third; the run that was to resume it answered 200 with another type, or with no events at all. Its bytes, or nothing, were appended, and the last chunk: framed as complete, and not.

Cause: only whole events of a run were compared. What was left when a run had ended was passed on unseen, and "no events" counted as "nothing left", also where the run before had already begun a further event.

Change: when a run has ended, the relay says whether the stream has: a run without events ends nothing if an event had begun, or if it has other bytes where a continuation was expected.

Two new rows (JSON, text without its end) and a case of four (broken off inside an event, then a run with no events or a comment alone).

--- a/include/pepperturn/forward/exchange.hpp
+++ b/include/pepperturn/forward/exchange.hpp
@@ -96,6 +96,8 @@
     /// \returns false if the caller has disconnected
     std::function<task<bool>(const upstream_response& head)> m_begin;
     std::function<task<sink_result>(std::string_view bytes)> m_data;
+    /// Called when the run has ended; \returns whether the stream has too
+    std::function<sink_result()> m_end;
 };
 
 struct attempt_request
--- a/include/pepperturn/forward/stream_relay.hpp
+++ b/include/pepperturn/forward/stream_relay.hpp
@@ -41,6 +41,9 @@
     {
         return m_run_rejected;
     }
+    /// Once the run has ended completely: whether it has no events, although
+    /// there are more or it has other bytes.
+    [[nodiscard]] bool continuation_missing() const;
     /// \returns the remaining bytes, once the run has ended completely
     [[nodiscard]] std::string flush();
     /// The run was aborted: discards the bytes of an incomplete event.
@@ -64,6 +67,10 @@
     /// No event of the current run has arrived, and its id is to be checked.
     bool m_awaits_continuation = false;
     bool m_run_rejected = false;
+    /// An earlier run broke off inside an event.
+    bool m_event_discarded = false;
+    /// Events that were forwarded of earlier runs.
+    std::uint32_t m_events_before_run = 0;
     std::optional<std::uint64_t> m_last_event;
     std::string m_pending;
     event_boundary m_boundary;
--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -364,6 +364,12 @@
                 ? detail::find_missing_end(result.m_framing,
                                            state->m_write_failed, tracked)
                 : nullptr;
+        if (missing == nullptr && body.m_complete && stream)
+        {
+            body.m_sink_result = sink.m_end();
+            if (body.m_sink_result != sink_result::accepted)
+                missing = to_string(body.m_sink_result);
+        }
         if (missing != nullptr)
         {
             body.m_complete = false;
--- a/src/forward/proxy_attempts.cpp
+++ b/src/forward/proxy_attempts.cpp
@@ -332,6 +332,12 @@
         co_return check_taken(written) ? sink_result::accepted
                                        : sink_result::caller_disconnected;
     };
+    sink.m_end = [=, this] {
+        if (!relay->continuation_missing())
+            return sink_result::accepted;
+        m_metrics.count("streams_not_continued");
+        return sink_result::not_continued;
+    };
     return sink;
 }
 
--- a/src/forward/stream_relay.cpp
+++ b/src/forward/stream_relay.cpp
@@ -54,13 +54,23 @@
 
 void stream_relay::discard_partial_event()
 {
+    m_event_discarded =
+        m_event_discarded || (!m_run_rejected && !m_pending.empty());
     m_pending.clear();
     m_boundary = {};
     m_run_rejected = false;
+    m_events_before_run = m_events.complete_events();
     // A caller's own id is the caller's to compare.
     m_awaits_continuation = m_events.last_id().has_value();
 }
 
+bool stream_relay::continuation_missing() const
+{
+    if (m_events.complete_events() > m_events_before_run)
+        return false;
+    return m_pending.empty() ? m_event_discarded : m_awaits_continuation;
+}
+
 std::optional<std::uint64_t> stream_relay::last_event() const
 {
     return m_events.last_id() ? m_events.last_id() : m_last_event;
--- a/test/fleet/test_resumed_streams.cpp
+++ b/test/fleet/test_resumed_streams.cpp
@@ -21,6 +21,12 @@
 
 constexpr const char* whole_end = "\r\n0\r\n\r\n";
 
+/// A complete response of another type than events.
+std::string typed_answer(const std::string& type, const std::string& body)
+{
+    return whole_answer(200, body, "Content-Type: " + type + "\r\n");
+}
+
 /// A stream in chunks of events that have no ids.
 std::string unnumbered_answer(const std::vector<std::string>& events,
                               bool ended = true)
@@ -116,6 +122,10 @@
         {"it begins again", event_answer({"a", "b", "c"})},
         {"it repeats the last event", event_answer({"b", "c"}, true, 2)},
         {"its events have no ids", unnumbered_answer({"c"})},
+        {"it is of another type",
+         typed_answer("application/json", "{\"data: c\":1}")},
+        {"it is text without an end of its only event",
+         typed_answer("text/plain", "id: 1\ndata: c")},
         {"it begins again behind a comment",
          event_answer({}, false) + chunk_of(": hello\n\nid: 1\ndata: c\n\n") +
              "0\r\n\r\n"},
@@ -135,6 +145,24 @@
     CHECK(has(edge.m_proxy.metrics_text(), "streams_not_continued 1\n"));
 }
 
+TEST_CASE("a stream whose next event had begun does not end before it",
+          "[proxy][resume]")
+{
+    const auto first = GENERATE(values<std::string>(
+        {event_answer({"a"}, false) + chunk_of("id: 2\ndata: b"),
+         event_answer({}, false) + chunk_of("id: 1\ndata: a")}));
+    const auto second = GENERATE(values<std::string>(
+        {event_answer({}),
+         event_answer({}, false) + chunk_of(": none\n\n") + "0\r\n\r\n"}));
+    isolated_edge edge;
+    edge.m_first.script({{first, true, after::close}});
+    edge.m_second.script({{second}});
+    const auto got = edge.ask(proxy_fixture::post("/resume/", "x"), "never");
+    CHECK_FALSE(has(got, whole_end));
+    CHECK(edge.m_ended);
+    CHECK(edge.m_second.requests().size() == 1);
+}
+
 TEST_CASE("after a run that does not continue a stream another one may",
           "[proxy][resume]")
 {
