A stream that has begun is no refusal, whatever its head says

What callers saw: a runner that marks a streamed 200 as not run, and breaks off after events, had another run appended, on routes that must not run twice too: events repeated, the request run twice, the last chunk at the end.

Cause: the mark in the head was believed after events had been forwarded.

Change: a response that was forwarded as a stream is no refusal.

--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -412,8 +412,9 @@
         co_return result;
     }
     const unsigned status = result.m_response.m_status;
+    // A runner that has begun a stream has run the request, whatever it says.
     const bool refused =
-        head_good &&
+        head_good && !result.m_streamed &&
         (status == 421 || !field(parser.get().base(), names.m_not_run).empty());
     if (refused)
     {
--- a/test/fleet/test_resumed_streams.cpp
+++ b/test/fleet/test_resumed_streams.cpp
@@ -215,6 +215,21 @@
     CHECK(edge.m_second.requests().empty());
 }
 
+TEST_CASE("a stream that has begun is no refusal, whatever its head says",
+          "[proxy][resume]")
+{
+    const auto* path = GENERATE("/stream/", "/resume/");
+    auto first = event_answer({"a", "b"}, false);
+    first.insert(first.find("Content-Type"), "Pepperturn-Not-Run: 1\r\n");
+    isolated_edge edge;
+    edge.m_first.script({{first, true, after::close}});
+    edge.m_second.script({{event_answer({"a", "b", "c"})}});
+    const auto got = edge.ask(proxy_fixture::post(path, "x"), "never");
+    CHECK(count(got, "data: a") == 1);
+    CHECK_FALSE(has(got, whole_end));
+    CHECK(edge.m_ended);
+}
+
 TEST_CASE("a run may continue with a later id than the next", "[proxy][resume]")
 {
     // Ids rise, but not always by one.
