Tests' listeners take ports that no outgoing connection is given

The fleet's tests drew their ports from the range that the kernel gives to outgoing connections, and listen on them some time later, or again after a restart: any connection of the tests beside them may have taken one by then. That was traced for the soak ("Address already in use"); here it was not seen, only read. Both draw from below that range now, by one function.

--- a/test/soak/fleet.cpp
+++ b/test/soak/fleet.cpp
@@ -1,11 +1,12 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "soak/fleet.hpp"
 
+#include "support/fleet/listener_port.hpp"
+
 #include <array>
 #include <chrono>
 #include <csignal>
 #include <fcntl.h>
-#include <fstream>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <thread>
@@ -15,17 +16,6 @@
 
 namespace {
 
-/// Below it are ports that well-known servers of the machine may ask for.
-constexpr int lowest_port = 10000;
-
-/// The first port that the kernel gives to outgoing connections.
-int first_outgoing_port()
-{
-    int first = 0;
-    std::ifstream("/proc/sys/net/ipv4/ip_local_port_range") >> first;
-    return first;
-}
-
 /// In the new process: becomes the daemon, which the kernel kills when the
 /// soak ends, and which holds none of the soak's sockets open.
 [[noreturn]] void become(const char* log, char* const* arguments, pid_t soak)
@@ -46,23 +36,14 @@
 
 std::uint16_t port_claims::draw()
 {
-    constexpr int most_draws = 1000;
-    const int end = first_outgoing_port();
-    for (int i = 0; i < most_draws && end > lowest_port; ++i)
-    {
-        std::uniform_int_distribution<int> ports(lowest_port, end - 1);
-        const auto port = static_cast<std::uint16_t>(ports(m_random));
-        tcp::socket claim(m_io, tcp::v4());
-        error_code ec;
-        claim.bind({asio::ip::address_v4::loopback(), port}, ec);
-        if (ec)
-            continue;
-        // Bound alone; from here on a daemon may listen there beside it.
-        claim.set_option(tcp::socket::reuse_address(true));
-        m_claims.push_back(std::move(claim));
-        return port;
-    }
-    return 0;
+    auto claim = test::claim_listener_port(m_io, m_random);
+    if (!claim)
+        return 0;
+    const auto port = claim->local_endpoint().port();
+    // Bound alone; from here on a daemon may listen there beside it.
+    claim->set_option(tcp::socket::reuse_address(true));
+    m_claims.push_back(std::move(*claim));
+    return port;
 }
 
 daemon_process::~daemon_process()
--- a/test/support/fleet/loop.hpp
+++ b/test/support/fleet/loop.hpp
@@ -6,6 +6,8 @@
 
 #include "pepperturn/base/async.hpp"
 
+#include "support/fleet/listener_port.hpp"
+
 #include <functional>
 #include <optional>
 
@@ -40,12 +42,12 @@
     return out;
 }
 
-/// A port that was free a moment ago.
+/// A port that was free a moment ago; 0 if none was found.
 inline std::uint16_t free_port(asio::io_context& io)
 {
-    tcp::acceptor probe(io,
-                        tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-    return probe.local_endpoint().port();
+    static std::mt19937 random{std::random_device{}()};
+    const auto claim = claim_listener_port(io, random);
+    return claim ? claim->local_endpoint().port() : 0;
 }
 
 /// Passes every connection to \p take until \p acceptor is closed.
