An answer without usage is charged its reserved bound

What callers saw: a chat answer whose engine states no usage was whole, its `usage` said 0 tokens, and nothing was charged. Programs at such an engine never reached their budgets, and the bounds of later calls of the session left its history out. An engine that sends null or texts as counts, or null as cached_tokens, ended the process.

Cause: a call's report held bare counts, so unstated usage was told as zeros, and `complete()` charged them. The counts were read without a look at their type; the exception was nobody's.

Change: a report's usage is optional, and tells between VMs whether it was stated. The owner charges the bound of the call otherwise, computed as for the reservation: an adopted result and a started call that is tried again hold none. Usage without a whole number for both counts is no statement.

Metrics of prompt tokens and a runner's mean output leave such answers out.

The report's new field is unset in those of earlier versions, which are taken as before; earlier versions do not look at it.

Evidence: five cases of test_answers_without_usage.cpp fail on the code before (12 checks: spent 0 for 61 and 183 tokens, history 0 for 122, the third call of a budget that covers less ran with 200 instead of 402). In test_usage_of_answers.cpp reports without usage equalled one that states zeros (6 checks, then written as a comparison of reports), and counts that are null, texts, or a null cached_tokens each ended the test's process (SIGTRAP). All pass now. One of the test world's engines states no usage from here on: with the charge taken out, the promise "budgets are never overspent" fails after 6 histories (727 of 700), with it 1,000 pass.

The check of prompt tokens in test_broken_off_answers.cpp asks for stated usage first; it is as strict as before.

Limits: a caller cannot tell a bound from a count, for which the stored answer would need a field.

--- a/include/pepperturn/core/systems.hpp
+++ b/include/pepperturn/core/systems.hpp
@@ -121,6 +121,9 @@
     refused
 };
 
+/// The most that a chat call can use as the next one of its session.
+[[nodiscard]] token_usage usage_bound(const call_request& request,
+                                      const session_row& session);
 /// Sets the call's cost bound and reserves it from the root's budget.
 [[nodiscard]] reservation
 reserve_budget(core_state& state, partition_row& partition, call_row& call);
--- a/include/pepperturn/core/types.hpp
+++ b/include/pepperturn/core/types.hpp
@@ -118,6 +118,16 @@
     friend bool operator==(const grant&, const grant&) = default;
 };
 
+/// Tokens that a chat call used.
+struct token_usage
+{
+    std::uint32_t m_prompt_tokens = 0;
+    std::uint32_t m_cached_tokens = 0;
+    std::uint32_t m_output_tokens = 0;
+
+    friend bool operator==(const token_usage&, const token_usage&) = default;
+};
+
 /// The final result of a call.
 struct answer
 {
@@ -129,6 +139,7 @@
     std::string m_body;
     std::string m_runner;
     std::uint64_t m_seq = 0;
+    /// Tokens that the call was charged: its bound if the engine stated none.
     std::uint32_t m_prompt_tokens = 0;
     std::uint32_t m_cached_tokens = 0;
     std::uint32_t m_output_tokens = 0;
@@ -175,9 +186,8 @@
     std::string m_body;
     std::string m_runner;
     std::string m_reason;
-    std::uint32_t m_prompt_tokens = 0;
-    std::uint32_t m_cached_tokens = 0;
-    std::uint32_t m_output_tokens = 0;
+    /// Absent if the engine did not state it.
+    std::optional<token_usage> m_usage;
     /// The caller has received part of the response, so a retry is useless.
     bool m_no_retry = false;
 
--- a/src/bench/capacity_command.cpp
+++ b/src/bench/capacity_command.cpp
@@ -193,8 +193,7 @@
             report.m_end = attempt_end::complete;
             report.m_status = 200;
             report.m_body = std::string(turn_bytes, 'y');
-            report.m_prompt_tokens = 200;
-            report.m_output_tokens = 200;
+            report.m_usage = {200, 0, 200};
             m_core.handle(call_reported{report});
         }
     }
--- a/src/bench/program_bench.cpp
+++ b/src/bench/program_bench.cpp
@@ -479,12 +479,12 @@
     auto done = report_for(permit);
     done.m_end = end;
     done.m_status = 200;
+    token_usage usage{0, cached, m_outputs.at(permit.m_call)};
     for (const auto& part : permit.m_prompt)
-        done.m_prompt_tokens += part.m_content.size();
-    done.m_cached_tokens = cached;
-    done.m_output_tokens = m_outputs.at(permit.m_call);
+        usage.m_prompt_tokens += part.m_content.size();
+    done.m_usage = usage;
     if (end == attempt_end::complete)
-        done.m_body.assign(done.m_output_tokens, 'y');
+        done.m_body.assign(usage.m_output_tokens, 'y');
     m_time.after(delay, [this, done = std::move(done)] {
         m_core.handle(call_reported{done});
         drain();
--- a/src/codec/wire.cpp
+++ b/src/codec/wire.cpp
@@ -401,9 +401,11 @@
     out.setBody(as_data(value.m_body));
     out.setRunner(value.m_runner);
     out.setReason(value.m_reason);
-    out.setPromptTokens(value.m_prompt_tokens);
-    out.setCachedTokens(value.m_cached_tokens);
-    out.setOutputTokens(value.m_output_tokens);
+    const auto usage = value.m_usage.value_or(token_usage{});
+    out.setPromptTokens(usage.m_prompt_tokens);
+    out.setCachedTokens(usage.m_cached_tokens);
+    out.setOutputTokens(usage.m_output_tokens);
+    out.setUsageUnknown(!value.m_usage);
     out.setNoRetry(value.m_no_retry);
 }
 
@@ -421,9 +423,10 @@
     out.m_body = as_string(in.getBody());
     out.m_runner = as_string(in.getRunner());
     out.m_reason = as_string(in.getReason());
-    out.m_prompt_tokens = in.getPromptTokens();
-    out.m_cached_tokens = in.getCachedTokens();
-    out.m_output_tokens = in.getOutputTokens();
+    // Earlier versions leave it unset, and tell unknown usage as zeros.
+    if (!in.getUsageUnknown())
+        out.m_usage = {in.getPromptTokens(), in.getCachedTokens(),
+                       in.getOutputTokens()};
     out.m_no_retry = in.getNoRetry();
     return out;
 }
--- a/src/core/budget.cpp
+++ b/src/core/budget.cpp
@@ -10,17 +10,17 @@
 /// Role markers and separators that a chat template adds to a message.
 constexpr std::uint32_t message_overhead = 16;
 
-std::uint32_t prompt_bound(const call_request& request,
-                           const session_row& session)
+} // namespace
+
+token_usage usage_bound(const call_request& request, const session_row& session)
 {
-    std::uint32_t bound = session.m_history_tokens;
+    token_usage bound{session.m_history_tokens, 0, request.m_max_tokens};
     for (const auto& part : request.m_messages)
-        bound += token_bound(part.m_content.size()) + message_overhead;
+        bound.m_prompt_tokens +=
+            token_bound(part.m_content.size()) + message_overhead;
     return bound;
 }
 
-} // namespace
-
 reservation reserve_budget(core_state& state, partition_row& partition,
                            call_row& call)
 {
@@ -32,8 +32,9 @@
     call.m_cost_bound = 0;
     if (call.m_request.m_kind == call_kind::chat)
     {
-        call.m_prompt_tokens = prompt_bound(call.m_request, *session);
-        call.m_cost_bound = call.m_prompt_tokens + call.m_request.m_max_tokens;
+        const auto bound = usage_bound(call.m_request, *session);
+        call.m_prompt_tokens = bound.m_prompt_tokens;
+        call.m_cost_bound = bound.m_prompt_tokens + bound.m_output_tokens;
     }
     const std::uint64_t required =
         root->m_spent + root->m_outstanding + call.m_cost_bound;
--- a/src/core/completion.cpp
+++ b/src/core/completion.cpp
@@ -129,13 +129,14 @@
 {
     auto& partition = state.m_partitions[call.m_partition];
     const auto* session = find_session(partition, call.m_request.m_session);
-    if (session == nullptr)
+    if (session == nullptr || !report.m_usage)
         return;
+    const auto& usage = *report.m_usage;
     const auto history =
-        std::min(report.m_prompt_tokens, session->m_history_tokens);
-    state.m_counters.m_prompt_tokens += report.m_prompt_tokens;
-    if (history > report.m_cached_tokens)
-        state.m_counters.m_wasted_tokens += history - report.m_cached_tokens;
+        std::min(usage.m_prompt_tokens, session->m_history_tokens);
+    state.m_counters.m_prompt_tokens += usage.m_prompt_tokens;
+    if (history > usage.m_cached_tokens)
+        state.m_counters.m_wasted_tokens += history - usage.m_cached_tokens;
 }
 
 bool may_retry(core_state& state, const call_row& call)
@@ -217,19 +218,35 @@
     finish_call(state, call, std::move(reply), out);
 }
 
+/// What a call that ran is charged.
+token_usage charged_usage(core_state& state, const call_row& call,
+                          const call_report& report)
+{
+    const auto& request = call.m_request;
+    if (request.m_kind != call_kind::chat)
+        return {};
+    if (report.m_usage)
+        return *report.m_usage;
+    trace(state, request.m_id, "the engine stated no usage: charged its bound");
+    // The call may hold no reservation: a new owner that adopts its result
+    // made none.
+    const auto* session =
+        find_session(state.m_partitions[call.m_partition], request.m_session);
+    return usage_bound(request, session != nullptr ? *session : session_row{});
+}
+
 void complete(core_state& state, call_row& call, const call_report& report,
               command_list& out)
 {
     charge_attained(state, call);
+    const auto usage = charged_usage(state, call, report);
     auto reply = answer_of(call, outcome::ran, report.m_status, {});
     reply.m_body = report.m_body;
-    reply.m_prompt_tokens = report.m_prompt_tokens;
-    reply.m_cached_tokens = report.m_cached_tokens;
-    reply.m_output_tokens = report.m_output_tokens;
+    reply.m_prompt_tokens = usage.m_prompt_tokens;
+    reply.m_cached_tokens = usage.m_cached_tokens;
+    reply.m_output_tokens = usage.m_output_tokens;
     const auto cost =
-        call.m_request.m_kind == call_kind::chat
-            ? std::uint64_t{report.m_prompt_tokens} + report.m_output_tokens
-            : 0;
+        std::uint64_t{usage.m_prompt_tokens} + usage.m_output_tokens;
     const double earned = state.m_deployment.m_limits.m_retry_ratio;
     state.m_retry_tokens = std::min(retry_burst, state.m_retry_tokens + earned);
     record_end(state, call, std::move(reply), cost, out);
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -412,9 +412,10 @@
         return;
     if (report->m_end == attempt_end::not_sent)
         runner.m_backoff_until = state.m_now + failed_runner_backoff;
-    if (report->m_end == attempt_end::complete && report->m_output_tokens > 0)
+    const auto output = report->m_usage ? report->m_usage->m_output_tokens : 0;
+    if (report->m_end == attempt_end::complete && output > 0)
         runner.m_mean_output +=
-            output_smoothing * (report->m_output_tokens - runner.m_mean_output);
+            output_smoothing * (output - runner.m_mean_output);
 }
 
 void on_load_reported(core_state& state, const load_reported& report)
--- a/src/net/upstream_client.cpp
+++ b/src/net/upstream_client.cpp
@@ -20,16 +20,30 @@
     return permit.m_call + "-" + std::to_string(permit.m_attempt);
 }
 
+template <class Number>
+std::optional<Number> find_number(const json& object, const char* key)
+{
+    const auto found = object.find(key);
+    if (found == object.end() || !found->is_number_unsigned())
+        return std::nullopt;
+    return found->get<Number>();
+}
+
 void read_usage(const json& chunk, call_report& report)
 {
     const auto usage = chunk.find("usage");
     if (usage == chunk.end() || !usage->is_object())
         return;
-    report.m_prompt_tokens = usage->value("prompt_tokens", 0U);
-    report.m_output_tokens = usage->value("completion_tokens", 0U);
+    const auto prompt = find_number<std::uint32_t>(*usage, "prompt_tokens");
+    const auto output = find_number<std::uint32_t>(*usage, "completion_tokens");
+    // Half of it bounds nothing.
+    if (!prompt || !output)
+        return;
+    report.m_usage = {*prompt, 0, *output};
     const auto details = usage->find("prompt_tokens_details");
     if (details != usage->end() && details->is_object())
-        report.m_cached_tokens = details->value("cached_tokens", 0U);
+        report.m_usage->m_cached_tokens =
+            find_number<std::uint32_t>(*details, "cached_tokens").value_or(0);
 }
 
 std::string delta_text(const json& chunk)
@@ -159,10 +173,7 @@
 
 std::uint64_t number_of(const json& object, const char* key)
 {
-    const auto found = object.find(key);
-    return found != object.end() && found->is_number_unsigned()
-               ? found->get<std::uint64_t>()
-               : 0;
+    return find_number<std::uint64_t>(object, key).value_or(0);
 }
 
 std::string text_of(const json& object, const char* key)
--- a/test/codec/test_wire.cpp
+++ b/test/codec/test_wire.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "pepperturn/codec/wire.hpp"
 
+#include <capnp/message.h>
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
@@ -69,6 +70,23 @@
     }));
 }
 
+TEST_CASE("reports between VMs keep whether usage was stated", "[codec]")
+{
+    call_report report;
+    report.m_call = "vm-1";
+    report.m_end = attempt_end::complete;
+    for (const auto& usage :
+         {std::optional<token_usage>{}, std::optional(token_usage{}),
+          std::optional(token_usage{7, 2, 3})})
+    {
+        report.m_usage = usage;
+        capnp::MallocMessageBuilder message;
+        codec::write(report, message.initRoot<wire::Report>());
+        CHECK(codec::read(message.getRoot<wire::Report>().asReader()) ==
+              report);
+    }
+}
+
 TEST_CASE("damaged entries are refused with a reason", "[codec][fuzz]")
 {
     CHECK(rc::check("decode", [] {
--- a/test/net/test_broken_off_answers.cpp
+++ b/test/net/test_broken_off_answers.cpp
@@ -263,7 +263,8 @@
         const auto got = send_chat_to(marked);
         CHECK(got.m_report.m_end == attempt_end::complete);
         CHECK(got.m_report.m_body == "ab");
-        CHECK(got.m_report.m_prompt_tokens == 5);
+        REQUIRE(got.m_report.m_usage);
+        CHECK(got.m_report.m_usage->m_prompt_tokens == 5);
         const auto tail = last_chunk_size + 2 + end_event.size();
         const raw_server unmarked(without_last(whole, tail), how);
         CHECK(send_chat_to(unmarked).m_report.m_end == attempt_end::aborted);
--- a/test/support/world.cpp
+++ b/test/support/world.cpp
@@ -16,6 +16,8 @@
 constexpr milliseconds beat_period{200};
 constexpr milliseconds leaving_bound{3000};
 constexpr std::array chat_runners{"llm-1", "llm-2"};
+/// It does not state the tokens that its answers used.
+constexpr const char* silent_runner = chat_runners.back();
 constexpr const char* service_runner = "receipts-1";
 const std::string config_text = "[upstream agent-llm]\nkind = chat\n";
 
@@ -558,11 +560,12 @@
                                    " messages where the caller knows " +
                                    std::to_string(expected.size()));
     note_execution(permit, request);
-    report.m_prompt_tokens = tokens_of(permit.m_prompt, request.m_max_tokens);
-    report.m_output_tokens = request.m_max_tokens;
+    const auto prompt = tokens_of(permit.m_prompt, request.m_max_tokens);
+    if (permit.m_runner != silent_runner)
+        report.m_usage = {prompt, 0, request.m_max_tokens};
     auto root = request.m_session.m_program;
     root.m_program = root.m_root;
-    m_spent[root] += report.m_prompt_tokens + report.m_output_tokens;
+    m_spent[root] += prompt + request.m_max_tokens;
     if (m_spent[root] > m_options.m_budget)
         note(promise::budget, root.m_root + " spent " +
                                   std::to_string(m_spent[root]) + " of " +
