Edge VMs say which configuration is in force, how old it is, and from whom

Observability only; no decision changes.

Where callers need no keys, config_age_ms is 'never': the VM does not know how old its configuration is.

--- a/include/pepperturn/fleet/edge_node.hpp
+++ b/include/pepperturn/fleet/edge_node.hpp
@@ -33,10 +33,12 @@
     [[nodiscard]] std::string metrics_text() const;
 
 private:
-    void apply_state(const cluster_state& update);
+    /// \param from who sent the state, for the log
+    void apply_state(const cluster_state& update, const std::string& from);
     /// Applies state received from another VM, or read from the platform's
     /// store.
-    void apply_received_state(const cluster_state& update);
+    void apply_received_state(const cluster_state& update,
+                              const std::string& from);
     void apply_store_state(const cluster_state& update);
     /// Follows the platform's store itself while no storage VM relays it.
     void choose_source();
@@ -51,6 +53,9 @@
     void choose_update_sources();
     /// Storage VMs to ask for the configuration's freshness, best first.
     [[nodiscard]] std::vector<std::string> freshness_sources() const;
+    /// Time since any storage VM last reached the platform's store, by the
+    /// heartbeats received here.
+    [[nodiscard]] milliseconds storage_heard_age() const;
     /// Time since the configuration in force was last confirmed as newest.
     [[nodiscard]] milliseconds config_age() const;
     /// Callers need keys, and the configuration is too old to accept them: a
--- a/include/pepperturn/forward/proxy.hpp
+++ b/include/pepperturn/forward/proxy.hpp
@@ -238,6 +238,8 @@
     /// Counts the outcome of a request for its workspace.
     void count_workspace(const call& work, unsigned status, bool aborted);
     [[nodiscard]] upstream_response refuse_stale_config(call& work);
+    /// Refuses a request that matches no route.
+    [[nodiscard]] upstream_response refuse_unknown_route(call& work);
     /// The call's rank where calls queue for engines.
     [[nodiscard]] call_rank rank_of(const call& work) const;
     /// Waits for a slot of the local engine admission queue.
--- a/include/pepperturn/tenancy/freshness.hpp
+++ b/include/pepperturn/tenancy/freshness.hpp
@@ -26,6 +26,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <string>
 
 namespace pepperturn {
 
@@ -104,4 +105,7 @@
 /// Time since \p at; the maximum value if it was never confirmed.
 [[nodiscard]] milliseconds age_of(instant at, instant now);
 
+/// The age in milliseconds for a log line; "never" if it is the maximum value.
+[[nodiscard]] std::string age_text(milliseconds age);
+
 } // namespace pepperturn
--- a/src/fleet/edge_node.cpp
+++ b/src/fleet/edge_node.cpp
@@ -29,6 +29,13 @@
 constexpr milliseconds exit_margin{400};
 constexpr milliseconds drain_check{50};
 
+/// Writes an age, unless nothing was heard yet.
+void write_age(std::string& out, const std::string& name, milliseconds age)
+{
+    if (age != milliseconds::max())
+        write_metric(out, name, static_cast<std::uint64_t>(age.count()));
+}
+
 } // namespace
 
 edge_node::edge_node(asio::io_context& io, const clock& time,
@@ -39,9 +46,10 @@
       m_links(io, time, settings.m_name),
       m_connectivity(io, time, settings, m_links,
                      [this] { return full_state(m_state); }),
-      m_config_fetcher(
-          io, time, m_links, settings.m_availability_zone,
-          [this](const cluster_state& update) { apply_state(update); }),
+      m_config_fetcher(io, time, m_links, settings.m_availability_zone,
+                       [this](const cluster_state& update) {
+                           apply_state(update, "fetched");
+                       }),
       m_turns(io, time, m_links, settings.m_availability_zone,
               settings.m_disk_losses),
       m_freshness_poller(
@@ -75,6 +83,10 @@
     m_connectivity.write_metrics(out);
     write_metric(out, "runner_entries_told", m_entries_received);
     write_metric(out, "runner_entries_read", m_entries_read);
+    write_metric(out, "config_revision", m_config_revision);
+    write_age(out, "config_age_ms", config_age());
+    write_age(out, "storage_heard_age_ms", storage_heard_age());
+    write_metric(out, "following_store", m_own_source ? 1 : 0);
     return out;
 }
 
@@ -107,13 +119,13 @@
     m_proxy.set_random_seed(hash64(m_settings.m_name));
     m_links.on_state(
         [this](const std::string& from, const cluster_state& update) {
-            apply_received_state(update);
+            apply_received_state(update, from);
             m_config_fetcher.note_announced(from, update.m_config_revision);
         });
     m_source.on_state(
         [this](const cluster_state& update) { apply_store_state(update); });
     m_connectivity.on_state([this](const cluster_state& update) {
-        apply_received_state(update);
+        apply_received_state(update, "relay_peer");
         // A long configuration is fetched through a relay peer as well.
         for (const auto& row : m_members)
             m_config_fetcher.note_announced(row.m_name,
@@ -147,19 +159,21 @@
     }
 }
 
-void edge_node::apply_received_state(const cluster_state& update)
+void edge_node::apply_received_state(const cluster_state& update,
+                                     const std::string& from)
 {
     m_entries_received += update.m_runners.size();
-    apply_state(update);
+    apply_state(update, from);
 }
 
 void edge_node::apply_store_state(const cluster_state& update)
 {
     m_entries_read += update.m_runners.size();
-    apply_state(update);
+    apply_state(update, "store");
 }
 
-void edge_node::apply_state(const cluster_state& update)
+void edge_node::apply_state(const cluster_state& update,
+                            const std::string& from)
 {
     const auto change = merge_state(m_state, update);
     m_config_fetcher.note_known(m_state.m_config_revision);
@@ -170,6 +184,8 @@
         if (config)
         {
             m_config_revision = m_state.m_config_revision;
+            LOG(INFO) << "event=config_received revision=" << m_config_revision
+                      << " from=" << from;
             m_proxy.apply_config(std::move(*config), m_config_revision);
             m_source.keep_fresh({m_proxy.requires_keys(), {}, {}});
             m_freshness_poller.set_enabled(m_proxy.requires_keys());
@@ -232,6 +248,11 @@
     return out;
 }
 
+milliseconds edge_node::storage_heard_age() const
+{
+    return age_of(m_links.store_last_seen(), m_time.now());
+}
+
 milliseconds edge_node::config_age() const
 {
     auto at = m_freshness_poller.freshness().m_config_confirmed_at;
@@ -266,7 +287,7 @@
 void edge_node::choose_source()
 {
     const auto now = m_time.now();
-    const bool relayed = now - m_links.store_last_seen() < relay_timeout;
+    const bool relayed = storage_heard_age() < relay_timeout;
     const auto read_delay = store_read_delay(
         m_members.size() > m_settings.m_kept_links, m_turns.connected());
     if (!relayed && now - m_started < read_delay)
@@ -274,7 +295,10 @@
     if (relayed != m_own_source)
         return;
     m_own_source = !relayed;
-    LOG(INFO) << "event=source_chosen source=" << (relayed ? "relay" : "store");
+    LOG(INFO) << "event=source_chosen source=" << (relayed ? "relay" : "store")
+              << " storage_heard_age_ms=" << age_text(storage_heard_age())
+              << " config_age_ms=" << age_text(config_age())
+              << " config_revision=" << m_config_revision;
     if (relayed)
         m_source.pause();
     else
--- a/src/forward/proxy.cpp
+++ b/src/forward/proxy.cpp
@@ -334,7 +334,7 @@
                                {target.data(), target.size()});
     if (work->m_route == nullptr)
     {
-        out.m_response = fail(*work, 404, "no route");
+        out.m_response = refuse_unknown_route(*work);
         co_return out;
     }
     const auto& route = *work->m_route;
--- a/src/forward/proxy_workspaces.cpp
+++ b/src/forward/proxy_workspaces.cpp
@@ -54,6 +54,15 @@
                   retry_after_isolated);
 }
 
+upstream_response proxy::refuse_unknown_route(call& work)
+{
+    constexpr unsigned not_found = 404;
+    if (m_admission.m_config_age)
+        work.m_reason =
+            "config_age_ms=" + age_text(m_admission.m_config_age()) + ' ';
+    return fail(work, not_found, "no route");
+}
+
 std::optional<upstream_response> proxy::admit_caller(call& work)
 {
     constexpr unsigned unauthorized = 401;
@@ -70,7 +79,7 @@
         work.m_workspace = found.m_workspace;
         return std::nullopt;
     }
-    work.m_reason = "config_age_ms=" + std::to_string(age.count()) + ' ';
+    work.m_reason = "config_age_ms=" + age_text(age) + ' ';
     m_metrics.count(std::string("callers_") + to_string(found.m_verdict));
     if (found.m_verdict == identity_verdict::uncertain)
         return refuse_stale_config(work);
--- a/src/tenancy/freshness.cpp
+++ b/src/tenancy/freshness.cpp
@@ -74,4 +74,9 @@
     return at == instant{} ? milliseconds::max() : elapsed(at, now);
 }
 
+std::string age_text(milliseconds age)
+{
+    return age == milliseconds::max() ? "never" : std::to_string(age.count());
+}
+
 } // namespace pepperturn
