--- a/test/support/fleet/edge_vm.hpp
+++ b/test/support/fleet/edge_vm.hpp
@@ -12,6 +12,15 @@
 
 namespace pepperturn::test {
 
+/// Value of a metric in \p text; 0 if it is not reported.
+[[nodiscard]] inline std::uint64_t metric_value(const std::string& text,
+                                                const std::string& name)
+{
+    const auto at = ('\n' + text).find('\n' + name + ' ');
+    return at == std::string::npos ? 0
+                                   : std::stoull(text.substr(at + name.size()));
+}
+
 struct edge_vm
 {
     /// \param seeds addresses of storage VMs; unanswered ones are down
@@ -84,11 +93,7 @@
     /// \returns 0 if it is not reported
     [[nodiscard]] std::uint64_t figure(const std::string& name) const
     {
-        const auto text = m_node->metrics_text();
-        const auto at = text.find(name + ' ');
-        return at == std::string::npos
-                   ? 0
-                   : std::stoull(text.substr(at + name.size() + 1));
+        return metric_value(m_node->metrics_text(), name);
     }
 
     storage_fixture& m_fleet;
