Edge VMs confirm their configuration, and ask the store when nobody else does

Cause: an edge VM took 'I have heard of no change' for 'nothing has changed'. It asked the store 3.2 s after the last heartbeat of any storage VM, a constant that has nothing to do with the time in which changes must apply, and did not know how old its configuration was (config_age_ms=never).

Evidence: source_chosen source=store storage_heard_age_ms=3.2 s, 35 ms before the wrong answers; no call to the store for three seconds before. The test config-in-force failed for storage VMs that are killed, frozen or turned away.

Why this works: every VM now keeps a lower bound of when its configuration was the newest, which only answers to its own questions move (a storage VM's word, with its age, or the store's). At 0.7 of config_apply_ms without one, an edge VM reads the one key itself, whatever the reason is. A confirmation of a newer revision than the one in force counts once that one is in force, or a VM would never be confirmed while changes come faster than it polls. While the store does not answer it is asked less and less often.

One storage VM reads the key every 600 ms for all, where only deployments with limits did before. Polls are sent every 250 ms instead of 400, so that ages stay below the bound in service.

In test_cluster_source the age is given whole instead of a share of it beyond a constant; bounds are the same 600 and 900 ms.

--- a/include/pepperturn/cluster/freshness_poller.hpp
+++ b/include/pepperturn/cluster/freshness_poller.hpp
@@ -32,23 +32,41 @@
 
     /// Starts or stops polling.
     void set_enabled(bool enabled);
-    /// Merges the bound that this VM has from its own reads of the store.
-    void record(const freshness_bound& own);
+    /// Settles what was confirmed of a configuration that is in force now.
+    void note_config(std::uint64_t revision);
     [[nodiscard]] const freshness_bound& freshness() const
     {
         return m_freshness;
     }
+    /// The VM that last confirmed the configuration in force; empty: none has.
+    [[nodiscard]] const std::string& confirmed_by() const
+    {
+        return m_confirmed_by;
+    }
 
 private:
+    /// What a VM confirmed of a configuration that this VM does not have yet.
+    struct early_confirmation
+    {
+        std::uint64_t m_revision = 0;
+        instant m_at{};
+        std::string m_by;
+    };
+
     task<> poll();
     /// \returns true if the data is fresh after this poll
     task<bool> poll_once();
+    void handle_reply(const std::string& source,
+                      const freshness_message& reported, instant sent_at);
+    void record_config(instant at, const std::string& by);
 
     asio::io_context& m_io;
     const clock& m_time;
     member_links& m_links;
     hooks m_hooks;
     freshness_bound m_freshness;
+    std::string m_confirmed_by;
+    std::optional<early_confirmation> m_early;
     std::size_t m_next_source = 0;
     bool m_enabled = false;
     bool m_polling = false;
--- a/include/pepperturn/fleet/edge_node.hpp
+++ b/include/pepperturn/fleet/edge_node.hpp
@@ -40,6 +40,11 @@
     void apply_received_state(const cluster_state& update,
                               const std::string& from);
     void apply_store_state(const cluster_state& update);
+    /// Asks the platform's store itself for the configuration once no storage
+    /// VM has confirmed it in time.
+    void confirm_config();
+    /// How long after its start this VM leaves the store to the storage VMs.
+    [[nodiscard]] milliseconds start_delay() const;
     /// Follows the platform's store itself while no storage VM relays it.
     void choose_source();
     /// Reads the views from the store if the seeds, which may be down or slow,
@@ -88,6 +93,10 @@
     std::uint64_t m_config_revision = 0;
     bool m_stopping = false;
     bool m_own_source = false;
+    /// The configuration is confirmed by the store if by no storage VM.
+    bool m_confirming = false;
+    /// Nobody has confirmed it within the time in which changes apply.
+    bool m_config_unconfirmed = false;
     /// Runner entries received so far, including those already known.
     std::uint64_t m_entries_received = 0;
     std::uint64_t m_entries_read = 0;
--- a/include/pepperturn/fleet/state_source.hpp
+++ b/include/pepperturn/fleet/state_source.hpp
@@ -41,15 +41,17 @@
                            const source_freshness&) = default;
 };
 
-/// How a source has to confirm that its state is fresh.
+/// How a source has to confirm that its configuration is fresh.
 struct freshness_requirement
 {
     bool m_required = false;
     /// When another VM last confirmed the configuration as newest; empty: no
     /// other VM is asked.
     std::function<instant()> m_confirmed_elsewhere;
-    /// Time left to other VMs to ask the store before this source does.
-    milliseconds m_stagger{0};
+    /// The store is asked once nobody has confirmed it for this long.
+    milliseconds m_max_age{0};
+    /// The store is asked while the source does not follow it, too.
+    bool m_while_paused = false;
 };
 
 class state_source
@@ -96,8 +98,8 @@
     [[nodiscard]] virtual task<bool> report_emptying(std::string vm,
                                                      bool completed) = 0;
 
-    /// While this source follows the store, queries how current its state is;
-    /// each query is billed.
+    /// Queries the store for the configuration whenever it was not confirmed in
+    /// time; each query is billed.
     virtual void keep_fresh(freshness_requirement need) = 0;
     [[nodiscard]] virtual source_freshness freshness() const = 0;
     /// The store has been read completely at least once.
--- a/include/pepperturn/tenancy/freshness.hpp
+++ b/include/pepperturn/tenancy/freshness.hpp
@@ -18,6 +18,11 @@
 /// Both can only overestimate the age, through any number of VMs and also
 /// around a cycle. Unsolicited notifications are not used: one that a partition
 /// delayed would appear fresh on arrival.
+///
+/// A VM that other VMs have not confirmed the configuration to in time asks the
+/// store itself: the VMs that usually tell it may all be gone, frozen, cut off
+/// or behind, and none of these is told apart from "nothing has changed" by
+/// what arrives.
 #pragma once
 
 #include "pepperturn/base/time.hpp"
@@ -81,7 +86,8 @@
 {
     /// Time within which a revoked key is rejected everywhere.
     milliseconds m_max_revoke_delay{5000};
-    /// Time within which a new key is accepted by VMs that can reach the store.
+    /// Time within which a change of the configuration is in force on VMs that
+    /// can reach the store.
     milliseconds m_max_apply_delay{3000};
 
     friend bool operator==(const staleness_limits&,
@@ -97,9 +103,14 @@
 [[nodiscard]] std::optional<milliseconds>
 remaining_use_time(const staleness_limits& limits, instant at, instant now);
 
-/// Maximum age at which an unknown key may be rejected, rather than answered
-/// with "retry later": the delay for new keys, less the time in which updates
-/// arrive.
+/// Age of what other VMs have confirmed above which a VM asks the platform's
+/// store itself for the configuration: the delay for changes, less the time in
+/// which the store is asked and answers.
+[[nodiscard]] milliseconds max_relayed_age(const staleness_limits& limits);
+
+/// Maximum age at which an unknown key or route may be rejected, rather than
+/// answered with "retry later": the delay for changes, less the time in which
+/// updates arrive.
 [[nodiscard]] milliseconds max_denial_age(const staleness_limits& limits);
 
 /// Time since \p at; the maximum value if it was never confirmed.
--- a/src/cluster/freshness_poller.cpp
+++ b/src/cluster/freshness_poller.cpp
@@ -1,20 +1,23 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "pepperturn/cluster/freshness_poller.hpp"
 
+#include <algorithm>
+
 namespace pepperturn {
 
 namespace {
 
-/// Interval between requests while replies are fresh: with 600 ms between two
-/// reads of the store, ages are at most a second, so that requests are served
-/// through an outage of the store for three and a half of five seconds.
-constexpr milliseconds poll_interval{400};
-/// Interval while the data is not fresh.
+/// Interval between requests while replies are fresh. The store is read every
+/// 600 ms by one storage VM, which the other storage VMs poll, and an edge VM
+/// polls any of these: ages stay well below the 1.4 seconds at which an edge VM
+/// asks the store itself if changes have to be in force within two.
+constexpr milliseconds poll_interval{250};
+/// Interval while the data is not fresh; it doubles up to the usual one.
 constexpr milliseconds retry_interval{60};
 /// Several times the usual reply time; then the next source is polled.
 constexpr milliseconds poll_timeout{150};
 /// A source whose data is older than this has lost the store.
-constexpr milliseconds fresh_limit{1500};
+constexpr milliseconds fresh_limit{1000};
 
 } // namespace
 
@@ -30,21 +33,54 @@
         spawn(m_io, "freshness_keeper.ask", poll());
 }
 
-void freshness_poller::record(const freshness_bound& own)
+void freshness_poller::record_config(instant at, const std::string& by)
 {
-    m_freshness = newest(m_freshness, own);
+    if (at <= m_freshness.m_config_confirmed_at)
+        return;
+    m_freshness.m_config_confirmed_at = at;
+    m_confirmed_by = by;
+}
+
+void freshness_poller::note_config(std::uint64_t revision)
+{
+    if (!m_early || m_early->m_revision > revision)
+        return;
+    record_config(m_early->m_at, m_early->m_by);
+    m_early.reset();
 }
 
 task<> freshness_poller::poll()
 {
+    auto retry = retry_interval;
     while (m_enabled)
     {
         const bool fresh = co_await poll_once();
-        co_await sleep_for(m_io, fresh ? poll_interval : retry_interval);
+        co_await sleep_for(m_io, fresh ? poll_interval : retry);
+        retry = fresh ? retry_interval : std::min(2 * retry, poll_interval);
     }
     m_polling = false;
 }
 
+void freshness_poller::handle_reply(const std::string& source,
+                                    const freshness_message& reported,
+                                    instant sent_at)
+{
+    const auto known = m_hooks.m_known_revision();
+    const auto bound =
+        derive_freshness(reported, sent_at, known, m_hooks.m_receives_views);
+    m_freshness.m_views_confirmed_at =
+        std::max(m_freshness.m_views_confirmed_at, bound.m_views_confirmed_at);
+    record_config(bound.m_config_confirmed_at, source);
+    if (reported.m_config_revision <= known)
+        return;
+    // With changes in quick succession, most replies come before their
+    // configuration does.
+    const auto early =
+        derive_freshness(reported, sent_at, reported.m_config_revision, false);
+    m_early = {reported.m_config_revision, early.m_config_confirmed_at, source};
+    m_hooks.m_on_newer_config(source, reported.m_config_revision);
+}
+
 task<bool> freshness_poller::poll_once()
 {
     const auto sources = m_hooks.m_sources();
@@ -57,12 +93,7 @@
     const auto* message =
         reply ? std::get_if<freshness_message>(&reply->m_body) : nullptr;
     if (message != nullptr)
-    {
-        record(derive_freshness(*message, sent_at, m_hooks.m_known_revision(),
-                                m_hooks.m_receives_views));
-        if (message->m_config_revision > m_hooks.m_known_revision())
-            m_hooks.m_on_newer_config(source, message->m_config_revision);
-    }
+        handle_reply(source, *message, sent_at);
     const bool fresh =
         age_of(m_freshness.m_config_confirmed_at, m_time.now()) <= fresh_limit;
     if (!fresh)
--- a/src/fleet/edge_node.cpp
+++ b/src/fleet/edge_node.cpp
@@ -187,8 +187,8 @@
             LOG(INFO) << "event=config_received revision=" << m_config_revision
                       << " from=" << from;
             m_proxy.apply_config(std::move(*config), m_config_revision);
-            m_source.keep_fresh({m_proxy.requires_keys(), {}, {}});
-            m_freshness_poller.set_enabled(m_proxy.requires_keys());
+            m_freshness_poller.note_config(m_config_revision);
+            m_freshness_poller.set_enabled(true);
         }
         else
             LOG(ERROR) << "event=config_unreadable revision="
@@ -284,13 +284,47 @@
     m_links.subscribe(std::move(sources));
 }
 
+void edge_node::confirm_config()
+{
+    const auto now = m_time.now();
+    const auto age = config_age();
+    if (!m_confirming && m_proxy.has_config() &&
+        now - m_started >= start_delay())
+    {
+        m_confirming = true;
+        freshness_requirement need;
+        need.m_required = true;
+        need.m_while_paused = true;
+        need.m_max_age = max_relayed_age(m_staleness_limits);
+        need.m_confirmed_elsewhere = [this] {
+            return m_freshness_poller.freshness().m_config_confirmed_at;
+        };
+        m_source.keep_fresh(std::move(need));
+    }
+    const bool outdated =
+        m_confirming && age > m_staleness_limits.m_max_apply_delay;
+    if (outdated == m_config_unconfirmed)
+        return;
+    m_config_unconfirmed = outdated;
+    LOG(WARNING) << (outdated ? "event=config_unconfirmed"
+                              : "event=config_confirmed")
+                 << " config_age_ms=" << age_text(age)
+                 << " config_revision=" << m_config_revision
+                 << " last_confirmed_by=" << m_freshness_poller.confirmed_by()
+                 << " storage_heard_age_ms=" << age_text(storage_heard_age());
+}
+
+milliseconds edge_node::start_delay() const
+{
+    return store_read_delay(m_members.size() > m_settings.m_kept_links,
+                            m_turns.connected());
+}
+
 void edge_node::choose_source()
 {
     const auto now = m_time.now();
     const bool relayed = storage_heard_age() < relay_timeout;
-    const auto read_delay = store_read_delay(
-        m_members.size() > m_settings.m_kept_links, m_turns.connected());
-    if (!relayed && now - m_started < read_delay)
+    if (!relayed && now - m_started < start_delay())
         return;
     if (relayed != m_own_source)
         return;
@@ -307,6 +341,7 @@
 
 void edge_node::tick()
 {
+    confirm_config();
     choose_source();
     choose_update_sources();
     m_connectivity.tick();
--- a/src/fleet/storage_limits.cpp
+++ b/src/fleet/storage_limits.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+/// The watchers together confirm the configuration this often: an eighth of the
+/// five seconds for which a revoked key may be used.
+constexpr milliseconds check_interval{600};
 /// A watcher queries the store this much later than the one before it in the
 /// watch order: it has asked that one by then.
 constexpr milliseconds check_stagger{450};
@@ -70,17 +73,18 @@
 
 void storage_node::update_freshness_polling()
 {
-    // Without shared limits, the age of the state does not matter.
     const auto own = std::find(m_watch_order.begin(), m_watch_order.end(),
                                m_settings.m_name);
-    m_source.keep_fresh(
-        {m_counts_shares && m_source.running(),
-         [this] {
-             return m_freshness_poller.freshness().m_config_confirmed_at;
-         },
-         check_stagger * std::min<std::ptrdiff_t>(own - m_watch_order.begin(),
-                                                  max_stagger_steps)});
-    m_freshness_poller.set_enabled(m_counts_shares);
+    const auto steps = std::min<std::ptrdiff_t>(own - m_watch_order.begin(),
+                                                max_stagger_steps);
+    freshness_requirement need;
+    need.m_required = m_source.running();
+    need.m_confirmed_elsewhere = [this] {
+        return m_freshness_poller.freshness().m_config_confirmed_at;
+    };
+    need.m_max_age = check_interval + check_stagger * steps;
+    m_source.keep_fresh(std::move(need));
+    m_freshness_poller.set_enabled(true);
 }
 
 freshness_bound storage_node::freshness() const
--- a/test/platform/test_cluster_source.cpp
+++ b/test/platform/test_cluster_source.cpp
@@ -135,7 +135,7 @@
     world.m_source.start();
     REQUIRE(run_until(world.m_io, [&] { return world.m_source.synced(); }));
     CHECK(world.m_source.freshness().m_freshness == freshness_bound{});
-    world.m_source.keep_fresh({true, {}, {}});
+    world.m_source.keep_fresh({true, {}, milliseconds(600)});
     REQUIRE(run_until(world.m_io, [&] {
         return world.m_source.freshness().m_freshness.m_views_confirmed_at !=
                instant{};
@@ -165,8 +165,8 @@
     world.m_source.start();
     REQUIRE(run_until(world.m_io, [&] { return world.m_source.synced(); }));
     instant heard = world.m_time.now();
-    const milliseconds stagger{300};
-    world.m_source.keep_fresh({true, [&] { return heard; }, stagger});
+    const milliseconds max_age{900};
+    world.m_source.keep_fresh({true, [&] { return heard; }, max_age});
     world.settle(milliseconds(700));
     CHECK(world.m_source.freshness().m_freshness == freshness_bound{});
     // Nobody has asked for a while: this one does.
@@ -175,7 +175,7 @@
                instant{};
     }));
     CHECK(world.m_source.freshness().m_freshness.m_config_confirmed_at >=
-          heard + milliseconds(600) + stagger);
+          heard + max_age);
 }
 
 TEST_CASE("forgotten history is read anew", "[cluster_source]")
