Edge VMs follow the store in time to leave draining runners alone

Runners that drain must receive nothing within the same two seconds, and an edge VM whose storage VMs are killed, frozen or turned away went on sending to them until 3.2 s after the last word.

Cause: the same constant, chosen apart from the promise that it serves.

Why this works: the time without word is 0.85 of config_apply_ms now (1.7 s at 2 s; at most 3.2 s, as before).

Metrics runners and runners_usable say what an edge VM believes.

--- a/include/pepperturn/forward/runner_table.hpp
+++ b/include/pepperturn/forward/runner_table.hpp
@@ -119,6 +119,7 @@
     {
         return m_rows.size();
     }
+    [[nodiscard]] std::size_t usable_count() const;
 
     void record_request_start(const std::string& id);
     void record_request_end(const std::string& id);
--- a/include/pepperturn/tenancy/freshness.hpp
+++ b/include/pepperturn/tenancy/freshness.hpp
@@ -108,6 +108,11 @@
 /// which the store is asked and answers.
 [[nodiscard]] milliseconds max_relayed_age(const staleness_limits& limits);
 
+/// Time without word of the platform's store through other VMs above which a VM
+/// follows the store itself, so that runners that drain are left alone as soon
+/// as a change of the configuration applies.
+[[nodiscard]] milliseconds max_unheard_time(const staleness_limits& limits);
+
 /// Maximum age at which an unknown key or route may be rejected, rather than
 /// answered with "retry later": the delay for changes, less the time in which
 /// updates arrive.
--- a/src/fleet/edge_node.cpp
+++ b/src/fleet/edge_node.cpp
@@ -11,10 +11,6 @@
 
 namespace {
 
-/// Without an update of the platform's store through a storage VM for this
-/// long, an edge VM reads the store itself. Storage VMs send heartbeats twice a
-/// second, and their state may be as old as one watch of the store.
-constexpr milliseconds relay_timeout{3200};
 /// A running seed has replied within this time: several round trips.
 constexpr milliseconds seed_reply_delay{15};
 /// Interval while nothing can be served yet: a round trip within the region.
@@ -323,7 +319,8 @@
 void edge_node::choose_source()
 {
     const auto now = m_time.now();
-    const bool relayed = storage_heard_age() < relay_timeout;
+    const bool relayed =
+        storage_heard_age() < max_unheard_time(m_staleness_limits);
     if (!relayed && now - m_started < start_delay())
         return;
     if (relayed != m_own_source)
--- a/src/forward/proxy.cpp
+++ b/src/forward/proxy.cpp
@@ -201,6 +201,8 @@
     auto out = m_metrics.text();
     m_memory.write_metrics(out);
     write_metric(out, "config_version", m_config ? m_config->m_version : 0);
+    write_metric(out, "runners", m_runners.size());
+    write_metric(out, "runners_usable", m_runners.usable_count());
     return out;
 }
 
--- a/src/forward/runner_table.cpp
+++ b/src/forward/runner_table.cpp
@@ -124,6 +124,14 @@
     m_evacuated = {zones.begin(), zones.end()};
 }
 
+std::size_t runner_table::usable_count() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_rows.begin(), m_rows.end(), [this](const auto& row) {
+            return is_usable(row.second);
+        }));
+}
+
 bool runner_table::is_usable(const runner_row& row) const
 {
     return !row.m_info.m_draining &&
--- a/src/tenancy/freshness.cpp
+++ b/src/tenancy/freshness.cpp
@@ -6,6 +6,11 @@
 namespace {
 
 constexpr std::uint32_t never = UINT32_MAX;
+/// Word of a store in which nothing changes is up to 1.5 s old: a watch of it
+/// returns after 0.8 s, and heartbeats that report it are sent every 0.5 s.
+constexpr milliseconds min_unheard_time{1700};
+/// Runners drain within seconds, however late configurations may apply.
+constexpr milliseconds max_unheard_limit{3200};
 
 std::uint32_t to_age_ms(instant at, instant now)
 {
@@ -69,6 +74,13 @@
     return limits.m_max_apply_delay * tenths / 10;
 }
 
+milliseconds max_unheard_time(const staleness_limits& limits)
+{
+    constexpr int percent = 85;
+    return std::clamp(limits.m_max_apply_delay * percent / 100,
+                      min_unheard_time, max_unheard_limit);
+}
+
 milliseconds max_denial_age(const staleness_limits& limits)
 {
     constexpr int tenths = 8;
--- a/test/fleet/test_config_in_force.cpp
+++ b/test/fleet/test_config_in_force.cpp
@@ -72,3 +72,18 @@
     CHECK(edge.run([&] { return edge.figure("config_version") == 5; },
                    apply_limit));
 }
+
+TEST_CASE("a draining runner is left alone though no storage VM tells it",
+          "[config_in_force]")
+{
+    const auto fault =
+        GENERATE(source_fault::none, source_fault::killed, source_fault::frozen,
+                 source_fault::turned_away);
+    INFO("fault " << static_cast<int>(fault));
+    separate_edge edge;
+    REQUIRE(edge.figure("runners_usable") == 1);
+    strike(edge, fault);
+    edge.drain_runner();
+    CHECK(edge.run([&] { return edge.figure("runners_usable") == 0; },
+                   apply_limit));
+}
--- a/test/support/fleet/separate_edge.hpp
+++ b/test/support/fleet/separate_edge.hpp
@@ -23,6 +23,7 @@
             m_store.put("other", std::to_string(i));
         m_fleet.start_three();
         m_fleet.m_store.put("op/config", config(4));
+        write_runner("ready");
         m_time.stop_now();
         start_edge();
         REQUIRE(
@@ -40,6 +41,22 @@
         m_fleet.m_store.put("op/config", config(version));
         m_store.put("op/config", config(version));
     }
+    /// The runner's own change, as \ref change_config.
+    void write_runner(const std::string& state)
+    {
+        const auto text =
+            R"({"service":"a","address":"127.0.0.1:5","zone":"vm-0",)"
+            R"("slots":4,"state":")" +
+            state + R"(","seq":)" + std::to_string(++m_sequence) + "}";
+        m_fleet.m_store.put("servers/i-0", text);
+        m_store.put("servers/i-0", text);
+    }
+    /// The runner is to receive nothing from now on.
+    void drain_runner()
+    {
+        m_beats = false;
+        write_runner("draining");
+    }
     void kill_storage()
     {
         for (const auto* name : {"vm-0", "vm-1", "vm-2"})
@@ -135,8 +152,8 @@
         if (!m_storage_runs)
             return;
         // A runner's heartbeat, so that watches return soon, as in service.
-        m_fleet.m_store.put("servers/i-0", R"({"service":"a","seq":)" +
-                                               std::to_string(m_steps) + "}");
+        if (m_beats)
+            write_runner("ready");
         for (const auto& [name, vm] : m_fleet.m_vms)
             vm->m_node->tick();
     }
@@ -144,7 +161,9 @@
     std::unique_ptr<platform::cluster_source> m_source;
     std::unique_ptr<edge_node> m_node;
     bool m_storage_runs = true;
+    bool m_beats = true;
     int m_steps = 0;
+    int m_sequence = 0;
 };
 
 } // namespace pepperturn::test
