--- a/test/platform/test_cluster_source.cpp
+++ b/test/platform/test_cluster_source.cpp
@@ -377,3 +377,20 @@
     world.settle(milliseconds(2500));
     CHECK(count_runners(world.m_state) == 2);
 }
+
+TEST_CASE("a watch that has gone silent is given up in time",
+          "[cluster_source]")
+{
+    // A draining runner may receive requests for two seconds at most.
+    constexpr milliseconds limit{1600};
+    followed world;
+    world.m_store.put("servers/i-1", entry("ready", 1));
+    world.m_source.start();
+    REQUIRE(world.wait_for_runner("i-1", entry("ready", 1)));
+    world.settle(milliseconds(300));
+    world.m_store.silence_connections();
+    world.m_store.put("servers/i-1", entry("draining", 2));
+    CHECK(run_until(
+        world.m_io,
+        [&] { return world.text_of("i-1") == entry("draining", 2); }, limit));
+}
--- a/test/support/fleet/platform_store.cpp
+++ b/test/support/fleet/platform_store.cpp
@@ -67,7 +67,7 @@
     spawn(m_io, "platform_store.accept",
           accept_all(m_acceptor, [this](tcp::socket socket) {
               auto kept = std::make_shared<tcp::socket>(std::move(socket));
-              spawn(m_io, "platform_store.serve", serve(kept));
+              spawn(m_io, "platform_store.serve", serve(kept, m_connections++));
           }));
 }
 
@@ -119,7 +119,8 @@
         watch->notify();
 }
 
-task<> platform_store::serve(std::shared_ptr<tcp::socket> socket)
+task<> platform_store::serve(std::shared_ptr<tcp::socket> socket,
+                             std::size_t number)
 {
     boost::beast::flat_buffer buffer;
     while (true)
@@ -131,6 +132,8 @@
             co_return;
         ++m_calls;
         auto out = co_await answer(call);
+        if (number < m_first_answered)
+            continue;
         if (call.method() == http::verb::post &&
             std::exchange(m_lose_answer, false))
         {
--- a/test/support/fleet/platform_store.hpp
+++ b/test/support/fleet/platform_store.hpp
@@ -30,6 +30,11 @@
 
     /// While set, every call is answered 503 and open watches are aborted.
     void set_down(bool down);
+    /// Open connections are answered no more, without an end; new ones are.
+    void silence_connections()
+    {
+        m_first_answered = m_connections;
+    }
     /// Drops the history of changes up to now.
     void compact();
     /// The next write is applied, but its connection ends without a response.
@@ -52,7 +57,8 @@
     using request = http::request<http::string_body>;
     using response = http::response<http::string_body>;
 
-    task<> serve(std::shared_ptr<tcp::socket> socket);
+    /// \param number of the connection
+    task<> serve(std::shared_ptr<tcp::socket> socket, std::size_t number);
     task<response> answer(const request& call);
     task<response> answer_watch(std::map<std::string, std::string> query);
     response answer_write(const request& call);
@@ -67,6 +73,9 @@
     std::uint64_t m_revision = 1;
     std::uint64_t m_oldest = 0;
     std::uint64_t m_calls = 0;
+    std::size_t m_connections = 0;
+    /// Connections of lower numbers are not answered.
+    std::size_t m_first_answered = 0;
     bool m_down = false;
     bool m_lose_answer = false;
 };
