Reads prove that a watch is alive, in place of watches that end sooner

Storage VMs tell the age of what was confirmed in heartbeats, so that word of a store in which nothing changes stays younger than the 1.7 s after which edge VMs follow it themselves. The read is made every 0.4 of config_apply_ms (0.8 s at 2 s; 0.6 s at most where keys may be revoked).

--- a/src/cluster/freshness_poller.cpp
+++ b/src/cluster/freshness_poller.cpp
@@ -8,9 +8,9 @@
 namespace {
 
 /// Interval between requests while replies are fresh. The store is read every
-/// 600 ms by one storage VM, which the other storage VMs poll, and an edge VM
-/// polls any of these: ages stay well below the 1.4 seconds at which an edge VM
-/// asks the store itself if changes have to be in force within two.
+/// 800 ms by one storage VM, which the other storage VMs poll, and an edge VM
+/// polls any of these: ages stay below the 1.4 seconds at which an edge VM asks
+/// the store itself if changes have to be in force within two.
 constexpr milliseconds poll_interval{250};
 /// Interval while the data is not fresh; it doubles up to the usual one.
 constexpr milliseconds retry_interval{60};
--- a/src/fleet/storage_limits.cpp
+++ b/src/fleet/storage_limits.cpp
@@ -12,9 +12,13 @@
 
 namespace {
 
-/// The watchers together confirm the configuration this often: an eighth of the
-/// five seconds for which a revoked key may be used.
-constexpr milliseconds check_interval{600};
+/// The watchers together confirm the configuration this often: so often that
+/// with the polls between VMs it stays below the age at which edge VMs ask the
+/// store themselves. Each read is billed.
+constexpr int check_interval_tenths = 4;
+/// The same where keys may be revoked: an eighth of the five seconds for which
+/// a revoked key may be used.
+constexpr milliseconds key_check_interval{600};
 /// A watcher queries the store this much later than the one before it in the
 /// watch order: it has asked that one by then.
 constexpr milliseconds check_stagger{450};
@@ -82,7 +86,11 @@
     need.m_confirmed_elsewhere = [this] {
         return m_freshness_poller.freshness().m_config_confirmed_at;
     };
-    need.m_max_age = check_interval + check_stagger * steps;
+    const auto interval =
+        m_staleness_limits.m_max_apply_delay * check_interval_tenths / 10;
+    need.m_max_age =
+        (m_counts_shares ? std::min(interval, key_check_interval) : interval) +
+        check_stagger * steps;
     m_source.keep_fresh(std::move(need));
     m_freshness_poller.set_enabled(true);
 }
--- a/src/fleet/storage_node.cpp
+++ b/src/fleet/storage_node.cpp
@@ -335,8 +335,10 @@
 instant storage_node::last_store_contact() const
 {
     const auto own = m_source.synced() ? m_source.last_contact() : instant{};
-    // Only from watchers: times forwarded by others would circulate.
-    return std::max(own, m_links.store_last_watched());
+    // Only from watchers: times forwarded by others would circulate. A time at
+    // which everything was confirmed does not grow younger by circulating.
+    return std::max(
+        {own, m_links.store_last_watched(), freshness().m_views_confirmed_at});
 }
 
 void storage_node::tick()
--- a/src/tenancy/freshness.cpp
+++ b/src/tenancy/freshness.cpp
@@ -6,8 +6,8 @@
 namespace {
 
 constexpr std::uint32_t never = UINT32_MAX;
-/// Word of a store in which nothing changes is up to 1.5 s old: a watch of it
-/// returns after 0.8 s, and heartbeats that report it are sent every 0.5 s.
+/// Word of the store is up to 1.5 s old: storage VMs ask it every 0.8 s, poll
+/// each other every 0.25 s and send heartbeats every 0.5 s.
 constexpr milliseconds min_unheard_time{1700};
 /// Runners drain within seconds, however late configurations may apply.
 constexpr milliseconds max_unheard_limit{3200};
--- a/test/platform/test_cluster_source.cpp
+++ b/test/platform/test_cluster_source.cpp
@@ -384,9 +384,11 @@
     // A draining runner may receive requests for two seconds at most.
     constexpr milliseconds limit{1600};
     followed world;
+    world.m_store.put("op/config", "one");
     world.m_store.put("servers/i-1", entry("ready", 1));
     world.m_source.start();
     REQUIRE(world.wait_for_runner("i-1", entry("ready", 1)));
+    world.m_source.keep_fresh({true, {}, milliseconds(800)});
     world.settle(milliseconds(300));
     world.m_store.silence_connections();
     world.m_store.put("servers/i-1", entry("draining", 2));
