A route is denied only by a configuration that is known to be current

Cause: a VM that has lost its sources answered as surely as one that has not.

A VM that has just started waits for its first confirmation, as for its first configuration. Known routes are served on.

--- a/include/pepperturn/forward/proxy.hpp
+++ b/include/pepperturn/forward/proxy.hpp
@@ -238,7 +238,14 @@
     /// Counts the outcome of a request for its workspace.
     void count_workspace(const call& work, unsigned status, bool aborted);
     [[nodiscard]] upstream_response refuse_stale_config(call& work);
-    /// Refuses a request that matches no route.
+    /// Finds the request's route in the configuration in force now.
+    void look_up_route(call& work);
+    /// The same, waiting for a configuration if this VM has just started.
+    /// \returns a refusal if there is no route
+    task<std::optional<upstream_response>>
+    choose_route(std::shared_ptr<call> work);
+    /// Refuses a request that matches no route: for good only if the
+    /// configuration is known to be current.
     [[nodiscard]] upstream_response refuse_unknown_route(call& work);
     /// The call's rank where calls queue for engines.
     [[nodiscard]] call_rank rank_of(const call& work) const;
--- a/src/forward/proxy.cpp
+++ b/src/forward/proxy.cpp
@@ -318,27 +318,9 @@
               std::shared_ptr<call> work)
 {
     call_result out;
-    if (!work->m_config)
-    {
-        co_await wait_for_startup(work, [this] { return m_config != nullptr; });
-        work->m_config = m_config;
-        work->m_config_revision = m_config_revision;
-    }
-    if (!work->m_config)
-    {
-        out.m_response =
-            refuse(*work, "this VM has received no configuration yet",
-                   retry_after_unconfigured);
-        co_return out;
-    }
-    const auto target = work->m_request.target();
-    work->m_route = find_route(*work->m_config, work->m_fields.m_host,
-                               {target.data(), target.size()});
-    if (work->m_route == nullptr)
-    {
-        out.m_response = refuse_unknown_route(*work);
+    out.m_response = co_await choose_route(work);
+    if (out.m_response)
         co_return out;
-    }
     const auto& route = *work->m_route;
     if (requires_keys() && !config_age_known())
         co_await wait_for_startup(work, [this] { return config_age_known(); });
--- a/src/forward/proxy_workspaces.cpp
+++ b/src/forward/proxy_workspaces.cpp
@@ -54,15 +54,6 @@
                   retry_after_isolated);
 }
 
-upstream_response proxy::refuse_unknown_route(call& work)
-{
-    constexpr unsigned not_found = 404;
-    if (m_admission.m_config_age)
-        work.m_reason =
-            "config_age_ms=" + age_text(m_admission.m_config_age()) + ' ';
-    return fail(work, not_found, "no route");
-}
-
 std::optional<upstream_response> proxy::admit_caller(call& work)
 {
     constexpr unsigned unauthorized = 401;
--- a/test/fleet/test_proxy_workspaces.cpp
+++ b/test/fleet/test_proxy_workspaces.cpp
@@ -133,3 +133,29 @@
     CHECK(has(sent, "Authorization: basic abc\r\n"));
     CHECK(has(sent, "Pepperturn-Workspace: mine\r\n"));
 }
+
+TEST_CASE("a route is denied only by a configuration that is current",
+          "[proxy][config_in_force]")
+{
+    struct row
+    {
+        const char* m_what;
+        milliseconds m_age{0};
+        const char* m_status;
+        bool m_retry;
+    };
+    const staleness_limits limits;
+    const auto each = GENERATE_COPY(values<row>({
+        {"confirmed", milliseconds(0), "404", false},
+        {"the oldest that counts", max_denial_age(limits), "404", false},
+        {"older", max_denial_age(limits) + milliseconds(1), "503", true},
+        {"never confirmed", milliseconds::max(), "503", true},
+    }));
+    INFO(each.m_what);
+    keyed_edge edge;
+    edge.m_config_age = each.m_age;
+    const auto got = edge.ask_with("/other/", "");
+    CHECK(has(got, std::string("HTTP/1.1 ") + each.m_status + ' '));
+    CHECK(has(got, "Retry-After: ") == each.m_retry);
+    CHECK(edge.runs() == 0);
+}
