A member that is silent on its connection is no update source

A VM keeps three sources of updates. It left one when a connection failed, but a frozen member keeps its connections: three frozen ones of many were kept as sources until they woke, while other members had the news.

--- a/include/pepperturn/cluster/member_links.hpp
+++ b/include/pepperturn/cluster/member_links.hpp
@@ -98,9 +98,10 @@
     /// Number of the connection to the member, unique in this process; 0: there
     /// is none, or nothing arrived on it within two heartbeats.
     [[nodiscard]] std::uint64_t live_connection(const std::string& name) const;
-    /// False once a connection to the member has failed, until one is
-    /// established again.
-    [[nodiscard]] bool may_reach(const std::string& name) const;
+    /// True if the member may send updates: its last connection attempt has not
+    /// failed, and its connection, if there is one, is not silent. A frozen
+    /// member keeps its connection and sends nothing.
+    [[nodiscard]] bool may_send_updates(const std::string& name) const;
     /// When the member last sent anything, directly or through a relay peer;
     /// before that, when it was added. The epoch of the clock: it is not a
     /// member.
--- a/src/cluster/member_links.cpp
+++ b/src/cluster/member_links.cpp
@@ -447,10 +447,15 @@
     return reachable_directly(name) ? m_links.at(name)->m_number : 0;
 }
 
-bool member_links::may_reach(const std::string& name) const
+bool member_links::may_send_updates(const std::string& name) const
 {
     const auto found = m_links.find(name);
-    return found == m_links.end() || !found->second->m_failed;
+    if (found == m_links.end())
+        return true;
+    const auto& row = *found->second;
+    const bool silent = row.m_link != nullptr &&
+                        m_time.now() - row.m_last_received >= liveness_timeout;
+    return !row.m_failed && !silent;
 }
 
 instant member_links::last_seen(const std::string& name) const
--- a/src/fleet/storage_node.cpp
+++ b/src/fleet/storage_node.cpp
@@ -270,7 +270,7 @@
 {
     const bool all_unreachable = std::none_of(
         m_update_sources.begin(), m_update_sources.end(),
-        [this](const auto& name) { return m_links.may_reach(name); });
+        [this](const auto& name) { return m_links.may_send_updates(name); });
     // If no update source of this zone is reachable, subscribe to the watchers.
     const auto watchers = std::min(m_watch_order.size(), watch_candidates);
     m_links.subscribe(
--- a/test/fleet/test_member_links.cpp
+++ b/test/fleet/test_member_links.cpp
@@ -143,8 +143,8 @@
     links.set_members({{"a", "127.0.0.1:1", "z", 1, member_state::joining}});
     CHECK(links.last_seen("a") >= before);
     CHECK_FALSE(links.connected("a"));
-    CHECK(links.may_reach("a"));
-    REQUIRE(run_until(io, [&] { return !links.may_reach("a"); }));
+    CHECK(links.may_send_updates("a"));
+    REQUIRE(run_until(io, [&] { return !links.may_send_updates("a"); }));
     links.stop();
 }
 
