--- a/include/pepperturn/fleet/edge_node.hpp
+++ b/include/pepperturn/fleet/edge_node.hpp
@@ -43,7 +43,7 @@
     /// Asks the platform's store itself for the configuration once no storage
     /// VM has confirmed it in time.
     void confirm_config();
-    /// How long after its start this VM leaves the store to the storage VMs.
+    /// How long this VM leaves the store to the storage VMs at first.
     [[nodiscard]] milliseconds start_delay() const;
     /// Follows the platform's store itself while no storage VM relays it.
     void choose_source();
@@ -89,6 +89,8 @@
     /// Storage VMs of all replica sets.
     std::vector<member> m_members;
     bool m_subscribed = false;
+    /// When the storage VMs became known.
+    instant m_subscribed_at{};
     /// Revision of the last configuration that could be read.
     std::uint64_t m_config_revision = 0;
     bool m_stopping = false;
--- a/src/fleet/edge_node.cpp
+++ b/src/fleet/edge_node.cpp
@@ -209,7 +209,8 @@
               << " members=" << m_members.size();
     // The first VM to be connected must already know whether this VM
     // subscribes to it.
-    m_subscribed = true;
+    if (!std::exchange(m_subscribed, true))
+        m_subscribed_at = m_time.now();
     choose_update_sources();
     m_links.set_members(m_members);
     m_connectivity.set_members(m_members);
@@ -270,8 +271,13 @@
         return;
     auto sources = choose_sources(
         m_members, m_settings.m_name, m_settings.m_availability_zone,
-        [this](const std::string& name) { return m_links.may_reach(name); },
+        [this](const std::string& name) {
+            return m_links.may_send_updates(name);
+        },
         m_settings.m_zones);
+    // All are silent: either each is frozen, or this VM was.
+    if (sources.empty() && !m_members.empty())
+        return;
     const auto target_count =
         target_source_count({m_members.size() > m_settings.m_kept_links,
                              !m_state.m_runners.empty() && m_proxy.has_config(),
@@ -282,10 +288,11 @@
 
 void edge_node::confirm_config()
 {
-    const auto now = m_time.now();
     const auto age = config_age();
-    if (!m_confirming && m_proxy.has_config() &&
-        now - m_started >= start_delay())
+    const bool left_alone =
+        m_own_source ||
+        (m_subscribed && m_time.now() - m_subscribed_at >= start_delay());
+    if (!m_confirming && m_proxy.has_config() && left_alone)
     {
         m_confirming = true;
         freshness_requirement need;
@@ -302,12 +309,12 @@
     if (outdated == m_config_unconfirmed)
         return;
     m_config_unconfirmed = outdated;
-    LOG(WARNING) << (outdated ? "event=config_unconfirmed"
-                              : "event=config_confirmed")
-                 << " config_age_ms=" << age_text(age)
-                 << " config_revision=" << m_config_revision
-                 << " last_confirmed_by=" << m_freshness_poller.confirmed_by()
-                 << " storage_heard_age_ms=" << age_text(storage_heard_age());
+    LOG(INFO) << (outdated ? "event=config_unconfirmed"
+                           : "event=config_confirmed")
+              << " config_age_ms=" << age_text(age)
+              << " config_revision=" << m_config_revision
+              << " last_confirmed_by=" << m_freshness_poller.confirmed_by()
+              << " storage_heard_age_ms=" << age_text(storage_heard_age());
 }
 
 milliseconds edge_node::start_delay() const
--- a/test/fleet/test_storage_vms.cpp
+++ b/test/fleet/test_storage_vms.cpp
@@ -168,6 +168,9 @@
         return !fleet.m_state.m_config.empty() &&
                !fleet.m_state.m_runners.empty();
     }));
+    REQUIRE(run_until(fleet.m_io, [&] {
+        return !fleet.m_vms["vm-0"]->m_node->state().m_runners.empty();
+    }));
     // A little longer than it takes until the last update is written.
     const auto saved = std::chrono::steady_clock::now() + milliseconds(300);
     run_until(fleet.m_io,
