--- a/test/fleet/test_config_in_force.cpp
+++ b/test/fleet/test_config_in_force.cpp
@@ -73,17 +73,30 @@
                    apply_limit));
 }
 
+TEST_CASE("a VM that starts among storage VMs without the store is not behind",
+          "[config_in_force]")
+{
+    separate_edge edge(false);
+    edge.change_config(5);
+    CHECK(edge.run([&] { return edge.figure("config_version") == 5; },
+                   apply_limit));
+}
+
 TEST_CASE("a draining runner is left alone though no storage VM tells it",
           "[config_in_force]")
 {
     const auto fault =
         GENERATE(source_fault::none, source_fault::killed, source_fault::frozen,
                  source_fault::turned_away);
-    INFO("fault " << static_cast<int>(fault));
+    const bool drains = GENERATE(true, false);
+    INFO("fault " << static_cast<int>(fault) << " drains " << drains);
     separate_edge edge;
     REQUIRE(edge.figure("runners_usable") == 1);
     strike(edge, fault);
-    edge.drain_runner();
+    if (drains)
+        edge.drain_runner();
+    else
+        edge.evacuate_zone();
     CHECK(edge.run([&] { return edge.figure("runners_usable") == 0; },
                    apply_limit));
 }
--- a/test/support/fleet/separate_edge.hpp
+++ b/test/support/fleet/separate_edge.hpp
@@ -9,6 +9,8 @@
 #include "support/fleet/edge_vm.hpp"
 #include "support/fleet/stoppable_clock.hpp"
 
+#include <algorithm>
+
 namespace pepperturn::test {
 
 class separate_edge
@@ -16,7 +18,9 @@
 public:
     /// Starts three storage VMs and an edge VM that serves by configuration 4,
     /// which it has received from them.
-    separate_edge()
+    /// \param storage_has_store the storage VMs still reach the store when the
+    /// edge VM starts
+    explicit separate_edge(bool storage_has_store = true)
     {
         // A change in this store is newer than all that the other one holds.
         for (int i = 0; i < 1000; ++i)
@@ -24,11 +28,14 @@
         m_fleet.start_three();
         m_fleet.m_store.put("op/config", config(4));
         write_runner("ready");
+        REQUIRE(run_until(m_fleet.m_io, [this] { return storage_knows(); }));
+        m_fleet.m_store.set_down(!storage_has_store);
         m_time.stop_now();
         start_edge();
         REQUIRE(
             run([this] { return figure("config_version") == 4; }, start_limit));
-        run_for(milliseconds(1500));
+        if (storage_has_store)
+            run_for(milliseconds(1500));
     }
     ~separate_edge() = default;
     separate_edge(const separate_edge&) = delete;
@@ -57,6 +64,12 @@
         m_beats = false;
         write_runner("draining");
     }
+    /// The operator wants no request sent to the runner's zone.
+    void evacuate_zone()
+    {
+        m_fleet.m_store.put("op/evacuate/vm-0", "{}");
+        m_store.put("op/evacuate/vm-0", "{}");
+    }
     void kill_storage()
     {
         for (const auto* name : {"vm-0", "vm-1", "vm-2"})
@@ -107,6 +120,14 @@
         return R"({"version":)" + std::to_string(version) +
                R"(,"routes":[],"services":[]})";
     }
+    [[nodiscard]] bool storage_knows() const
+    {
+        return std::all_of(
+            m_fleet.m_vms.begin(), m_fleet.m_vms.end(), [](const auto& row) {
+                const auto& state = row.second->m_node->state();
+                return !state.m_config.empty() && !state.m_runners.empty();
+            });
+    }
     void start_edge()
     {
         fleet_settings settings;
