--- a/include/pepperturn/cluster/freshness_poller.hpp
+++ b/include/pepperturn/cluster/freshness_poller.hpp
@@ -22,6 +22,8 @@
         /// Called when a source reports a newer configuration.
         std::function<void(const std::string& source, std::uint64_t revision)>
             m_on_newer_config;
+        /// Age above which the next source is polled.
+        milliseconds m_max_source_age{0};
         /// True if sources send this VM every view they learn, in order with
         /// their replies.
         bool m_receives_views = false;
--- a/include/pepperturn/fleet/edge_node.hpp
+++ b/include/pepperturn/fleet/edge_node.hpp
@@ -77,8 +77,8 @@
     edge_connectivity m_connectivity;
     config_fetcher m_config_fetcher;
     turn_client m_turns;
-    freshness_poller m_freshness_poller;
     staleness_limits m_staleness_limits;
+    freshness_poller m_freshness_poller;
     quota_client m_quota;
     cold_runner_client m_cold;
     placement_client m_placements;
--- a/include/pepperturn/fleet/storage_node.hpp
+++ b/include/pepperturn/fleet/storage_node.hpp
@@ -109,8 +109,8 @@
     member_links m_links;
     config_fetcher m_config_fetcher;
     state_decoders m_decoders;
-    freshness_poller m_freshness_poller;
     staleness_limits m_staleness_limits;
+    freshness_poller m_freshness_poller;
     limiter m_limiter;
     /// Names of the configured workspaces, by hash.
     std::map<std::uint64_t, std::string> m_workspace_names;
--- a/include/pepperturn/tenancy/freshness.hpp
+++ b/include/pepperturn/tenancy/freshness.hpp
@@ -103,6 +103,10 @@
 [[nodiscard]] std::optional<milliseconds>
 remaining_use_time(const staleness_limits& limits, instant at, instant now);
 
+/// Age above which another VM is asked instead: the one that was has lost the
+/// store. More than ages are while VMs confirm each other's configuration.
+[[nodiscard]] milliseconds max_source_age(const staleness_limits& limits);
+
 /// Age of what other VMs have confirmed above which a VM asks the platform's
 /// store itself for the configuration: the delay for changes, less the time in
 /// which the store is asked and answers.
--- a/src/cluster/freshness_poller.cpp
+++ b/src/cluster/freshness_poller.cpp
@@ -16,8 +16,6 @@
 constexpr milliseconds retry_interval{60};
 /// Several times the usual reply time; then the next source is polled.
 constexpr milliseconds poll_timeout{150};
-/// A source whose data is older than this has lost the store.
-constexpr milliseconds fresh_limit{1000};
 
 } // namespace
 
@@ -94,8 +92,8 @@
         reply ? std::get_if<freshness_message>(&reply->m_body) : nullptr;
     if (message != nullptr)
         handle_reply(source, *message, sent_at);
-    const bool fresh =
-        age_of(m_freshness.m_config_confirmed_at, m_time.now()) <= fresh_limit;
+    const bool fresh = age_of(m_freshness.m_config_confirmed_at,
+                              m_time.now()) <= m_hooks.m_max_source_age;
     if (!fresh)
         ++m_next_source;
     co_return fresh;
--- a/src/fleet/storage_node.cpp
+++ b/src/fleet/storage_node.cpp
@@ -53,6 +53,8 @@
           io, time, m_links, settings.m_availability_zone,
           [this](const cluster_state& update) { apply_state(update); }),
       m_decoders(std::move(decoders)),
+      m_staleness_limits{milliseconds(settings.m_revoke_ms),
+                         milliseconds(settings.m_apply_ms)},
       m_freshness_poller(
           io, time, m_links,
           {[this] { return freshness_sources(); },
@@ -60,9 +62,7 @@
            [this](const std::string& source, std::uint64_t revision) {
                m_config_fetcher.note_announced(source, revision);
            },
-           true}),
-      m_staleness_limits{milliseconds(settings.m_revoke_ms),
-                         milliseconds(settings.m_apply_ms)},
+           max_source_age(m_staleness_limits), true}),
       m_limiter({.m_slack = slack_share * settings.m_quota_slack,
                  .m_excess = excess_share * settings.m_quota_excess}),
       m_placements(time, settings.m_zones)
--- a/src/tenancy/freshness.cpp
+++ b/src/tenancy/freshness.cpp
@@ -68,6 +68,12 @@
     return max_age - age;
 }
 
+milliseconds max_source_age(const staleness_limits& limits)
+{
+    constexpr int tenths = 6;
+    return limits.m_max_apply_delay * tenths / 10;
+}
+
 milliseconds max_relayed_age(const staleness_limits& limits)
 {
     constexpr int tenths = 7;
--- a/test/fleet/test_edge_connectivity.cpp
+++ b/test/fleet/test_edge_connectivity.cpp
@@ -462,7 +462,8 @@
     freshness_poller poller(fleet.m_io, fleet.m_time, edge.m_links,
                             {[] { return std::vector<std::string>{"vm-0"}; },
                              [] { return std::uint64_t{4}; },
-                             [](const std::string&, std::uint64_t) {}});
+                             [](const std::string&, std::uint64_t) {},
+                             milliseconds(1500)});
     const auto begun = fleet.m_time.now();
     poller.set_enabled(true);
     instant earliest{};
--- a/test/fleet/test_workspace_limits.cpp
+++ b/test/fleet/test_workspace_limits.cpp
@@ -27,7 +27,8 @@
           m_freshness(m_io, m_time, m_links,
                       {[this] { return watching(); },
                        [this] { return m_state.m_config_revision; },
-                       [](const std::string&, std::uint64_t) {}})
+                       [](const std::string&, std::uint64_t) {},
+                       milliseconds(1500)})
     {
         m_revoke_ms = short_revoke_ms;
         m_store.put("op/config", keyed_config);
