--- /dev/null
+++ b/test/soak/soak_callers.cpp
@@ -0,0 +1,163 @@
+// SPDX-License-Identifier: BSL-1.0
+// Callers of the soak: programs of turns and unrepeatable calls, and what each
+// answer has to be.
+#include "soak/soak.hpp"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+namespace pepperturn::soak {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr int most_turns = 6;
+constexpr int tries = 4;
+
+} // namespace
+
+task<caller_answer> soak::ask(std::string target, std::string id,
+                              std::string program, std::uint64_t budget,
+                              std::string parent, std::string body)
+{
+    caller_answer out;
+    out.m_id = id;
+    const auto& edge = *m_vms[storage_vms + draw(edge_vms)];
+    error_code ec;
+    const auto endpoint = parse_endpoint(edge.m_address, ec);
+    boost::beast::tcp_stream stream(m_io);
+    constexpr std::chrono::seconds patience{5};
+    stream.expires_after(patience);
+    co_await stream.async_connect(endpoint, into(ec));
+    if (ec)
+        co_return out;
+    http::request<http::string_body> request(http::verb::post, target, 11);
+    request.set(http::field::host, "soak");
+    request.set("X-Attempt-Id", id);
+    request.set("X-Deadline-Ms", "4000");
+    if (!program.empty())
+    {
+        request.set("X-Program-Id", program);
+        request.set("X-Token-Budget", std::to_string(budget));
+        request.set("X-Token-Count", "10," + std::to_string(most_tokens));
+        if (!parent.empty())
+            request.set("X-Previous-Turn", parent);
+    }
+    request.body() = std::move(body);
+    request.prepare_payload();
+    co_await http::async_write(stream, request, into(ec));
+    boost::beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    if (!ec)
+        co_await http::async_read(stream, buffer, parser, into(ec));
+    if (parser.is_header_done())
+    {
+        out.m_status = parser.get().result_int();
+        out.m_body = parser.get().body();
+        out.m_whole = !ec;
+        if (out.m_whole && parser.get()["X-Attempt-Id"] != id)
+            m_rules.fail("the answer of another request came to " + id);
+    }
+    stream.close();
+    const bool promise = out.m_status == 503 || out.m_status == 429 ||
+                         out.m_status == 402 || out.m_status == 404;
+    if (promise)
+        m_rules.told_not_run(id, out.m_status);
+    co_return out;
+}
+
+task<bool> soak::take_turn(program_state& program, std::uint64_t budget)
+{
+    constexpr std::uint64_t most_input = 3000;
+    const std::string input =
+        "in-" + std::string(1 + draw(most_input), 'a') + "\n";
+    for (int attempt = 0; attempt < tries; ++attempt)
+    {
+        const auto id = fresh_id();
+        const auto body = program.m_chain + input;
+        m_rules.expect(id, body);
+        auto answer = co_await ask("/turn/x", id, program.m_id, budget,
+                                   program.m_last, input);
+        if (answer.m_status == 200)
+        {
+            event_reader events(true);
+            events.consume(answer.m_body);
+            m_rules.handed_out(program.m_id, events.complete_events());
+            if (!answer.m_whole)
+                co_await continue_broken_turn(id, body, program.m_id, budget);
+            else
+            {
+                check_whole(id, events);
+                program.m_chain = body + events.data();
+                program.m_last = id;
+                ++m_served;
+                co_return true;
+            }
+        }
+        if (answer.m_status == 402)
+            co_return false;
+        if (answer.m_status == 404 && m_version > 0)
+            m_rules.fail("turn " + program.m_last +
+                         " was answered whole, and " + id +
+                         " was told that it is not there");
+        constexpr milliseconds pause{100};
+        co_await sleep_for(m_io, pause);
+    }
+    co_return false;
+}
+
+task<> soak::continue_broken_turn(std::string broken, std::string chain,
+                                  std::string program, std::uint64_t budget)
+{
+    const auto id = fresh_id();
+    const std::string input = "on\n";
+    // Only this caller's side may have broken: then its text is kept whole.
+    const auto text = m_rules.whole_answer(broken);
+    m_rules.expect(id,
+                   text ? std::optional(chain + *text + input) : std::nullopt);
+    const auto answer =
+        co_await ask("/turn/x", id, program, budget, broken, input);
+    if (answer.m_status != 200)
+        co_return;
+    event_reader events(true);
+    events.consume(answer.m_body);
+    m_rules.handed_out(program, events.complete_events());
+    if (answer.m_whole)
+        check_whole(id, events);
+}
+
+task<bool> soak::run_program(bool patient)
+{
+    program_state program;
+    program.m_id = "p" + std::to_string(++m_ids);
+    constexpr std::uint64_t widest_budget = 120;
+    const auto budget = patient ? 1000 : most_tokens + draw(widest_budget);
+    m_rules.budget(program.m_id, budget, most_tokens);
+    bool good = true;
+    for (int turn = 0; turn < most_turns && good; ++turn)
+    {
+        good = co_await take_turn(program, budget);
+        if (good && draw(2) == 0)
+        {
+            const auto id = fresh_id();
+            const std::string body(1 + draw(500), 'c');
+            m_rules.expect(id, body);
+            auto answer = co_await ask("/once/x", id, "", 0, "", body);
+            if (answer.m_status == 200 && answer.m_whole)
+                m_rules.taken_for_whole(id, answer.m_body);
+        }
+    }
+    if (!program.m_last.empty())
+        m_ended.push_back(std::move(program));
+    co_return good;
+}
+
+task<> soak::call_repeatedly()
+{
+    while (!m_stop)
+        (void)co_await run_program(false);
+}
+
+} // namespace pepperturn::soak
