--- a/include/pepperturn/cluster/frame_link.hpp
+++ b/include/pepperturn/cluster/frame_link.hpp
@@ -58,6 +58,8 @@
     static task<> write_queued(std::shared_ptr<frame_link> self);
     /// Closes the link if the peer has left too many bytes unread.
     void start_writing();
+    /// Closes the link and returns nothing if the frame makes no sense.
+    [[nodiscard]] std::optional<frame> decode_received(std::string_view bytes);
     /// Passes complete frames in \p buffer to the handler and removes them.
     void handle_frames(std::string& buffer);
 
--- a/include/pepperturn/cluster/member_links.hpp
+++ b/include/pepperturn/cluster/member_links.hpp
@@ -23,8 +23,8 @@
 
     /// Called for each cluster state received from a storage VM.
     /// \param handler takes the sender's name and the state
-    void on_state(
-        std::function<void(const std::string&, const cluster_state&)> handler);
+    void
+    on_state(std::function<void(const std::string&, cluster_state&&)> handler);
     /// Called for the suspects that a storage VM sends.
     void on_suspects(std::function<void(const std::vector<suspect>&)> handler);
 
@@ -238,7 +238,7 @@
     relay_client* m_relay_client = nullptr;
     bool m_monitoring = false;
     std::uint64_t m_direct_requests = 0;
-    std::function<void(const std::string&, const cluster_state&)> m_on_state;
+    std::function<void(const std::string&, cluster_state&&)> m_on_state;
     std::function<void(const std::vector<suspect>&)> m_on_suspects;
     std::map<std::string, std::shared_ptr<member_link>> m_links;
     /// Update sources; empty: all members.
--- a/include/pepperturn/cluster/relay_server.hpp
+++ b/include/pepperturn/cluster/relay_server.hpp
@@ -55,6 +55,10 @@
                  const relay_limits& limits = {});
 
     [[nodiscard]] bool listen(const tcp::endpoint& at, std::string& reason);
+    [[nodiscard]] bool has_subscribers() const
+    {
+        return !m_subscribers.empty();
+    }
     /// Sends a state update to the subscribers.
     void send_updates(const cluster_state& update);
     /// Closes all connections, so that requesters turn to other peers at once.
--- a/include/pepperturn/cluster/state.hpp
+++ b/include/pepperturn/cluster/state.hpp
@@ -107,6 +107,9 @@
 /// Applies each part of \p update that is newer. An entry that a complete list
 /// lacks was removed, unless it was written after that list.
 state_change merge_state(cluster_state& state, const cluster_state& update);
+/// The same for an update that is not needed afterwards: a list of all runners
+/// is not held twice.
+state_change merge_state(cluster_state& state, cluster_state&& update);
 
 /// The parts in \p change, for a VM that had the previous state. A large
 /// configuration is only announced, since several VMs send the same update.
--- a/include/pepperturn/fleet/edge_connectivity.hpp
+++ b/include/pepperturn/fleet/edge_connectivity.hpp
@@ -24,6 +24,11 @@
     {
         m_relay_client.on_state(std::move(handler));
     }
+    /// False: \ref send_updates would reach nobody.
+    [[nodiscard]] bool has_subscribers() const
+    {
+        return m_relay_server.has_subscribers();
+    }
     /// Sends changes to peers that cannot reach a storage VM.
     void send_updates(const cluster_state& update)
     {
--- a/include/pepperturn/fleet/edge_node.hpp
+++ b/include/pepperturn/fleet/edge_node.hpp
@@ -34,11 +34,10 @@
 
 private:
     /// \param from who sent the state, for the log
-    void apply_state(const cluster_state& update, const std::string& from);
+    void apply_state(cluster_state&& update, const std::string& from);
     /// Applies state received from another VM, or read from the platform's
     /// store.
-    void apply_received_state(const cluster_state& update,
-                              const std::string& from);
+    void apply_received_state(cluster_state&& update, const std::string& from);
     void apply_store_state(const cluster_state& update);
     /// Asks the platform's store itself for the configuration once no storage
     /// VM has confirmed it in time.
@@ -106,6 +105,8 @@
     std::uint64_t m_entries_received = 0;
     std::uint64_t m_entries_read = 0;
     instant m_started{};
+    /// A long update has been applied, and its memory is free again.
+    bool m_memory_freed = false;
 };
 
 } // namespace pepperturn
--- a/include/pepperturn/forward/runner_table.hpp
+++ b/include/pepperturn/forward/runner_table.hpp
@@ -7,9 +7,9 @@
 #include "pepperturn/forward/routing_config.hpp"
 #include "pepperturn/scheduling/placement.hpp"
 
+#include <boost/container/flat_map.hpp>
 #include <functional>
 #include <set>
-#include <unordered_map>
 
 namespace pepperturn {
 
@@ -140,11 +140,12 @@
 private:
     /// Hash ring of runners by incarnation. Adding or removing a runner
     /// changes the successor of few points.
-    using ring = std::map<std::uint64_t, const runner_row*>;
+    using ring = boost::container::flat_map<std::uint64_t, const runner_row*>;
     struct service_rows
     {
-        ring m_all;
         std::map<std::string, ring> m_zones;
+
+        [[nodiscard]] std::size_t size() const;
     };
 
     [[nodiscard]] runner_row* find_row(const std::string& id);
@@ -170,7 +171,6 @@
     zone_map m_zones;
     std::map<std::string, runner_row> m_rows;
     std::map<std::string, service_rows> m_by_service;
-    std::unordered_map<std::uint64_t, const runner_row*> m_by_hash;
     std::set<std::string> m_evacuated;
     /// By route name.
     std::map<std::string, double> m_average_first_byte_ms;
--- a/src/cluster/frame_link.cpp
+++ b/src/cluster/frame_link.cpp
@@ -15,6 +15,9 @@
 /// largest frames.
 constexpr std::size_t max_queued_bytes = 4 * max_frame_bytes;
 constexpr std::size_t read_bytes = 16384;
+/// A larger receive buffer is freed once the long frame that needed it has been
+/// decoded: they are rare, and each connection has a buffer.
+constexpr std::size_t max_kept_buffer_bytes = 4 * read_bytes;
 constexpr std::size_t length_bytes = 4;
 
 std::uint32_t length_of(const std::string& buffer, std::size_t offset)
@@ -26,6 +29,25 @@
     return value;
 }
 
+/// Frees memory that a long frame needed.
+void shrink(std::string& buffer)
+{
+    if (buffer.capacity() > max_kept_buffer_bytes)
+        std::string(buffer).swap(buffer);
+}
+
+/// Makes room for the rest of the frame that \p buffer begins with, at once:
+/// growing in steps would hold up to three times its size.
+void fit_to_frame(std::string& buffer)
+{
+    if (buffer.size() < length_bytes)
+        return;
+    const std::size_t length = length_of(buffer, 0);
+    // Whatever follows the frame is read with its last bytes.
+    if (length > read_bytes)
+        buffer.reserve(length_bytes + length + read_bytes);
+}
+
 } // namespace
 
 frame_link::frame_link(asio::io_context& io, tcp::socket socket,
@@ -96,6 +118,25 @@
         closed(reason);
 }
 
+std::optional<frame> frame_link::decode_received(std::string_view bytes)
+{
+    std::string reason;
+    auto value = decode_frame(bytes, reason);
+    if (value)
+        return value;
+    // What can be told apart ends one exchange only.
+    value = decode_failed_frame(bytes);
+    if (value)
+    {
+        LOG(WARNING) << "event=frame_unreadable call=" << value->m_call
+                     << " reason=\"" << reason << '"';
+        return value;
+    }
+    m_protocol_violated = true;
+    close("malformed frame: " + reason);
+    return std::nullopt;
+}
+
 void frame_link::handle_frames(std::string& buffer)
 {
     std::size_t used = 0;
@@ -110,26 +151,23 @@
         }
         if (buffer.size() - used - length_bytes < length)
             break;
-        std::string reason;
-        auto value = decode_frame(
-            std::string_view(buffer).substr(used + length_bytes, length),
-            reason);
-        // What can be told apart ends one exchange only.
+        used += length_bytes;
+        const bool is_long = length > read_bytes;
+        // At its begin the buffer is aligned, so that the frame is decoded
+        // where it is.
+        if (is_long)
+            buffer.erase(0, std::exchange(used, 0));
+        auto value =
+            decode_received(std::string_view(buffer).substr(used, length));
         if (!value)
-        {
-            value = decode_failed_frame(
-                std::string_view(buffer).substr(used + length_bytes, length));
-            if (value)
-                LOG(WARNING) << "event=frame_unreadable call=" << value->m_call
-                             << " reason=\"" << reason << '"';
-        }
-        if (!value)
-        {
-            m_protocol_violated = true;
-            close("malformed frame: " + reason);
             return;
+        used += length;
+        // It is not held beside what the handler makes of it.
+        if (is_long)
+        {
+            buffer.erase(0, std::exchange(used, 0));
+            shrink(buffer);
         }
-        used += length_bytes + length;
         // The handler may close the link, which resets the member.
         if (const auto handler = m_on_frame)
             handler(std::move(*value));
@@ -153,6 +191,8 @@
         }
         buffer.append(chunk.data(), count);
         self->handle_frames(buffer);
+        if (self->m_open)
+            fit_to_frame(buffer);
     }
 }
 
--- a/src/cluster/member_links.cpp
+++ b/src/cluster/member_links.cpp
@@ -26,7 +26,7 @@
 {}
 
 void member_links::on_state(
-    std::function<void(const std::string&, const cluster_state&)> handler)
+    std::function<void(const std::string&, cluster_state&&)> handler)
 {
     m_on_state = std::move(handler);
 }
@@ -247,12 +247,12 @@
         done(std::move(value));
         return;
     }
-    if (const auto* state = std::get_if<cluster_state>(&value.m_body))
+    if (auto* state = std::get_if<cluster_state>(&value.m_body))
     {
         // Passed by reference: the handler may rename the link while it learns
         // the sender's name.
         if (m_on_state)
-            m_on_state(row.m_name, *state);
+            m_on_state(row.m_name, std::move(*state));
     }
     else if (const auto* heartbeat =
                  std::get_if<heartbeat_message>(&value.m_body))
--- a/src/cluster/state.cpp
+++ b/src/cluster/state.cpp
@@ -33,21 +33,25 @@
 public:
     explicit runner_merge(runner_entries& rows) : m_rows(rows) {}
 
-    void apply(const runner_entry& update)
+    void apply(runner_entry&& update)
     {
         auto* row = find_runner(m_rows, update.m_name);
         if (row == nullptr)
         {
-            m_added.push_back(update);
+            m_added.push_back(std::move(update));
             return;
         }
         if (update.m_revision <= row->m_revision)
             return;
         const bool differs =
             update.m_text != row->m_text || update.m_removed != row->m_removed;
-        *row = update;
-        if (differs)
-            m_changed.push_back(update.m_name);
+        if (!differs)
+        {
+            row->m_revision = update.m_revision;
+            return;
+        }
+        m_changed.push_back(update.m_name);
+        *row = std::move(update);
     }
 
     /// Marks entries as removed that are missing from a list complete up to
@@ -76,6 +80,8 @@
     {
         std::stable_sort(m_added.begin(), m_added.end(), named_before);
         const auto known = static_cast<std::ptrdiff_t>(m_rows.size());
+        if (m_rows.empty())
+            m_rows.reserve(m_added.size());
         for (auto& row : m_added)
         {
             const bool again =
@@ -136,19 +142,21 @@
 }
 
 std::vector<std::string> merge_runners(cluster_state& state,
-                                       const cluster_state& update)
+                                       cluster_state&& update)
 {
     runner_merge merge(state.m_runners);
-    bool any_removed = false;
-    for (const auto& row : update.m_runners)
-    {
-        merge.apply(row);
-        any_removed = any_removed || row.m_removed;
-    }
     const bool complete =
         update.m_runners_revision > 0 && update.m_runners_since == 0;
+    // Before the entries are moved out of the list.
     if (complete)
         merge.drop_absent(update.m_runners, update.m_runners_revision);
+    bool any_removed = false;
+    for (auto& row : update.m_runners)
+    {
+        any_removed = any_removed || row.m_removed;
+        merge.apply(std::move(row));
+    }
+    update.m_runners.clear();
     auto changed = merge.finish();
     if (complete || any_removed)
         drop_oldest_tombstones(state);
@@ -242,17 +250,22 @@
 }
 
 state_change merge_state(cluster_state& state, const cluster_state& update)
+{
+    return merge_state(state, cluster_state(update));
+}
+
+state_change merge_state(cluster_state& state, cluster_state&& update)
 {
     state_change change;
     if (update.m_config_revision > state.m_config_revision &&
         !update.m_config.empty())
     {
         state.m_config_revision = update.m_config_revision;
-        state.m_config = update.m_config;
+        state.m_config = std::move(update.m_config);
         change.m_config = true;
     }
     if (!update.m_runners.empty() || update.m_runners_revision > 0)
-        change.m_runners = merge_runners(state, update);
+        change.m_runners = merge_runners(state, std::move(update));
     for (const auto& view : update.m_views)
     {
         if (apply_view(state.m_views, view))
--- a/src/fleet/edge_node.cpp
+++ b/src/fleet/edge_node.cpp
@@ -3,6 +3,7 @@
 
 #include "pepperturn/base/hash.hpp"
 #include "pepperturn/base/latency_histogram.hpp"
+#include "pepperturn/base/memory_release.hpp"
 
 #include <algorithm>
 #include <glog/logging.h>
@@ -27,6 +28,8 @@
 /// A caller whose request has ended runners waits until another VM knows of
 /// it: several round trips.
 constexpr milliseconds report_timeout{100};
+/// Runners in an update that leaves megabytes of freed memory behind.
+constexpr std::size_t long_update = 500;
 
 /// Writes an age, unless nothing was heard yet.
 void write_age(std::string& out, const std::string& name, milliseconds age)
@@ -47,7 +50,7 @@
                      [this] { return full_state(m_state); }),
       m_config_fetcher(io, time, m_links, settings.m_availability_zone,
                        [this](const cluster_state& update) {
-                           apply_state(update, "fetched");
+                           apply_state(cluster_state(update), "fetched");
                        }),
       m_turns(io, time, m_links, settings.m_availability_zone,
               settings.m_disk_losses),
@@ -117,11 +120,11 @@
     m_proxy.set_placement_client(m_placements);
     m_proxy.set_cold_client(m_cold);
     m_proxy.set_random_seed(hash64(m_settings.m_name));
-    m_links.on_state(
-        [this](const std::string& from, const cluster_state& update) {
-            apply_received_state(update, from);
-            m_config_fetcher.note_announced(from, update.m_config_revision);
-        });
+    m_links.on_state([this](const std::string& from, cluster_state&& update) {
+        const auto revision = update.m_config_revision;
+        apply_received_state(std::move(update), from);
+        m_config_fetcher.note_announced(from, revision);
+    });
     m_links.on_suspects([this](const std::vector<suspect>& rows) {
         m_proxy.crashes().learn(rows);
     });
@@ -130,7 +133,7 @@
     m_source.on_state(
         [this](const cluster_state& update) { apply_store_state(update); });
     m_connectivity.on_state([this](const cluster_state& update) {
-        apply_received_state(update, "relay_peer");
+        apply_received_state(cluster_state(update), "relay_peer");
         // A long configuration is fetched through a relay peer as well.
         for (const auto& row : m_members)
             m_config_fetcher.note_announced(row.m_name,
@@ -182,23 +185,22 @@
         co_await known->wait_until(deadline);
 }
 
-void edge_node::apply_received_state(const cluster_state& update,
+void edge_node::apply_received_state(cluster_state&& update,
                                      const std::string& from)
 {
     m_entries_received += update.m_runners.size();
-    apply_state(update, from);
+    apply_state(std::move(update), from);
 }
 
 void edge_node::apply_store_state(const cluster_state& update)
 {
     m_entries_read += update.m_runners.size();
-    apply_state(update, "store");
+    apply_state(cluster_state(update), "store");
 }
 
-void edge_node::apply_state(const cluster_state& update,
-                            const std::string& from)
+void edge_node::apply_state(cluster_state&& update, const std::string& from)
 {
-    const auto change = merge_state(m_state, update);
+    const auto change = merge_state(m_state, std::move(update));
     m_config_fetcher.note_known(m_state.m_config_revision);
     if (change.m_config)
     {
@@ -219,14 +221,17 @@
                        << '"';
     }
     if (!change.m_runners.empty())
-        m_proxy.apply_runner_changes(
-            decode_runners(m_state, change.m_runners, m_decoders));
+        decode_runners(m_state, change.m_runners, m_decoders,
+                       [this](const std::vector<runner_change>& batch) {
+                           m_proxy.apply_runner_changes(batch);
+                       });
     if (!change.m_evacuations.empty())
         m_proxy.evacuate(evacuated_zones(m_state));
     if (!change.m_views.empty())
         apply_views();
-    if (change.any())
+    if (change.any() && m_connectivity.has_subscribers())
         m_connectivity.send_updates(changed_parts(m_state, change));
+    m_memory_freed = m_memory_freed || change.m_runners.size() >= long_update;
 }
 
 void edge_node::apply_views()
@@ -372,6 +377,8 @@
 
 void edge_node::tick()
 {
+    if (std::exchange(m_memory_freed, false))
+        return_freed_memory();
     confirm_config();
     choose_source();
     choose_update_sources();
--- a/src/fleet/runner_list.cpp
+++ b/src/fleet/runner_list.cpp
@@ -6,12 +6,20 @@
 
 namespace pepperturn {
 
-std::vector<runner_change> decode_runners(const cluster_state& state,
-                                          const std::vector<std::string>& moved,
-                                          const state_decoders& decoders)
+namespace {
+
+/// Runners that are decoded at once: some tens of kilobytes.
+constexpr std::size_t batch_rows = 256;
+
+} // namespace
+
+void decode_runners(
+    const cluster_state& state, const std::vector<std::string>& moved,
+    const state_decoders& decoders,
+    const std::function<void(const std::vector<runner_change>&)>& apply)
 {
-    std::vector<runner_change> out;
-    out.reserve(moved.size());
+    std::vector<runner_change> batch;
+    batch.reserve(std::min(moved.size(), batch_rows));
     std::uint64_t newest = 0;
     std::size_t draining = 0;
     std::size_t removed = 0;
@@ -31,13 +39,18 @@
         }
         draining += change.m_info && change.m_info->m_draining ? 1 : 0;
         removed += change.m_info ? 0 : 1;
-        out.push_back(std::move(change));
+        batch.push_back(std::move(change));
+        if (batch.size() < batch_rows)
+            continue;
+        apply(batch);
+        batch.clear();
     }
+    if (!batch.empty())
+        apply(batch);
     LOG(INFO) << "event=runners_taken revision=" << newest
               << " known=" << state.m_runners.size()
               << " moved=" << moved.size() << " draining=" << draining
               << " gone=" << removed;
-    return out;
 }
 
 void apply_changes(runner_list& runners,
--- a/src/fleet/storage_node.cpp
+++ b/src/fleet/storage_node.cpp
@@ -179,8 +179,10 @@
         if (change.m_config && m_answering)
             update_config();
         if (!change.m_runners.empty())
-            m_placements.apply_changes(decode_runners(
-                m_server->state(), change.m_runners, m_decoders));
+            decode_runners(m_server->state(), change.m_runners, m_decoders,
+                           [this](const std::vector<runner_change>& batch) {
+                               m_placements.apply_changes(batch);
+                           });
         if (!change.m_evacuations.empty())
             m_placements.evacuate(evacuated_zones(m_server->state()));
     });
--- a/src/forward/runner_table.cpp
+++ b/src/forward/runner_table.cpp
@@ -36,8 +36,8 @@
 }
 
 /// Appends the runners that follow \p count points derived from \p key.
-void append_from_ring(const std::map<std::uint64_t, const runner_row*>& ring,
-                      std::uint64_t key, std::size_t count,
+template <class Ring>
+void append_from_ring(const Ring& ring, std::uint64_t key, std::size_t count,
                       std::vector<const runner_row*>& out)
 {
     for (std::size_t i = 0; i < count && !ring.empty(); ++i)
@@ -104,17 +104,13 @@
     row.m_cold_until = info.m_cold_remaining > milliseconds(0)
                            ? now + info.m_cold_remaining
                            : instant{};
-    m_by_hash[row.m_incarnation_hash] = &row;
     auto& service = m_by_service[info.m_service];
-    service.m_all[row.m_incarnation_hash] = &row;
     service.m_zones[info.m_availability_zone][row.m_incarnation_hash] = &row;
 }
 
 void runner_table::remove(const runner_row& row)
 {
-    m_by_hash.erase(row.m_incarnation_hash);
     auto& service = m_by_service[row.m_info.m_service];
-    service.m_all.erase(row.m_incarnation_hash);
     auto& zone = service.m_zones[row.m_info.m_availability_zone];
     zone.erase(row.m_incarnation_hash);
 }
@@ -167,8 +163,24 @@
 
 const runner_row* runner_table::find_incarnation_hash(std::uint64_t hash) const
 {
-    const auto found = m_by_hash.find(hash);
-    return found == m_by_hash.end() ? nullptr : found->second;
+    for (const auto& [name, service] : m_by_service)
+    {
+        for (const auto& [zone, ring] : service.m_zones)
+        {
+            const auto found = ring.find(hash);
+            if (found != ring.end())
+                return found->second;
+        }
+    }
+    return nullptr;
+}
+
+std::size_t runner_table::service_rows::size() const
+{
+    std::size_t out = 0;
+    for (const auto& [zone, ring] : m_zones)
+        out += ring.size();
+    return out;
 }
 
 runner_table::row_list
@@ -204,15 +216,17 @@
         });
     };
     // The zone may have no runners, be evacuated, or all may have refused.
-    for (const auto& [zone, ring] : rows.m_zones)
+    for (const auto wanted :
+         {zone_distance::same_region, zone_distance::other_region})
     {
-        if (distance_between(m_zones, zone, query.m_availability_zone) ==
-                zone_distance::same_region &&
-            none_eligible())
-            append_from_ring(ring, m_seed, max_candidates, out);
+        for (const auto& [zone, ring] : rows.m_zones)
+        {
+            if (distance_between(m_zones, zone, query.m_availability_zone) ==
+                    wanted &&
+                none_eligible())
+                append_from_ring(ring, m_seed, max_candidates, out);
+        }
     }
-    if (none_eligible())
-        append_from_ring(rows.m_all, m_seed, max_candidates, out);
     std::sort(out.begin(), out.end());
     out.erase(std::unique(out.begin(), out.end()), out.end());
     return out;
@@ -271,7 +285,7 @@
     const auto& service = listed->second;
     row_list rows;
     row_list prefix_runners;
-    const bool few = service.m_all.size() <= max_candidates;
+    const bool few = service.size() <= max_candidates;
     if (!few)
     {
         prefix_runners = runners_for_prefix(service, query);
@@ -284,8 +298,11 @@
     if (best != nullptr)
         return best;
     rows.clear();
-    for (const auto& [hash, row] : service.m_all)
-        rows.push_back(row);
+    for (const auto& [zone, ring] : service.m_zones)
+    {
+        for (const auto& [hash, row] : ring)
+            rows.push_back(row);
+    }
     if (compared != nullptr)
         *compared += rows.size();
     return choose_among(rows, prefix_runners, query, now);
--- a/src/turns/messages.cpp
+++ b/src/turns/messages.cpp
@@ -6,6 +6,7 @@
 #include "wire_rows.hpp"
 
 #include <algorithm>
+#include <bit>
 #include <capnp/message.h>
 #include <capnp/serialize.h>
 #include <cstring>
@@ -20,10 +21,15 @@
 constexpr std::uint64_t second_hash_seed = 0x9e3779b97f4a7c15ULL;
 constexpr std::size_t length_bytes = 4;
 
-/// Copies the bytes to memory that is aligned for words.
-kj::Array<capnp::word> aligned(std::string_view bytes)
+/// The bytes as words; they are copied only if they are not aligned.
+kj::Array<const capnp::word> as_words(std::string_view bytes)
 {
-    auto words = kj::heapArray<capnp::word>(bytes.size() / sizeof(capnp::word));
+    const auto size = bytes.size() / sizeof(capnp::word);
+    const void* begin = bytes.data();
+    if (std::bit_cast<std::uintptr_t>(begin) % alignof(capnp::word) == 0)
+        return {static_cast<const capnp::word*>(begin), size,
+                kj::NullArrayDisposer::instance};
+    auto words = kj::heapArray<capnp::word>(size);
     std::memcpy(words.begin(), bytes.data(), words.asBytes().size());
     return words;
 }
@@ -49,7 +55,7 @@
     }
     try
     {
-        const auto words = aligned(bytes);
+        const auto words = as_words(bytes);
         capnp::FlatArrayMessageReader reader(words, reader_options());
         return decode(reader.getRoot<Root>());
     }
--- a/src/turns/wire_rows.cpp
+++ b/src/turns/wire_rows.cpp
@@ -225,6 +225,7 @@
     state.m_runners_since = in.getRunnersSince();
     state.m_settled_epoch = in.getSettledEpoch();
     state.m_tombstones_since = in.getGoneKnownSince();
+    state.m_runners.reserve(in.getRunners().size());
     for (const auto row : in.getRunners())
         state.m_runners.push_back({text_of(row.getName()),
                                    text_of(row.getText()), row.getRevision(),
