--- a/include/pepperturn/forward/runner_table.hpp
+++ b/include/pepperturn/forward/runner_table.hpp
@@ -73,6 +73,12 @@
 public:
     /// \param seed of this VM; selects which runners of a large service it uses
     explicit runner_table(std::uint64_t seed = 0) : m_seed(seed) {}
+    // The rings point to rows, which a move keeps and a copy would not.
+    runner_table(const runner_table&) = delete;
+    runner_table& operator=(const runner_table&) = delete;
+    runner_table(runner_table&&) = default;
+    runner_table& operator=(runner_table&&) = default;
+    ~runner_table() = default;
 
     void set_seed(std::uint64_t seed)
     {
