Lists of runners are sent in parts, each once the one before is taken

Cause, in three steps. A list of 10,000 runners was one frame of 1.5 to 2 MB, and the heartbeats of its sender waited behind it: an edge VM whose link three lists shared heard no frame for 1.2 s, took its sources for silent and subscribed to others, which sent the same list over the same link, and so on. A link that broke meanwhile began anew. The unread lists counted as replies that wait: a storage VM with 8 MiB of them refused to read any turn.

Now a list goes in parts of 32 KB, by ranges of names; the next one is sent once the one before has left the queue, so that a subscriber that does not read holds one part, and replies pass between the parts. A part removes what its range lacks, the last one completes the list; changes made meanwhile are sent in their order. VMs say in their greeting that they accept parts, older ones are sent whole lists. While parts arrive, an edge VM keeps its sources.

--- a/include/pepperturn/cluster/frame_link.hpp
+++ b/include/pepperturn/cluster/frame_link.hpp
@@ -33,6 +33,10 @@
     void send(const frame& value);
     /// Sends an encoded frame whose buffer is shared with other links.
     void send(std::shared_ptr<const std::string> bytes);
+    /// Returns once at most \p max_bytes wait to be sent, or the link is
+    /// closed.
+    [[nodiscard]] static task<> wait_for_room(std::shared_ptr<frame_link> self,
+                                              std::size_t max_bytes);
     void close(const std::string& reason);
     [[nodiscard]] bool open() const
     {
@@ -75,6 +79,7 @@
     std::size_t m_queued_bytes = 0;
     /// Of the buffer that is being written.
     std::size_t m_writing_bytes = 0;
+    async_event m_written;
     bool m_writing = false;
     bool m_open = true;
     bool m_protocol_violated = false;
--- a/include/pepperturn/cluster/member_links.hpp
+++ b/include/pepperturn/cluster/member_links.hpp
@@ -100,6 +100,10 @@
     /// Number of the connection to the member, unique in this process; 0: there
     /// is none, or nothing arrived on it within two heartbeats.
     [[nodiscard]] std::uint64_t live_connection(const std::string& name) const;
+    /// True if updates of the member are subscribed to.
+    [[nodiscard]] bool subscribed_to(const std::string& name) const;
+    /// True if its last connection, or the last attempt at one, has failed.
+    [[nodiscard]] bool failed(const std::string& name) const;
     /// True if the member may send updates: its last connection attempt has not
     /// failed, and its connection, if there is one, is not silent. A frozen
     /// member keeps its connection and sends nothing.
@@ -223,7 +227,6 @@
     task<> monitor_links();
     /// \returns false if no request waits for a reply
     [[nodiscard]] bool check_links();
-    [[nodiscard]] bool subscribed_to(const std::string& name) const;
     void send_hello(member_link& row);
     /// Sends a new hello where the subscription or membership status has
     /// changed.
--- a/include/pepperturn/cluster/state.hpp
+++ b/include/pepperturn/cluster/state.hpp
@@ -9,6 +9,7 @@
 
 #include "pepperturn/cluster/view.hpp"
 
+#include <optional>
 #include <string_view>
 
 namespace pepperturn {
@@ -48,6 +49,21 @@
     friend bool operator==(const evacuation&, const evacuation&) = default;
 };
 
+/// The runners whose names lie in a range, as a part of a list of all.
+struct runner_range
+{
+    /// Exclusive; empty: from the first runner.
+    std::string m_after;
+    /// Inclusive; empty: to the last runner.
+    std::string m_until;
+
+    [[nodiscard]] bool is_last() const
+    {
+        return m_until.empty();
+    }
+    friend bool operator==(const runner_range&, const runner_range&) = default;
+};
+
 struct cluster_state
 {
     std::uint64_t m_config_revision = 0;
@@ -58,6 +74,10 @@
     /// 0: a complete list holds all runners. Otherwise it holds all changes
     /// after this revision, tombstones included.
     std::uint64_t m_runners_since = 0;
+    /// Set: the list holds the runners of this range only. The last part of a
+    /// list arrives after all others and after the changes made meanwhile, so
+    /// that it completes them.
+    std::optional<runner_range> m_range;
     /// Tombstones up to this revision may have been dropped.
     std::uint64_t m_tombstones_since = 0;
     /// Sorted by name.
@@ -124,6 +144,17 @@
 [[nodiscard]] cluster_state updates_since(const cluster_state& state,
                                           std::uint64_t known);
 
+/// True if \ref updates_since has to list all runners.
+[[nodiscard]] bool needs_full_list(const cluster_state& state,
+                                   std::uint64_t known);
+
+/// A part of the complete state: the runners after \p after in the order of
+/// names, as many as take about \p max_bytes. All else is in the first part.
+/// \param after empty: the first part
+[[nodiscard]] cluster_state list_part(const cluster_state& state,
+                                      const std::string& after,
+                                      std::size_t max_bytes);
+
 /// True if the operator has requested the retirement of \p vm.
 [[nodiscard]] bool is_retired(const cluster_state& state,
                               const std::string& vm);
--- a/include/pepperturn/cluster/update_sources.hpp
+++ b/include/pepperturn/cluster/update_sources.hpp
@@ -68,6 +68,10 @@
 
 [[nodiscard]] bool should_watch(const watch_facts& facts);
 
+/// Several times what a part of a list of runners takes to a small VM over a
+/// slow link; then the source is not waited for.
+constexpr milliseconds list_progress_timeout{1500};
+
 /// What an edge VM knows when it decides how many sources to subscribe to.
 struct subscriber_facts
 {
@@ -75,7 +79,8 @@
     bool m_large_fleet = false;
     /// A source has sent its complete state.
     bool m_received_full_state = false;
-    milliseconds m_since_start{0};
+    /// Since the start, or since a part of the state has arrived.
+    milliseconds m_since_progress{0};
 
     friend bool operator==(const subscriber_facts&,
                            const subscriber_facts&) = default;
--- a/include/pepperturn/fleet/edge_node.hpp
+++ b/include/pepperturn/fleet/edge_node.hpp
@@ -35,6 +35,8 @@
 private:
     /// \param from who sent the state, for the log
     void apply_state(cluster_state&& update, const std::string& from);
+    /// Notes how far the list of runners has arrived.
+    void note_list(const cluster_state& update);
     /// Applies state received from another VM, or read from the platform's
     /// store.
     void apply_received_state(cluster_state&& update, const std::string& from);
@@ -56,6 +58,8 @@
     /// soon as one turns out to be unreachable.
     task<> speed_up_first_updates();
     void apply_views();
+    /// False: another source is subscribed to instead.
+    [[nodiscard]] bool usable_source(const std::string& name) const;
     /// Subscribes to state updates of the nearest reachable storage VMs.
     void choose_update_sources();
     /// Storage VMs to ask for the configuration's freshness, best first.
@@ -105,6 +109,10 @@
     std::uint64_t m_entries_received = 0;
     std::uint64_t m_entries_read = 0;
     instant m_started{};
+    /// When this VM started, or last received a part of a list of runners.
+    instant m_list_progress{};
+    bool m_list_in_parts = false;
+    bool m_list_received = false;
     /// A long update has been applied, and its memory is free again.
     bool m_memory_freed = false;
 };
--- a/include/pepperturn/turns/messages.hpp
+++ b/include/pepperturn/turns/messages.hpp
@@ -43,6 +43,8 @@
     std::uint64_t m_known_runners = 0;
     /// The sender knows no members yet and is looking for them.
     bool m_seeks_members = false;
+    /// The sender accepts a list of runners in parts, see \ref runner_range.
+    bool m_accepts_parts = false;
     friend bool operator==(const hello_message&,
                            const hello_message&) = default;
 };
--- a/include/pepperturn/turns/turn_server.hpp
+++ b/include/pepperturn/turns/turn_server.hpp
@@ -117,9 +117,27 @@
         relay_peer m_relay;
         /// Receives every change of the cluster state.
         bool m_subscribed = false;
+        /// Counts subscriptions; a list that is being sent for an earlier one
+        /// ends.
+        std::uint64_t m_subscription = 0;
         /// The listing that it is paging through, if it copies.
         std::shared_ptr<const holdings> m_holdings;
     };
+    /// A part of the list of runners, encoded.
+    struct encoded_part
+    {
+        /// Name after which the next part begins; empty: it was the last.
+        std::string m_until;
+        std::shared_ptr<const std::string> m_bytes;
+    };
+    /// Parts by the name after which they begin, encoded once for all
+    /// subscribers while the state stays the same.
+    struct encoded_parts
+    {
+        std::uint64_t m_changes = 0;
+        std::uint64_t m_epoch = 0;
+        std::map<std::string, encoded_part> m_rows;
+    };
     /// The update for new subscribers, encoded once.
     struct encoded_update
     {
@@ -145,6 +163,13 @@
     /// Sends a subscriber the state that it lacks.
     /// \param known revision up to which it has all runners
     void send_full_update(const peer& to, std::uint64_t known);
+    /// Sends a subscriber all runners in parts, each once the one before has
+    /// been taken: what the subscriber has not read yet stays small, and
+    /// replies and heartbeats pass between the parts.
+    task<> send_list(std::shared_ptr<peer> to);
+    /// \param dated the parts carry the revision of the state
+    [[nodiscard]] encoded_part encode_part(const std::string& after,
+                                           bool dated);
     void send_change(const state_change& change);
     /// Sends a notification to every subscriber.
     void send_to_subscribers(const frame& value);
@@ -156,6 +181,8 @@
                       const begin_message& request);
     void handle_list(const std::shared_ptr<peer>& from, std::uint64_t call,
                      const list_message& request);
+    /// Bytes that wait to be sent, to all VMs together.
+    [[nodiscard]] std::size_t unsent_bytes() const;
     /// So much waits to be sent that more turns would take too much memory.
     [[nodiscard]] bool is_overloaded() const;
     /// The requester waits, or asks another member.
@@ -176,6 +203,8 @@
     asio::io_context& m_io;
     const clock& m_time;
     std::string m_name;
+    /// Coroutines that outlive this server find it expired.
+    std::shared_ptr<const bool> m_alive = std::make_shared<const bool>(true);
     /// Empty while the disk is being loaded.
     std::optional<std::uint64_t> m_disk;
     turn_log& m_log;
@@ -207,6 +236,9 @@
     /// Number of changes of the state so far.
     std::uint64_t m_changes = 0;
     std::optional<encoded_update> m_full_update;
+    encoded_parts m_list_parts;
+    /// Lists that are being sent.
+    std::size_t m_listings = 0;
     /// Revision of the runners that all subscribers have been sent.
     std::uint64_t m_sent_runners_revision = 0;
     std::uint64_t m_update_bytes = 0;
--- a/src/cluster/frame_link.cpp
+++ b/src/cluster/frame_link.cpp
@@ -52,7 +52,8 @@
 
 frame_link::frame_link(asio::io_context& io, tcp::socket socket,
                        std::size_t max_bytes)
-    : m_io(io), m_socket(std::move(socket)), m_max_bytes(max_bytes)
+    : m_io(io), m_socket(std::move(socket)), m_max_bytes(max_bytes),
+      m_written(io)
 {
     tune_socket(m_socket, frame_peer_timeout);
 }
@@ -113,6 +114,7 @@
     m_open = false;
     error_code ignored;
     m_socket.close(ignored);
+    m_written.notify();
     m_on_frame = nullptr;
     if (const auto closed = std::exchange(m_on_closed, nullptr))
         closed(reason);
@@ -196,6 +198,13 @@
     }
 }
 
+task<> frame_link::wait_for_room(std::shared_ptr<frame_link> self,
+                                 std::size_t max_bytes)
+{
+    while (self->m_open && self->queued_bytes() > max_bytes)
+        co_await self->m_written.wait_until(instant::max());
+}
+
 task<> frame_link::write_queued(std::shared_ptr<frame_link> self)
 {
     while (self->m_open && self->m_queued_bytes > 0)
@@ -212,6 +221,7 @@
         co_await asio::async_write(self->m_socket, asio::buffer(*batch),
                                    into(ec));
         self->m_writing_bytes = 0;
+        self->m_written.notify();
         if (ec)
         {
             self->close(ec.message());
--- a/src/cluster/member_links.cpp
+++ b/src/cluster/member_links.cpp
@@ -137,7 +137,7 @@
                       hello_message{m_self_name, row.m_sent_subscribed,
                                     m_relay_address, m_availability_zone,
                                     m_known_runners ? m_known_runners() : 0,
-                                    !m_members_known}});
+                                    !m_members_known, true}});
 }
 
 void member_links::stop()
@@ -466,6 +466,12 @@
     return reachable_directly(name) ? m_links.at(name)->m_number : 0;
 }
 
+bool member_links::failed(const std::string& name) const
+{
+    const auto found = m_links.find(name);
+    return found != m_links.end() && found->second->m_failed;
+}
+
 bool member_links::may_send_updates(const std::string& name) const
 {
     const auto found = m_links.find(name);
--- a/src/cluster/state.cpp
+++ b/src/cluster/state.cpp
@@ -19,6 +19,9 @@
 /// that is cheaper than fetching it on request.
 constexpr std::size_t max_pushed_config_bytes = 2048;
 
+/// What an entry takes in a frame besides its name and text.
+constexpr std::size_t entry_overhead_bytes = 40;
+
 using runner_entries = std::vector<runner_entry>;
 
 bool named_before(const runner_entry& left, const runner_entry& right)
@@ -56,21 +59,30 @@
 
     /// Marks entries as removed that are missing from a list complete up to
     /// \p revision.
-    void drop_absent(const runner_entries& list, std::uint64_t revision)
+    /// \param range of names that the list is about
+    void drop_absent(const runner_entries& list, std::uint64_t revision,
+                     const runner_range& range)
     {
         std::vector<std::string_view> present;
         present.reserve(list.size());
         for (const auto& row : list)
             present.emplace_back(row.m_name);
         std::sort(present.begin(), present.end());
-        for (auto& row : m_rows)
+        auto row = std::upper_bound(
+            m_rows.begin(), m_rows.end(), range.m_after,
+            [](const std::string& name, const runner_entry& other) {
+                return name < other.m_name;
+            });
+        for (; row != m_rows.end(); ++row)
         {
-            if (row.m_removed || row.m_revision > revision ||
+            if (!range.is_last() && row->m_name > range.m_until)
+                return;
+            if (row->m_removed || row->m_revision > revision ||
                 std::binary_search(present.begin(), present.end(),
-                                   std::string_view(row.m_name)))
+                                   std::string_view(row->m_name)))
                 continue;
-            row = {row.m_name, {}, revision, true};
-            m_changed.push_back(row.m_name);
+            *row = {row->m_name, {}, revision, true};
+            m_changed.push_back(row->m_name);
         }
     }
 
@@ -145,11 +157,13 @@
                                        cluster_state&& update)
 {
     runner_merge merge(state.m_runners);
-    const bool complete =
+    const bool is_list =
         update.m_runners_revision > 0 && update.m_runners_since == 0;
+    const auto range = update.m_range.value_or(runner_range{});
+    const bool complete = is_list && range.is_last();
     // Before the entries are moved out of the list.
-    if (complete)
-        merge.drop_absent(update.m_runners, update.m_runners_revision);
+    if (is_list)
+        merge.drop_absent(update.m_runners, update.m_runners_revision, range);
     bool any_removed = false;
     for (auto& row : update.m_runners)
     {
@@ -158,7 +172,7 @@
     }
     update.m_runners.clear();
     auto changed = merge.finish();
-    if (complete || any_removed)
+    if (is_list || any_removed)
         drop_oldest_tombstones(state);
     // A complete list does not show runners that were added and removed before
     // it.
@@ -329,11 +343,48 @@
     return out;
 }
 
+bool needs_full_list(const cluster_state& state, std::uint64_t known)
+{
+    return known == 0 || known < state.m_tombstones_since ||
+           known > state.m_runners_revision;
+}
+
+cluster_state list_part(const cluster_state& state, const std::string& after,
+                        std::size_t max_bytes)
+{
+    cluster_state out;
+    if (after.empty())
+    {
+        add_config(state, out);
+        out.m_views = state.m_views;
+        out.m_retirements = state.m_retirements;
+        out.m_evacuations = state.m_evacuations;
+    }
+    out.m_runners_revision = state.m_runners_revision;
+    auto& range = out.m_range.emplace(runner_range{after, {}});
+    auto row = std::upper_bound(
+        state.m_runners.begin(), state.m_runners.end(), after,
+        [](const std::string& name, const runner_entry& other) {
+            return name < other.m_name;
+        });
+    for (std::size_t bytes = 0; row != state.m_runners.end(); ++row)
+    {
+        if (bytes >= max_bytes)
+        {
+            range.m_until = std::prev(row)->m_name;
+            break;
+        }
+        if (row->m_removed)
+            continue;
+        bytes += row->m_name.size() + row->m_text.size() + entry_overhead_bytes;
+        out.m_runners.push_back(*row);
+    }
+    return out;
+}
+
 cluster_state updates_since(const cluster_state& state, std::uint64_t known)
 {
-    const bool traceable = known > 0 && known >= state.m_tombstones_since &&
-                           known <= state.m_runners_revision;
-    if (!traceable)
+    if (needs_full_list(state, known))
         return full_state(state);
     cluster_state out;
     add_config(state, out);
--- a/src/cluster/update_sources.cpp
+++ b/src/cluster/update_sources.cpp
@@ -14,9 +14,6 @@
 /// Delay between one VM of the watch order and the next: more than a heartbeat
 /// interval, so that the next VM sees that the previous one has taken over.
 constexpr milliseconds takeover_step{700};
-/// Several times what the first list takes to a small VM; then the other
-/// sources are subscribed to as well.
-constexpr milliseconds first_list_timeout{1500};
 /// A starting VM receives the cluster state from storage VMs; each read of the
 /// platform's store costs money.
 constexpr milliseconds default_read_delay{700};
@@ -108,7 +105,7 @@
 {
     const bool single_source = facts.m_large_fleet &&
                                !facts.m_received_full_state &&
-                               facts.m_since_start < first_list_timeout;
+                               facts.m_since_progress < list_progress_timeout;
     return single_source ? 1 : source_count;
 }
 
--- a/src/fleet/edge_node.cpp
+++ b/src/fleet/edge_node.cpp
@@ -140,6 +140,7 @@
                                             update.m_config_revision);
     });
     m_started = m_time.now();
+    m_list_progress = m_started;
     m_links.set_max_persistent(m_settings.m_kept_links);
     m_links.on_hello([this] { return m_state.m_runners_revision; });
     m_links.connect_seeds(m_settings.m_seeds);
@@ -189,9 +190,19 @@
                                      const std::string& from)
 {
     m_entries_received += update.m_runners.size();
+    note_list(update);
     apply_state(std::move(update), from);
 }
 
+void edge_node::note_list(const cluster_state& update)
+{
+    if (!update.m_range)
+        return;
+    m_list_in_parts = true;
+    m_list_progress = m_time.now();
+    m_list_received = m_list_received || update.m_range->is_last();
+}
+
 void edge_node::apply_store_state(const cluster_state& update)
 {
     m_entries_read += update.m_runners.size();
@@ -297,23 +308,35 @@
            config_age() > max_use_age(m_staleness_limits);
 }
 
+bool edge_node::usable_source(const std::string& name) const
+{
+    // While a list takes all of this VM's link, the sources' heartbeats wait
+    // behind it. Others would send the same list over the same link.
+    const bool list_arriving =
+        m_list_in_parts &&
+        elapsed(m_list_progress, m_time.now()) < list_progress_timeout;
+    return list_arriving && m_links.subscribed_to(name)
+               ? !m_links.failed(name)
+               : m_links.may_send_updates(name);
+}
+
 void edge_node::choose_update_sources()
 {
     if (!m_subscribed)
         return;
     auto sources = choose_sources(
         m_members, m_settings.m_name, m_settings.m_availability_zone,
-        [this](const std::string& name) {
-            return m_links.may_send_updates(name);
-        },
+        [this](const std::string& name) { return usable_source(name); },
         m_settings.m_zones);
     // All are silent: either each is frozen, or this VM was.
     if (sources.empty() && !m_members.empty())
         return;
+    const bool has_list =
+        m_list_in_parts ? m_list_received : !m_state.m_runners.empty();
     const auto target_count =
         target_source_count({m_members.size() > m_settings.m_kept_links,
-                             !m_state.m_runners.empty() && m_proxy.has_config(),
-                             elapsed(m_started, m_time.now())});
+                             has_list && m_proxy.has_config(),
+                             elapsed(m_list_progress, m_time.now())});
     sources.resize(std::min(sources.size(), target_count));
     m_links.subscribe(std::move(sources));
 }
--- a/src/turns/frame_bodies.cpp
+++ b/src/turns/frame_bodies.cpp
@@ -23,6 +23,7 @@
         out.setZone(body.m_availability_zone);
         out.setKnownRunners(body.m_known_runners);
         out.setSeeks(body.m_seeks_members);
+        out.setTakesParts(body.m_accepts_parts);
     }
     void operator()(const cluster_state& body)
     {
@@ -315,9 +316,13 @@
 
 hello_message read_hello(turns_wire::Hello::Reader in)
 {
-    return {text_of(in.getName()),         in.getWantsNews(),
-            text_of(in.getRelayAddress()), text_of(in.getZone()),
-            in.getKnownRunners(),          in.getSeeks()};
+    return {text_of(in.getName()),
+            in.getWantsNews(),
+            text_of(in.getRelayAddress()),
+            text_of(in.getZone()),
+            in.getKnownRunners(),
+            in.getSeeks(),
+            in.getTakesParts()};
 }
 
 relay_peers_message
--- a/src/turns/turn_server.cpp
+++ b/src/turns/turn_server.cpp
@@ -93,6 +93,8 @@
                      m_peers.begin(), m_peers.end(),
                      [](const auto& row) { return row->m_subscribed; })));
     write_metric(out, "news_bytes", m_update_bytes);
+    write_metric(out, "unsent_bytes", unsent_bytes());
+    write_metric(out, "lists_under_way", m_listings);
     write_metric(out, "replica_set", m_own_view.m_set);
     write_metric(out, "view_epoch", m_own_view.m_epoch);
     write_metric(out, "view_members", m_own_view.m_members.size());
@@ -291,12 +293,17 @@
     send_reply(from, call, frame_status::ok, std::move(body));
 }
 
-bool turn_server::is_overloaded() const
+std::size_t turn_server::unsent_bytes() const
 {
     std::size_t unsent = 0;
     for (const auto& row : m_peers)
         unsent += row->m_link->queued_bytes();
-    return unsent > max_unsent_bytes;
+    return unsent;
+}
+
+bool turn_server::is_overloaded() const
+{
+    return unsent_bytes() > max_unsent_bytes;
 }
 
 void turn_server::refuse_overloaded(const std::shared_ptr<peer>& from,
--- a/src/turns/wire_rows.cpp
+++ b/src/turns/wire_rows.cpp
@@ -171,6 +171,12 @@
     out.setRunnersSince(state.m_runners_since);
     out.setSettledEpoch(state.m_settled_epoch);
     out.setGoneKnownSince(state.m_tombstones_since);
+    if (state.m_range)
+    {
+        auto part = out.initPart();
+        part.setAfter(state.m_range->m_after);
+        part.setUntil(state.m_range->m_until);
+    }
     auto runners = out.initRunners(state.m_runners.size());
     for (unsigned i = 0; i < runners.size(); ++i)
     {
@@ -225,6 +231,9 @@
     state.m_runners_since = in.getRunnersSince();
     state.m_settled_epoch = in.getSettledEpoch();
     state.m_tombstones_since = in.getGoneKnownSince();
+    if (in.hasPart())
+        state.m_range = runner_range{text_of(in.getPart().getAfter()),
+                                     text_of(in.getPart().getUntil())};
     state.m_runners.reserve(in.getRunners().size());
     for (const auto row : in.getRunners())
         state.m_runners.push_back({text_of(row.getName()),
--- a/test/cluster/test_state.cpp
+++ b/test/cluster/test_state.cpp
@@ -324,3 +324,68 @@
     CHECK(state.m_runners_revision ==
           (update.m_runners_since == 10 ? 12U : 10U));
 }
+
+// A part says nothing of the runners outside its range.
+TEST_CASE("a part of a list removes runners of its range only", "[state]")
+{
+    struct sample
+    {
+        runner_range m_range;
+        std::string m_alive;
+        std::uint64_t m_revision;
+    };
+    // Of the runners a, c and e, the part has c alone.
+    const auto each = GENERATE(values<sample>({
+        {{"", "a"}, "ace", 5},
+        {{"", "c"}, "ce", 5},
+        {{"a", "c"}, "ace", 5},
+        {{"b", "d"}, "ace", 5},
+        {{"a", "e"}, "ac", 5},
+        {{"a", ""}, "ac", 9},
+        {{"", ""}, "c", 9},
+    }));
+    cluster_state state;
+    merge_state(state, whole(5, {{"a", "1", 2}, {"c", "1", 3}, {"e", "1", 4}}));
+    auto part = whole(9, {{"c", "1", 3}});
+    part.m_range = each.m_range;
+    if (each.m_range.m_until == "a")
+        part.m_runners = {{"a", "1", 2}};
+    merge_state(state, part);
+    std::string names;
+    for (const auto& [name, text] : alive(state))
+        names += name;
+    CHECK(names == each.m_alive);
+    CHECK(state.m_runners_revision == each.m_revision);
+}
+
+TEST_CASE("a list in parts brings any state up to date", "[state][fuzz]")
+{
+    CHECK(rc::check("parts and changes in their order", [] {
+        const auto expected = random_history();
+        const auto last = expected.m_at.size() - 1;
+        cluster_state sender;
+        std::uint64_t at = *rc::gen::inRange<std::uint64_t>(1, last + 1);
+        merge_state(sender, list_at(expected, at));
+        cluster_state receiver;
+        merge_state(receiver,
+                    list_at(expected, *rc::gen::inRange<std::uint64_t>(0, at)));
+        constexpr std::size_t one_entry = 1;
+        for (std::string after;;)
+        {
+            const auto part = list_part(sender, after, one_entry);
+            merge_state(receiver, part);
+            after = part.m_range->m_until;
+            if (part.m_range->is_last())
+                break;
+            if (at == last || *rc::gen::arbitrary<bool>())
+                continue;
+            cluster_state change = whole(0, {expected.m_changed[++at]});
+            change.m_runners_since = at - 1;
+            change.m_runners_revision = at;
+            merge_state(sender, change);
+            merge_state(receiver, change);
+        }
+        RC_ASSERT(alive(receiver) == alive(sender));
+        RC_ASSERT(receiver.m_runners_revision == at);
+    }));
+}
--- a/test/cluster/test_update_sources.cpp
+++ b/test/cluster/test_update_sources.cpp
@@ -174,7 +174,7 @@
         {{false, false, milliseconds(0)}, source_count},
         {{true, false, milliseconds(0)}, 1},
         {{true, true, milliseconds(0)}, source_count},
-        // The first source has sent nothing in time.
+        // The first source has sent nothing, or no further part, in time.
         {{true, false, milliseconds(1500)}, source_count},
     }));
     CHECK(target_source_count(each.m_facts) == each.m_count);
