--- a/include/pepperturn/cluster/member_links.hpp
+++ b/include/pepperturn/cluster/member_links.hpp
@@ -23,8 +23,8 @@
 
     /// Called for each cluster state received from a storage VM.
     /// \param handler takes the sender's name and the state
-    void on_state(
-        std::function<void(const std::string&, const cluster_state&)> handler);
+    void
+    on_state(std::function<void(const std::string&, cluster_state&&)> handler);
     /// Called for the suspects that a storage VM sends.
     void on_suspects(std::function<void(const std::vector<suspect>&)> handler);
 
@@ -100,6 +100,10 @@
     /// Number of the connection to the member, unique in this process; 0: there
     /// is none, or nothing arrived on it within two heartbeats.
     [[nodiscard]] std::uint64_t live_connection(const std::string& name) const;
+    /// True if updates of the member are subscribed to.
+    [[nodiscard]] bool subscribed_to(const std::string& name) const;
+    /// True if its last connection, or the last attempt at one, has failed.
+    [[nodiscard]] bool failed(const std::string& name) const;
     /// True if the member may send updates: its last connection attempt has not
     /// failed, and its connection, if there is one, is not silent. A frozen
     /// member keeps its connection and sends nothing.
@@ -223,7 +227,6 @@
     task<> monitor_links();
     /// \returns false if no request waits for a reply
     [[nodiscard]] bool check_links();
-    [[nodiscard]] bool subscribed_to(const std::string& name) const;
     void send_hello(member_link& row);
     /// Sends a new hello where the subscription or membership status has
     /// changed.
@@ -238,7 +241,7 @@
     relay_client* m_relay_client = nullptr;
     bool m_monitoring = false;
     std::uint64_t m_direct_requests = 0;
-    std::function<void(const std::string&, const cluster_state&)> m_on_state;
+    std::function<void(const std::string&, cluster_state&&)> m_on_state;
     std::function<void(const std::vector<suspect>&)> m_on_suspects;
     std::map<std::string, std::shared_ptr<member_link>> m_links;
     /// Update sources; empty: all members.
--- a/include/pepperturn/fleet/edge_node.hpp
+++ b/include/pepperturn/fleet/edge_node.hpp
@@ -34,11 +34,12 @@
 
 private:
     /// \param from who sent the state, for the log
-    void apply_state(const cluster_state& update, const std::string& from);
+    void apply_state(cluster_state&& update, const std::string& from);
+    /// Notes how far the list of runners has arrived.
+    void note_list(const cluster_state& update);
     /// Applies state received from another VM, or read from the platform's
     /// store.
-    void apply_received_state(const cluster_state& update,
-                              const std::string& from);
+    void apply_received_state(cluster_state&& update, const std::string& from);
     void apply_store_state(const cluster_state& update);
     /// Asks the platform's store itself for the configuration once no storage
     /// VM has confirmed it in time.
@@ -57,6 +58,8 @@
     /// soon as one turns out to be unreachable.
     task<> speed_up_first_updates();
     void apply_views();
+    /// False: another source is subscribed to instead.
+    [[nodiscard]] bool usable_source(const std::string& name) const;
     /// Subscribes to state updates of the nearest reachable storage VMs.
     void choose_update_sources();
     /// Storage VMs to ask for the configuration's freshness, best first.
@@ -106,6 +109,12 @@
     std::uint64_t m_entries_received = 0;
     std::uint64_t m_entries_read = 0;
     instant m_started{};
+    /// When this VM started, or last received a part of a list of runners.
+    instant m_list_progress{};
+    bool m_list_in_parts = false;
+    bool m_list_received = false;
+    /// A long update has been applied, and its memory is free again.
+    bool m_memory_freed = false;
 };
 
 } // namespace pepperturn
--- a/src/cluster/member_links.cpp
+++ b/src/cluster/member_links.cpp
@@ -26,7 +26,7 @@
 {}
 
 void member_links::on_state(
-    std::function<void(const std::string&, const cluster_state&)> handler)
+    std::function<void(const std::string&, cluster_state&&)> handler)
 {
     m_on_state = std::move(handler);
 }
@@ -137,7 +137,7 @@
                       hello_message{m_self_name, row.m_sent_subscribed,
                                     m_relay_address, m_availability_zone,
                                     m_known_runners ? m_known_runners() : 0,
-                                    !m_members_known}});
+                                    !m_members_known, true}});
 }
 
 void member_links::stop()
@@ -247,12 +247,12 @@
         done(std::move(value));
         return;
     }
-    if (const auto* state = std::get_if<cluster_state>(&value.m_body))
+    if (auto* state = std::get_if<cluster_state>(&value.m_body))
     {
         // Passed by reference: the handler may rename the link while it learns
         // the sender's name.
         if (m_on_state)
-            m_on_state(row.m_name, *state);
+            m_on_state(row.m_name, std::move(*state));
     }
     else if (const auto* heartbeat =
                  std::get_if<heartbeat_message>(&value.m_body))
@@ -466,6 +466,12 @@
     return reachable_directly(name) ? m_links.at(name)->m_number : 0;
 }
 
+bool member_links::failed(const std::string& name) const
+{
+    const auto found = m_links.find(name);
+    return found != m_links.end() && found->second->m_failed;
+}
+
 bool member_links::may_send_updates(const std::string& name) const
 {
     const auto found = m_links.find(name);
