Turns: a silent member does not hide a turn that another set stores

Callers whose program goes on from a turn of an earlier program got 503 at each try, while first turns of the same replica set were served: on the whole fleet nine such turns reached no runner in 12 tries after the loss of all processes.

Cause: the set of the new program is asked first, and the other sets were searched only once every member of it had said that it lacks the turn. One member that does not reply, for whatever reason, held each try until its time was over. A search was a single question to each member of the other sets: one that was fenced by an older view, not connected yet or too busy ended it.

A read quorum that lacks the turn shows that its set has not acknowledged it: the search begins then, beside the questions to the rest of the set, and is repeated until the turn is found, all lack it, or the time is over. A turn is denied as before only if every member of every set says that it lacks it.

Both tests fail on the code before (unavailable where granted is expected).

--- a/include/pepperturn/turns/turn_client.hpp
+++ b/include/pepperturn/turns/turn_client.hpp
@@ -155,9 +155,16 @@
                         instant deadline);
     /// The turns that a request continues from, oldest first; empty if any is
     /// missing.
+    /// \param begin_deadline until then the parent is searched for
     task<search_result> find_history(std::shared_ptr<round> work,
-                                     begin_request request, instant deadline,
+                                     begin_request request,
+                                     instant begin_deadline, instant deadline,
                                      history_options options);
+    /// Looks for a parent that a read quorum of the program's set lacks: in the
+    /// other sets, and in the rest of its own, until it is found or all lack
+    /// it. Found in its own set: the history is empty, and the round has it.
+    task<search_result> search_parent(std::shared_ptr<round> work,
+                                      begin_request request, instant deadline);
     /// Connected members that may have copies, the nearest first.
     [[nodiscard]] std::vector<std::string> readers_of(const set_row& set) const;
     /// A page of a turn and its ancestors as one member stores them, newest
--- a/src/turns/turn_client.cpp
+++ b/src/turns/turn_client.cpp
@@ -260,18 +260,14 @@
                 co_return;
             if (!quorum_at)
                 quorum_at = m_time.now();
-            const bool found = work->parent_found();
-            const bool history_due =
-                work->begun(work->m_history_member) != nullptr ||
-                m_time.now() >= *quorum_at + history_timeout;
-            if ((found && history_due) || all_lack_parent(*work))
+            // A read quorum that lacks the turn shows that this set has not
+            // acknowledged it: one silent member must not keep it from being
+            // found elsewhere.
+            if (!work->parent_found())
+                co_return;
+            if (work->begun(work->m_history_member) != nullptr ||
+                m_time.now() >= *quorum_at + history_timeout)
                 co_return;
-            // A turn is known to be missing only if every member reports it.
-            if (!found && m_time.now() < work->m_request_all_at)
-            {
-                work->m_request_all_at = m_time.now();
-                continue;
-            }
         }
         const auto wake =
             quorum_at && m_time.now() < *quorum_at + history_timeout
@@ -326,8 +322,9 @@
                       " budget=" + std::to_string(request.m_budget);
     search_result found;
     if (has_parent)
-        found = co_await find_history(
-            work, request, options.m_deadline.value_or(deadline), options);
+        found = co_await find_history(work, request, deadline,
+                                      options.m_deadline.value_or(deadline),
+                                      options);
     work->m_closed = true;
     if (!fits_budget(ledger, message.m_reservation, request.m_budget))
         result.m_outcome = begin_outcome::over_budget;
--- a/src/turns/turn_history.cpp
+++ b/src/turns/turn_history.cpp
@@ -20,6 +20,9 @@
 /// How long the search for a turn in all other replica sets may take: a
 /// hundred times what it usually takes.
 constexpr milliseconds search_timeout{400};
+/// Pause before a search that could not ask every member is repeated: most
+/// members are connected to, or are told the newer view, by then.
+constexpr milliseconds search_retry_interval{60};
 /// How long a page may take, waiting for other requests' pages included.
 constexpr milliseconds page_timeout{1000};
 /// Pause before members that were busy are asked for a page again.
@@ -254,9 +257,36 @@
     co_return found;
 }
 
+task<turn_client::search_result>
+turn_client::search_parent(std::shared_ptr<round> work, begin_request request,
+                           instant deadline)
+{
+    work->m_request_all_at = m_time.now();
+    while (true)
+    {
+        send_round(work);
+        const auto* program_set = set_for(request.m_program);
+        const auto excluded_set =
+            program_set == nullptr ? 0 : program_set->m_view.m_set;
+        auto out = co_await search_elsewhere(request.m_parent, excluded_set,
+                                             request.m_retention_ms, deadline);
+        if (!out.m_history.empty() || work->parent_found())
+            co_return out;
+        // A turn is known to be missing only if every member reports it.
+        if (out.m_not_found && all_lack_parent(*work))
+            co_return out;
+        out.m_not_found = false;
+        if (m_time.now() + search_retry_interval >= deadline)
+            co_return out;
+        co_await work->m_changed.wait_until(m_time.now() +
+                                            search_retry_interval);
+    }
+}
+
 task<turn_client::search_result>
 turn_client::find_history(std::shared_ptr<round> work, begin_request request,
-                          instant deadline, history_options options)
+                          instant begin_deadline, instant deadline,
+                          history_options options)
 {
     search_result out;
     if (work->parent_found())
@@ -267,14 +297,8 @@
     }
     else
     {
-        if (!all_lack_parent(*work))
-            co_return out;
-        const auto* program_set = set_for(request.m_program);
-        const auto excluded_set =
-            program_set == nullptr ? 0 : program_set->m_view.m_set;
-        out = co_await search_elsewhere(request.m_parent, excluded_set,
-                                        request.m_retention_ms, deadline);
-        if (out.m_history.empty())
+        out = co_await search_parent(work, request, begin_deadline);
+        if (out.m_history.empty() && !work->parent_found())
             co_return out;
     }
     work->m_rows.clear();
--- a/test/fleet/test_replica_sets.cpp
+++ b/test/fleet/test_replica_sets.cpp
@@ -166,6 +166,43 @@
           begin_outcome::unavailable);
 }
 
+// New programs continue turns of other sets after a loss of all VMs, while some
+// are not back yet.
+TEST_CASE("a silent member does not hide a turn that another set stores",
+          "[fleet][replica_sets]")
+{
+    const std::uint32_t set_of_silent = GENERATE(0, 1);
+    two_sets fleet;
+    const auto earlier = two_sets::program_in(0);
+    const auto later = two_sets::program_in(1);
+    REQUIRE(fleet.keep_in(earlier, "a", ""));
+    REQUIRE(fleet.keep_in(earlier, "b", "a"));
+    fleet.lose(fleet.m_state.m_views[set_of_silent].m_members.front().m_name);
+    const auto begun = fleet.begin_in(later, "c", "b");
+    CHECK(begun.m_outcome == begin_outcome::granted);
+    CHECK(storage_fixture::text_of(begun) == "in-a;out-a;in-b;out-b;");
+}
+
+// A fenced member is told the newer view, and has to be asked again.
+TEST_CASE("a turn is found in a set whose view has just changed",
+          "[fleet][replica_sets]")
+{
+    two_sets fleet;
+    const auto earlier = two_sets::program_in(0);
+    const auto later = two_sets::program_in(1);
+    REQUIRE(fleet.keep_in(earlier, "a", ""));
+    auto views = fleet.m_state.m_views;
+    --views[0].m_epoch;
+    fleet.m_client.follow(views);
+    fleet.m_links.on_state(
+        [&](const std::string&, const cluster_state& update) {
+            auto state = fleet.m_state;
+            merge_state(state, update);
+            fleet.m_client.follow(state.m_views);
+        });
+    CHECK(fleet.begin_in(later, "b", "a").m_outcome == begin_outcome::granted);
+}
+
 TEST_CASE("one set serves while the other one is unreachable",
           "[fleet][replica_sets]")
 {
