A turn is denied only where a read quorum of each set has answered

Callers whose request went on from a turn of another replica set were answered 404 for a turn that had been answered whole, when that set had lost its read quorum: of three members one joined with an empty disk, one was lost, and the last one, which never had the turn, was asked alone. Such a turn is unknown, and 503 is the answer.

Cause: the search in other sets took "not found" from their full and leaving members, without asking whether these are as many as know every write.

The search notes who lacks the turn, and takes it for absent only if in each other set all full and leaving members lack it and are a read quorum of the view that they were asked under. The own set asked for a quorum already.

Evidence: "a set that lost its read quorum denies no turn" failed before (outcome 2, no_such_turn, where 3, unavailable, is wanted) and passes now.

--- a/src/turns/turn_history.cpp
+++ b/src/turns/turn_history.cpp
@@ -40,6 +40,25 @@
     return out;
 }
 
+/// True if a member in this state has all copies that it ever counted with.
+bool is_reader(member_state state)
+{
+    return state == member_state::full || state == member_state::leaving;
+}
+
+/// True if a turn that the members of \p lacks do not store was never
+/// acknowledged by their set: every reader lacks it, and they are as many as
+/// know every write.
+bool proves_absence(const cluster_view& view, const quorum_sizes& quorums,
+                    const std::function<bool(const std::string&)>& lacks)
+{
+    return is_read_quorum(view, quorums, lacks) &&
+           std::all_of(view.m_members.begin(), view.m_members.end(),
+                       [&](const member& row) {
+                           return !is_reader(row.m_state) || lacks(row.m_name);
+                       });
+}
+
 } // namespace
 
 task<turn_client::search_result>
@@ -51,31 +70,38 @@
         explicit search(asio::io_context& io) : m_changed(io) {}
         async_event m_changed;
         std::size_t m_pending = 0;
-        bool m_reply_missing = false;
+        /// Set and member of those that report that they do not store it.
+        std::set<std::pair<std::uint32_t, std::string>> m_lacking;
         std::vector<turn_record> m_history;
     };
     const auto state = std::make_shared<search>(m_io);
     const fetch_message message{turn, retention_ms};
-    const auto take = [state](const std::optional<frame>& reply) {
-        --state->m_pending;
-        const auto* fetched = reply && reply->m_status == frame_status::ok
-                                  ? std::get_if<fetched_message>(&reply->m_body)
-                                  : nullptr;
-        state->m_reply_missing = state->m_reply_missing || fetched == nullptr;
-        if (fetched != nullptr && state->m_history.empty())
-            state->m_history = fetched->m_history;
-        state->m_changed.notify();
-    };
-    for (const auto& set : m_sets)
+    // The views may be replaced meanwhile; members reply under the epoch of
+    // these.
+    const auto sets = m_sets;
+    for (const auto& set : sets)
     {
         if (set.m_view.m_set == excluded_set)
             continue;
         for (const auto& row : set.m_view.m_members)
         {
-            if (row.m_state == member_state::joining ||
-                row.m_state == member_state::lost)
+            if (!is_reader(row.m_state))
                 continue;
             ++state->m_pending;
+            const auto take = [state,
+                               from = std::pair{set.m_view.m_set, row.m_name}](
+                                  const std::optional<frame>& reply) {
+                --state->m_pending;
+                const auto* fetched =
+                    reply && reply->m_status == frame_status::ok
+                        ? std::get_if<fetched_message>(&reply->m_body)
+                        : nullptr;
+                if (fetched != nullptr && fetched->m_history.empty())
+                    state->m_lacking.insert(from);
+                else if (fetched != nullptr && state->m_history.empty())
+                    state->m_history = fetched->m_history;
+                state->m_changed.notify();
+            };
             m_links.call(row.m_name, set.m_view.m_epoch, message, take);
         }
     }
@@ -85,9 +111,16 @@
            m_time.now() < search_deadline)
         co_await state->m_changed.wait_until(search_deadline);
     search_result out;
-    out.m_not_found = state->m_history.empty() && state->m_pending == 0 &&
-                      !state->m_reply_missing && !m_sets.empty() &&
-                      m_sets.size() == m_sets.front().m_view.m_set_count;
+    out.m_not_found =
+        state->m_history.empty() && !sets.empty() &&
+        sets.size() == sets.front().m_view.m_set_count &&
+        std::all_of(sets.begin(), sets.end(), [&](const set_row& set) {
+            const auto lacks = [&](const std::string& name) {
+                return state->m_lacking.contains({set.m_view.m_set, name});
+            };
+            return set.m_view.m_set == excluded_set ||
+                   proves_absence(set.m_view, set.m_quorums, lacks);
+        });
     out.m_history = std::move(state->m_history);
     co_return out;
 }
--- a/test/fleet/test_replica_sets.cpp
+++ b/test/fleet/test_replica_sets.cpp
@@ -64,6 +64,26 @@
                         m_client.store(entry, m_time.now() + default_timeout))
             .value_or(false);
     }
+    /// Stores a turn on one member alone.
+    bool append_to(const std::string& name, std::uint32_t set,
+                   const std::string& id, const std::string& program)
+    {
+        const append_message body{
+            {retention_ms, turn_record{id, "", "in", "out", "run",
+                                       key_of(program), key_of(id), 30}}};
+        const auto answer = run_task(
+            m_io, m_links.request(name, m_state.m_views[set].m_epoch, body,
+                                  m_time.now() + default_timeout));
+        return answer && *answer && (*answer)->m_status == frame_status::ok;
+    }
+    /// Restarts a VM with an empty disk.
+    void empty_disk(const std::string& name)
+    {
+        lose(name);
+        m_stopped.push_back(std::move(m_vms[name]));
+        std::filesystem::remove_all(m_folder + '/' + name);
+        add(name, false);
+    }
     /// Number of the set's VMs that store the turn.
     std::size_t holders(std::uint32_t set, const std::string& turn)
     {
@@ -166,6 +186,34 @@
           begin_outcome::unavailable);
 }
 
+TEST_CASE("a set that lost its read quorum denies no turn",
+          "[fleet][replica_sets]")
+{
+    // Guards against a 404 for a stored turn: two of the set's three members
+    // are gone or without their copies, and the last one never had the turn.
+    two_sets fleet;
+    const auto earlier = two_sets::program_in(1);
+    const auto members = fleet.m_state.m_views[1].m_members;
+    REQUIRE(members.size() == 3);
+    const auto emptied = members[0].m_name;
+    const auto silent = members[1].m_name;
+    REQUIRE(fleet.append_to(emptied, 1, "a", earlier));
+    REQUIRE(fleet.append_to(silent, 1, "a", earlier));
+    fleet.lose(silent);
+    fleet.empty_disk(emptied);
+    REQUIRE(run_until(
+        fleet.m_io,
+        [&] {
+            const auto& view = fleet.m_state.m_views[1];
+            return find_member(view, emptied)->m_state ==
+                       member_state::joining &&
+                   find_member(view, silent)->m_state == member_state::lost;
+        },
+        setup_limit));
+    CHECK(fleet.begin_in(two_sets::program_in(0), "b", "a").m_outcome ==
+          begin_outcome::unavailable);
+}
+
 TEST_CASE("one set serves while the other one is unreachable",
           "[fleet][replica_sets]")
 {
