A successor joins the set that lost its predecessor

The successor of a storage VM that was gone joined another set, which needed nobody; the set of the VM that was gone kept a member too few, and the next losses of disks in it made turns unavailable for good.

Cause: a VM outside all sets chose the one with the fewest members that take writes, and one that is gone counts as such for 5 s. Of equal sets a hash of the name decided.

A VM outside all sets connects to all members and counts those that it reaches. It waits up to 1.2 s for members that it has not reached yet; where all are reached it joins at once, as before. It joins no set that it cannot reach.

Evidence: "a successor joins the set of the VM that is gone" (six VMs, two sets) failed with the choice of before: the successor was in the other set. It passes now, as do the rows "a successor joins the set that its predecessor is missing from" and "no VM joins a set that it does not reach".

--- a/include/pepperturn/cluster/replica_sets.hpp
+++ b/include/pepperturn/cluster/replica_sets.hpp
@@ -42,10 +42,13 @@
 members_of(const std::vector<cluster_view>& views);
 
 /// The set that a storage VM outside all sets should join: the one with the
-/// fewest members that take writes and, among these, the fewest in the VM's
-/// zone. Empty: all sets are as large as is useful, and the VM stands by.
+/// fewest reachable members that take writes, since a member that is gone
+/// counts in its view for some time, and among these the one with the fewest in
+/// the VM's zone. Empty: all sets are as large as is useful or out of reach, and
+/// the VM stands by.
 [[nodiscard]] std::optional<std::uint32_t>
 set_to_join(const std::vector<cluster_view>& views, const member& self,
-            std::uint32_t disk_losses);
+            std::uint32_t disk_losses,
+            const std::function<bool(const std::string&)>& is_reachable);
 
 } // namespace pepperturn
--- a/include/pepperturn/fleet/storage_node.hpp
+++ b/include/pepperturn/fleet/storage_node.hpp
@@ -56,6 +56,9 @@
     task<> bootstrap_fleet();
     task<> change_view();
     task<> report_emptied();
+    /// True while it is not known yet which members are reachable.
+    [[nodiscard]] bool
+    awaits_connections(const std::vector<member>& members) const;
     /// The view that this VM is in or should join; empty: it is on standby.
     [[nodiscard]] std::optional<cluster_view> view_to_maintain() const;
     /// Connects to its own replica set, the watchers and the update sources.
--- a/src/cluster/replica_sets.cpp
+++ b/src/cluster/replica_sets.cpp
@@ -4,7 +4,7 @@
 #include "pepperturn/base/hash.hpp"
 
 #include <algorithm>
-#include <map>
+#include <iterator>
 #include <tuple>
 
 namespace pepperturn {
@@ -31,18 +31,26 @@
     return 2 * min_members(disk_losses) - 1;
 }
 
-std::size_t count_voters(const cluster_view& view)
+/// Members that take writes and are reachable.
+std::vector<member>
+reachable_voters(const cluster_view& view,
+                 const std::function<bool(const std::string&)>& is_reachable)
 {
-    return static_cast<std::size_t>(std::count_if(
-        view.m_members.begin(), view.m_members.end(),
-        [](const member& row) { return takes_writes(row.m_state); }));
+    std::vector<member> out;
+    std::copy_if(view.m_members.begin(), view.m_members.end(),
+                 std::back_inserter(out), [&](const member& row) {
+                     return takes_writes(row.m_state) &&
+                            is_reachable(row.m_name);
+                 });
+    return out;
 }
 
-std::size_t count_in_zone(const cluster_view& view, const std::string& zone)
+std::size_t count_in_zone(const std::vector<member>& members,
+                          const std::string& zone)
 {
-    return static_cast<std::size_t>(std::count_if(
-        view.m_members.begin(), view.m_members.end(), [&](const member& row) {
-            return takes_writes(row.m_state) && row.m_availability_zone == zone;
+    return static_cast<std::size_t>(
+        std::count_if(members.begin(), members.end(), [&](const member& row) {
+            return row.m_availability_zone == zone;
         }));
 }
 
@@ -103,20 +111,23 @@
     return out;
 }
 
-std::optional<std::uint32_t> set_to_join(const std::vector<cluster_view>& views,
-                                         const member& self,
-                                         std::uint32_t disk_losses)
+std::optional<std::uint32_t>
+set_to_join(const std::vector<cluster_view>& views, const member& self,
+            std::uint32_t disk_losses,
+            const std::function<bool(const std::string&)>& is_reachable)
 {
     using rank = std::tuple<std::size_t, std::size_t, std::uint64_t>;
     std::optional<std::uint32_t> best;
     rank best_rank;
     for (const auto& view : views)
     {
-        const auto voters = count_voters(view);
-        if (voters >= max_members(disk_losses))
+        const auto voters = reachable_voters(view, is_reachable);
+        // There must be a member to copy from.
+        if (voters.empty() || voters.size() >= max_members(disk_losses))
             continue;
         // The hash spreads VMs that arrive at the same time.
-        const rank next{voters, count_in_zone(view, self.m_availability_zone),
+        const rank next{voters.size(),
+                        count_in_zone(voters, self.m_availability_zone),
                         hash64(self.m_name, view.m_set)};
         if (best && next >= best_rank)
             continue;
--- a/src/fleet/storage_membership.cpp
+++ b/src/fleet/storage_membership.cpp
@@ -15,6 +15,9 @@
 constexpr milliseconds unresponsive_timeout{5000};
 /// Three heartbeats.
 constexpr milliseconds isolation_timeout{1600};
+/// A VM that looks for a set treats members as gone that it could not connect
+/// to for this long: several attempts, and a restart.
+constexpr milliseconds connect_patience{1200};
 constexpr milliseconds copy_timeout{2000};
 /// Turns that are requested at once; the reply has as many as one frame may
 /// hold.
@@ -116,13 +119,27 @@
     m_next_change = m_time.now() + conflict_timeout;
 }
 
+bool storage_node::awaits_connections(const std::vector<member>& members) const
+{
+    const auto now = m_time.now();
+    return std::any_of(members.begin(), members.end(), [&](const member& row) {
+        return row.m_name != m_settings.m_name &&
+               !m_links.connected(row.m_name) &&
+               now - m_links.last_seen(row.m_name) < connect_patience;
+    });
+}
+
 std::optional<cluster_view> storage_node::view_to_maintain() const
 {
     const auto& own = m_server->own_view();
     if (!own.m_members.empty())
         return own;
     const auto& views = m_server->state().m_views;
-    const auto set = set_to_join(views, self(), m_settings.m_disk_losses);
+    if (awaits_connections(members_of(views)))
+        return std::nullopt;
+    const auto set = set_to_join(
+        views, self(), m_settings.m_disk_losses,
+        [this](const std::string& name) { return m_links.connected(name); });
     const auto found =
         std::find_if(views.begin(), views.end(), [&](const cluster_view& row) {
             return set && row.m_set == *set;
--- a/src/fleet/storage_node.cpp
+++ b/src/fleet/storage_node.cpp
@@ -258,10 +258,12 @@
     // forwards the updates.
     std::set<std::string> required(m_watch_order.begin(), watchers);
     required.insert(m_update_sources.begin(), m_update_sources.end());
+    // A VM outside all sets looks for the one that has lost a member.
+    const auto& own = m_server->own_view();
     std::vector<member> targets;
     for (const auto& row : members)
     {
-        if (find_member(m_server->own_view(), row.m_name) != nullptr ||
+        if (own.m_members.empty() || find_member(own, row.m_name) != nullptr ||
             required.contains(row.m_name))
             targets.push_back(row);
     }
--- a/test/cluster/test_replica_sets.cpp
+++ b/test/cluster/test_replica_sets.cpp
@@ -42,6 +42,11 @@
     return out;
 }
 
+bool all_reachable(const std::string& /*name*/)
+{
+    return true;
+}
+
 } // namespace
 
 TEST_CASE("how many replica sets a fleet has", "[replica_sets]")
@@ -126,7 +131,7 @@
         {"no set is known", {}, std::nullopt},
     }));
     INFO(each.m_what);
-    CHECK(set_to_join(views_of(each.m_sizes), vm(100, 5), 2) ==
+    CHECK(set_to_join(views_of(each.m_sizes), vm(100, 5), 2, all_reachable) ==
           each.m_expected);
 }
 
@@ -136,7 +141,7 @@
     const auto state = GENERATE(member_state::lost, member_state::leaving);
     auto views = views_of({5, 5, 5});
     views[2].m_members[0].m_state = state;
-    CHECK(set_to_join(views, vm(100, 5), 2) == 2);
+    CHECK(set_to_join(views, vm(100, 5), 2, all_reachable) == 2);
 }
 
 TEST_CASE("of equal sets a VM joins one that lacks its zone", "[replica_sets]")
@@ -145,7 +150,7 @@
     views[1].m_members[0].m_availability_zone = "elsewhere";
     const auto self = vm(100, 5);
     REQUIRE(self.m_availability_zone == "z0");
-    CHECK(set_to_join(views, self, 2) == 1);
+    CHECK(set_to_join(views, self, 2, all_reachable) == 1);
 }
 
 TEST_CASE("VMs that arrive at the same time spread over equal sets",
@@ -158,13 +163,41 @@
     {
         auto self = vm(100 + i, 5);
         self.m_availability_zone = "new";
-        ++chosen[set_to_join(views, self, 2).value_or(99)];
+        ++chosen[set_to_join(views, self, 2, all_reachable).value_or(99)];
     }
     CHECK(chosen.size() == views.size());
     for (const auto& [set, count] : chosen)
         CHECK(count < vms / 3);
 }
 
+TEST_CASE("a successor joins the set that its predecessor is missing from",
+          "[replica_sets]")
+{
+    // Guards against a successor in another set: the member that is gone takes
+    // writes in its view until it has been silent for long enough.
+    const auto lacking = GENERATE(0U, 1U, 2U);
+    const auto number = GENERATE(range(100, 120));
+    const auto views = views_of({5, 5, 5});
+    const auto gone = views[lacking].m_members[2].m_name;
+    const auto reachable = [&](const std::string& name) {
+        return name != gone;
+    };
+    CAPTURE(lacking, number);
+    CHECK(set_to_join(views, vm(number, 5), 2, reachable) == lacking);
+}
+
+TEST_CASE("no VM joins a set that it does not reach", "[replica_sets]")
+{
+    const auto views = views_of({3, 3});
+    const auto reachable = [&](const std::string& name) {
+        return find_member(views[1], name) != nullptr;
+    };
+    CHECK(set_to_join(views, vm(100, 5), 1, reachable) == 1);
+    CHECK(set_to_join(views, vm(100, 5), 1,
+                      [](const std::string& /*name*/) { return false; }) ==
+          std::nullopt);
+}
+
 TEST_CASE("a VM's set is found by its name", "[replica_sets]")
 {
     const auto views = views_of({3, 3});
--- a/test/fleet/test_replica_sets.cpp
+++ b/test/fleet/test_replica_sets.cpp
@@ -1,5 +1,7 @@
 // SPDX-License-Identifier: BSL-1.0
 // Storage VMs in several replica sets, as real nodes on loopback.
+#include "pepperturn/base/hash.hpp"
+
 #include "support/fleet/storage_fixture.hpp"
 
 #include <catch2/catch.hpp>
@@ -227,6 +229,28 @@
           begin_outcome::unavailable);
 }
 
+TEST_CASE("a successor joins the set of the VM that is gone",
+          "[fleet][replica_sets]")
+{
+    // Guards against a successor in another set, where nobody needs it: the VM
+    // that is gone counts in its view for seconds.
+    two_sets fleet;
+    const std::string gone = fleet.m_state.m_views[1].m_members[1].m_name;
+    fleet.lose(gone);
+    std::string successor = "vm-9";
+    // One that a hash of its name would put into the other set.
+    while (hash64(successor, 0) >= hash64(successor, 1))
+        successor += '9';
+    fleet.add(successor, false);
+    const auto replaced = [&] {
+        const auto* row = find_member(fleet.m_state.m_views[1], successor);
+        return row != nullptr && row->m_state == member_state::full &&
+               find_member(fleet.m_state.m_views[1], gone) == nullptr;
+    };
+    CHECK(run_until(fleet.m_io, replaced, setup_limit));
+    CHECK(find_member(fleet.m_state.m_views[0], successor) == nullptr);
+}
+
 TEST_CASE("a VM is emptied although no set needs another member",
           "[fleet][replica_sets]")
 {
