What a lost member held is copied at the first loss

Turns that a lost storage VM held kept a copy less than promised until as many members were lost as are tolerated: where two may be lost, nobody copied after the first loss, and after two more disks such turns were gone.

Cause: the member that gathers the data of all others began only when no further loss would have been tolerated, to spare the bytes.

It begins at the first loss, as long as enough full members are left.

--- a/include/pepperturn/cluster/view.hpp
+++ b/include/pepperturn/cluster/view.hpp
@@ -163,9 +163,9 @@
                                  const std::string& name,
                                  std::uint32_t disk_losses);
 
-/// The member that gathers the data of all others, so that lost members can be
-/// removed; null: a further loss is tolerated with them in place, or too few
-/// members are left to remove any.
+/// The member that gathers the data of all others, so that what lost members
+/// held has enough copies again and they can be removed; null: none is lost, or
+/// too few members are left to remove any.
 [[nodiscard]] const member* collector_of(const cluster_view& view,
                                          std::uint32_t disk_losses);
 
--- a/src/cluster/view.cpp
+++ b/src/cluster/view.cpp
@@ -215,10 +215,9 @@
 
 const member* collector_of(const cluster_view& view, std::uint32_t disk_losses)
 {
-    // Copying everything is expensive: only when no further loss would be
-    // tolerated.
-    const auto lost = count_in(view, member_state::lost);
-    if (lost == 0 || lost < disk_losses ||
+    // At the first loss: turns that the lost member held have a copy less than
+    // promised until the others have copied them.
+    if (count_in(view, member_state::lost) == 0 ||
         count_in(view, member_state::full) < disk_losses + 1)
         return nullptr;
     const member* first = nullptr;
