A replica set has a way back from each of its states

After the second of several losses of disks in a row a replica set refused every turn for good, also after a restart of all, although a full member was there: one member joined with an empty disk, the next one that came back empty had been marked lost, and the joining one waited for a read quorum that could not come together again. The same followed from a member that was lost for good while another one copied.

Cause: the view did not tell a member whose disk is lost from one that is only down, so both were waited for; and where more members lacked copies than is tolerated, nobody was allowed to go on with what was left.

- A member that comes back empty while another one joins says that its disk is lost (disk 0 in the view), however many are lost already.
- If more members lack copies than is tolerated, and none of the lost ones can return with its disk, a joining one copies from all that have anything.
- Such a view notes a gap, and no turn is denied by its set (503) until the longest retention of any route has passed: what nobody stores may have been lost.
The gap is a new field of the view in the store and in frames.
- A member that was silent for 30 s is marked lost beyond what is tolerated, and its disk given up, only in a set that cannot recover otherwise.
- Joining members mark silent ones lost where no full one is left to do so.
- The member that gathers all data asks joining ones too: they counted for writes whose other copies the lost members may have.
- Members copy again from one that restarted: it has forgotten who had copied from it, and the set waited for that.
Found by reading; no test runs this on real nodes.

--- a/include/pepperturn/cluster/membership.hpp
+++ b/include/pepperturn/cluster/membership.hpp
@@ -28,6 +28,11 @@
     std::set<std::string> m_copied_by;
     /// Members that have been unresponsive long enough to be dropped.
     std::set<std::string> m_unresponsive;
+    /// Those of them that have been so for so long that they are not expected
+    /// to return.
+    std::set<std::string> m_gone;
+    /// What was acknowledged before the gap of the view has expired.
+    bool m_gap_over = false;
     /// Members that this VM cannot reach at the moment.
     std::set<std::string> m_unreachable;
     std::uint32_t m_disk_losses = 1;
@@ -58,6 +63,9 @@
     std::uint32_t m_any_needed = 0;
     /// The required members must first have gathered the data of all others.
     bool m_gathered = false;
+    /// More disks have been lost than are tolerated: the required members hold
+    /// everything that is left, and acknowledged writes may be missing.
+    bool m_leaves_gap = false;
 
     friend bool operator==(const copy_plan&, const copy_plan&) = default;
 };
--- a/include/pepperturn/cluster/replica_sets.hpp
+++ b/include/pepperturn/cluster/replica_sets.hpp
@@ -44,8 +44,8 @@
 /// The set that a storage VM outside all sets should join: the one with the
 /// fewest reachable members that take writes, since a member that is gone
 /// counts in its view for some time, and among these the one with the fewest in
-/// the VM's zone. Empty: all sets are as large as is useful or out of reach, and
-/// the VM stands by.
+/// the VM's zone. Empty: all sets are as large as is useful or out of reach,
+/// and the VM stands by.
 [[nodiscard]] std::optional<std::uint32_t>
 set_to_join(const std::vector<cluster_view>& views, const member& self,
             std::uint32_t disk_losses,
--- a/include/pepperturn/cluster/view.hpp
+++ b/include/pepperturn/cluster/view.hpp
@@ -40,7 +40,8 @@
     std::string m_address;
     std::string m_availability_zone;
     /// Random value chosen when the disk was first used; a different value
-    /// means an empty disk.
+    /// means an empty disk. 0: the member is lost and its disk with it, so that
+    /// nobody waits for what was on it.
     std::uint64_t m_disk = 0;
     member_state m_state = member_state::joining;
     /// Of a member that is not full: none of its copies that counted was lost
@@ -79,6 +80,10 @@
     std::uint32_t m_set_count = 1;
     /// The latest changes that led to this view, oldest first.
     std::vector<view_step> m_steps = {};
+    /// Epoch in which a member became full although more disks had been lost
+    /// than are tolerated; 0: none. Until what was acknowledged by then has
+    /// expired, a turn that no member stores may be one that was lost.
+    std::uint64_t m_gap_epoch = 0;
 
     friend bool operator==(const cluster_view&, const cluster_view&) = default;
 };
@@ -133,7 +138,7 @@
                                       std::uint32_t disk_losses);
 
 /// True if the members that have replied know every acknowledged write
-/// together.
+/// together, as far as the view has no gap.
 [[nodiscard]] bool
 is_read_quorum(const cluster_view& view, const quorum_sizes& quorums,
                const std::function<bool(const std::string&)>& has_replied);
@@ -146,6 +151,10 @@
 [[nodiscard]] cluster_view
 with_state(cluster_view view, const std::string& name, member_state state);
 
+/// The view with a member lost whose disk is lost for good.
+[[nodiscard]] cluster_view with_lost_disk(cluster_view view,
+                                          const std::string& name);
+
 /// The view with a member back in state joining, with the same disk.
 [[nodiscard]] cluster_view with_return(cluster_view view,
                                        const std::string& name);
--- a/include/pepperturn/fleet/storage_node.hpp
+++ b/include/pepperturn/fleet/storage_node.hpp
@@ -55,6 +55,11 @@
     /// Announces this VM, and writes the initial views once all have done so.
     task<> bootstrap_fleet();
     task<> change_view();
+    /// Notes since when the view has its gap.
+    void note_gap();
+    /// Copies again from members that restarted: they may have forgotten who
+    /// copied from them.
+    void forget_reconnected();
     task<> report_emptied();
     /// True while it is not known yet which members are reachable.
     [[nodiscard]] bool
@@ -141,6 +146,13 @@
     std::uint64_t m_caught_up_at = 0;
     /// Epoch in which all data of another member was copied.
     std::map<std::string, std::uint64_t> m_copied_at;
+    /// Connection to each member of the set when it was last looked at.
+    std::map<std::string, std::uint64_t> m_connections;
+    /// Gap of the view, and since when this process knows of it.
+    std::uint64_t m_gap_epoch = 0;
+    instant m_gap_since{};
+    /// Of all routes that were configured; empty: none is known yet.
+    std::optional<milliseconds> m_longest_retention;
     instant m_isolated_until{};
     /// The order in which storage VMs watch the store.
     std::vector<std::string> m_watch_order;
--- a/src/cluster/membership.cpp
+++ b/src/cluster/membership.cpp
@@ -57,6 +57,36 @@
     return std::nullopt;
 }
 
+/// True if the copies of this member are unreachable or lost.
+bool lacks_copies(const member& row)
+{
+    return row.m_state == member_state::lost ||
+           (row.m_state == member_state::joining && !row.m_intact);
+}
+
+std::uint32_t count_lacking(const cluster_view& view)
+{
+    return static_cast<std::uint32_t>(std::count_if(
+        view.m_members.begin(), view.m_members.end(), lacks_copies));
+}
+
+/// The view in which nobody waits for a member that is gone. Others may still
+/// be waited for while they may return, so this is only for sets that need it:
+/// they have as many lost members as are tolerated.
+std::optional<cluster_view> view_without_gone(const cluster_view& view,
+                                              const std::string& name,
+                                              std::uint32_t disk_losses)
+{
+    const auto* row = find_member(view, name);
+    if (row == nullptr)
+        return std::nullopt;
+    if (row->m_state != member_state::lost)
+        return with_state(view, name, member_state::lost);
+    if (row->m_disk != 0 && count_lacking(view) > disk_losses)
+        return with_lost_disk(view, name);
+    return std::nullopt;
+}
+
 std::optional<cluster_view>
 view_without_unresponsive(const cluster_view& view,
                           const membership_facts& facts)
@@ -68,6 +98,12 @@
         if (may_mark_lost(view, name, facts.m_disk_losses))
             return with_state(view, name, member_state::lost);
     }
+    for (const auto& name : facts.m_gone)
+    {
+        auto next = view_without_gone(view, name, facts.m_disk_losses);
+        if (next)
+            return next;
+    }
     return std::nullopt;
 }
 
@@ -97,13 +133,6 @@
     return !any;
 }
 
-/// True if the copies of this member are unreachable or lost.
-bool lacks_copies(const member& row)
-{
-    return row.m_state == member_state::lost ||
-           (row.m_state == member_state::joining && !row.m_intact);
-}
-
 /// Members that together hold every acknowledged write, if there are enough:
 /// each write was on one more disk than may be lost, and no more members than
 /// that lack their copies.
@@ -111,9 +140,7 @@
 holders_of_all(const cluster_view& view, const std::string& self,
                std::uint32_t disk_losses)
 {
-    const auto lacking = std::count_if(view.m_members.begin(),
-                                       view.m_members.end(), lacks_copies);
-    if (lacking > static_cast<std::ptrdiff_t>(disk_losses))
+    if (count_lacking(view) > disk_losses)
         return std::nullopt;
     std::vector<std::string> out;
     for (const auto& row : view.m_members)
@@ -125,6 +152,23 @@
     return out;
 }
 
+/// All members that may have any copies, if none of the others can return with
+/// one: waiting for more would be for ever.
+std::optional<std::vector<std::string>>
+holders_of_rest(const cluster_view& view, const std::string& self)
+{
+    std::vector<std::string> out;
+    for (const auto& row : view.m_members)
+    {
+        const bool lost = row.m_state == member_state::lost;
+        if (lost && row.m_disk != 0)
+            return std::nullopt;
+        if (row.m_name != self && !lost)
+            out.push_back(row.m_name);
+    }
+    return out;
+}
+
 bool another_joins(const cluster_view& view, const std::string& self)
 {
     return std::any_of(
@@ -133,6 +177,48 @@
         });
 }
 
+/// True if no full member is left that could mark members lost.
+bool no_full_responds(const cluster_view& view, const membership_facts& facts)
+{
+    return std::all_of(view.m_members.begin(), view.m_members.end(),
+                       [&](const member& row) {
+                           return row.m_state != member_state::full ||
+                                  facts.m_unresponsive.contains(row.m_name);
+                       });
+}
+
+/// The view with this VM full, which has copied what its plan asks for.
+cluster_view view_with_full(const cluster_view& view,
+                            const membership_facts& facts)
+{
+    const auto& name = facts.m_self.m_name;
+    auto next = with_state(view, name, member_state::full);
+    if (plan_copy(view, name, facts.m_disk_losses).m_leaves_gap)
+        next.m_gap_epoch = view.m_epoch;
+    return next;
+}
+
+/// The view for a VM whose disk is not the one that the view knows.
+std::optional<cluster_view> view_with_new_disk(const cluster_view& view,
+                                               const membership_facts& facts)
+{
+    const auto& self = facts.m_self;
+    // Only the first start of the system may begin with an empty view; at any
+    // other time an empty view means that the store was read wrongly.
+    if (view.m_members.empty() && !facts.m_bootstrap)
+        return std::nullopt;
+    // Members join one at a time: while two are joining, the full members alone
+    // could miss a write that only the joining ones have acknowledged.
+    if (!another_joins(view, self.m_name))
+        return with_joining(view, self);
+    // The copies on its old disk no longer exist, and nobody should wait for
+    // them.
+    const auto* own = find_member(view, self.m_name);
+    if (own != nullptr && own->m_disk != 0)
+        return with_lost_disk(view, self.m_name);
+    return view_without_unresponsive(view, facts);
+}
+
 } // namespace
 
 std::optional<cluster_view> desired_view(const cluster_view& view,
@@ -157,23 +243,7 @@
     if (facts.m_retire && own == nullptr)
         return std::nullopt;
     if (!same_disk)
-    {
-        // Only the first start of the system may begin with an empty view; at
-        // any other time an empty view means that the store was read wrongly.
-        if (view.m_members.empty() && !facts.m_bootstrap)
-            return std::nullopt;
-        // Members join one at a time: while two are joining, the full members
-        // alone could miss a write that only the joining ones have
-        // acknowledged.
-        if (another_joins(view, self.m_name))
-        {
-            // The copies on its old disk no longer exist.
-            if (may_mark_lost(view, self.m_name, facts.m_disk_losses))
-                return with_state(view, self.m_name, member_state::lost);
-            return view_without_unresponsive(view, facts);
-        }
-        return with_joining(view, self);
-    }
+        return view_with_new_disk(view, facts);
     if (own->m_address != self.m_address ||
         own->m_availability_zone != self.m_availability_zone)
     {
@@ -194,13 +264,21 @@
     }
     if (own->m_state == member_state::joining)
     {
-        if (facts.m_caught_up_at != view.m_epoch)
-            return std::nullopt;
-        return with_state(view, self.m_name, member_state::full);
+        if (facts.m_caught_up_at == view.m_epoch)
+            return view_with_full(view, facts);
+        if (no_full_responds(view, facts))
+            return view_without_unresponsive(view, facts);
+        return std::nullopt;
     }
     if (may_drop_lost(view, facts))
         return without_lost(view);
-    return view_without_unresponsive(view, facts);
+    if (auto next = view_without_unresponsive(view, facts))
+        return next;
+    if (view.m_gap_epoch == 0 || !facts.m_gap_over)
+        return std::nullopt;
+    auto closed = view;
+    closed.m_gap_epoch = 0;
+    return closed;
 }
 
 bool is_emptied(const cluster_view& view, const membership_facts& facts)
@@ -237,9 +315,10 @@
     {
         if (row.m_name == self)
             continue;
-        // A leaving member is the source of its own data.
+        // A leaving member is the source of its own data. A joining one counted
+        // for writes, and the lost members may have the other copies of these.
         if (row.m_state == member_state::leaving ||
-            (collects && row.m_state == member_state::full))
+            (collects && takes_writes(row.m_state)))
             plan.m_required.push_back(row.m_name);
         else if (joins && row.m_state == member_state::full)
             plan.m_any.push_back(row.m_name);
@@ -267,6 +346,11 @@
             plan.m_any.clear();
             plan.m_any_needed = 0;
         }
+        const auto rest = plan.m_any_needed > plan.m_any.size()
+                              ? holders_of_rest(view, self)
+                              : std::nullopt;
+        if (rest)
+            plan = {*rest, {}, 0, false, true};
     }
     if (collector != nullptr && !collects)
     {
--- a/src/cluster/view.cpp
+++ b/src/cluster/view.cpp
@@ -170,6 +170,18 @@
     return view;
 }
 
+cluster_view with_lost_disk(cluster_view view, const std::string& name)
+{
+    const auto found = locate(view.m_members, name);
+    if (found != view.m_members.end())
+    {
+        found->m_state = member_state::lost;
+        found->m_intact = false;
+        found->m_disk = 0;
+    }
+    return view;
+}
+
 cluster_view with_return(cluster_view view, const std::string& name)
 {
     const auto found = locate(view.m_members, name);
--- a/src/fleet/storage_limits.cpp
+++ b/src/fleet/storage_limits.cpp
@@ -62,6 +62,10 @@
         {
             m_counts_shares = config->m_directory || has_cold_limits(*config);
             m_placements.apply_config(*config);
+            for (const auto& row : config->m_routes)
+                m_longest_retention =
+                    std::max(m_longest_retention.value_or(milliseconds{0}),
+                             stored_retention(row));
             m_workspace_names.clear();
             if (config->m_directory)
                 for (const auto& row : config->m_directory->m_workspaces)
--- a/src/fleet/storage_membership.cpp
+++ b/src/fleet/storage_membership.cpp
@@ -13,6 +13,9 @@
 constexpr milliseconds membership_interval{150};
 /// Ten heartbeats: a restart or a freeze is over by then, a loss is not.
 constexpr milliseconds unresponsive_timeout{5000};
+/// A member that was marked lost is not waited for beyond this if the set
+/// cannot recover otherwise: longer than a partition lasts.
+constexpr milliseconds gone_timeout{30000};
 /// Three heartbeats.
 constexpr milliseconds isolation_timeout{1600};
 /// A VM that looks for a set treats members as gone that it could not connect
@@ -32,6 +35,40 @@
 /// within this time; each attempt is a billed call.
 constexpr milliseconds conflict_timeout{700};
 
+/// Number of members in each state; a joining one that lacks copies and a lost
+/// one whose disk is lost for good apart from the others.
+std::string describe_states(const cluster_view& view)
+{
+    std::map<std::string, int> counts;
+    for (const auto& row : view.m_members)
+    {
+        switch (row.m_state)
+        {
+        case member_state::full:
+            ++counts["full"];
+            break;
+        case member_state::leaving:
+            ++counts["leaving"];
+            break;
+        case member_state::joining:
+            ++counts[row.m_intact ? "joining" : "joining_emptied"];
+            break;
+        case member_state::lost:
+            ++counts[row.m_disk == 0 ? "lost_disk" : "lost"];
+            break;
+        }
+    }
+    std::string out;
+    for (const auto& [state, count] : counts)
+    {
+        out += out.empty() ? "" : ",";
+        out += state;
+        out += ':';
+        out += std::to_string(count);
+    }
+    return out;
+}
+
 } // namespace
 
 member storage_node::self() const
@@ -51,6 +88,8 @@
     facts.m_copied_by = m_server->copied_by(view.m_epoch);
     facts.m_disk_losses = m_settings.m_disk_losses;
     const auto now = m_time.now();
+    facts.m_gap_over =
+        m_longest_retention && now - m_gap_since > *m_longest_retention;
     // A VM outside the set gets no heartbeats from its members.
     if (find_member(view, m_settings.m_name) == nullptr)
         return facts;
@@ -62,6 +101,8 @@
             continue;
         if (now - last_seen > unresponsive_timeout && now >= m_isolated_until)
             facts.m_unresponsive.insert(row.m_name);
+        if (now - last_seen > gone_timeout && now >= m_isolated_until)
+            facts.m_gone.insert(row.m_name);
         if (now - last_seen > isolation_timeout ||
             !m_links.connected(row.m_name))
             facts.m_unreachable.insert(row.m_name);
@@ -77,6 +118,8 @@
             co_await bootstrap_fleet();
         else if (m_server->disk_good())
         {
+            note_gap();
+            forget_reconnected();
             if (!m_copying &&
                 should_copy(m_server->own_view(), m_settings.m_name,
                             m_caught_up_at, m_settings.m_disk_losses))
@@ -90,6 +133,31 @@
     }
 }
 
+void storage_node::note_gap()
+{
+    const auto epoch = m_server->own_view().m_gap_epoch;
+    if (std::exchange(m_gap_epoch, epoch) == epoch)
+        return;
+    m_gap_since = m_time.now();
+    LOG(WARNING) << "event=view_gap set=" << m_server->own_view().m_set
+                 << " epoch=" << m_server->own_view().m_epoch
+                 << " since_epoch=" << epoch;
+}
+
+void storage_node::forget_reconnected()
+{
+    for (const auto& row : m_server->own_view().m_members)
+    {
+        const auto number = m_links.live_connection(row.m_name);
+        auto& known = m_connections[row.m_name];
+        if (number == 0 || number == known)
+            continue;
+        if (std::exchange(known, number) != 0 &&
+            m_copied_at.erase(row.m_name) > 0)
+            m_caught_up_at = 0;
+    }
+}
+
 task<> storage_node::bootstrap_fleet()
 {
     // Only a first start may find an empty store; otherwise an empty store
@@ -183,6 +251,8 @@
     LOG(INFO) << "event=view_swap set=" << view->m_set
               << " epoch=" << view->m_epoch
               << " members=" << next->m_members.size()
+              << " states=" << describe_states(*next)
+              << " gap_epoch=" << next->m_gap_epoch
               << " outcome=" << result.m_reason
               << " next_epoch=" << result.m_epoch;
     if (result.m_outcome != swap_outcome::written)
--- a/src/turns/turn_client.cpp
+++ b/src/turns/turn_client.cpp
@@ -231,7 +231,7 @@
 bool turn_client::all_lack_parent(const round& work) const
 {
     const auto* set = set_for(work.m_program);
-    if (set == nullptr)
+    if (set == nullptr || set->m_view.m_gap_epoch != 0)
         return false;
     for (const auto& row : set->m_view.m_members)
     {
--- a/src/turns/turn_history.cpp
+++ b/src/turns/turn_history.cpp
@@ -47,12 +47,12 @@
 }
 
 /// True if a turn that the members of \p lacks do not store was never
-/// acknowledged by their set: every reader lacks it, and they are as many as
-/// know every write.
+/// acknowledged by their set: every reader lacks it, they are as many as know
+/// every write, and none may have been lost.
 bool proves_absence(const cluster_view& view, const quorum_sizes& quorums,
                     const std::function<bool(const std::string&)>& lacks)
 {
-    return is_read_quorum(view, quorums, lacks) &&
+    return view.m_gap_epoch == 0 && is_read_quorum(view, quorums, lacks) &&
            std::all_of(view.m_members.begin(), view.m_members.end(),
                        [&](const member& row) {
                            return !is_reader(row.m_state) || lacks(row.m_name);
--- a/src/turns/wire_rows.cpp
+++ b/src/turns/wire_rows.cpp
@@ -152,6 +152,7 @@
         fill(members[i], view.m_members[i]);
     out.setSet(view.m_set);
     out.setSetCount(view.m_set_count);
+    out.setGapEpoch(view.m_gap_epoch);
     auto steps = out.initSteps(view.m_steps.size());
     for (unsigned i = 0; i < steps.size(); ++i)
     {
@@ -206,6 +207,7 @@
         view.m_members.push_back(read(row));
     view.m_set = in.getSet();
     view.m_set_count = in.getSetCount();
+    view.m_gap_epoch = in.getGapEpoch();
     for (const auto row : in.getSteps())
     {
         view_step step{row.getEpoch()};
