--- a/src/cluster/view.cpp
+++ b/src/cluster/view.cpp
@@ -170,6 +170,18 @@
     return view;
 }
 
+cluster_view with_lost_disk(cluster_view view, const std::string& name)
+{
+    const auto found = locate(view.m_members, name);
+    if (found != view.m_members.end())
+    {
+        found->m_state = member_state::lost;
+        found->m_intact = false;
+        found->m_disk = 0;
+    }
+    return view;
+}
+
 cluster_view with_return(cluster_view view, const std::string& name)
 {
     const auto found = locate(view.m_members, name);
@@ -215,10 +227,9 @@
 
 const member* collector_of(const cluster_view& view, std::uint32_t disk_losses)
 {
-    // Copying everything is expensive: only when no further loss would be
-    // tolerated.
-    const auto lost = count_in(view, member_state::lost);
-    if (lost == 0 || lost < disk_losses ||
+    // At the first loss: turns that the lost member held have a copy less than
+    // promised until the others have copied them.
+    if (count_in(view, member_state::lost) == 0 ||
         count_in(view, member_state::full) < disk_losses + 1)
         return nullptr;
     const member* first = nullptr;
