Soak: disks lost while all other VMs lose power, chains under way

The last fault was a loss of power that left every disk, and of the programs that had ended only the last forty were gone on from; those whose callers were still at work were not waited for.

After that loss of power, once the replica set is whole again, there is now a second one, in which as many storage VMs as the tolerance allows lose their disks while everything else is killed at the same moment, with callers at work. Their chains end first, and then each program whose retention lasts through the limit for healing is gone on from, six at a time, with tries until that limit.

--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -2,6 +2,9 @@
 // Set-up of the fleet, and the course of a run.
 #include "soak/soak.hpp"
 
+#include "platform/decode.hpp"
+#include "platform/store_keys.hpp"
+
 #include <algorithm>
 #include <fstream>
 
@@ -12,8 +15,10 @@
 constexpr int engines = 4;
 constexpr int apps = 3;
 constexpr int callers = 6;
-/// After the last fault every kind of request is served within this.
-constexpr milliseconds heal_limit{20000};
+/// What comes while nobody can serve yet is held or sent back truly.
+constexpr milliseconds return_time{1500};
+/// Disks that may be lost at once, as the settings leave it.
+constexpr std::size_t disk_losses = 1;
 
 } // namespace
 
@@ -138,6 +143,48 @@
     }
 }
 
+void soak::run_power_loss(std::size_t lost_disks)
+{
+    const auto restarted =
+        test::run_task(m_io, [](soak& self, std::size_t lost) -> task<bool> {
+            co_await self.lose_power(lost);
+            co_return true;
+        }(*this, lost_disks));
+    if (!restarted)
+        m_rules.fail("the processes were not started again");
+}
+
+bool soak::storage_is_whole() const
+{
+    const std::string key = platform::view_prefix;
+    std::string reason;
+    const auto view =
+        platform::decode_view(m_store.value_of(key + '0'), 0, reason);
+    return view && view->m_members.size() == storage_vms &&
+           std::all_of(view->m_members.begin(), view->m_members.end(),
+                       [](const member& row) {
+                           return row.m_state == member_state::full;
+                       });
+}
+
+void soak::go_on_with_ended_programs()
+{
+    constexpr int most_at_once = 6;
+    const auto latest = m_time.now() + heal_limit;
+    for (const auto& program : m_ended)
+    {
+        if (program.m_last_ended + program.m_retention <= latest)
+            continue;
+        ++m_going_on;
+        spawn(m_io, "soak.go_on", go_on(program));
+        run_until(
+            m_io, [&] { return m_going_on < most_at_once; }, heal_limit);
+    }
+    if (!run_until(
+            m_io, [&] { return m_going_on == 0; }, 2 * heal_limit))
+        m_rules.fail("a program was not gone on from in time");
+}
+
 int soak::run()
 {
     set_up();
@@ -157,14 +204,12 @@
     if (!run_until(
             m_io, [&] { return m_active_faults == 0; }, heal_limit))
         m_rules.fail("a fault did not end");
-    const auto restarted = test::run_task(m_io, [](soak& self) -> task<bool> {
-        co_await self.lose_power();
-        co_return true;
-    }(*this));
-    if (!restarted)
-        m_rules.fail("the processes were not started again");
-    // What comes while nobody can serve yet is held or sent back truly.
-    constexpr milliseconds return_time{1500};
+    run_power_loss(0);
+    run_until(m_io, after(return_time), 2 * return_time);
+    if (!run_until(
+            m_io, [&] { return storage_is_whole(); }, heal_limit))
+        m_rules.fail("the storage VMs lack copies after the last fault");
+    run_power_loss(disk_losses);
     run_until(m_io, after(return_time), 2 * return_time);
     m_stop = true;
     bool healed = false;
@@ -173,18 +218,11 @@
         healed = test::run_task(m_io, run_program(true)).value_or(false);
     if (!healed)
         m_rules.fail("not served after the last fault");
-    // Each program that ended can still be gone on from.
-    constexpr std::size_t most_checked = 40;
-    const auto checked = std::min(most_checked, m_ended.size());
-    for (std::size_t i = m_ended.size() - checked; i < m_ended.size(); ++i)
-    {
-        auto program = m_ended[i];
-        m_rules.budget(program.m_id, UINT32_MAX, most_tokens);
-        const auto good =
-            test::run_task(m_io, take_turn(program, UINT32_MAX), heal_limit);
-        if (!good.value_or(false))
-            m_rules.fail("program " + program.m_id + " cannot be gone on from");
-    }
+    // Their chains are under way; each try of a turn is given up in time.
+    if (!run_until(
+            m_io, [&] { return m_active_callers == 0; }, 2 * heal_limit))
+        m_rules.fail("a caller did not end");
+    go_on_with_ended_programs();
     for (const auto& each : m_vms)
     {
         const bool ended = has_ended(each->m_process);
--- a/test/soak/soak.hpp
+++ b/test/soak/soak.hpp
@@ -25,6 +25,8 @@
 inline constexpr int edge_vms = 3;
 /// Of the route whose programs outlast it.
 inline constexpr milliseconds long_retention{1000};
+/// After the last fault every kind of request is served within this.
+inline constexpr milliseconds heal_limit{20000};
 /// Of each turn.
 inline constexpr std::uint32_t most_tokens = 15;
 
@@ -114,7 +116,15 @@
     task<> fault_network();
     /// Ends every process at once and starts them in another order, within a
     /// second, with the disks they have.
-    task<> lose_power();
+    /// \param lost_disks storage VMs whose disks are lost at the same moment
+    task<> lose_power(std::size_t lost_disks);
+    /// The same from outside the loop.
+    void run_power_loss(std::size_t lost_disks);
+    /// True if no replica set lacks a member's copies.
+    [[nodiscard]] bool storage_is_whole() const;
+    /// Each program whose retention lasts can still be gone on from.
+    void go_on_with_ended_programs();
+    task<> go_on(program_state program);
     void start_vm(vm& each);
     std::string fresh_address();
     void note(const std::string& what)
@@ -148,6 +158,8 @@
     /// No further faults.
     bool m_faults_end = false;
     int m_active_faults = 0;
+    int m_active_callers = 0;
+    int m_going_on = 0;
     std::vector<program_state> m_ended;
 };
 
--- a/test/soak/soak_callers.cpp
+++ b/test/soak/soak_callers.cpp
@@ -212,6 +212,7 @@
 
 task<> soak::call_repeatedly()
 {
+    ++m_active_callers;
     while (!m_stop)
     {
         constexpr std::uint64_t lasting_one_in = 4;
@@ -222,6 +223,19 @@
         if (draw(deadly_one_in) == 0)
             co_await end_runners();
     }
+    --m_active_callers;
+}
+
+task<> soak::go_on(program_state program)
+{
+    m_rules.budget(program.m_id, UINT32_MAX, most_tokens);
+    const auto end = m_time.now() + heal_limit;
+    bool good = false;
+    while (!good && m_time.now() < end)
+        good = co_await take_turn(program, UINT32_MAX);
+    if (!good)
+        m_rules.fail("program " + program.m_id + " cannot be gone on from");
+    --m_going_on;
 }
 
 } // namespace pepperturn::soak
--- a/test/soak/soak_faults.cpp
+++ b/test/soak/soak_faults.cpp
@@ -118,11 +118,17 @@
     }
 }
 
-task<> soak::lose_power()
+task<> soak::lose_power(std::size_t lost_disks)
 {
-    note("fault power of all");
+    note("fault power of all, disks lost " + std::to_string(lost_disks));
+    for (const auto& each : m_vms)
+        send_signal(each->m_process, SIGKILL);
     for (const auto& each : m_vms)
         kill_and_wait(each->m_process);
+    const auto first = draw(storage_vms);
+    for (std::size_t i = 0; i < lost_disks; ++i)
+        std::filesystem::remove_all(
+            m_vms[(first + i) % storage_vms]->m_process.m_data_folder);
     co_await sleep_for(m_io, milliseconds(200 + draw(500)));
     int number = 0;
     for (const auto& each : m_vms)
