Test: requests and turns of a fleet in one process through disruptions

Six storage VMs in two replica sets and two edge VMs, for which the fleet is large, serve six programs whose callers take turn after turn on kept connections. Nothing is answered but 200, 429 and 503; what was refused reached no runner; no connection closes without an answer, but for one that a stopping VM closed while idle; each last turn reached a runner with the inputs of all before it.

--- a/test/support/fleet/storage_fixture.hpp
+++ b/test/support/fleet/storage_fixture.hpp
@@ -35,7 +35,8 @@
                const std::string& store, const std::string& name,
                const std::string& folder, bool bootstrap,
                bool own_metrics_port = true, std::uint32_t revoke_ms = 5000,
-               std::uint16_t port = 0)
+               std::uint16_t port = 0,
+               std::uint32_t kept_links = fleet_settings{}.m_kept_links)
         : m_port(port != 0 ? port : free_port(io)), m_source(io, time, store)
     {
         fleet_settings settings;
@@ -50,6 +51,7 @@
         settings.m_data_folder = folder;
         settings.m_store_address = store;
         settings.m_revoke_ms = revoke_ms;
+        settings.m_kept_links = kept_links;
         m_node = std::make_unique<storage_node>(
             io, time, settings,
             state_decoders{platform::decode_config, platform::decode_runner},
@@ -108,7 +110,7 @@
     {
         m_vms[name] = std::make_unique<storage_vm>(
             m_io, m_time, m_store.address(), name, m_folder + '/' + name,
-            bootstrap, true, m_revoke_ms);
+            bootstrap, true, m_revoke_ms, 0, m_kept_links);
     }
     [[nodiscard]] std::string states() const
     {
@@ -154,33 +156,50 @@
     /// Restarts all VMs with their disks, at the same addresses.
     void restart_all()
     {
-        std::map<std::string, std::uint16_t> ports;
+        stop_all();
+        start_stopped();
+    }
+    void stop_all()
+    {
+        std::vector<std::string> names;
         for (const auto& [name, vm] : m_vms)
+            names.push_back(name);
+        stop(names);
+    }
+    /// Stops VMs at the same moment.
+    void stop(const std::vector<std::string>& names)
+    {
+        for (const auto& name : names)
         {
-            ports[name] = vm->m_port;
-            vm->m_node->stop();
-            vm->m_source.pause();
+            // Its end shows by the end of the link.
+            run_until(m_io, [&] { return m_links.connected(name); });
+            m_vms[name]->m_node->stop();
+            m_vms[name]->m_source.pause();
         }
-        for (const auto& row : ports)
-            run_until(m_io, [&] { return !m_links.connected(row.first); });
-        m_io.restart();
-        for (auto& [name, vm] : m_vms)
+        for (const auto& name : names)
         {
-            m_stopped.push_back(std::move(vm));
-            vm = std::make_unique<storage_vm>(
-                m_io, m_time, m_store.address(), name, m_folder + '/' + name,
-                false, true, m_revoke_ms, ports[name]);
+            run_until(m_io, [&] { return !m_links.connected(name); });
+            m_ports[name] = m_vms[name]->m_port;
+            m_stopped.push_back(std::move(m_vms[name]));
+            m_vms.erase(name);
         }
+        m_io.restart();
+    }
+    /// Starts all VMs that were stopped with their disks, at the same
+    /// addresses.
+    void start_stopped()
+    {
+        for (const auto& [name, port] : std::exchange(m_ports, {}))
+            m_vms[name] = std::make_unique<storage_vm>(
+                m_io, m_time, m_store.address(), name, m_folder + '/' + name,
+                false, true, m_revoke_ms, port, m_kept_links);
     }
 
     /// Restarts a VM with its disk, at another address.
     void restart(const std::string& name)
     {
-        m_vms[name]->m_node->stop();
-        m_vms[name]->m_source.pause();
-        run_until(m_io, [&] { return !m_links.connected(name); });
-        m_io.restart();
-        m_stopped.push_back(std::move(m_vms[name]));
+        stop({name});
+        m_ports.erase(name);
         add(name, false);
     }
 
@@ -226,11 +245,15 @@
     cluster_state m_state;
     /// Maximum time that a revoked key is accepted, for VMs added later.
     std::uint32_t m_revoke_ms = 5000;
+    /// Number of storage VMs above which a fleet is large, for VMs added later.
+    std::uint32_t m_kept_links = fleet_settings{}.m_kept_links;
     std::string m_folder;
     /// Destroyed after the VMs, whose writers may be running until then.
     folder_remover m_remover{m_folder};
     std::map<std::string, std::unique_ptr<storage_vm>> m_vms;
     std::vector<std::unique_ptr<storage_vm>> m_stopped;
+    /// Of the VMs that are stopped.
+    std::map<std::string, std::uint16_t> m_ports;
 };
 
 } // namespace pepperturn::test
