Say why a request ended without a whole answer, and what a stop cuts

What callers see: a connection that closes without an answer. The log told neither who ended it nor how far the request had come: `request_end` says status 0 or the status that was to be written, requests that the end of the process cut had no line with their id at all, a refusal for lack of memory did not name its request, and a 503 "no available runner accepted the request" was the same for none known, too many refusals, an outdated configuration and a claim that was not granted.

Now one line at each such decision, with typed causes: `unanswered` (phase and cause, age of the stop, configuration of the request and in force), `request_incomplete`, `no_runner`; `request_refused` has the id and whether it was sent, `stop_done` the phases and first ids of what it cuts. No decision changes.

--- a/include/pepperturn/forward/caller_connection.hpp
+++ b/include/pepperturn/forward/caller_connection.hpp
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "pepperturn/base/async.hpp"
+#include "pepperturn/forward/answer_end.hpp"
 #include "pepperturn/forward/exchange.hpp"
 #include "pepperturn/forward/memory_guard.hpp"
 
@@ -31,6 +32,10 @@
     std::string m_reason;
     /// Refused for lack of memory: when the caller may retry.
     std::optional<milliseconds> m_retry_after;
+    /// Of a connection that is closed: why, and the bytes that had arrived of
+    /// a request.
+    read_end m_end = read_end::none;
+    std::size_t m_partial_bytes = 0;
 };
 
 class caller_connection : public std::enable_shared_from_this<caller_connection>
@@ -74,6 +79,27 @@
                                   : " not enough memory to write the response";
     }
 
+    /// How the caller's side was seen while it was watched for its close.
+    [[nodiscard]] caller_side side() const
+    {
+        return m_side;
+    }
+    /// Bytes of the answer to the current request that were written.
+    [[nodiscard]] std::uint64_t answer_bytes() const
+    {
+        return m_answer_bytes;
+    }
+    /// Error of the last write; none if it was aborted by this VM.
+    [[nodiscard]] const error_code& write_error() const
+    {
+        return m_write_error;
+    }
+    /// False if the last write found no memory to buffer it.
+    [[nodiscard]] bool memory_available() const
+    {
+        return m_memory_available;
+    }
+
     /// Writes a complete response. \returns false if the caller has
     /// disconnected
     [[nodiscard]] task<bool> write_response(const upstream_response& answer,
@@ -125,6 +151,9 @@
     bool m_write_aborted = false;
     /// For the last write: there was memory to buffer it.
     bool m_memory_available = true;
+    caller_side m_side = caller_side::open;
+    std::uint64_t m_answer_bytes = 0;
+    error_code m_write_error;
     /// The current response is a stream.
     bool m_streaming = false;
     bool m_read_timed_out = false;
--- a/include/pepperturn/forward/proxy.hpp
+++ b/include/pepperturn/forward/proxy.hpp
@@ -103,6 +103,8 @@
     {
         return m_active_requests;
     }
+    /// What would be cut if this VM ended now.
+    [[nodiscard]] unfinished_requests unfinished() const;
     [[nodiscard]] const traffic_metrics& metrics() const
     {
         return m_metrics;
@@ -179,12 +181,22 @@
         std::uint32_t m_tokens_per_event = 1;
         std::optional<std::uint32_t> m_urgency;
         unsigned m_attempts = 0;
+        /// An attempt is under way.
+        bool m_attempting = false;
+        /// A stream was to go on at another runner, and none took it.
+        bool m_no_further_runner = false;
+        /// The storage VMs did not store the turn.
+        bool m_not_stored = false;
         /// Why the next attempt is made, for the log.
         std::string m_attempt_cause = "first";
         crash_state m_crash;
         std::string m_runner;
         std::string m_reason;
     };
+    /// Runners that may refuse one request before the proxy refuses it; each
+    /// costs a round trip.
+    static constexpr unsigned max_refusals = 4;
+
     /// Progress of a request over its attempts.
     struct attempt_progress
     {
@@ -392,6 +404,16 @@
     [[nodiscard]] upstream_response fail(call& work, unsigned status,
                                          const std::string& reason);
     void log_request_end(const call& work, unsigned status);
+    /// Tells why a request is sent to no runner, or to no further one.
+    /// \param denied it had time left and was not to go on
+    void log_no_runner(call& work, const runner_query& choice,
+                       const attempt_progress& state, bool denied);
+    [[nodiscard]] static answer_facts facts_of(const caller_connection& caller,
+                                               const call& work);
+    /// Tells why a request that was read whole was not answered completely.
+    void log_unanswered(const caller_connection& caller, const call& work);
+    /// Tells why a connection ended between requests, or inside one.
+    void log_connection_end(const read_result& read);
 
     asio::io_context& m_io;
     const clock& m_time;
@@ -413,11 +435,15 @@
     std::shared_ptr<const routing_config> m_config;
     std::uint64_t m_config_revision = 0;
     std::set<std::shared_ptr<caller_connection>> m_callers;
+    /// Requests under way.
+    std::map<const caller_connection*, std::weak_ptr<const call>> m_calls;
     traffic_metrics m_metrics;
     /// Times to the first byte, of routes whose calls are idempotent.
     std::map<std::string, response_times> m_first_byte_times;
     retry_budget m_early_retry_budget;
     instant m_started{};
+    /// When draining began.
+    std::optional<instant> m_drain_began;
     /// Events of requests that wait for this VM to receive the state it needs
     /// to serve them.
     std::set<std::shared_ptr<async_event>> m_startup_waiters;
--- a/include/pepperturn/forward/runner_table.hpp
+++ b/include/pepperturn/forward/runner_table.hpp
@@ -120,6 +120,8 @@
         return m_rows.size();
     }
     [[nodiscard]] std::size_t usable_count() const;
+    /// Runners of one service, usable or not.
+    [[nodiscard]] std::size_t count_of(const std::string& service) const;
 
     void record_request_start(const std::string& id);
     void record_request_end(const std::string& id);
--- a/src/fleet/edge_node.cpp
+++ b/src/fleet/edge_node.cpp
@@ -406,7 +406,8 @@
         }
         co_await sleep_for(m_io, drain_check);
     }
-    LOG(INFO) << "event=stop_done active=" << m_proxy.active_requests();
+    LOG(INFO) << "event=stop_done active=" << m_proxy.active_requests() << ' '
+              << describe(m_proxy.unfinished());
     m_io.stop();
 }
 
--- a/src/forward/caller_connection.cpp
+++ b/src/forward/caller_connection.cpp
@@ -48,6 +48,14 @@
     return out;
 }
 
+read_result closed(const error_code& ec, bool timed_out, std::size_t bytes)
+{
+    read_result out;
+    out.m_end = read_end_of(ec, timed_out);
+    out.m_partial_bytes = bytes;
+    return out;
+}
+
 std::string head_text(const upstream_response& response, bool keep_alive)
 {
     const auto reason =
@@ -109,6 +117,8 @@
     m_buffered = std::make_shared<buffer_account>(m_memory.budget());
     m_write_deadline.reset();
     m_streaming = false;
+    m_side = caller_side::open;
+    m_answer_bytes = 0;
     std::size_t searched = 0;
     std::size_t head_bytes = 0;
     // Not the stream's own expiry, which closes the socket: a slow caller
@@ -134,7 +144,7 @@
         if (ec && m_read_timed_out && !m_idle)
             co_return refusal(408, "request head timed out");
         if (ec)
-            co_return read_result{};
+            co_return closed(ec, m_read_timed_out, m_buffer.size());
         m_buffer.commit(count);
         if (std::exchange(m_idle, false))
             set_read_timeout(limits.m_header_timeout);
@@ -170,7 +180,8 @@
         const bool sent =
             co_await write_all("HTTP/1.1 100 Continue\r\n\r\n", {}, 0);
         if (!sent)
-            co_return read_result{};
+            co_return closed(asio::error::connection_reset, false, head_bytes);
+        m_answer_bytes = 0;
     }
     while (!parser.is_done() && !ec)
     {
@@ -197,7 +208,7 @@
         ec != http::error::end_of_stream && ec != http::error::partial_message)
         co_return refusal(400, ec.message());
     if (ec)
-        co_return read_result{};
+        co_return closed(ec, false, head_bytes + parser.get().body().size());
     m_read_timer.cancel();
     read_result out;
     out.m_outcome = read_outcome::request;
@@ -269,6 +280,7 @@
             co_await socket.async_wait(tcp::socket::wait_write, into(ec));
             continue;
         }
+        m_answer_bytes += count;
         const auto of_head = std::min(count, head.size());
         head.remove_prefix(of_head);
         body.remove_prefix(count - of_head);
@@ -277,6 +289,7 @@
     }
     if (waits)
         end_write_wait();
+    m_write_error = m_write_aborted ? error_code{} : ec;
     co_return !ec && !m_write_aborted;
 }
 
@@ -398,8 +411,13 @@
             // Bytes belong to the next request, which is read later.
             const bool gone = count == 0 || (count < 0 && errno != EAGAIN &&
                                              errno != EWOULDBLOCK);
-            if (gone)
-                aborter->abort(abort_cause::caller_left);
+            if (!gone)
+                return;
+            // What comes after another cause is no longer what ended it.
+            if (aborter->cause() == abort_cause::none)
+                self->m_side =
+                    count == 0 ? caller_side::closed : caller_side::reset;
+            aborter->abort(abort_cause::caller_left);
         });
 }
 
--- a/src/forward/proxy.cpp
+++ b/src/forward/proxy.cpp
@@ -108,6 +108,7 @@
 void proxy::begin_drain()
 {
     m_draining = true;
+    m_drain_began = m_time.now();
 }
 
 void proxy::stop_accepting()
@@ -153,7 +154,10 @@
         const auto limits = m_config ? m_config->m_limits : caller_limits{};
         auto read = co_await caller->read_request(limits);
         if (read.m_outcome == read_outcome::closed)
+        {
+            log_connection_end(read);
             break;
+        }
         if (read.m_outcome == read_outcome::refused)
         {
             co_await refuse_unread_request(caller, std::move(read));
@@ -173,24 +177,26 @@
 task<> proxy::refuse_unread_request(std::shared_ptr<caller_connection> caller,
                                     read_result read)
 {
-    LOG(INFO) << "event=request_refused status=" << read.m_status
-              << " reason=\"" << read.m_reason
-              << "\" held=" << m_memory.budget()->total();
+    const auto id = decode_fields(read.m_request, m_names).m_id;
+    const auto held = m_memory.budget()->total();
     auto response = text_response(read.m_status, read.m_reason);
-    if (!read.m_retry_after)
+    if (read.m_retry_after)
     {
-        m_metrics.count("requests_malformed");
-        (void)co_await caller->write_response(response, false);
-        co_return;
+        m_memory.count_refused_request();
+        response.m_fields.set(http::field::retry_after,
+                              seconds_text(*read.m_retry_after));
+        if (!id.empty())
+            response.m_fields.set(m_names.m_request_id, id);
     }
-    m_memory.count_refused_request();
-    response.m_fields.set(http::field::retry_after,
-                          seconds_text(*read.m_retry_after));
-    const auto id = decode_fields(read.m_request, m_names).m_id;
-    if (!id.empty())
-        response.m_fields.set(m_names.m_request_id, id);
+    else
+        m_metrics.count("requests_malformed");
     const bool sent = co_await caller->write_response(response, false);
-    if (sent)
+    LOG(INFO) << "event=request_refused id=" << id
+              << " status=" << read.m_status << " sent=" << sent << " reason=\""
+              << read.m_reason << "\" held=" << held;
+    if (!sent)
+        m_metrics.count("refusals_unsent");
+    if (sent && read.m_retry_after)
         co_await caller->discard_rest_of_request();
 }
 
@@ -209,6 +215,7 @@
                                 caller_request request)
 {
     const auto work = std::make_shared<call>();
+    m_calls[caller.get()] = work;
     work->m_request = std::move(request);
     work->m_fields = decode_fields(work->m_request, m_names);
     work->m_buffered = caller->buffered();
@@ -241,6 +248,9 @@
     if (caller->write_aborted())
         work->m_reason += caller->write_abort_reason();
     log_request_end(*work, status);
+    if (!written)
+        log_unanswered(*caller, *work);
+    m_calls.erase(caller.get());
     count_workspace(*work, status, result.m_aborted);
     co_return written&& keep_alive;
 }
--- a/src/forward/proxy_attempts.cpp
+++ b/src/forward/proxy_attempts.cpp
@@ -15,9 +15,6 @@
 
 namespace {
 
-/// Runners that may refuse one request before the proxy refuses it; each
-/// costs a round trip.
-constexpr unsigned max_refusals = 4;
 /// Cold runners that may be denied to one call before it is limited to warm
 /// ones: each request for permission costs a round trip or two.
 constexpr unsigned max_cold_denials = 2;
@@ -270,8 +267,10 @@
         [this, work](std::uint64_t bytes) -> task<bool> {
             return m_memory.wait_for_capacity(work->m_buffered, bytes);
         }};
+    work->m_attempting = true;
     auto result = co_await run_attempt(m_io, m_time, m_pool, m_runners, m_names,
                                        runner, request, sink, work->m_aborter);
+    work->m_attempting = false;
     if (!route.m_resumable)
         record_early_retry(route, first_byte_timeout, result);
     work->m_possible_runs +=
@@ -426,6 +425,8 @@
             if (!claimed)
                 row = nullptr;
         }
+        if (row == nullptr)
+            log_no_runner(*work, choice, state, !timed_out && !may_go_on);
         if (row == nullptr && relay->started())
             co_return co_await finish_stream(caller, work, last_result, *relay);
         if (row == nullptr)
--- a/src/forward/proxy_streams.cpp
+++ b/src/forward/proxy_streams.cpp
@@ -111,6 +111,7 @@
         if (!co_await m_turns.store(std::move(entry), work->m_deadline))
         {
             work->m_reason += "the storage VMs did not store the turn";
+            work->m_not_stored = true;
             out.m_aborted = true;
             co_return out;
         }
--- a/src/forward/runner_table.cpp
+++ b/src/forward/runner_table.cpp
@@ -124,6 +124,12 @@
     m_evacuated = {zones.begin(), zones.end()};
 }
 
+std::size_t runner_table::count_of(const std::string& service) const
+{
+    const auto found = m_by_service.find(service);
+    return found == m_by_service.end() ? 0 : found->second.m_all.size();
+}
+
 std::size_t runner_table::usable_count() const
 {
     return static_cast<std::size_t>(
--- a/test/fleet/test_readers.cpp
+++ b/test/fleet/test_readers.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "support/fleet/isolated_edge.hpp"
+#include "support/fleet/log_lines.hpp"
 #include "support/fleet/slow_caller.hpp"
 
 #include <fcntl.h>
@@ -332,12 +333,15 @@
     edge.m_second.script({{whole_answer(200, "fine")}});
     edge.m_first.script({{whole_answer(200, "fine")}});
     const std::string large(200 * kilobyte, 'r');
+    log_lines lines;
     const auto refused = edge.ask(edge.post("/once/", large), "\r\n\r\n");
     CHECK(has(refused, "HTTP/1.1 503 "));
     CHECK(has(refused, "Retry-After: "));
     CHECK(has(refused, "Pepperturn-Call: c1"));
     CHECK(has(edge.ask(edge.post("/once/", "small"), "fine"), " 200 "));
     CHECK(has(edge.m_proxy.metrics_text(), "bodies_refused_for_memory 1"));
+    REQUIRE(lines.of("request_refused").size() == 1);
+    CHECK(value_of(lines.of("request_refused").front(), "id") == "c1");
     edge.m_callers.front()->close();
     CHECK(edge.run_to([&] { return edge.buffered_bytes() == 0; }));
     CHECK(has(edge.ask(edge.post("/once/", large), "fine"), " 200 "));
