Say which storage VMs replied what about a turn that was refused or stored

What callers see: a turn that continues an answered one gets 404, or 503 on every try. `request_end` said "parent turn does not exist", "no quorum of storage VMs, set=N" or "turn history could not be fetched completely", and nothing of who had replied: a member that has lost its copy, a stale view, a disk that is not loaded, a missing link and a search that lacked replies from other sets looked alike. Where a turn was stored was in no line.

Now `turn_refused` names the fault, the parent, the set, the epochs and the age of the view, each member with its state and reply, the counts of replies from other sets, and the earlier turn that was missing; `turn_stored` names the members that have a turn. Counters by fault, and a histogram of the time that storing takes. No decision changes.

Evidence: a table of faults against three storage VMs of which none, one or two are gone, two sets with and without a lost member, an edge VM without any view, and the lines of a turn that is stored, denied, or not stored because all storage VMs stop; none of it was told before.

--- a/include/pepperturn/forward/proxy.hpp
+++ b/include/pepperturn/forward/proxy.hpp
@@ -408,6 +408,8 @@
     /// \param denied it had time left and was not to go on
     void log_no_runner(call& work, const runner_query& choice,
                        const attempt_progress& state, bool denied);
+    /// Tells why a turn was not granted.
+    void log_turn_refused(const call& work, const begin_evidence& evidence);
     [[nodiscard]] static answer_facts facts_of(const caller_connection& caller,
                                                const call& work);
     /// Tells why a request that was read whole was not answered completely.
--- a/include/pepperturn/forward/traffic_metrics.hpp
+++ b/include/pepperturn/forward/traffic_metrics.hpp
@@ -18,6 +18,8 @@
     void record_response(milliseconds duration);
     /// \param duration from a turn's arrival to the reply of the storage VMs
     void record_turn_begin(milliseconds duration);
+    /// \param duration until the storage VMs have stored a turn, or have not
+    void record_turn_store(milliseconds duration);
 
     /// Outcomes of the requests of one workspace.
     [[nodiscard]] workspace_counts& of_workspace(const std::string& name)
@@ -33,6 +35,7 @@
     workspace_totals m_workspaces;
     latency_histogram m_response_times;
     latency_histogram m_turn_begin_times;
+    latency_histogram m_turn_store_times;
 };
 
 } // namespace pepperturn
--- a/include/pepperturn/turns/turn_client.hpp
+++ b/include/pepperturn/turns/turn_client.hpp
@@ -9,6 +9,7 @@
 #include "pepperturn/cluster/member_links.hpp"
 #include "pepperturn/cluster/replica_sets.hpp"
 #include "pepperturn/turns/ledger.hpp"
+#include "pepperturn/turns/turn_evidence.hpp"
 
 #include <deque>
 #include <functional>
@@ -62,6 +63,8 @@
     std::vector<id_key> m_unsettled;
     /// Figures that explain the outcome, for the log.
     std::string m_reason;
+    /// Unless it is granted: why not, and what was known.
+    begin_evidence m_evidence;
 };
 
 class turn_client
@@ -76,6 +79,8 @@
 
     /// False if no storage VM is reachable from this VM; others may reach them.
     [[nodiscard]] bool connected() const;
+    /// What is known of the storage VMs, where \ref connected is false.
+    [[nodiscard]] begin_evidence isolation() const;
 
     /// Reserves the tokens of a turn and fetches its history.
     [[nodiscard]] task<begin_result> begin(begin_request request,
@@ -109,6 +114,8 @@
     {
         cluster_view m_view;
         quorum_sizes m_quorums;
+        /// When this VM learnt the view.
+        instant m_since{};
     };
     /// A request that waits until it may fetch a page.
     struct page_waiter
@@ -127,6 +134,14 @@
         /// A member that may store it has too much to do to send it now.
         bool m_busy = false;
         bool m_out_of_memory = false;
+        /// For the log: the turn that was not fetched, the replies to the last
+        /// request for it, and what else kept it back.
+        std::string m_missing;
+        reply_tally m_in_set;
+        reply_tally m_elsewhere;
+        bool m_ancestor_absent = false;
+        bool m_no_page_slot = false;
+        bool m_late = false;
     };
 
     /// The replica set that stores a program; null: not known yet.
@@ -145,6 +160,13 @@
     [[nodiscard]] bool wrote_enough(const round& work) const;
     [[nodiscard]] bool read_enough(const round& work) const;
     [[nodiscard]] bool all_lack_parent(const round& work) const;
+    /// What is known of the program's set and of all storage VMs.
+    [[nodiscard]] begin_evidence observe(const round& work) const;
+    void observe_links(begin_evidence& out) const;
+    [[nodiscard]] begin_fault fault_of(const round& work,
+                                       const search_result& found) const;
+    [[nodiscard]] begin_evidence explain(const round& work,
+                                         const search_result& found) const;
     [[nodiscard]] std::string nearest_member(const set_row& set) const;
     /// A quorum of members, the nearest first.
     [[nodiscard]] std::vector<std::string>
@@ -178,6 +200,9 @@
     task<search_result> await_page(id_key program, std::string turn,
                                    std::uint32_t retention_ms,
                                    instant deadline);
+    /// Records why the history lacks \p turn, for the log.
+    static void note_missing(search_result& found, const std::string& turn,
+                             const search_result& page);
     /// Appends the turns that \p found lacks and reverses them to oldest first;
     /// empty if a turn cannot be fetched.
     task<search_result> complete_history(id_key program, std::string parent,
--- a/src/forward/proxy_ends.cpp
+++ b/src/forward/proxy_ends.cpp
@@ -79,6 +79,17 @@
               << " attempts=" << work.m_attempts;
 }
 
+void proxy::log_turn_refused(const call& work, const begin_evidence& evidence)
+{
+    m_metrics.count(std::string("turns_refused_") +
+                    to_string(evidence.m_fault));
+    LOG(INFO) << "event=turn_refused id=" << work.m_fields.m_id
+              << " program=" << work.m_fields.m_program
+              << " parent=" << caller_turn_id(work.m_begin.m_parent)
+              << " fault=" << to_string(evidence.m_fault) << ' '
+              << describe(evidence);
+}
+
 void proxy::log_connection_end(const read_result& read)
 {
     m_metrics.count(std::string("connections_ended_") + to_string(read.m_end));
--- a/src/forward/proxy_streams.cpp
+++ b/src/forward/proxy_streams.cpp
@@ -108,7 +108,12 @@
         turn.m_ancestors = work->m_ancestors;
         work->m_budget_reserved = false;
         log_entry entry{work->m_begin.m_retention_ms, std::move(turn)};
-        if (!co_await m_turns.store(std::move(entry), work->m_deadline))
+        const auto began = m_time.now();
+        const bool stored =
+            co_await m_turns.store(std::move(entry), work->m_deadline);
+        m_metrics.record_turn_store(elapsed(began, m_time.now()));
+        m_metrics.count(stored ? "turns_stored" : "turns_not_stored");
+        if (!stored)
         {
             work->m_reason += "the storage VMs did not store the turn";
             work->m_not_stored = true;
--- a/src/forward/proxy_turns.cpp
+++ b/src/forward/proxy_turns.cpp
@@ -78,6 +78,7 @@
         // Isolated from all storage VMs: another edge VM may not be, so the
         // caller has to reconnect.
         work->m_keep_alive = false;
+        log_turn_refused(*work, m_turns.isolation());
         co_return refuse(*work, "this VM can reach no storage VM",
                          retry_after_isolated);
     }
@@ -121,8 +122,12 @@
              m_memory.may_read_body(work->m_body.size())))
             co_return std::nullopt;
         result.m_outcome = begin_outcome::out_of_memory;
+        result.m_evidence.m_fault = begin_fault::out_of_memory;
     }
     settle(*work, 0);
+    // A spent budget is told by its figures.
+    if (result.m_outcome != begin_outcome::over_budget)
+        log_turn_refused(*work, result.m_evidence);
     if (result.m_outcome == begin_outcome::out_of_memory)
     {
         m_memory.count_refused_request();
--- a/src/forward/traffic_metrics.cpp
+++ b/src/forward/traffic_metrics.cpp
@@ -18,6 +18,11 @@
     m_turn_begin_times.note(duration);
 }
 
+void traffic_metrics::record_turn_store(milliseconds duration)
+{
+    m_turn_store_times.note(duration);
+}
+
 std::string traffic_metrics::text() const
 {
     std::string out;
@@ -25,6 +30,7 @@
         write_metric(out, name, value);
     m_response_times.write(out, "answer");
     m_turn_begin_times.write(out, "turn_begin");
+    m_turn_store_times.write(out, "turn_store");
     out += m_workspaces.text();
     return out;
 }
--- a/src/turns/turn_client.cpp
+++ b/src/turns/turn_client.cpp
@@ -34,9 +34,16 @@
 
 void turn_client::follow(const std::vector<cluster_view>& views)
 {
-    m_sets.clear();
+    std::vector<set_row> sets;
     for (const auto& view : views)
-        m_sets.push_back({view, quorums_of(view, m_disk_losses)});
+    {
+        const auto* known = find_set(view.m_set);
+        const bool same =
+            known != nullptr && known->m_view.m_epoch == view.m_epoch;
+        sets.push_back({view, quorums_of(view, m_disk_losses),
+                        same ? known->m_since : m_time.now()});
+    }
+    m_sets = std::move(sets);
 }
 
 const turn_client::set_row* turn_client::find_set(std::uint32_t set) const
@@ -148,7 +155,10 @@
 void turn_client::request_from(const std::shared_ptr<round>& work,
                                const member& target)
 {
-    work->m_rows[target.m_name].m_pending = true;
+    auto& asked = work->m_rows[target.m_name];
+    asked.m_pending = true;
+    if (asked.m_last == member_reply::not_asked)
+        asked.m_last = member_reply::none;
     auto body = work->m_body;
     if (auto* begin = std::get_if<begin_message>(&body))
         begin->m_want_history = target.m_name == work->m_history_member;
@@ -158,6 +168,7 @@
             return;
         auto& reply_row = work->m_rows[name];
         reply_row.m_pending = false;
+        reply_row.m_last = reply_of(reply);
         const auto* set = set_for(work->m_program);
         if (reply && reply->m_status == frame_status::stale && set != nullptr &&
             reply->m_epoch < set->m_view.m_epoch)
@@ -306,6 +317,7 @@
         result.m_reason =
             "no quorum of storage VMs, set=" +
             (set == nullptr ? "unknown" : std::to_string(set->m_view.m_set));
+        result.m_evidence = explain(*work, {});
         co_return result;
     }
     joint_ledger ledger;
@@ -339,6 +351,10 @@
         result.m_outcome = begin_outcome::out_of_memory;
     else
         result.m_reason = "turn history could not be fetched completely";
+    if (result.m_outcome != begin_outcome::granted)
+        result.m_evidence = explain(*work, found);
+    if (result.m_outcome == begin_outcome::over_budget)
+        result.m_evidence.m_fault = begin_fault::over_budget;
     result.m_history = std::move(found.m_history);
     co_return result;
 }
@@ -348,6 +364,7 @@
     const auto& turn = std::get<turn_record>(entry.m_what);
     const auto program = turn.m_program;
     const auto tiebreak = turn.m_attempt.m_low;
+    const auto id = caller_turn_id(turn.m_id);
     const log_entry settled{
         entry.m_retention_ms,
         reservation{turn.m_program, turn.m_attempt, turn.m_tokens, true}};
@@ -368,6 +385,15 @@
     }
     const bool stored = wrote_enough(*work);
     work->m_closed = true;
+    auto evidence = observe(*work);
+    if (!stored)
+    {
+        evidence.m_fault = begin_fault::too_few_writers;
+        observe_links(evidence);
+    }
+    LOG(INFO) << "event=turn_stored id=" << id << " stored=" << stored
+              << " ms=" << elapsed(begun_at, m_time.now()).count() << ' '
+              << describe(evidence);
     if (stored)
         settle_elsewhere(*work, settled);
     co_return stored;
@@ -404,4 +430,98 @@
     }
 }
 
+begin_evidence turn_client::observe(const round& work) const
+{
+    begin_evidence out;
+    out.m_asked_epoch = work.m_epoch;
+    const auto* set = set_for(work.m_program);
+    if (set == nullptr)
+        return out;
+    out.m_set = set->m_view.m_set;
+    out.m_epoch = set->m_view.m_epoch;
+    out.m_view_age = elapsed(set->m_since, m_time.now());
+    out.m_quorums = set->m_quorums;
+    // The replies are dropped once they have told where the history is.
+    if (work.m_rows.empty())
+        return out;
+    for (const auto& row : set->m_view.m_members)
+    {
+        const auto asked = work.m_rows.find(row.m_name);
+        const auto* begun = work.begun(row.m_name);
+        auto reply = asked == work.m_rows.end() ? member_reply::not_asked
+                                                : asked->second.m_last;
+        if (begun != nullptr && begun->m_parent_found)
+            reply = member_reply::found;
+        else if (reply == member_reply::not_asked &&
+                 !m_links.connected(row.m_name))
+            reply = member_reply::no_link;
+        out.m_members.push_back({row.m_name, row.m_state, reply});
+    }
+    return out;
+}
+
+void turn_client::observe_links(begin_evidence& out) const
+{
+    out.m_known_sets = m_sets.size();
+    out.m_set_count = m_sets.empty() ? 0 : m_sets.front().m_view.m_set_count;
+    instant heard_at{};
+    for (const auto& set : m_sets)
+    {
+        for (const auto& row : set.m_view.m_members)
+        {
+            ++out.m_all_members;
+            out.m_linked += m_links.connected(row.m_name) ? 1 : 0;
+            heard_at = std::max(heard_at, m_links.last_seen(row.m_name));
+        }
+    }
+    out.m_heard = out.m_all_members == 0 ? milliseconds(-1)
+                                         : elapsed(heard_at, m_time.now());
+}
+
+begin_evidence turn_client::isolation() const
+{
+    begin_evidence out;
+    out.m_fault = begin_fault::isolated;
+    observe_links(out);
+    return out;
+}
+
+begin_fault turn_client::fault_of(const round& work,
+                                  const search_result& found) const
+{
+    if (found.m_out_of_memory)
+        return begin_fault::out_of_memory;
+    if (found.m_no_page_slot)
+        return begin_fault::no_page_slot;
+    if (found.m_late)
+        return begin_fault::history_late;
+    if (!found.m_missing.empty())
+        return found.m_ancestor_absent ? begin_fault::ancestor_absent
+                                       : begin_fault::ancestor_unreached;
+    if (found.m_not_found)
+        return begin_fault::parent_absent;
+    if (found.m_elsewhere.m_sets > 0)
+        return begin_fault::search_incomplete;
+    if (set_for(work.m_program) == nullptr)
+        return begin_fault::no_view;
+    if (!wrote_enough(work))
+        return begin_fault::too_few_writers;
+    if (!read_enough(work))
+        return begin_fault::too_few_readers;
+    return all_lack_parent(work) ? begin_fault::search_incomplete
+                                 : begin_fault::parent_uncertain;
+}
+
+begin_evidence turn_client::explain(const round& work,
+                                    const search_result& found) const
+{
+    auto out = observe(work);
+    observe_links(out);
+    out.m_fault = fault_of(work, found);
+    out.m_missing = found.m_missing;
+    out.m_in_set = found.m_in_set;
+    out.m_elsewhere = found.m_elsewhere;
+    return out;
+}
+
 } // namespace pepperturn
--- a/src/turns/turn_history.cpp
+++ b/src/turns/turn_history.cpp
@@ -53,6 +53,7 @@
         std::size_t m_pending = 0;
         bool m_reply_missing = false;
         std::vector<turn_record> m_history;
+        reply_tally m_tally;
     };
     const auto state = std::make_shared<search>(m_io);
     const fetch_message message{turn, retention_ms};
@@ -62,6 +63,7 @@
                                   ? std::get_if<fetched_message>(&reply->m_body)
                                   : nullptr;
         state->m_reply_missing = state->m_reply_missing || fetched == nullptr;
+        state->m_tally.add(reply);
         if (fetched != nullptr && state->m_history.empty())
             state->m_history = fetched->m_history;
         state->m_changed.notify();
@@ -70,11 +72,16 @@
     {
         if (set.m_view.m_set == excluded_set)
             continue;
+        ++state->m_tally.m_sets;
         for (const auto& row : set.m_view.m_members)
         {
             if (row.m_state == member_state::joining ||
                 row.m_state == member_state::lost)
+            {
+                ++state->m_tally.m_skipped;
                 continue;
+            }
+            ++state->m_tally.m_asked;
             ++state->m_pending;
             m_links.call(row.m_name, set.m_view.m_epoch, message, take);
         }
@@ -89,6 +96,7 @@
                       !state->m_reply_missing && !m_sets.empty() &&
                       m_sets.size() == m_sets.front().m_view.m_set_count;
     out.m_history = std::move(state->m_history);
+    out.m_elsewhere = state->m_tally;
     co_return out;
 }
 
@@ -126,6 +134,7 @@
     const auto take = [state](std::optional<frame> reply) {
         --state->m_pending;
         auto& result = state->m_result;
+        result.m_in_set.add(reply);
         auto* fetched =
             reply ? std::get_if<fetched_message>(&reply->m_body) : nullptr;
         result.m_busy =
@@ -135,9 +144,14 @@
         state->m_changed.notify();
     };
     const auto names = readers_of(*set);
+    auto& tally = state->m_result.m_in_set;
+    tally.m_sets = 1;
+    tally.m_skipped =
+        static_cast<std::uint32_t>(set->m_view.m_members.size() - names.size());
     for (std::size_t i = 0; i < names.size(); ++i)
     {
         ++state->m_pending;
+        ++tally.m_asked;
         m_links.call(names[i], epoch, message, take);
         // A page that is slow to arrive may come all the same: another member
         // is asked beside it.
@@ -188,6 +202,7 @@
 {
     search_result out;
     const bool acquired = co_await acquire_page(deadline);
+    out.m_no_page_slot = !acquired;
     if (!acquired)
         co_return out;
     out = co_await fetch_in_set(program, turn, retention_ms, deadline);
@@ -197,8 +212,10 @@
         const auto* program_set = set_for(program);
         const auto excluded_set =
             program_set == nullptr ? 0 : program_set->m_view.m_set;
+        const auto in_set = out.m_in_set;
         out = co_await search_elsewhere(turn, excluded_set, retention_ms,
                                         deadline);
+        out.m_in_set = in_set;
     }
     release_page();
     co_return out;
@@ -219,6 +236,19 @@
     }
 }
 
+void turn_client::note_missing(search_result& found, const std::string& turn,
+                               const search_result& page)
+{
+    found.m_missing = turn;
+    // Not m_not_found, which is said of the parent and decides the answer.
+    found.m_ancestor_absent =
+        page.m_not_found && page.m_in_set.m_absent == page.m_in_set.m_asked;
+    found.m_in_set = page.m_in_set;
+    found.m_elsewhere = page.m_elsewhere;
+    found.m_no_page_slot = page.m_no_page_slot;
+    found.m_late = !page.m_history.empty();
+}
+
 task<turn_client::search_result>
 turn_client::complete_history(id_key program, std::string parent,
                               std::uint32_t retention_ms, search_result found,
@@ -244,7 +274,10 @@
         auto page =
             co_await await_page(program, missing, retention_ms, deadline);
         if (page.m_history.empty() || m_time.now() >= deadline)
+        {
+            note_missing(found, missing, page);
             break;
+        }
         bytes += bytes_of(page.m_history);
         history.insert(history.end(),
                        std::make_move_iterator(page.m_history.begin()),
--- a/src/turns/turn_round.hpp
+++ b/src/turns/turn_round.hpp
@@ -17,6 +17,8 @@
     {
         bool m_pending = false;
         std::optional<frame> m_reply;
+        /// For the log.
+        member_reply m_last = member_reply::not_asked;
     };
 
     round(asio::io_context& io, id_key program, frame_body body)
--- a/test/fleet/test_lost_requests.cpp
+++ b/test/fleet/test_lost_requests.cpp
@@ -4,6 +4,7 @@
 #include "support/fleet/edge_vm.hpp"
 #include "support/fleet/isolated_edge.hpp"
 #include "support/fleet/log_lines.hpp"
+#include "support/fleet/stored_turns_fixture.hpp"
 
 namespace {
 
@@ -48,6 +49,44 @@
     return lines.of(event).front();
 }
 
+begin_result begin_of(storage_fixture& fleet, const begin_request& what,
+                      const history_options& options = {})
+{
+    const auto result =
+        run_task(fleet.m_io,
+                 fleet.m_client.begin(
+                     what, fleet.m_time.now() + milliseconds(1500), options));
+    REQUIRE(result.has_value());
+    return *result;
+}
+
+/// Stores a turn on every VM; a write quorum may lack one of them.
+void keep_on_all(storage_fixture& fleet, const std::string& id)
+{
+    const turn_record turn{
+        id, {}, "in", "out", "run", key_of("program"), key_of(id), 30};
+    std::size_t stored = 0;
+    for (const auto& [name, vm] : fleet.m_vms)
+        fleet.m_links.call(name, fleet.m_state.m_views.front().m_epoch,
+                           append_message{{retention_ms, turn}},
+                           [&](const std::optional<frame>& reply) {
+                               stored += reply ? 1 : 0;
+                           });
+    REQUIRE(
+        run_until(fleet.m_io, [&] { return stored == fleet.m_vms.size(); }));
+}
+
+member_reply reply_in(const begin_evidence& evidence, const std::string& name)
+{
+    for (const auto& row : evidence.m_members)
+    {
+        if (row.m_name == name)
+            return row.m_reply;
+    }
+    FAIL("no such member: " << name);
+    return member_reply::not_asked;
+}
+
 } // namespace
 
 // A closed connection looked the same whoever closed it, and why.
@@ -113,7 +152,7 @@
     edge.m_first.script({{stream ? event_answer({"a", "b"}) : whole}});
     edge.ask(stream ? isolated_edge::post("/stream/", "x")
                     : isolated_edge::get("/get/"),
-             stream ? "\r\n0\r\n\r\n" : "fine");
+             stream ? last_chunk_text : "fine");
     REQUIRE(run_until(edge.m_io,
                       [&] { return edge.m_proxy.active_requests() == 0; }));
     CHECK(lines.of("unanswered").empty());
@@ -235,3 +274,168 @@
     CHECK(metric_value(edge.m_proxy.metrics().text(),
                        "no_runner_" + each.m_cause) == 1);
 }
+
+TEST_CASE("a turn of a VM without storage VMs says what it knows of them",
+          "[proxy][lines]")
+{
+    log_lines lines;
+    isolated_edge edge;
+    edge.ask(isolated_edge::post("/stream/", "x",
+                                 "Pepperturn-Program: p\r\n"
+                                 "Pepperturn-Token-Budget: 60\r\n"
+                                 "Pepperturn-Token-Count: 100,24\r\n"),
+             "\r\n\r\n");
+    const auto line = line_of(edge, lines, "turn_refused");
+    CHECK(value_of(line, "fault") == "isolated");
+    CHECK(value_of(line, "linked") == "0/0");
+    CHECK(value_of(line, "heard_ms") == "-1");
+    CHECK(metric_value(edge.m_proxy.metrics().text(),
+                       "turns_refused_isolated") == 1);
+}
+
+TEST_CASE("a program whose set is not known says so", "[fleet][lines]")
+{
+    storage_fixture fleet;
+    const auto result = begin_of(fleet, storage_fixture::request("a", ""));
+    CHECK(result.m_evidence.m_fault == begin_fault::no_view);
+    CHECK_FALSE(result.m_evidence.m_set.has_value());
+}
+
+// A turn that was denied did not say who had denied it.
+TEST_CASE("a turn that is not granted says which members replied what",
+          "[fleet][lines]")
+{
+    struct sample
+    {
+        std::string m_parent;
+        /// Storage VMs that are lost, from the first.
+        int m_lost;
+        begin_outcome m_outcome;
+        begin_fault m_fault;
+        member_reply m_first;
+        member_reply m_last;
+    };
+    const auto each = GENERATE(values<sample>({
+        {"nobody", 0, begin_outcome::no_such_turn, begin_fault::parent_absent,
+         member_reply::ok, member_reply::ok},
+        {"nobody", 1, begin_outcome::unavailable, begin_fault::parent_uncertain,
+         member_reply::no_link, member_reply::ok},
+        {"", 2, begin_outcome::unavailable, begin_fault::too_few_writers,
+         member_reply::no_link, member_reply::ok},
+        {"a", 2, begin_outcome::unavailable, begin_fault::too_few_writers,
+         member_reply::no_link, member_reply::found},
+    }));
+    INFO(to_string(each.m_fault) << ' ' << each.m_parent);
+    storage_fixture fleet;
+    fleet.start_three();
+    keep_on_all(fleet, "a");
+    for (int i = 0; i < each.m_lost; ++i)
+        fleet.lose("vm-" + std::to_string(i));
+    const auto result =
+        begin_of(fleet, storage_fixture::request("b", each.m_parent));
+    const auto& evidence = result.m_evidence;
+    CHECK(result.m_outcome == each.m_outcome);
+    CHECK(evidence.m_fault == each.m_fault);
+    CHECK(evidence.m_set == 0);
+    CHECK(evidence.m_epoch == fleet.m_state.m_views.front().m_epoch);
+    CHECK(evidence.m_asked_epoch == evidence.m_epoch);
+    CHECK(evidence.m_members.size() == 3);
+    CHECK(evidence.m_all_members == 3);
+    CHECK(evidence.m_linked == 3 - static_cast<std::size_t>(each.m_lost));
+    CHECK(reply_in(evidence, "vm-0") == each.m_first);
+    CHECK(reply_in(evidence, "vm-2") == each.m_last);
+}
+
+TEST_CASE("a history that lacks a turn names it, and who was asked",
+          "[fleet][lines]")
+{
+    const bool lost = GENERATE(false, true);
+    storage_fixture fleet;
+    fleet.start_three();
+    REQUIRE(fleet.keep("b", "gone"));
+    if (lost)
+        fleet.lose("vm-0");
+    const auto result = begin_of(fleet, storage_fixture::request("c", "b"));
+    CHECK(result.m_outcome == begin_outcome::unavailable);
+    CHECK(result.m_evidence.m_fault == begin_fault::ancestor_absent);
+    CHECK(result.m_evidence.m_missing == "gone");
+    CHECK(result.m_evidence.m_in_set.m_asked == (lost ? 2 : 3));
+    CHECK(result.m_evidence.m_in_set.m_absent == (lost ? 2 : 3));
+    CHECK(result.m_evidence.m_in_set.m_skipped == (lost ? 1 : 0));
+}
+
+TEST_CASE("a turn that no memory or budget is left for says so",
+          "[fleet][lines]")
+{
+    storage_fixture fleet;
+    fleet.start_three();
+    REQUIRE(fleet.keep("a", ""));
+    history_options none;
+    none.m_admit = [](std::uint64_t) { return false; };
+    CHECK(begin_of(fleet, storage_fixture::request("b", "a"), none)
+              .m_evidence.m_fault == begin_fault::out_of_memory);
+    CHECK(begin_of(fleet, storage_fixture::request("c", "a", 60))
+              .m_evidence.m_fault == begin_fault::over_budget);
+    CHECK(begin_of(fleet, storage_fixture::request("d", "a")).m_evidence ==
+          begin_evidence{});
+}
+
+TEST_CASE("a turn that was stored and one that was denied are found by their "
+          "ids",
+          "[fleet][lines]")
+{
+    stored_turns_fixture fleet;
+    fleet.m_first.script({{event_answer({"a"})}});
+    log_lines lines;
+    CHECK(has(fleet.take_turn("t1", ""), last_chunk_text));
+    const auto stored = lines.of("turn_stored");
+    REQUIRE(stored.size() == 1);
+    CHECK(value_of(stored.front(), "id") == "t1");
+    CHECK(value_of(stored.front(), "stored") == "1");
+    CHECK(value_of(stored.front(), "set") == "0");
+    CHECK(has(value_of(stored.front(), "members"), ":full:ok"));
+    CHECK(has(fleet.take_turn("t2", "nobody"), "HTTP/1.1 404 "));
+    const auto refused = lines.of("turn_refused");
+    REQUIRE(refused.size() == 1);
+    CHECK(value_of(refused.front(), "id") == "t2");
+    CHECK(value_of(refused.front(), "parent") == "nobody");
+    CHECK(value_of(refused.front(), "fault") == "parent_absent");
+    const auto text = fleet.m_proxy.metrics().text();
+    CHECK(metric_value(text, "turns_stored") == 1);
+    CHECK(metric_value(text, "turns_refused_parent_absent") == 1);
+    CHECK(has(text, "turn_store_ms"));
+}
+
+TEST_CASE("a stream whose turn is not stored says so", "[fleet][lines]")
+{
+    stored_turns_fixture fleet;
+    // The answer ends with its connection, once no storage VM is left.
+    runner_step step{"HTTP/1.1 200 OK\r\nPepperturn-Call: ID\r\n"
+                     "Pepperturn-Signature: s\r\n"
+                     "Content-Type: text/event-stream\r\n\r\n"
+                     "id: 1\ndata: a\n\n",
+                     true, after::close};
+    step.m_end_delay = milliseconds(700);
+    fleet.m_first.script({step});
+    log_lines lines;
+    REQUIRE(fleet.proxy_fixture::wait_for(
+        [&] { return fleet.m_client.connected(); }));
+    fleet.connect();
+    fleet.send(proxy_fixture::post("/stream/", "in;",
+                                   "Pepperturn-Program: p\r\n"
+                                   "Pepperturn-Token-Count: 10,8\r\n"));
+    REQUIRE(fleet.proxy_fixture::wait_for(
+        [&] { return has(fleet.m_received, "data: a"); }));
+    for (const auto& [name, vm] : fleet.m_vms)
+        vm->m_node->stop();
+    REQUIRE(fleet.proxy_fixture::wait_for([&] { return fleet.m_ended; }));
+    CHECK_FALSE(has(fleet.m_received, last_chunk_text));
+    REQUIRE(lines.of("unanswered").size() == 1);
+    CHECK(value_of(lines.of("unanswered").front(), "cause") == "not_stored");
+    REQUIRE(lines.of("turn_stored").size() == 1);
+    const auto stored = lines.of("turn_stored").front();
+    CHECK(value_of(stored, "stored") == "0");
+    CHECK(value_of(stored, "linked") == "0/3");
+    CHECK(metric_value(fleet.m_proxy.metrics().text(), "turns_not_stored") ==
+          1);
+}
--- a/test/fleet/test_replica_sets.cpp
+++ b/test/fleet/test_replica_sets.cpp
@@ -223,3 +223,27 @@
     CHECK(fleet.tick_until([&] { return fleet.watchers() >= 2; },
                            milliseconds(12000)));
 }
+
+// What the other sets had replied was not known of a turn that was refused.
+TEST_CASE("a turn that is searched for in other sets tells their replies",
+          "[fleet][replica_sets][lines]")
+{
+    two_sets fleet;
+    const bool lost = GENERATE(false, true);
+    if (lost)
+        fleet.lose(fleet.m_state.m_views[1].m_members.front().m_name);
+    const auto evidence =
+        fleet.begin_in(two_sets::program_in(0), "a", "none").m_evidence;
+    CHECK(evidence.m_fault ==
+          (lost ? begin_fault::search_incomplete : begin_fault::parent_absent));
+    reply_tally expected;
+    expected.m_sets = 1;
+    expected.m_asked = 3;
+    expected.m_absent = lost ? 2 : 3;
+    expected.m_no_link = lost ? 1 : 0;
+    CHECK(evidence.m_elsewhere == expected);
+    CHECK(evidence.m_set == 0);
+    CHECK(evidence.m_members.size() == 3);
+    CHECK(evidence.m_known_sets == 2);
+    CHECK(evidence.m_set_count == 2);
+}
