--- a/src/turns/turn_client.cpp
+++ b/src/turns/turn_client.cpp
@@ -500,8 +500,13 @@
                                        : begin_fault::ancestor_unreached;
     if (found.m_not_found)
         return begin_fault::parent_absent;
-    if (found.m_elsewhere.m_sets > 0)
-        return begin_fault::search_incomplete;
+    const auto& elsewhere = found.m_elsewhere;
+    const bool all_replied = elsewhere.m_absent == elsewhere.m_asked &&
+                             !m_sets.empty() &&
+                             m_sets.size() == m_sets.front().m_view.m_set_count;
+    if (elsewhere.m_sets > 0)
+        return all_replied ? begin_fault::parent_uncertain
+                           : begin_fault::search_incomplete;
     if (set_for(work.m_program) == nullptr)
         return begin_fault::no_view;
     if (!wrote_enough(work))
