A set that lost two of three disks serves again, shown on real nodes

The way back with a gap was shown by the model of a set only. Three nodes on loopback lose two disks: first turns are granted and stored again, and a turn that nobody stores is unavailable, not denied.

The gap of a view and a member without a disk are in the tests of the view's text and of the frames as well.

--- a/test/fleet/test_storage_vms.cpp
+++ b/test/fleet/test_storage_vms.cpp
@@ -131,6 +131,37 @@
           std::string::npos);
 }
 
+TEST_CASE("a set that lost the disks of two of three members serves again",
+          "[fleet]")
+{
+    // Guards against a set that refuses every turn for good: one member joined
+    // with an empty disk, another one was lost, and both waited.
+    storage_fixture fleet;
+    fleet.start_three();
+    REQUIRE(fleet.keep("a", ""));
+    for (const char* name : {"vm-0", "vm-1"})
+    {
+        fleet.lose(name);
+        fleet.m_stopped.push_back(std::move(fleet.m_vms[name]));
+        std::filesystem::remove_all(fleet.m_folder + '/' + name);
+    }
+    fleet.add("vm-0", false);
+    fleet.add("vm-1", false);
+    REQUIRE(run_until(fleet.m_io, [&] {
+        return fleet.m_state.m_views.front().m_gap_epoch != 0 &&
+               fleet.states() == "vm-0Fvm-1Fvm-2F" &&
+               fleet.m_links.connected("vm-0") &&
+               fleet.m_links.connected("vm-1");
+    }));
+    const auto first = fleet.begin(storage_fixture::request("b", ""));
+    CHECK(first.m_outcome == begin_outcome::granted);
+    CHECK(fleet.keep("b", ""));
+    // It may have been on the lost disks alone.
+    const auto unknown =
+        fleet.begin(storage_fixture::request("c", "none"), milliseconds(500));
+    CHECK(unknown.m_outcome == begin_outcome::unavailable);
+}
+
 TEST_CASE("an added VM copies what was stored before it joined", "[fleet]")
 {
     storage_fixture fleet;
--- a/test/platform/test_decode.cpp
+++ b/test/platform/test_decode.cpp
@@ -184,12 +184,16 @@
 
 TEST_CASE("views survive the store", "[platform]")
 {
+    const auto gap_epoch = GENERATE(std::uint64_t{0}, std::uint64_t{11});
     const cluster_view view{
         12,
         {{"a", "1.2.3.4:5", "z", UINT64_MAX >> 1U, member_state::full},
-         {"b", "1.2.3.5:5", "y", 2, member_state::leaving}},
+         {"b", "1.2.3.5:5", "y", 2, member_state::leaving},
+         {"c", "1.2.3.6:5", "y", 0, member_state::lost}},
         2,
-        7};
+        7,
+        {},
+        gap_epoch};
     std::string reason;
     const auto back = decode_view(encode_view(view), 12, reason);
     REQUIRE(back.has_value());
@@ -198,6 +202,7 @@
     const char* refused =
         GENERATE(R"({"set":0,"sets":1,"members":[{"name":"a"}]})",
                  R"({"members":[]})", R"({"set":2,"sets":2,"members":[]})",
+                 R"({"set":0,"sets":1,"members":[],"gap":"x"})",
                  R"({"set":-1,"sets":2,"members":[]})",
                  R"({"set":0,"sets":1,"members":[{"name":"a","address":"b",
                      "availability_zone":"c","disk":1,"state":9}]})");
--- a/test/turns/test_messages.cpp
+++ b/test/turns/test_messages.cpp
@@ -36,7 +36,7 @@
           {"c", "1.2.3.4:7", "y", 7, member_state::joining, true}},
          0,
          2},
-        {9, {{"d", "1.2.3.4:8", "z", 6, member_state::full}}, 1, 2}};
+        {9, {{"d", "1.2.3.4:8", "z", 6, member_state::full}}, 1, 2, {}, 8}};
     state.m_retirements = {{"a", 11, false}, {"d", 12, true}};
     const std::vector<frame_body> bodies{
         hello_message{"vm-1", false},
