Turns: a segment is rewritten by what of it is in use

What callers would have seen: copies to a member that lost its disk that fail for ever, and a disk that is always busy. Compaction compared the live turns of the oldest segment with a quarter of all turns, not of that segment's: with more than four segments each was moved whole, one after the other, for as long as the process ran, and the positions that a listing named were gone within seconds.

A segment is rewritten now once live turns are a quarter of its bytes or less, and rewriting it, with its reservations, frees a quarter. The oldest such one is taken, so that one that is in use does not keep back those behind it.

Before (the old rule put back into this code): "a segment that is in use is not rewritten" fails, CHECK(segments() == segments) with { 6, 7, 8, ... }; "a segment is reclaimed though an older one is in use" fails, CHECK(segments.size() < 5) with 22 < 5. After: both pass, as does "expired turns are removed and their disk space is reclaimed", unchanged.

--- a/include/pepperturn/turns/turn_log.hpp
+++ b/include/pepperturn/turns/turn_log.hpp
@@ -105,6 +105,12 @@
         return m_current;
     }
     [[nodiscard]] std::vector<std::uint32_t> segments() const;
+    /// Bytes of the segment on disk.
+    [[nodiscard]] std::size_t bytes_of(std::uint32_t segment) const
+    {
+        const auto found = m_on_disk.find(segment);
+        return found == m_on_disk.end() ? 0 : found->second;
+    }
     /// Deletes a segment other than the current one.
     void remove_segment(std::uint32_t segment);
 
--- a/include/pepperturn/turns/turn_store.hpp
+++ b/include/pepperturn/turns/turn_store.hpp
@@ -10,6 +10,7 @@
 #include "pepperturn/turns/turn_log.hpp"
 #include "pepperturn/turns/turn_retention.hpp"
 
+#include <map>
 #include <unordered_map>
 
 namespace pepperturn {
@@ -125,8 +126,17 @@
                             const log_position& position, instant until);
     [[nodiscard]] std::optional<turn_record>
     read_turn(const log_position& position) const;
-    /// Removes the oldest segment in steps, once little in it is in use.
-    void compact_oldest();
+    /// Bytes of a segment's entries that are in use, roughly.
+    struct segment_use
+    {
+        std::size_t m_turn_bytes = 0;
+        std::size_t m_reservation_bytes = 0;
+    };
+    [[nodiscard]] std::map<std::uint32_t, segment_use> segment_uses() const;
+    /// The oldest segment of which little is in use.
+    [[nodiscard]] std::optional<std::uint32_t> segment_to_rewrite() const;
+    /// Removes that segment in steps.
+    void compact_segment();
     /// Appends a bounded part of the segment's entries that are in use again.
     /// \returns false if none is in use
     bool rewrite_entries(std::uint32_t segment);
--- a/src/turns/turn_store.cpp
+++ b/src/turns/turn_store.cpp
@@ -14,9 +14,13 @@
 
 namespace {
 
-/// The oldest segment is rewritten once at most this share of its entries
-/// is live: copying a quarter is cheap and frees three quarters.
+/// A segment is rewritten once live turns are at most this share of its bytes:
+/// copying a quarter is cheap and frees three quarters.
 constexpr std::size_t rewrite_share = 4;
+/// With its reservations, rewriting it frees at least this share.
+constexpr std::size_t min_gain_share = 4;
+/// About what a reservation takes in the log.
+constexpr std::size_t reservation_bytes = 100;
 /// Entries read in one batch: a few milliseconds on a third of a core.
 constexpr std::uint64_t load_batch = 1000;
 /// Bytes of a segment that are rewritten in one call: they are held in memory
@@ -344,7 +348,7 @@
 {
     m_retention.forget_ended(
         now, [this](const id_key& key) { return m_turns.contains(key); });
-    compact_oldest();
+    compact_segment();
 }
 
 bool turn_store::rewrite_entries(std::uint32_t segment)
@@ -386,28 +390,57 @@
     return rewritten > 0;
 }
 
-void turn_store::compact_oldest()
+std::map<std::uint32_t, turn_store::segment_use>
+turn_store::segment_uses() const
 {
-    const auto segments = m_log.segments();
-    if (segments.empty() || segments.front() >= m_log.current_segment())
-        return;
-    const auto oldest = segments.front();
-    const auto live = static_cast<std::size_t>(
-        std::count_if(m_turns.begin(), m_turns.end(), [&](const auto& row) {
-            return row.second.m_position.m_segment == oldest;
-        }));
+    std::map<std::uint32_t, segment_use> out;
+    for (const auto& [key, row] : m_turns)
+        out[row.m_position.m_segment].m_turn_bytes += row.m_bytes;
+    // A reservation that a turn has settled is counted with the turn and once
+    // more here, which is little beside it.
+    for (const auto& [program, row] : m_programs)
+    {
+        for (const auto& [attempt, stored] : row.m_attempts)
+            out[stored.m_position.m_segment].m_reservation_bytes +=
+                reservation_bytes;
+    }
+    return out;
+}
+
+std::optional<std::uint32_t> turn_store::segment_to_rewrite() const
+{
+    const auto uses = segment_uses();
+    for (const auto segment : m_log.segments())
+    {
+        if (segment >= m_log.current_segment())
+            break;
+        const auto found = uses.find(segment);
+        const auto use = found == uses.end() ? segment_use{} : found->second;
+        const auto bytes = m_log.bytes_of(segment);
+        const auto live = use.m_turn_bytes + use.m_reservation_bytes;
+        if (use.m_turn_bytes * rewrite_share <= bytes &&
+            live * min_gain_share <= bytes * (min_gain_share - 1))
+            return segment;
+    }
+    return std::nullopt;
+}
+
+void turn_store::compact_segment()
+{
+    const auto chosen = segment_to_rewrite();
     // The segment is removed in a later call than its last entry is rewritten.
-    if (live * rewrite_share > m_turns.size() || rewrite_entries(oldest))
+    if (!chosen || rewrite_entries(*chosen))
         return;
+    const auto segment = *chosen;
     // What replaces the segment's entries may not be on the disk yet, and never
     // is if the disk refuses writes.
-    if (!m_unused_segment || m_unused_segment->m_segment != oldest)
-        m_unused_segment = {oldest, m_log.end()};
+    if (!m_unused_segment || m_unused_segment->m_segment != segment)
+        m_unused_segment = {segment, m_log.end()};
     if (!m_log.durable_before(m_unused_segment->m_replaced_before))
         return;
     m_unused_segment.reset();
-    LOG(INFO) << "event=segment_removed segment=" << oldest;
-    m_log.remove_segment(oldest);
+    LOG(INFO) << "event=segment_removed segment=" << segment;
+    m_log.remove_segment(segment);
 }
 
 } // namespace pepperturn
--- a/test/turns/test_turn_store.cpp
+++ b/test/turns/test_turn_store.cpp
@@ -329,3 +329,61 @@
     CHECK(store.ledger_of(key_of("p")).size() == entries);
     CHECK(yields == 3);
 }
+
+// The live turns of a segment were compared with a share of all turns: with
+// more than four segments, whole segments were written anew, one after the
+// other, for as long as the process ran.
+TEST_CASE("a segment that is in use is not rewritten", "[turn_store]")
+{
+    const temporary_folder folder;
+    opened_store original(folder.path());
+    constexpr int turns = 40;
+    for (int i = 0; i < turns; ++i)
+        original.m_store.append(turn("t" + std::to_string(i), ""), instant{});
+    original.sync();
+    const auto segments = original.m_log.segments();
+    REQUIRE(segments.size() > 8);
+    const auto end = original.m_log.end();
+    for (int i = 0; i < 10; ++i)
+    {
+        original.m_store.expire(instant{} + milliseconds(10));
+        original.sync();
+    }
+    CHECK(original.m_log.segments() == segments);
+    CHECK(original.m_log.end() == end);
+}
+
+TEST_CASE("a segment is reclaimed though an older one is in use",
+          "[turn_store]")
+{
+    const temporary_folder folder;
+    opened_store original(folder.path());
+    const auto live = [](const std::string& id) {
+        auto entry = turn(id, "");
+        entry.m_retention_ms = 10 * retention_ms;
+        return entry;
+    };
+    for (const char* id : {"a", "b", "c"})
+        original.m_store.append(live(id), instant{});
+    for (int i = 0; i < 40; ++i)
+    {
+        // Programs of their own, so that no settled reservation remains.
+        auto entry = turn("t" + std::to_string(i), "");
+        std::get<turn_record>(entry.m_what).m_program =
+            key_of(std::get<turn_record>(entry.m_what).m_id);
+        original.m_store.append(entry, instant{});
+    }
+    original.sync();
+    const auto oldest = original.m_log.segments().front();
+    for (int i = 0; i < 100; ++i)
+    {
+        original.m_store.expire(instant{} + milliseconds(2 * retention_ms));
+        original.sync();
+    }
+    const auto segments = original.m_log.segments();
+    CHECK(segments.front() == oldest);
+    CHECK(segments.size() < 5);
+    for (const char* id : {"a", "b", "c"})
+        CHECK(original.m_store.history(id, milliseconds(0), instant{}).size() ==
+              1);
+}
