Fleet: copies that can begin anew, and that end in time

A source gave out the same listing again to a member that began anew, though compaction had moved what it named; entries were read by position, and the copy failed at the same one for ever. A copy took one batch from one source at a time, and synced each before it requested the next.

Turns are read by key, wherever they are: one that has expired is skipped with a line, one that the source's disk does not return keeps only that source from counting. What is needed longest is listed first. Frames have new fields at the end only; a source of the version before is read by positions.

Before: with the old sharing of listings put back, "a copy that begins anew gets a fresh listing" fails, REQUIRE(second->m_turns.size() == 10) with 2000 == 10. After: [copies], [turn_store], [turn_log] and [messages] pass (27 cases), [turns] (17), [fleet] (33), "no history of losses*" and 4,000 histories.

--- a/include/pepperturn/fleet/storage_node.hpp
+++ b/include/pepperturn/fleet/storage_node.hpp
@@ -16,6 +16,7 @@
 #include "pepperturn/fleet/state_source.hpp"
 #include "pepperturn/fleet/status_server.hpp"
 #include "pepperturn/fleet/storage_placements.hpp"
+#include "pepperturn/fleet/turn_copier.hpp"
 #include "pepperturn/turns/turn_server.hpp"
 
 namespace pepperturn {
@@ -100,11 +101,6 @@
     /// \returns false if too few reply: another one may need the rows
     task<bool> confirm_expiry(retained_keys keys);
     task<> copy_all();
-    /// \param gathered only if the member has copied what the others hold
-    task<bool> copy_from(std::string name, std::uint64_t epoch, bool gathered);
-    /// Copies unless that was done in this epoch already.
-    task<bool> copy_once(std::string name, std::uint64_t epoch, bool gathered);
-    task<bool> copy_turns(std::string name, std::vector<located_turn> turns);
     void detect_isolation();
 
     asio::io_context& m_io;
@@ -128,6 +124,7 @@
     std::unique_ptr<turn_log> m_log;
     std::unique_ptr<turn_store> m_store;
     std::unique_ptr<turn_server> m_server;
+    std::unique_ptr<turn_copier> m_copier;
     asio::thread_pool m_loader{1};
     /// Identity for a disk that has none yet, or is damaged.
     std::uint64_t m_fresh_disk = 0;
@@ -136,8 +133,6 @@
     /// The loop has answered the requests that waited at the start.
     bool m_answering = false;
     std::uint64_t m_caught_up_at = 0;
-    /// Epoch in which all data of another member was copied.
-    std::map<std::string, std::uint64_t> m_copied_at;
     instant m_isolated_until{};
     /// The order in which storage VMs watch the store.
     std::vector<std::string> m_watch_order;
--- a/include/pepperturn/turns/messages.hpp
+++ b/include/pepperturn/turns/messages.hpp
@@ -125,13 +125,16 @@
                            const fetched_message&) = default;
 };
 
-/// Requests a listing of what a member stores, page by page.
+/// Requests a listing of what a member stores, page by page, newest first.
 struct list_message
 {
     /// First row of the page; 0 begins a new listing.
     std::uint64_t m_from = 0;
     /// Fails unless the member has gathered what all others store.
     bool m_gathered = false;
+    /// The listing that the page belongs to; 0: a new one, or the sender's
+    /// version knows no identities.
+    std::uint64_t m_listing = 0;
     friend bool operator==(const list_message&, const list_message&) = default;
 };
 
@@ -142,6 +145,12 @@
     bool m_more = false;
     std::vector<located_turn> m_turns;
     std::vector<kept_reservation> m_reservations;
+    /// Identity of the listing; 0: the sender's version gives none, and reads
+    /// turns by their positions only.
+    std::uint64_t m_listing = 0;
+    /// Turns in the whole listing, and the bytes of their entries.
+    std::uint32_t m_turn_count = 0;
+    std::uint64_t m_turn_bytes = 0;
     friend bool operator==(const listed_message&,
                            const listed_message&) = default;
 };
@@ -163,6 +172,24 @@
                            const entries_message&) = default;
 };
 
+/// Requests turns by their keys, wherever the log has them now; the reply has
+/// some of them.
+struct read_turns_message
+{
+    std::vector<id_key> m_keys;
+    friend bool operator==(const read_turns_message&,
+                           const read_turns_message&) = default;
+};
+
+/// Reply to a read_turns_message.
+struct turn_entries_message
+{
+    /// Of the first turns that were requested, up to what one reply may hold.
+    std::vector<turn_entry> m_entries;
+    friend bool operator==(const turn_entries_message&,
+                           const turn_entries_message&) = default;
+};
+
 /// Reports that the sender has synced everything that the receiver listed.
 struct copied_message
 {
@@ -239,7 +266,7 @@
                  quota_reply, relay_peers_request_message, relay_peers_message,
                  relayed_message, placement_request, placement_reply,
                  placement_report, suspects_message, retained_keys,
-                 remaining_retention>;
+                 remaining_retention, read_turns_message, turn_entries_message>;
 
 struct frame
 {
--- a/include/pepperturn/turns/records.hpp
+++ b/include/pepperturn/turns/records.hpp
@@ -80,10 +80,32 @@
     std::uint64_t m_position = 0;
     /// How much longer that VM retains it; 0: unknown.
     std::uint32_t m_remaining_ms = 0;
+    /// Size of its entry; 0: unknown.
+    std::uint32_t m_bytes = 0;
 
     friend bool operator==(const located_turn&, const located_turn&) = default;
 };
 
+enum class turn_entry_state : std::uint8_t
+{
+    present,
+    /// The member stores the turn no longer: its retention has ended.
+    gone,
+    /// The member stores the turn, but its disk does not return it.
+    unreadable
+};
+
+/// A turn's log entry, as one VM sends it to another.
+struct turn_entry
+{
+    /// Encoded as in the log; empty unless present.
+    std::string m_bytes;
+    turn_entry_state m_state = turn_entry_state::present;
+    /// How much longer the member retains it, in milliseconds.
+    std::uint32_t m_remaining_ms = 0;
+    friend bool operator==(const turn_entry&, const turn_entry&) = default;
+};
+
 /// A reservation and its retention time, as one VM lists it for another.
 struct kept_reservation
 {
--- a/include/pepperturn/turns/turn_server.hpp
+++ b/include/pepperturn/turns/turn_server.hpp
@@ -19,6 +19,8 @@
     std::string m_bytes;
     /// How much longer that member retains it; zero: unknown.
     milliseconds m_remaining{0};
+    /// The turn that it has to be.
+    id_key m_key;
 };
 
 class turn_server
@@ -79,10 +81,12 @@
     /// \param watches this VM watches the store itself
     void send_heartbeat(milliseconds store_age, bool watches);
 
-    /// Inserts entries that another member stores.
+    /// Inserts entries that another member stores; synced() syncs them.
     void add_reservations(const std::vector<kept_reservation>& rows);
-    void add_encoded(const std::vector<copied_entry>& entries);
-    /// Waits until all entries inserted so far are synced; false: a write
+    /// \returns false if some are not the turns that they have to be; the
+    /// others are inserted
+    bool add_encoded(const std::vector<copied_entry>& entries);
+    /// Syncs all entries inserted so far and waits for that; false: a write
     /// failed.
     [[nodiscard]] task<bool> synced();
 
@@ -103,6 +107,7 @@
     /// Snapshot of what was stored at some time in an epoch.
     struct holdings
     {
+        std::uint64_t m_identity = 0;
         std::uint64_t m_epoch = 0;
         std::vector<located_turn> m_turns;
         std::vector<kept_reservation> m_reservations;
@@ -119,6 +124,8 @@
         bool m_subscribed = false;
         /// The listing that it is paging through, if it copies.
         std::shared_ptr<const holdings> m_holdings;
+        /// Identity of the last listing that it began; 0: none.
+        std::uint64_t m_last_listing = 0;
     };
     /// The update for new subscribers, encoded once.
     struct encoded_update
@@ -134,7 +141,13 @@
         frame m_reply;
     };
 
-    [[nodiscard]] std::shared_ptr<const holdings> list_holdings();
+    /// \param outdated identity of a listing that is not given out again
+    [[nodiscard]] std::shared_ptr<const holdings>
+    list_holdings(std::uint64_t outdated);
+    /// The listing that a page is requested of; empty: it is none of those that
+    /// this VM still has for the requester.
+    [[nodiscard]] std::shared_ptr<const holdings>
+    listing_for(peer& from, const list_message& request);
     /// Writes the cluster state before anything is done under a new own view.
     void save_own_view();
     void handle_hello(const std::shared_ptr<peer>& from,
@@ -165,6 +178,9 @@
                       const fetch_message& request);
     void handle_read(const std::shared_ptr<peer>& from, std::uint64_t call,
                      const read_message& request);
+    void handle_read_turns(const std::shared_ptr<peer>& from,
+                           std::uint64_t call,
+                           const read_turns_message& request);
     void send_reply(const std::shared_ptr<peer>& from, std::uint64_t call,
                     frame_status status, frame_body body);
     void reply_when_synced(const std::shared_ptr<peer>& from,
@@ -214,8 +230,9 @@
     bool m_disk_good = true;
     std::map<std::string, std::uint64_t> m_copied_at;
     std::uint64_t m_gathered_at = 0;
-    /// Shared by all members that copy at the same time.
+    /// Shared by all members that begin to copy at the same time.
     std::weak_ptr<const holdings> m_holdings;
+    std::uint64_t m_last_listing = 0;
 };
 
 } // namespace pepperturn
--- a/include/pepperturn/turns/turn_store.hpp
+++ b/include/pepperturn/turns/turn_store.hpp
@@ -51,15 +51,20 @@
 
     /// As append, for an encoded entry of another log; false with \p reason set
     /// if it cannot be decoded.
+    /// \param expected the turn that it has to be, if that is known
     bool append_encoded(const std::string& bytes, instant now,
-                        milliseconds remaining, std::string& reason);
+                        milliseconds remaining, std::string& reason,
+                        const std::optional<id_key>& expected = {});
 
     [[nodiscard]] std::vector<reservation>
     ledger_of(const id_key& program) const;
     [[nodiscard]] bool has_turn(const std::string& id) const;
     [[nodiscard]] bool has_turn(const id_key& key) const;
-    /// Everything that is stored, for a member that copies it.
+    /// Everything that is stored, for a member that copies it; the turns that
+    /// are needed longest first, and of those the ones written last.
     [[nodiscard]] std::vector<located_turn> list_turns(instant now) const;
+    /// The turn's entry, wherever the log has it now.
+    [[nodiscard]] turn_entry read_entry(const id_key& key, instant now) const;
     [[nodiscard]] std::vector<kept_reservation>
     list_reservations(instant now) const;
     /// Requests under which runners have ended, by their crash ledgers here.
--- a/src/fleet/storage_node.cpp
+++ b/src/fleet/storage_node.cpp
@@ -155,6 +155,7 @@
                      m_limiter.count(outcome));
     m_placements.write_metrics(out);
     out += workspace_text();
+    m_copier->write_metrics(out);
     m_server->write_metrics(out);
     return out;
 }
@@ -171,6 +172,8 @@
     m_disk = *identity;
     m_server = std::make_unique<turn_server>(m_io, m_time, m_settings.m_name,
                                              *m_log, *m_store);
+    m_copier = std::make_unique<turn_copier>(m_io, m_time, m_links, *m_server,
+                                             *m_store);
     if (!listen(reason))
         return false;
     m_server->on_change([this](const state_change& change) {
--- a/src/turns/frame_bodies.cpp
+++ b/src/turns/frame_bodies.cpp
@@ -73,18 +73,23 @@
         auto out = m_out.initList();
         out.setFrom(body.m_from);
         out.setGathered(body.m_gathered);
+        out.setListing(body.m_listing);
     }
     void operator()(const listed_message& body)
     {
         auto out = m_out.initListed();
         out.setNext(body.m_next);
         out.setMore(body.m_more);
+        out.setListing(body.m_listing);
+        out.setTurnCount(body.m_turn_count);
+        out.setTurnBytes(body.m_turn_bytes);
         auto turns = out.initTurns(body.m_turns.size());
         for (unsigned i = 0; i < turns.size(); ++i)
         {
             fill(turns[i].initKey(), body.m_turns[i].m_key);
             turns[i].setPosition(body.m_turns[i].m_position);
             turns[i].setRemainingMs(body.m_turns[i].m_remaining_ms);
+            turns[i].setBytes(body.m_turns[i].m_bytes);
         }
         fill_all(out.initReservations(body.m_reservations.size()),
                  body.m_reservations);
@@ -99,6 +104,21 @@
         for (unsigned i = 0; i < out.size(); ++i)
             out.set(i, data_from(body.m_entries[i]));
     }
+    void operator()(const read_turns_message& body)
+    {
+        fill_all(m_out.initReadTurns(body.m_keys.size()), body.m_keys);
+    }
+    void operator()(const turn_entries_message& body)
+    {
+        auto out = m_out.initTurnEntries(body.m_entries.size());
+        for (unsigned i = 0; i < out.size(); ++i)
+        {
+            const auto& entry = body.m_entries[i];
+            out[i].setEntry(data_from(entry.m_bytes));
+            out[i].setState(static_cast<std::uint8_t>(entry.m_state));
+            out[i].setRemainingMs(entry.m_remaining_ms);
+        }
+    }
     void operator()(const copied_message&)
     {
         m_out.setCopied();
@@ -267,9 +287,12 @@
     out.m_next = in.getNext();
     out.m_more = in.getMore();
     for (const auto row : in.getTurns())
-        out.m_turns.push_back(
-            {read(row.getKey()), row.getPosition(), row.getRemainingMs()});
+        out.m_turns.push_back({read(row.getKey()), row.getPosition(),
+                               row.getRemainingMs(), row.getBytes()});
     out.m_reservations = read_all<kept_reservation>(in.getReservations());
+    out.m_listing = in.getListing();
+    out.m_turn_count = in.getTurnCount();
+    out.m_turn_bytes = in.getTurnBytes();
     return out;
 }
 
@@ -297,6 +320,19 @@
     return out;
 }
 
+turn_entries_message
+read_turn_entries(capnp::List<turns_wire::TurnEntry>::Reader in)
+{
+    turn_entries_message out;
+    out.m_entries.reserve(in.size());
+    for (const auto row : in)
+        out.m_entries.push_back(
+            {data_of(row.getEntry()),
+             read_enum(row.getState(), turn_entry_state::unreadable),
+             row.getRemainingMs()});
+    return out;
+}
+
 quota_request read_quota_request(turns_wire::QuotaQuestion::Reader in)
 {
     return {in.getWorkspace(),      {in.getRatePerS(), in.getBurst()},
@@ -416,7 +452,8 @@
     case kind::FETCHED:
         return fetched_message{read_all<turn_record>(in.getFetched())};
     case kind::LIST:
-        return list_message{in.getList().getFrom(), in.getList().getGathered()};
+        return list_message{in.getList().getFrom(), in.getList().getGathered(),
+                            in.getList().getListing()};
     case kind::LISTED:
         return read_listed(in.getListed());
     case kind::READ:
@@ -458,6 +495,10 @@
             read_all<id_key>(in.getWantRetention().getPrograms())};
     case kind::RETENTION:
         return read_remaining(in.getRetention());
+    case kind::READ_TURNS:
+        return read_turns_message{read_all<id_key>(in.getReadTurns())};
+    case kind::TURN_ENTRIES:
+        return read_turn_entries(in.getTurnEntries());
     }
     return std::nullopt;
 }
--- a/src/turns/turn_store.cpp
+++ b/src/turns/turn_store.cpp
@@ -8,6 +8,7 @@
 #include <glog/logging.h>
 #include <limits>
 #include <map>
+#include <tuple>
 #include <utility>
 
 namespace pepperturn {
@@ -106,11 +107,18 @@
 }
 
 bool turn_store::append_encoded(const std::string& bytes, instant now,
-                                milliseconds remaining, std::string& reason)
+                                milliseconds remaining, std::string& reason,
+                                const std::optional<id_key>& expected)
 {
     const auto entry = decode_entry(bytes, reason);
     if (!entry)
         return false;
+    const auto* turn = std::get_if<turn_record>(&entry->m_what);
+    if (expected && (turn == nullptr || key_of(turn->m_id) != *expected))
+    {
+        reason = "not the turn that was requested";
+        return false;
+    }
     if (!is_known(*entry))
         insert(*entry, {m_log.append(bytes), bytes.size()},
                end_of_retention(*entry, now, remaining));
@@ -124,10 +132,28 @@
     for (const auto& [key, row] : m_turns)
         out.push_back(
             {key, pack(row.m_position),
-             listed_remaining_ms(m_retention.end_of(key).value_or(now), now)});
+             listed_remaining_ms(m_retention.end_of(key).value_or(now), now),
+             static_cast<std::uint32_t>(row.m_bytes)});
+    std::sort(out.begin(), out.end(), [](const auto& left, const auto& right) {
+        return std::tie(left.m_remaining_ms, left.m_position) >
+               std::tie(right.m_remaining_ms, right.m_position);
+    });
     return out;
 }
 
+turn_entry turn_store::read_entry(const id_key& key, instant now) const
+{
+    const auto found = m_turns.find(key);
+    if (found == m_turns.end())
+        return {{}, turn_entry_state::gone, 0};
+    const auto remaining =
+        listed_remaining_ms(m_retention.end_of(key).value_or(now), now);
+    auto bytes = m_log.read(found->second.m_position);
+    if (!bytes)
+        return {{}, turn_entry_state::unreadable, remaining};
+    return {std::move(*bytes), turn_entry_state::present, remaining};
+}
+
 std::vector<kept_reservation> turn_store::list_reservations(instant now) const
 {
     std::vector<kept_reservation> out;
