--- a/include/pepperturn/turns/turn_store.hpp
+++ b/include/pepperturn/turns/turn_store.hpp
@@ -10,6 +10,7 @@
 #include "pepperturn/turns/turn_log.hpp"
 #include "pepperturn/turns/turn_retention.hpp"
 
+#include <map>
 #include <unordered_map>
 
 namespace pepperturn {
@@ -50,15 +51,20 @@
 
     /// As append, for an encoded entry of another log; false with \p reason set
     /// if it cannot be decoded.
+    /// \param expected the turn that it has to be, if that is known
     bool append_encoded(const std::string& bytes, instant now,
-                        milliseconds remaining, std::string& reason);
+                        milliseconds remaining, std::string& reason,
+                        const std::optional<id_key>& expected = {});
 
     [[nodiscard]] std::vector<reservation>
     ledger_of(const id_key& program) const;
     [[nodiscard]] bool has_turn(const std::string& id) const;
     [[nodiscard]] bool has_turn(const id_key& key) const;
-    /// Everything that is stored, for a member that copies it.
+    /// Everything that is stored, for a member that copies it; the turns that
+    /// are needed longest first, and of those the ones written last.
     [[nodiscard]] std::vector<located_turn> list_turns(instant now) const;
+    /// The turn's entry, wherever the log has it now.
+    [[nodiscard]] turn_entry read_entry(const id_key& key, instant now) const;
     [[nodiscard]] std::vector<kept_reservation>
     list_reservations(instant now) const;
     /// Requests under which runners have ended, by their crash ledgers here.
@@ -125,8 +131,17 @@
                             const log_position& position, instant until);
     [[nodiscard]] std::optional<turn_record>
     read_turn(const log_position& position) const;
-    /// Removes the oldest segment in steps, once little in it is in use.
-    void compact_oldest();
+    /// Bytes of a segment's entries that are in use, roughly.
+    struct segment_use
+    {
+        std::size_t m_turn_bytes = 0;
+        std::size_t m_reservation_bytes = 0;
+    };
+    [[nodiscard]] std::map<std::uint32_t, segment_use> segment_uses() const;
+    /// The oldest segment of which little is in use.
+    [[nodiscard]] std::optional<std::uint32_t> segment_to_rewrite() const;
+    /// Removes that segment in steps.
+    void compact_segment();
     /// Appends a bounded part of the segment's entries that are in use again.
     /// \returns false if none is in use
     bool rewrite_entries(std::uint32_t segment);
