Storage VMs: a turn that cannot be read is not reported as absent

A caller could be answered 404 for a turn that was answered whole: a storage VM that has the turn in its index and cannot read its entry (a bad sector) sent an empty history with status ok, which an edge VM that searches other replica sets counts as the word of a member that lacks it.

It replies that the request failed; the caller gets 503.

"a turn that cannot be read is not denied" failed before (no_such_turn where unavailable is wanted).

--- a/src/turns/turn_server.cpp
+++ b/src/turns/turn_server.cpp
@@ -349,10 +349,16 @@
         refuse_overloaded(from, call);
         return;
     }
+    auto history = m_store.history(
+        request.m_turn, milliseconds(request.m_retention_ms), m_time.now());
+    // An empty reply would say that the turn is not stored here.
+    if (history.empty() && m_store.has_turn(request.m_turn))
+    {
+        send_reply(from, call, frame_status::failed, appended_message{});
+        return;
+    }
     send_reply(from, call, frame_status::ok,
-               fetched_message{m_store.history(
-                   request.m_turn, milliseconds(request.m_retention_ms),
-                   m_time.now())});
+               fetched_message{std::move(history)});
 }
 
 void turn_server::handle_read(const std::shared_ptr<peer>& from,
--- a/test/fleet/test_replica_sets.cpp
+++ b/test/fleet/test_replica_sets.cpp
@@ -5,6 +5,7 @@
 #include "support/fleet/storage_fixture.hpp"
 
 #include <catch2/catch.hpp>
+#include <fstream>
 
 namespace {
 
@@ -86,6 +87,19 @@
         std::filesystem::remove_all(m_folder + '/' + name);
         add(name, false);
     }
+    /// Overwrites what a VM has in its log.
+    void damage_log(const std::string& name)
+    {
+        for (const auto& each :
+             std::filesystem::directory_iterator(m_folder + '/' + name))
+        {
+            if (!each.path().filename().string().starts_with("segment-"))
+                continue;
+            std::fstream log(each.path(),
+                             std::ios::in | std::ios::out | std::ios::binary);
+            log << std::string(each.file_size(), '\xff');
+        }
+    }
     /// Number of the set's VMs that store the turn.
     std::size_t holders(std::uint32_t set, const std::string& turn)
     {
@@ -225,6 +239,19 @@
     CHECK(fleet.begin_in(later, "b", "a").m_outcome == begin_outcome::granted);
 }
 
+// A storage VM that lists a turn and cannot read it does not lack it.
+TEST_CASE("a turn that cannot be read is not denied", "[fleet][replica_sets]")
+{
+    two_sets fleet;
+    const auto earlier = two_sets::program_in(0);
+    REQUIRE(fleet.keep_in(earlier, "a", ""));
+    REQUIRE(fleet.holders(0, "a") >= 2);
+    for (const auto& row : fleet.m_state.m_views[0].m_members)
+        fleet.damage_log(row.m_name);
+    CHECK(fleet.begin_in(two_sets::program_in(1), "b", "a").m_outcome ==
+          begin_outcome::unavailable);
+}
+
 TEST_CASE("a set that lost its read quorum denies no turn",
           "[fleet][replica_sets]")
 {
