Replica sets: a silent member is given up only once what it holds has expired

Found by a review of the change that gives up members: two VMs without power for 35 s, with good disks, or a cut of 30 s between two members that edge VMs still reach, had a whole disk counted as lost, with whatever it alone held. It is waited for as long as the longest configured retention and 30 s more: by then nothing that it alone holds is needed.

--- a/src/fleet/storage_membership.cpp
+++ b/src/fleet/storage_membership.cpp
@@ -12,9 +12,10 @@
 constexpr milliseconds membership_interval{150};
 /// Ten heartbeats: a restart or a freeze is over by then, a loss is not.
 constexpr milliseconds unresponsive_timeout{5000};
-/// A member that was marked lost is not waited for beyond this if the set
-/// cannot recover otherwise: longer than a partition lasts.
-constexpr milliseconds gone_timeout{30000};
+/// A member is not waited for, if the set cannot recover otherwise, once it has
+/// been silent for the longest retention and this: whatever it alone may hold
+/// has expired by then.
+constexpr milliseconds gone_margin{30000};
 /// Three heartbeats.
 constexpr milliseconds isolation_timeout{1600};
 /// A VM that looks for a set treats members as gone that it could not connect
@@ -96,7 +97,9 @@
             continue;
         if (now - last_seen > unresponsive_timeout && now >= m_isolated_until)
             facts.m_unresponsive.insert(row.m_name);
-        if (now - last_seen > gone_timeout && now >= m_isolated_until)
+        if (m_longest_retention &&
+            now - last_seen > *m_longest_retention + gone_margin &&
+            now >= m_isolated_until)
             facts.m_gone.insert(row.m_name);
         if (now - last_seen > isolation_timeout ||
             !m_links.connected(row.m_name))
