Lists in parts: one at a time for each subscriber, complete only if dated

Found by a review: a VM that unsubscribed and subscribed again on one connection was sent two lists side by side, whose coroutines share one event and wake each other without end; the list began with whatever the server was by then. The one list that is being sent begins anew now. An empty list of a storage VM that knows no revision yet counted as all runners for good; what counts is a complete state with its revision.

--- a/include/pepperturn/fleet/edge_node.hpp
+++ b/include/pepperturn/fleet/edge_node.hpp
@@ -112,7 +112,6 @@
     /// When this VM started, or last received a part of a list of runners.
     instant m_list_progress{};
     bool m_list_in_parts = false;
-    bool m_list_received = false;
     /// A long update has been applied, and its memory is free again.
     bool m_memory_freed = false;
 };
--- a/include/pepperturn/turns/turn_server.hpp
+++ b/include/pepperturn/turns/turn_server.hpp
@@ -122,9 +122,11 @@
         relay_peer m_relay;
         /// Receives every change of the cluster state.
         bool m_subscribed = false;
-        /// Counts subscriptions; a list that is being sent for an earlier one
-        /// ends.
+        /// Counts subscriptions; the list that is being sent begins anew with
+        /// the next one.
         std::uint64_t m_subscription = 0;
+        /// A list is being sent: one at a time.
+        bool m_listing = false;
         /// The listing that it is paging through, if it copies.
         std::shared_ptr<const holdings> m_holdings;
         /// Identity of the last listing that it began; 0: none.
@@ -176,10 +178,14 @@
     /// Sends a subscriber the state that it lacks.
     /// \param known revision up to which it has all runners
     void send_full_update(const peer& to, std::uint64_t known);
+    /// Begins to send a subscriber the list, or lets the one that is being sent
+    /// begin anew.
+    void start_list(const std::shared_ptr<peer>& to);
     /// Sends a subscriber all runners in parts, each once the one before has
     /// been taken: what the subscriber has not read yet stays small, and
     /// replies and heartbeats pass between the parts.
-    task<> send_list(std::shared_ptr<peer> to);
+    /// \param alive expired once this server has ended
+    task<> send_list(std::weak_ptr<const bool> alive, std::shared_ptr<peer> to);
     /// \param dated the parts carry the revision of the state
     [[nodiscard]] encoded_part encode_part(const std::string& after,
                                            bool dated);
--- a/src/fleet/edge_node.cpp
+++ b/src/fleet/edge_node.cpp
@@ -200,7 +200,6 @@
         return;
     m_list_in_parts = true;
     m_list_progress = m_time.now();
-    m_list_received = m_list_received || update.m_range->is_last();
 }
 
 void edge_node::apply_store_state(const cluster_state& update)
@@ -331,8 +330,9 @@
     // All are silent: either each is frozen, or this VM was.
     if (sources.empty() && !m_members.empty())
         return;
-    const bool has_list =
-        m_list_in_parts ? m_list_received : !m_state.m_runners.empty();
+    // Completed by its last part, or by whatever else is complete.
+    const bool has_list = m_list_in_parts ? m_state.m_runners_revision > 0
+                                          : !m_state.m_runners.empty();
     const auto target_count =
         target_source_count({m_members.size() > m_settings.m_kept_links,
                              has_list && m_proxy.has_config(),
--- a/src/turns/turn_server_state.cpp
+++ b/src/turns/turn_server_state.cpp
@@ -60,7 +60,7 @@
         return;
     if (hello.m_accepts_parts &&
         needs_full_list(m_state, hello.m_known_runners))
-        spawn(m_io, "turn_server.send_list", send_list(from));
+        start_list(from);
     else
         send_full_update(*from, hello.m_known_runners);
     auto suspects = m_suspects.list(m_time.now());
@@ -86,19 +86,34 @@
     to.m_link->send(m_full_update->m_bytes);
 }
 
-task<> turn_server::send_list(std::shared_ptr<peer> to)
+void turn_server::start_list(const std::shared_ptr<peer>& to)
 {
-    const std::weak_ptr<const bool> alive = m_alive;
+    if (std::exchange(to->m_listing, true))
+        return;
+    ++m_listings;
+    spawn(m_io, "turn_server.send_list", send_list(m_alive, to));
+}
+
+task<> turn_server::send_list(std::weak_ptr<const bool> alive,
+                              std::shared_ptr<peer> to)
+{
+    if (alive.expired())
+        co_return;
     const auto link = to->m_link;
-    const auto subscription = to->m_subscription;
-    const bool dated = m_state.m_runners_revision > 0;
     const auto begun = m_time.now();
     std::size_t parts = 0;
     std::string after;
+    std::uint64_t subscription = 0;
+    bool dated = false;
     bool complete = false;
-    ++m_listings;
-    while (!complete && link->open() && to->m_subscription == subscription)
+    while (!complete && link->open() && to->m_subscribed)
     {
+        if (std::exchange(subscription, to->m_subscription) !=
+            to->m_subscription)
+        {
+            after.clear();
+            dated = m_state.m_runners_revision > 0;
+        }
         const auto part = encode_part(after, dated);
         m_update_bytes += part.m_bytes->size();
         link->send(part.m_bytes);
@@ -108,7 +123,9 @@
         co_await frame_link::wait_for_room(link, list_part_bytes);
         if (alive.expired())
             co_return;
+        complete = complete && subscription == to->m_subscription;
     }
+    to->m_listing = false;
     if (--m_listings == 0)
         m_list_parts = {};
     LOG(INFO) << "event=list_sent vm=" << to->m_name << " parts=" << parts
--- a/test/fleet/test_long_lists.cpp
+++ b/test/fleet/test_long_lists.cpp
@@ -96,21 +96,33 @@
 class silent_subscriber
 {
 public:
-    silent_subscriber(list_server& server, int number) : m_socket(server.m_io)
+    silent_subscriber(list_server& server, int number)
+        : m_name("edge-" + std::to_string(number)), m_socket(server.m_io)
     {
         constexpr int small_buffer = 4096;
         m_socket.open(tcp::v4());
         m_socket.set_option(
             asio::socket_base::receive_buffer_size(small_buffer));
         m_socket.connect(server.endpoint());
-        hello_message hello;
-        hello.m_name = "edge-" + std::to_string(number);
-        hello.m_accepts_parts = true;
-        asio::write(m_socket, asio::buffer(encode_frame(
-                                  {0, 0, frame_status::ok, hello})));
+        send_hellos({true});
+    }
+    /// Subscribes or unsubscribes, several times in one write.
+    void send_hellos(const std::vector<bool>& subscribes)
+    {
+        std::string bytes;
+        for (const bool each : subscribes)
+        {
+            hello_message hello;
+            hello.m_name = m_name;
+            hello.m_subscribes = each;
+            hello.m_accepts_parts = true;
+            bytes += encode_frame({0, 0, frame_status::ok, hello});
+        }
+        asio::write(m_socket, asio::buffer(bytes));
     }
 
 private:
+    std::string m_name;
     tcp::socket m_socket;
 };
 
@@ -153,6 +165,26 @@
           subscribers * max_unsent_per_subscriber);
 }
 
+// Two lists on one connection would wake each other without end.
+TEST_CASE("a VM that subscribes again is sent one list at a time",
+          "[fleet][long_lists]")
+{
+    asio::io_context io{1};
+    list_server server(io, "vm-9", 32000);
+    auto silent = subscribe(server, 1);
+    silent.front().send_hellos({false, true, false, true});
+    run_until(
+        io, [] { return false; }, milliseconds(100));
+    CHECK(server.figure("lists_under_way") == 1);
+    CHECK(server.figure("unsent_bytes") <= max_unsent_per_subscriber);
+    // Nothing is left to be done until the subscriber reads.
+    io.restart();
+    CHECK(io.poll() < 10);
+    silent.front().send_hellos({false});
+    silent.clear();
+    CHECK(run_until(io, [&] { return server.figure("lists_under_way") == 0; }));
+}
+
 // The replies to requests for turns are bounded by what is unsent.
 TEST_CASE("lists that are not read keep no turn from being read",
           "[fleet][long_lists]")
