--- a/src/turns/turn_client.cpp
+++ b/src/turns/turn_client.cpp
@@ -333,12 +333,14 @@
     result.m_reason = "committed=" + std::to_string(committed) +
                       " budget=" + std::to_string(request.m_budget);
     search_result found;
-    if (has_parent)
+    const bool fits =
+        fits_budget(ledger, message.m_reservation, request.m_budget);
+    if (has_parent && fits)
         found = co_await find_history(work, request, deadline,
                                       options.m_deadline.value_or(deadline),
                                       options);
     work->m_closed = true;
-    if (!fits_budget(ledger, message.m_reservation, request.m_budget))
+    if (!fits)
         result.m_outcome = begin_outcome::over_budget;
     else if (!has_parent || !found.m_history.empty())
         result.m_outcome = begin_outcome::granted;
--- a/test/fleet/test_replica_sets.cpp
+++ b/test/fleet/test_replica_sets.cpp
@@ -239,6 +239,21 @@
     CHECK(fleet.begin_in(later, "b", "a").m_outcome == begin_outcome::granted);
 }
 
+// Each search asks all members of all sets, and many search at a start of all.
+TEST_CASE("a search that members refuse is repeated a few times",
+          "[fleet][replica_sets]")
+{
+    constexpr std::uint64_t max_requests = 50;
+    two_sets fleet;
+    auto views = fleet.m_state.m_views;
+    --views[0].m_epoch;
+    fleet.m_client.follow(views);
+    const auto before = fleet.m_links.direct_requests();
+    CHECK(fleet.begin_in(two_sets::program_in(1), "b", "none").m_outcome ==
+          begin_outcome::unavailable);
+    CHECK(fleet.m_links.direct_requests() - before <= max_requests);
+}
+
 // A storage VM that lists a turn and cannot read it does not lack it.
 TEST_CASE("a turn that cannot be read is not denied", "[fleet][replica_sets]")
 {
@@ -280,6 +295,29 @@
           begin_outcome::unavailable);
 }
 
+// Its history is fetched in pages, from one set after the other.
+TEST_CASE("earlier turns are found in a set whose view has just changed",
+          "[fleet][replica_sets]")
+{
+    two_sets fleet;
+    const auto earlier = two_sets::program_in(0);
+    const auto later = two_sets::program_in(1);
+    REQUIRE(fleet.keep_in(earlier, "a", ""));
+    REQUIRE(fleet.keep_in(later, "b", "a"));
+    auto views = fleet.m_state.m_views;
+    --views[0].m_epoch;
+    fleet.m_client.follow(views);
+    fleet.m_links.on_state(
+        [&](const std::string&, const cluster_state& update) {
+            auto state = fleet.m_state;
+            merge_state(state, update);
+            fleet.m_client.follow(state.m_views);
+        });
+    const auto begun = fleet.begin_in(later, "c", "b");
+    CHECK(begun.m_outcome == begin_outcome::granted);
+    CHECK(storage_fixture::text_of(begun) == "in-a;out-a;in-b;out-b;");
+}
+
 TEST_CASE("one set serves while the other one is unreachable",
           "[fleet][replica_sets]")
 {
