Lint: what clang-tidy finds in the merged parts

A moved-from update was read on (its other parts, which are not moved); it is passed by reference now. Vectors reserve, returned locals are not const.

--- a/src/cluster/state.cpp
+++ b/src/cluster/state.cpp
@@ -153,8 +153,9 @@
            update.m_runners_since <= state.m_runners_revision;
 }
 
+/// Moves the entries out of \p update.
 std::vector<std::string> merge_runners(cluster_state& state,
-                                       cluster_state&& update)
+                                       cluster_state& update)
 {
     runner_merge merge(state.m_runners);
     const bool is_list =
@@ -279,7 +280,7 @@
         change.m_config = true;
     }
     if (!update.m_runners.empty() || update.m_runners_revision > 0)
-        change.m_runners = merge_runners(state, std::move(update));
+        change.m_runners = merge_runners(state, update);
     for (const auto& view : update.m_views)
     {
         if (apply_view(state.m_views, view))
--- a/test/fleet/test_lost_turn_histories.cpp
+++ b/test/fleet/test_lost_turn_histories.cpp
@@ -124,8 +124,8 @@
     }
     [[nodiscard]] std::vector<cluster_view> views_of(first_views known) const
     {
-        const auto newest = gated(m_state.m_views);
-        const auto older = gated(m_older);
+        auto newest = gated(m_state.m_views);
+        auto older = gated(m_older);
         switch (known)
         {
         case first_views::none:
@@ -206,6 +206,7 @@
         for (const auto& name : names)
             REQUIRE(run_until(m_io, [&] { return is_free(m_ports.at(name)); }));
         std::vector<std::unique_ptr<loading_vm>> loading;
+        loading.reserve(names.size());
         for (const auto& name : names)
             loading.push_back(
                 std::make_unique<loading_vm>(*this, name, m_ports.at(name)));
--- a/test/memory/counted_allocations.cpp
+++ b/test/memory/counted_allocations.cpp
@@ -6,7 +6,7 @@
 #include <malloc.h>
 
 // The allocator's own functions, by the names that the C library gives them.
-// NOLINTBEGIN(bugprone-reserved-identifier)
+// NOLINTBEGIN(bugprone-reserved-identifier,readability-identifier-naming)
 extern "C" {
 void* __libc_malloc(std::size_t size);
 void* __libc_calloc(std::size_t count, std::size_t size);
@@ -14,7 +14,7 @@
 void* __libc_memalign(std::size_t alignment, std::size_t size);
 void __libc_free(void* block);
 }
-// NOLINTEND(bugprone-reserved-identifier)
+// NOLINTEND(bugprone-reserved-identifier,readability-identifier-naming)
 
 namespace {
 
--- a/test/support/fleet/storage_fixture.hpp
+++ b/test/support/fleet/storage_fixture.hpp
@@ -162,6 +162,7 @@
     void stop_all()
     {
         std::vector<std::string> names;
+        names.reserve(m_vms.size());
         for (const auto& [name, vm] : m_vms)
             names.push_back(name);
         stop(names);
--- a/test/support/fleet/turn_fleet.hpp
+++ b/test/support/fleet/turn_fleet.hpp
@@ -142,6 +142,7 @@
     bool run_to_next_turns(milliseconds limit)
     {
         std::vector<std::size_t> before;
+        before.reserve(m_programs.size());
         for (const auto& program : m_programs)
             before.push_back(program->m_turns.size());
         return run(
