A replica set returns to service if only a lost member is left

What callers would see: 503 for every turn of a replica set, for good. Of three members the last one left had been marked lost, and the others were gone for good one after the other. VMs that stand by find nobody to copy from.

Cause: a lost member returns only if it reaches a member that takes writes, since one that is cut off would be marked lost again at once. On real nodes there was more: a VM that hears too few others takes itself for isolated, and then neither marks anyone unresponsive nor presumes anyone gone, for ever. The model of the walk knew no such rule, so that states with a way back there had none in service.

Now the silence of members is judged in one place, by a function without clocks (member_silence.hpp). A lost member whose others are all gone returns and copies from what is left. An isolated VM may presume others gone if nobody has changed the view for 30 s: members that are alive and reach the store undo its changes within seconds. Each of its steps waits as long, so that a VM that is cut off changes the view twice in 30 s at most.

With the return taken back, "which view a storage VM requests" fails; with the rule for isolated VMs taken back, "silent members are unreachable, then unresponsive, then gone" does. Not run on real nodes: it takes a retention and more than 60 s there.

--- a/include/pepperturn/fleet/storage_node.hpp
+++ b/include/pepperturn/fleet/storage_node.hpp
@@ -7,6 +7,7 @@
 
 #include "pepperturn/cluster/config_fetcher.hpp"
 #include "pepperturn/cluster/freshness_poller.hpp"
+#include "pepperturn/cluster/member_silence.hpp"
 #include "pepperturn/cluster/membership.hpp"
 #include "pepperturn/cluster/owner_views.hpp"
 #include "pepperturn/cluster/replica_sets.hpp"
@@ -52,12 +53,15 @@
     /// This VM's entry in a view.
     [[nodiscard]] member self() const;
     [[nodiscard]] membership_facts gather_facts(const cluster_view& view) const;
+    /// What this VM has heard of the other members.
+    [[nodiscard]] std::vector<member_contact>
+    contacts_of(const cluster_view& view) const;
     task<> maintain_membership();
     /// Announces this VM, and writes the initial views once all have done so.
     task<> bootstrap_fleet();
     task<> change_view();
-    /// Notes since when the view has its gap.
-    void note_gap();
+    /// Notes since when the view is as it is, and since when it has its gap.
+    void note_view();
     /// Copies again from members that restarted: they may have forgotten who
     /// copied from them.
     void forget_reconnected();
@@ -143,6 +147,9 @@
     std::uint64_t m_caught_up_at = 0;
     /// Connection to each member of the set when it was last looked at.
     std::map<std::string, std::uint64_t> m_connections;
+    /// The view of the own set, and since when this process knows of it.
+    std::uint64_t m_view_epoch = 0;
+    instant m_view_since{};
     /// Gap of the view, and since when this process knows of it.
     std::uint64_t m_gap_epoch = 0;
     instant m_gap_since{};
--- a/src/cluster/membership.cpp
+++ b/src/cluster/membership.cpp
@@ -133,6 +133,18 @@
     return !any;
 }
 
+/// True if none of the others that take writes is expected to return: what
+/// they alone held is lost, and waiting for them would be for ever.
+bool all_others_gone(const cluster_view& view, const membership_facts& facts)
+{
+    return std::all_of(view.m_members.begin(), view.m_members.end(),
+                       [&](const member& row) {
+                           return row.m_name == facts.m_self.m_name ||
+                                  !takes_writes(row.m_state) ||
+                                  facts.m_gone.contains(row.m_name);
+                       });
+}
+
 /// Members that together hold every acknowledged write, if there are enough:
 /// each write was on one more disk than may be lost, and no more members than
 /// that lack their copies.
@@ -258,7 +270,7 @@
     {
         // While partitioned from the others it could not copy, and they would
         // remove it again at once.
-        if (!reaches_any(view, facts))
+        if (!reaches_any(view, facts) && !all_others_gone(view, facts))
             return std::nullopt;
         return with_return(view, self.m_name);
     }
--- a/src/fleet/storage_membership.cpp
+++ b/src/fleet/storage_membership.cpp
@@ -10,14 +10,6 @@
 namespace {
 
 constexpr milliseconds membership_interval{150};
-/// Ten heartbeats: a restart or a freeze is over by then, a loss is not.
-constexpr milliseconds unresponsive_timeout{5000};
-/// A member is not waited for, if the set cannot recover otherwise, once it has
-/// been silent for the longest retention and this: whatever it alone may hold
-/// has expired by then.
-constexpr milliseconds gone_margin{30000};
-/// Three heartbeats.
-constexpr milliseconds isolation_timeout{1600};
 /// A VM that looks for a set treats members as gone that it could not connect
 /// to for this long: several attempts, and a restart.
 constexpr milliseconds connect_patience{1200};
@@ -89,23 +81,31 @@
     // A VM outside the set gets no heartbeats from its members.
     if (find_member(view, m_settings.m_name) == nullptr)
         return facts;
+    auto silent = judge_silence(
+        contacts_of(view), {m_settings.m_disk_losses, now < m_isolated_until,
+                            m_longest_retention, elapsed(m_view_since, now)});
+    facts.m_unresponsive = std::move(silent.m_unresponsive);
+    facts.m_gone = std::move(silent.m_gone);
+    facts.m_unreachable = std::move(silent.m_unreachable);
+    return facts;
+}
+
+std::vector<member_contact>
+storage_node::contacts_of(const cluster_view& view) const
+{
+    std::vector<member_contact> out;
+    out.reserve(view.m_members.size());
     for (const auto& row : view.m_members)
     {
-        const auto last_seen =
-            std::max(m_started, m_links.last_seen(row.m_name));
         if (row.m_name == m_settings.m_name)
             continue;
-        if (now - last_seen > unresponsive_timeout && now >= m_isolated_until)
-            facts.m_unresponsive.insert(row.m_name);
-        if (m_longest_retention &&
-            now - last_seen > *m_longest_retention + gone_margin &&
-            now >= m_isolated_until)
-            facts.m_gone.insert(row.m_name);
-        if (now - last_seen > isolation_timeout ||
-            !m_links.connected(row.m_name))
-            facts.m_unreachable.insert(row.m_name);
+        const auto last_seen =
+            std::max(m_started, m_links.last_seen(row.m_name));
+        out.push_back({row.m_name, row.m_state == member_state::lost,
+                       m_links.connected(row.m_name),
+                       elapsed(last_seen, m_time.now())});
     }
-    return facts;
+    return out;
 }
 
 task<> storage_node::maintain_membership()
@@ -116,7 +116,7 @@
             co_await bootstrap_fleet();
         else if (m_server->disk_good())
         {
-            note_gap();
+            note_view();
             forget_reconnected();
             if (!m_copying &&
                 should_copy(m_server->own_view(), m_settings.m_name,
@@ -131,9 +131,12 @@
     }
 }
 
-void storage_node::note_gap()
+void storage_node::note_view()
 {
-    const auto epoch = m_server->own_view().m_gap_epoch;
+    const auto& view = m_server->own_view();
+    if (std::exchange(m_view_epoch, view.m_epoch) != view.m_epoch)
+        m_view_since = m_time.now();
+    const auto epoch = view.m_gap_epoch;
     if (std::exchange(m_gap_epoch, epoch) == epoch)
         return;
     m_gap_since = m_time.now();
@@ -266,18 +269,9 @@
 
 void storage_node::detect_isolation()
 {
-    std::uint32_t unreachable = 0;
-    const auto now = m_time.now();
-    for (const auto& row : m_server->own_view().m_members)
-    {
-        if (row.m_name != m_settings.m_name &&
-            row.m_state != member_state::lost &&
-            now - m_links.last_seen(row.m_name) > isolation_timeout)
-            ++unreachable;
-    }
-    // More members than may be lost at once: this VM itself is partitioned.
-    if (unreachable > m_settings.m_disk_losses)
-        m_isolated_until = now + unresponsive_timeout;
+    if (is_isolated(contacts_of(m_server->own_view()),
+                    m_settings.m_disk_losses))
+        m_isolated_until = m_time.now() + unresponsive_timeout;
 }
 
 } // namespace pepperturn
--- a/test/cluster/test_membership.cpp
+++ b/test/cluster/test_membership.cpp
@@ -77,6 +77,10 @@
     retire_beside_unresponsive.m_unresponsive = {"b"};
     auto partitioned = facts_of("b");
     partitioned.m_unreachable = {"a", "c"};
+    auto others_gone = partitioned;
+    others_gone.m_gone = {"a", "c"};
+    auto one_is_gone = partitioned;
+    one_is_gone.m_gone = {"a"};
     auto reaches_one = facts_of("b");
     reaches_one.m_unreachable = {"a"};
     auto joins_sees_unresponsive = facts_of("b");
@@ -169,6 +173,12 @@
         {"not while it reaches nobody",
          view_of({row("a", full), row("b", lost), row("c", full)}), partitioned,
          "-"},
+        {"unless all others are gone for good, since nobody else would return",
+         view_of({row("a", full), row("b", lost), row("c", joining)}),
+         others_gone, "aFbJcJ"},
+        {"not while one of them may return",
+         view_of({row("a", full), row("b", lost), row("c", full)}), one_is_gone,
+         "-"},
         {"one to copy from is enough",
          view_of({row("a", full), row("b", lost), row("c", full)}), reaches_one,
          "aFbJcF"},
