Turn client: members that refuse are asked again with pauses

A member that loads its disk, is busy or has another view refuses within a round trip, and was asked again at once, for as long as a turn may wait: all edge VMs together, just when all VMs have started.

A refusal is followed by a pause of 60 ms for that member, as silence is. One that is behind is sent the view first, and asked once more at once.

--- a/src/turns/turn_client.cpp
+++ b/src/turns/turn_client.cpp
@@ -170,11 +170,18 @@
         reply_row.m_pending = false;
         reply_row.m_last = reply_of(reply);
         const auto* set = set_for(work->m_program);
-        if (reply && reply->m_status == frame_status::stale && set != nullptr &&
-            reply->m_epoch < set->m_view.m_epoch)
+        const bool is_behind =
+            reply && reply->m_status == frame_status::stale && set != nullptr &&
+            reply->m_epoch < set->m_view.m_epoch;
+        if (is_behind)
             m_links.send_view(name, set->m_view);
         if (reply && reply->m_status == frame_status::ok)
             reply_row.m_reply = std::move(reply);
+        // Most refusals last longer than a round trip: a member that loads its
+        // disk would be asked without end. One that has just been sent the view
+        // accepts the next request.
+        else if (reply_row.m_refusals++ > 0 || !is_behind)
+            reply_row.m_ask_at = m_time.now() + retry_interval;
         work->m_changed.notify();
     };
     m_links.call(target.m_name, work->m_epoch, std::move(body), take);
@@ -210,7 +217,7 @@
             writes ? selected
                    : reads && target.m_state == member_state::leaving;
         if (useful && !row.m_pending && !row.m_reply &&
-            m_links.connected(target.m_name))
+            m_time.now() >= row.m_ask_at && m_links.connected(target.m_name))
             request_from(work, target);
     }
 }
--- a/src/turns/turn_round.hpp
+++ b/src/turns/turn_round.hpp
@@ -19,6 +19,10 @@
         std::optional<frame> m_reply;
         /// For the log.
         member_reply m_last = member_reply::not_asked;
+        /// Of replies that were no answer.
+        std::uint32_t m_refusals = 0;
+        /// It is not asked again before this.
+        instant m_ask_at{};
     };
 
     round(asio::io_context& io, id_key program, frame_body body)
--- a/test/fleet/test_turns.cpp
+++ b/test/fleet/test_turns.cpp
@@ -129,3 +129,21 @@
     CHECK(result.m_outcome == begin_outcome::granted);
     CHECK(storage_fixture::text_of(result) == "in-a;out-a;");
 }
+
+// Members that load their disks refuse for seconds after a start of all.
+TEST_CASE("members that refuse are asked again with pauses", "[fleet]")
+{
+    storage_fixture fleet;
+    fleet.start_three();
+    auto views = fleet.m_state.m_views;
+    --views.front().m_epoch;
+    fleet.m_client.follow(views);
+    const auto before = fleet.m_links.direct_requests();
+    constexpr milliseconds span{1000};
+    CHECK(fleet.begin(storage_fixture::request("a", ""), span).m_outcome ==
+          begin_outcome::unavailable);
+    constexpr milliseconds pause{60};
+    constexpr std::uint64_t members = 3;
+    const auto rounds = static_cast<std::uint64_t>(span / pause) + 1;
+    CHECK(fleet.m_links.direct_requests() - before <= members * rounds);
+}
