Storage VMs tell their sources of suspects whenever these are connected anew

A request under which three runners had ended could be sent to a fourth after a loss of all processes: what a storage VM reads from its disk may be nowhere else, and it was told once, to those that were connected at that moment. At a start of all nobody is, so that edge VMs that follow other storage VMs were never told.

Each new connection to a source is told of all suspects known here.

Evidence: "what a storage VM knows of suspects reaches VMs that start later" fails with the call taken back.

--- a/include/pepperturn/fleet/storage_node.hpp
+++ b/include/pepperturn/fleet/storage_node.hpp
@@ -112,6 +112,10 @@
     /// takes that over.
     /// \returns false if too few reply: another one may need the rows
     task<bool> confirm_expiry(retained_keys keys);
+    /// Tells update sources that were just connected of the suspects known
+    /// here: what this VM read from its disk may be nowhere else, and news are
+    /// sent to those only that are connected then.
+    void tell_suspects();
     task<> copy_all();
     void detect_isolation();
 
@@ -147,6 +151,8 @@
     std::uint64_t m_caught_up_at = 0;
     /// Connection to each member of the set when it was last looked at.
     std::map<std::string, std::uint64_t> m_connections;
+    /// Connection over which each update source was told of suspects.
+    std::map<std::string, std::uint64_t> m_suspects_told;
     /// The view of the own set, and since when this process knows of it.
     std::uint64_t m_view_epoch = 0;
     instant m_view_since{};
--- a/include/pepperturn/turns/turn_server.hpp
+++ b/include/pepperturn/turns/turn_server.hpp
@@ -53,6 +53,10 @@
     /// Takes over suspects and sends what is new to subscribers; the handler of
     /// on_suspects gets that too.
     void apply_suspects(const std::vector<suspect>& rows);
+    [[nodiscard]] std::vector<suspect> suspects() const
+    {
+        return m_suspects.list(m_time.now());
+    }
     void on_suspects(std::function<void(const std::vector<suspect>&)> handler);
     /// Sends the reply to a request, at once or later; no effect if the
     /// requester has disconnected.
--- a/src/fleet/storage_node.cpp
+++ b/src/fleet/storage_node.cpp
@@ -357,6 +357,22 @@
         {own, m_links.store_last_watched(), freshness().m_views_confirmed_at});
 }
 
+void storage_node::tell_suspects()
+{
+    if (!m_loaded)
+        return;
+    for (const auto& source : m_update_sources)
+    {
+        const auto number = m_links.live_connection(source);
+        auto& told = m_suspects_told[source];
+        if (number == 0 || std::exchange(told, number) == number)
+            continue;
+        auto rows = m_server->suspects();
+        if (!rows.empty())
+            m_links.notify(source, suspects_message{std::move(rows)});
+    }
+}
+
 void storage_node::tick()
 {
     const auto now = m_time.now();
@@ -365,6 +381,7 @@
     if (!m_update_sources.empty())
         choose_update_sources();
     update_freshness_polling();
+    tell_suspects();
     m_placements.tick();
     if (now >= m_next_heartbeat)
     {
--- a/test/fleet/test_crashing_requests.cpp
+++ b/test/fleet/test_crashing_requests.cpp
@@ -1,5 +1,8 @@
 // SPDX-License-Identifier: BSL-1.0
 // Requests under which runners end, tried again by their callers.
+#include "pepperturn/cluster/update_sources.hpp"
+#include "pepperturn/turns/crash_ledger.hpp"
+
 #include "support/fleet/crash_fixture.hpp"
 
 namespace {
@@ -169,3 +172,53 @@
     for (const auto& edge : fleet.m_edges)
         CHECK(edge->figure("suspects") == 0);
 }
+
+// After a start of all, only the disk that a VM has read may have them, and
+// edge VMs follow other VMs.
+TEST_CASE("what a storage VM knows of suspects reaches VMs that start later",
+          "[crashes]")
+{
+    constexpr int vm_count = 6;
+    storage_fixture fleet;
+    for (int i = 0; i < vm_count; ++i)
+        fleet.add("vm-" + std::to_string(i));
+    REQUIRE(fleet.wait_for("vm-0Fvm-1Fvm-2Fvm-3Fvm-4Fvm-5F"));
+    const auto order = watch_order(members_of(fleet.m_state.m_views));
+    const auto& knows = order.back();
+    const auto& watcher = order.front();
+    REQUIRE(order.size() > watch_candidates);
+    constexpr std::uint64_t fingerprint = 7;
+    const auto* set = find_replica_set(fleet.m_state.m_views, knows);
+    REQUIRE(set != nullptr);
+    const append_message row{
+        {retention_ms,
+         reservation{crash_ledger_key(fingerprint), key_of("a"), 1, false}}};
+    REQUIRE(
+        run_until(fleet.m_io, [&] { return fleet.m_links.connected(knows); }));
+    const auto kept =
+        run_task(fleet.m_io,
+                 fleet.m_links.request(knows, set->m_epoch, row,
+                                       fleet.m_time.now() + default_timeout));
+    REQUIRE(kept.has_value());
+    REQUIRE(kept->has_value());
+    fleet.stop_all();
+    const auto port = fleet.m_ports.at(knows);
+    fleet.m_ports.erase(knows);
+    fleet.m_vms[knows] = std::make_unique<storage_vm>(
+        fleet.m_io, fleet.m_time, fleet.m_store.address(), knows,
+        fleet.m_folder + '/' + knows, false, true, fleet.m_revoke_ms, port);
+    bool told = false;
+    fleet.m_links.on_suspects([&](const std::vector<suspect>& rows) {
+        told = told ||
+               (rows.size() == 1 && rows.front().m_fingerprint == fingerprint);
+    });
+    REQUIRE(run_until(fleet.m_io, [&] { return told; }));
+    told = false;
+    fleet.m_links.subscribe({watcher});
+    fleet.start_stopped();
+    CHECK(run_until(fleet.m_io, [&] {
+        for (const auto& [name, vm] : fleet.m_vms)
+            vm->m_node->tick();
+        return told;
+    }));
+}
