A VM that has just started asks whether runners have ended under a request

Cause: an edge VM serves as soon as it has a configuration, and takes a request of which it has heard nothing for one that has no known end. A VM that has just started has heard of none.

For the first 2 s in which a storage VM that it follows is connected, and until there is one, it asks a read quorum for the request's crash ledger before the first attempt. No reservation is made, since many requests may look alike. Without a quorum the request is refused (503, 0.5 s): it may have ended runners. It costs a round trip to the storage VMs in that time. Members of the version before store an empty settled row when asked.

Evidence: "a VM that has just started asks whether runners have ended" and "... can ask nobody sends no request" fail with the question taken back.

--- a/include/pepperturn/fleet/edge_node.hpp
+++ b/include/pepperturn/fleet/edge_node.hpp
@@ -51,6 +51,8 @@
     /// Tells the storage VMs of a request under which runners have ended;
     /// returns once one of them has replied.
     task<> report_suspect(suspect row);
+    /// Notes once storage VMs must have told this VM of all suspects.
+    void note_suspects();
     /// Reads the views from the store if the seeds, which may be down or slow,
     /// have not sent any.
     task<> find_members();
@@ -109,6 +111,8 @@
     std::uint64_t m_entries_received = 0;
     std::uint64_t m_entries_read = 0;
     instant m_started{};
+    /// Since when a storage VM that this VM subscribes to is connected.
+    std::optional<instant> m_hears_since;
     /// When this VM started, or last received a part of a list of runners.
     instant m_list_progress{};
     bool m_list_in_parts = false;
--- a/include/pepperturn/forward/crash_guard.hpp
+++ b/include/pepperturn/forward/crash_guard.hpp
@@ -4,8 +4,9 @@
 /// all VMs.
 ///
 /// The ends are counted in the request's crash ledger on the storage VMs. A
-/// request that has no known end is sent without asking. Once an end is known,
-/// each further attempt is reserved in the ledger first, and counts as an end
+/// request that has no known end is sent without asking, but for a VM that has
+/// just started and may not know of it yet. Once an end is known, each further
+/// attempt is reserved in the ledger first, and counts as an end
 /// until its runner is known to have outlived it: two VMs that send the request
 /// at the same time cannot both use the last place.
 #pragma once
@@ -64,6 +65,22 @@
     /// Takes over what other VMs report.
     void learn(const std::vector<suspect>& rows);
 
+    /// False until \ref note_told: a VM that has just started does not know
+    /// under which requests runners have ended elsewhere.
+    [[nodiscard]] bool told() const
+    {
+        return m_told;
+    }
+    /// Other VMs have told this one of all suspects.
+    void note_told()
+    {
+        m_told = true;
+    }
+    /// Asks the storage VMs whether runners have ended under the request, for a
+    /// VM that has not been told.
+    /// \returns false: too few replied
+    [[nodiscard]] task<bool> ask_for_ends(std::uint64_t fingerprint);
+
     /// Runners known here to have ended under the request.
     [[nodiscard]] std::uint32_t known_ends(std::uint64_t fingerprint) const;
     /// Until the ends of the request are forgotten.
@@ -121,6 +138,7 @@
     turn_client& m_turns;
     reporter m_report;
     report_budget m_reports;
+    bool m_told = false;
     suspect_table m_suspects;
     /// By incarnation of the runner.
     std::map<std::uint64_t, std::vector<run>> m_runs;
--- a/include/pepperturn/forward/proxy.hpp
+++ b/include/pepperturn/forward/proxy.hpp
@@ -362,6 +362,9 @@
     /// Refuses a request under which too many runners have ended.
     /// \returns a response if the request is refused
     [[nodiscard]] std::optional<upstream_response> refuse_suspect(call& work);
+    /// The same while this VM has not been told of the suspects.
+    task<std::optional<upstream_response>>
+    refuse_untold_suspect(std::shared_ptr<call> work);
     /// The runner for the next attempt: not one that works on another suspect,
     /// if there are others, so that the two can be told apart.
     [[nodiscard]] const runner_row*
--- a/include/pepperturn/turns/ledger.hpp
+++ b/include/pepperturn/turns/ledger.hpp
@@ -7,6 +7,7 @@
 #include "pepperturn/turns/records.hpp"
 
 #include <map>
+#include <vector>
 
 namespace pepperturn {
 
@@ -21,6 +22,10 @@
 [[nodiscard]] std::uint64_t committed_tokens(const joint_ledger& ledger,
                                              const id_key& own);
 
+/// Attempts except \p own whose reservations are not settled.
+[[nodiscard]] std::vector<id_key> unsettled_of(const joint_ledger& ledger,
+                                               const id_key& own);
+
 /// \param budget maximum tokens of the whole program
 [[nodiscard]] bool fits_budget(const joint_ledger& ledger,
                                const reservation& own, std::uint64_t budget);
--- a/include/pepperturn/turns/messages.hpp
+++ b/include/pepperturn/turns/messages.hpp
@@ -77,6 +77,9 @@
     std::string m_parent;
     /// Requests the records of the history, not only whether the parent exists.
     bool m_want_history = false;
+    /// Only asks for the ledger: nothing is reserved. A member of a version
+    /// that does not know this stores the reservation.
+    bool m_read_only = false;
     friend bool operator==(const begin_message&,
                            const begin_message&) = default;
 };
--- a/include/pepperturn/turns/turn_client.hpp
+++ b/include/pepperturn/turns/turn_client.hpp
@@ -87,6 +87,11 @@
                                            instant deadline);
     [[nodiscard]] task<begin_result>
     begin(begin_request request, instant deadline, history_options options);
+    /// Attempts of a program whose reservations are not settled, without
+    /// reserving anything.
+    /// \returns empty: too few storage VMs replied
+    [[nodiscard]] task<std::optional<std::vector<id_key>>>
+    read_unsettled(id_key program, instant deadline);
     /// Members of nearer zones receive requests first.
     void set_zones(zone_map zones)
     {
@@ -160,6 +165,8 @@
     [[nodiscard]] bool wrote_enough(const round& work) const;
     [[nodiscard]] bool read_enough(const round& work) const;
     [[nodiscard]] bool all_lack_parent(const round& work) const;
+    /// The program's ledger, from all members that have replied.
+    [[nodiscard]] static joint_ledger join_ledgers(const round& work);
     /// What is known of the program's set and of all storage VMs.
     [[nodiscard]] begin_evidence observe(const round& work) const;
     void observe_links(begin_evidence& out) const;
--- a/src/fleet/edge_node.cpp
+++ b/src/fleet/edge_node.cpp
@@ -28,6 +28,9 @@
 /// A caller whose request has ended runners waits until another VM knows of
 /// it: several round trips.
 constexpr milliseconds report_timeout{100};
+/// Storage VMs that start at the same time have read their disks and told each
+/// other of suspects by then.
+constexpr milliseconds suspects_spread{2000};
 /// Runners in an update that leaves megabytes of freed memory behind.
 constexpr std::size_t long_update = 500;
 
@@ -398,6 +401,28 @@
         m_source.start();
 }
 
+void edge_node::note_suspects()
+{
+    if (m_proxy.crashes().told())
+        return;
+    const bool hears = std::any_of(
+        m_members.begin(), m_members.end(), [this](const member& row) {
+            return m_links.subscribed_to(row.m_name) &&
+                   m_links.reachable_directly(row.m_name);
+        });
+    const auto now = m_time.now();
+    if (!hears)
+        m_hears_since.reset();
+    else if (!m_hears_since)
+        m_hears_since = now;
+    if (!m_hears_since || elapsed(*m_hears_since, now) < suspects_spread)
+        return;
+    m_proxy.crashes().note_told();
+    LOG(INFO) << "event=suspects_told after_ms="
+              << elapsed(m_started, now).count()
+              << " known=" << m_proxy.crashes().suspect_count();
+}
+
 void edge_node::tick()
 {
     if (std::exchange(m_memory_freed, false))
@@ -405,6 +430,7 @@
     confirm_config();
     choose_source();
     choose_update_sources();
+    note_suspects();
     m_connectivity.tick();
 }
 
--- a/src/forward/crash_guard.cpp
+++ b/src/forward/crash_guard.cpp
@@ -10,6 +10,9 @@
 /// How long the storage VMs are waited for: several times a quorum's usual
 /// latency, since the caller waits too.
 constexpr milliseconds ledger_timeout{300};
+/// A VM that asks may have to connect first, as the storage VMs have just
+/// started too.
+constexpr milliseconds ask_timeout{1000};
 /// All attempts at a runner that ends break off within this time.
 constexpr milliseconds common_end_span{1000};
 
@@ -71,6 +74,22 @@
     return m_suspects.remaining(fingerprint, m_time.now());
 }
 
+task<bool> crash_guard::ask_for_ends(std::uint64_t fingerprint)
+{
+    if (known_ends(fingerprint) > 0)
+        co_return true;
+    const auto ledger = crash_ledger_key(fingerprint);
+    const auto counted =
+        co_await m_turns.read_unsettled(ledger, m_time.now() + ask_timeout);
+    if (!counted)
+        co_return false;
+    // Attempts in progress are among them: how many have ended shows in the
+    // claim of the next one.
+    if (!counted->empty())
+        learn_end(fingerprint, 1);
+    co_return true;
+}
+
 task<run_claim> crash_guard::claim(guarded_attempt attempt)
 {
     const auto request = ledger_request(attempt);
--- a/src/forward/proxy.cpp
+++ b/src/forward/proxy.cpp
@@ -348,6 +348,8 @@
         co_return out;
     }
     out.m_response = refuse_suspect(*work);
+    if (!out.m_response && !m_crashes.told())
+        out.m_response = co_await refuse_untold_suspect(work);
     if (out.m_response)
         co_return out;
     if (route.m_stateful && work->m_fields.m_last_event_id)
--- a/src/forward/proxy_crashes.cpp
+++ b/src/forward/proxy_crashes.cpp
@@ -19,6 +19,8 @@
 /// after this time: it has ended by then if the request ends it at once, and
 /// has hardly started again.
 constexpr milliseconds second_probe_delay{40};
+/// Storage VMs that have just started reply, or tell this VM, by then.
+constexpr milliseconds untold_retry_delay{500};
 
 } // namespace
 
@@ -33,6 +35,19 @@
         m_crashes.remaining(work.m_fingerprint));
 }
 
+task<std::optional<upstream_response>>
+proxy::refuse_untold_suspect(std::shared_ptr<call> work)
+{
+    const bool answered = co_await m_crashes.ask_for_ends(work->m_fingerprint);
+    m_metrics.count(answered ? "crash_asks_answered" : "crash_asks_unanswered");
+    if (answered)
+        co_return refuse_suspect(*work);
+    co_return refuse(*work,
+                     "this VM has just started and cannot learn whether "
+                     "runners have ended under the request",
+                     untold_retry_delay);
+}
+
 const runner_row* proxy::choose_apart(const call& work,
                                       const runner_query& choice) const
 {
--- a/src/turns/frame_bodies.cpp
+++ b/src/turns/frame_bodies.cpp
@@ -43,6 +43,7 @@
         out.setRetentionMs(body.m_retention_ms);
         out.setParent(body.m_parent);
         out.setWantChain(body.m_want_history);
+        out.setReadOnly(body.m_read_only);
     }
     void operator()(const begun_message& body)
     {
@@ -273,7 +274,7 @@
 begin_message read_begin(turns_wire::Begin::Reader in)
 {
     return {read(in.getReservation()), in.getRetentionMs(),
-            text_of(in.getParent()), in.getWantChain()};
+            text_of(in.getParent()), in.getWantChain(), in.getReadOnly()};
 }
 
 begun_message read_begun(turns_wire::Begun::Reader in)
--- a/src/turns/ledger.cpp
+++ b/src/turns/ledger.cpp
@@ -24,6 +24,17 @@
     return sum;
 }
 
+std::vector<id_key> unsettled_of(const joint_ledger& ledger, const id_key& own)
+{
+    std::vector<id_key> out;
+    for (const auto& [attempt, row] : ledger)
+    {
+        if (!row.m_settled && attempt != own)
+            out.push_back(attempt);
+    }
+    return out;
+}
+
 bool fits_budget(const joint_ledger& ledger, const reservation& own,
                  std::uint64_t budget)
 {
--- a/src/turns/turn_client.cpp
+++ b/src/turns/turn_client.cpp
@@ -295,6 +295,17 @@
     }
 }
 
+joint_ledger turn_client::join_ledgers(const round& work)
+{
+    joint_ledger out;
+    for (const auto& [name, row] : work.m_rows)
+    {
+        if (const auto* begun = work.begun(name))
+            join_ledger(out, begun->m_ledger);
+    }
+    return out;
+}
+
 task<begin_result> turn_client::begin(begin_request request, instant deadline)
 {
     return begin(std::move(request), deadline, history_options());
@@ -323,19 +334,13 @@
         result.m_evidence = explain(*work, {});
         co_return result;
     }
-    joint_ledger ledger;
-    for (const auto& [name, row] : work->m_rows)
-    {
-        if (const auto* begun = work->begun(name))
-            join_ledger(ledger, begun->m_ledger);
-    }
+    const auto ledger = join_ledgers(*work);
     for (const auto& [attempt, row] : ledger)
     {
         if (row.m_prompt_location.m_runner != 0)
             result.m_prompt_locations.push_back(row.m_prompt_location);
-        if (!row.m_settled && attempt != request.m_attempt)
-            result.m_unsettled.push_back(attempt);
     }
+    result.m_unsettled = unsettled_of(ledger, request.m_attempt);
     const auto committed = committed_tokens(ledger, request.m_attempt);
     result.m_reason = "committed=" + std::to_string(committed) +
                       " budget=" + std::to_string(request.m_budget);
@@ -365,6 +370,30 @@
     co_return result;
 }
 
+task<std::optional<std::vector<id_key>>>
+turn_client::read_unsettled(id_key program, instant deadline)
+{
+    begin_message message;
+    // Members that do not know of reading alone store this, to no effect.
+    message.m_reservation = {program, {}, 0, true};
+    message.m_read_only = true;
+    const auto work = std::make_shared<round>(m_io, program, message);
+    const auto begun_at = m_time.now();
+    work->m_request_all_at = begun_at + quorum_timeout;
+    while (m_time.now() < deadline && !partitioned_since(begun_at))
+    {
+        send_round(work);
+        if (read_enough(*work))
+            break;
+        co_await work->m_changed.wait_until(
+            std::min(deadline, m_time.now() + retry_interval));
+    }
+    work->m_closed = true;
+    if (!read_enough(*work))
+        co_return std::nullopt;
+    co_return unsettled_of(join_ledgers(*work), {});
+}
+
 task<bool> turn_client::store(log_entry entry, instant deadline)
 {
     const auto& turn = std::get<turn_record>(entry.m_what);
--- a/src/turns/turn_server.cpp
+++ b/src/turns/turn_server.cpp
@@ -129,9 +129,9 @@
 
 frame_status turn_server::check(const frame& value) const
 {
-    const bool begins = std::holds_alternative<begin_message>(value.m_body);
-    const bool writes =
-        begins || std::holds_alternative<append_message>(value.m_body);
+    const auto* begin = std::get_if<begin_message>(&value.m_body);
+    const bool writes = std::holds_alternative<append_message>(value.m_body) ||
+                        (begin != nullptr && !begin->m_read_only);
     if (!m_disk)
         return frame_status::failed;
     if (value.m_epoch != m_own_view.m_epoch)
@@ -140,7 +140,8 @@
     if (self == nullptr || self->m_disk != m_disk)
         return frame_status::not_member;
     // A leaving member reports what it stores, and stores nothing new.
-    const bool read_only = begins && self->m_state == member_state::leaving;
+    const bool read_only =
+        begin != nullptr && self->m_state == member_state::leaving;
     if (writes && !read_only && !takes_writes(self->m_state))
         return frame_status::not_member;
     if (writes && !m_disk_good)
@@ -240,7 +241,7 @@
 {
     const auto now = m_time.now();
     const auto* self = find_member(m_own_view, m_name);
-    if (self != nullptr && takes_writes(self->m_state))
+    if (!request.m_read_only && self != nullptr && takes_writes(self->m_state))
         m_store.append({request.m_retention_ms, request.m_reservation}, now);
     begun_message body;
     body.m_ledger = m_store.ledger_of(request.m_reservation.m_program);
--- a/test/fleet/test_crashing_requests.cpp
+++ b/test/fleet/test_crashing_requests.cpp
@@ -1,9 +1,13 @@
 // SPDX-License-Identifier: BSL-1.0
 // Requests under which runners end, tried again by their callers.
 #include "pepperturn/cluster/update_sources.hpp"
+#include "pepperturn/forward/fingerprint.hpp"
+#include "pepperturn/forward/request_head.hpp"
 #include "pepperturn/turns/crash_ledger.hpp"
 
 #include "support/fleet/crash_fixture.hpp"
+#include "support/fleet/isolated_edge.hpp"
+#include "support/fleet/stored_turns_fixture.hpp"
 
 namespace {
 
@@ -173,6 +177,93 @@
         CHECK(edge->figure("suspects") == 0);
 }
 
+namespace {
+
+/// An edge VM that has just started: no storage VM has told it of suspects.
+class untold_edge : public storage_fixture, public proxy_fixture
+{
+public:
+    untold_edge() : proxy_fixture(storage_fixture::m_io, m_client, false)
+    {
+        start_three();
+        for (auto* row : {&m_first, &m_second})
+            row->script({{whole_answer(200, "done")}});
+    }
+
+    /// Has another VM record ends of runners under the request of \ref ask.
+    void record_ends(std::uint64_t count)
+    {
+        caller_request request;
+        request.method_string("GET");
+        request.target("/get/x");
+        request.set("Host", "h");
+        request.set("Pepperturn-Program", "p");
+        const auto fields = decode_fields(request, wire_names{});
+        const auto fingerprint = fingerprint_of(request, fields, "", "");
+        crash_guard elsewhere(storage_fixture::m_time, m_client);
+        for (std::uint64_t i = 1; i <= count; ++i)
+        {
+            const guarded_attempt attempt{fingerprint, {i, i}, i};
+            const auto ends = run_task(
+                storage_fixture::m_io,
+                elsewhere.record_end(attempt, std::nullopt), default_timeout);
+            REQUIRE(ends.has_value());
+            REQUIRE(*ends == i);
+        }
+    }
+    std::string ask_once()
+    {
+        return ask(get("/get/x", "Pepperturn-Program: p\r\n"), "\r\n\r\n");
+    }
+    [[nodiscard]] std::size_t runs() const
+    {
+        return m_first.requests().size() + m_second.requests().size();
+    }
+};
+
+struct known_ends
+{
+    std::uint64_t m_ends;
+    const char* m_status;
+    std::size_t m_runs;
+};
+
+const std::vector<known_ends> ends_before_a_start{
+    {0, "HTTP/1.1 200 ", 1},
+    {2, "HTTP/1.1 200 ", 1},
+    {3, "HTTP/1.1 503 ", 0},
+};
+
+} // namespace
+
+// A VM that starts is sent requests before a storage VM has told it of those
+// under which runners have ended.
+TEST_CASE("a VM that has just started asks whether runners have ended",
+          "[crashes]")
+{
+    for (const auto& row : ends_before_a_start)
+    {
+        INFO("ends " << row.m_ends);
+        untold_edge edge;
+        edge.record_ends(row.m_ends);
+        const auto got = edge.ask_once();
+        CHECK(has(got, row.m_status));
+        CHECK(edge.runs() == row.m_runs);
+        CHECK(has(got, "Retry-After") == (row.m_runs == 0));
+    }
+}
+
+TEST_CASE("a VM that has just started and can ask nobody sends no request",
+          "[crashes]")
+{
+    isolated_edge edge(false);
+    const auto got = edge.ask(proxy_fixture::get("/get/x"), "\r\n\r\n");
+    CHECK(has(got, "HTTP/1.1 503 "));
+    CHECK(has(got, "Retry-After: 0.500"));
+    CHECK(edge.m_first.requests().empty());
+    CHECK(edge.m_second.requests().empty());
+}
+
 // After a start of all, only the disk that a VM has read may have them, and
 // edge VMs follow other VMs.
 TEST_CASE("what a storage VM knows of suspects reaches VMs that start later",
--- a/test/support/fleet/isolated_edge.hpp
+++ b/test/support/fleet/isolated_edge.hpp
@@ -22,7 +22,9 @@
 class isolated_edge : private detail::isolated_links, public proxy_fixture
 {
 public:
-    isolated_edge() : proxy_fixture(m_own_io, m_own_turns) {}
+    explicit isolated_edge(bool told = true)
+        : proxy_fixture(m_own_io, m_own_turns, told)
+    {}
 
     /// Limits cold runners to \p per_s calls per second, with no owner
     /// reachable to count them.
--- a/test/support/fleet/proxy_fixture.hpp
+++ b/test/support/fleet/proxy_fixture.hpp
@@ -20,7 +20,9 @@
 class proxy_fixture
 {
 public:
-    proxy_fixture(asio::io_context& io, turn_client& turns)
+    /// \param told it knows of all suspects, as an edge VM that has run for a
+    /// while does; some tests have no storage VM that could tell it
+    proxy_fixture(asio::io_context& io, turn_client& turns, bool told = true)
         : m_io(io), m_turns(turns),
           m_proxy(m_io, m_time, wire_names{}, "z", m_turns), m_first(m_io),
           m_second(m_io), m_caller(m_io)
@@ -28,6 +30,8 @@
         m_port = free_port(m_io);
         std::string reason;
         REQUIRE(m_proxy.listen(endpoint(), reason));
+        if (told)
+            m_proxy.crashes().note_told();
         m_proxy.apply_config(config(1));
         // Different zones make the choice among equal runners deterministic.
         m_proxy.set_runners({{"r1", "svc", m_first.address(), "z", 4, false},
