pepperturnd: a handover that the store does not record is withdrawn

Cause: the owner stops serving before its handover is recorded. Without the store it never is, and no other VM can claim the partition. Handovers were not begun once the outage had been noticed, which takes 2 s.

The owner goes on as such once it notices. The record may be in the log already: it fences nobody, and the calls in flight that it names are expected as those of an earlier owner, which is what any next owner reads there too.

Evidence: "a handover that the store does not record is withdrawn" fails with the withdrawal taken back.

--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -125,6 +125,34 @@
         {std::move(handoff), commit_action::handoff_done, {}, {}, {}});
 }
 
+/// Ends a handover that cannot be committed while the store is down: until it
+/// is, no other VM can claim the partition, and its calls would wait for the
+/// store. The record may be in the log already; it takes nothing from an owner
+/// that goes on, whose calls in flight are expected as those of an earlier one.
+void withdraw_handoff(core_state& state, partition_row& partition,
+                      command_list& out)
+{
+    constexpr milliseconds report_grace{2000};
+    partition.m_role = partition_role::owner;
+    partition.m_known_owner = state.m_self;
+    partition.m_imbalanced_since = state.m_now;
+    partition.m_has_expected = true;
+    partition.m_dangling_due = state.m_now + report_grace;
+    const auto withdraw = [](auto& entries) {
+        for (auto& entry : entries)
+        {
+            if (entry.m_action == commit_action::handoff_done)
+                entry.m_action = commit_action::none;
+        }
+    };
+    withdraw(partition.m_in_flight);
+    withdraw(partition.m_pending);
+    log_decision(out, "handoff_withdrawn",
+                 {{"partition", std::to_string(partition.m_id)},
+                  {"epoch", std::to_string(partition.m_epoch)},
+                  {"to", partition.m_handoff_to}});
+}
+
 void check_owned(core_state& state, partition_row& partition, command_list& out)
 {
     const auto preferred = preferred_owner(state, partition.m_id);
@@ -344,6 +372,9 @@
             check_owned(state, partition, out);
         else if (partition.m_role == partition_role::idle)
             check_idle(state, partition, out);
+        else if (partition.m_role == partition_role::handing_off &&
+                 state.m_store_down && !state.m_stopping)
+            withdraw_handoff(state, partition, out);
     }
 }
 
