Relay peers send lists of runners in parts, to few VMs at a time

An edge VM that heard no storage VM for 1.2 s took the list of all runners from up to six peers at once, in one frame each, over the link that may just be full: the loop of LOST between edge VMs, named in its postmortem and not mended then (found by a review, by reading). Its replies and heartbeats waited behind them, and all of it was sent again although the VM knew the list already.

The sending of lists in parts is a class of its own now (list_sender), which storage VMs and relay peers share; turn_server loses 60 lines by it. Relay clients say in their greeting up to which revision they have all runners, so that a peer sends what has changed since, and subscribe to two peers: one may fall silent. Peers of the version before are sent, and send, whole lists.

Evidence: "a relay peer sends the list of runners in parts, or what has changed" and "a VM that reaches no storage VM subscribes to few peers" (new; on the code before a list is one frame by construction, and each connected peer is subscribed to). test_long_lists.cpp, unchanged, holds the storage VMs' side.

--- a/include/pepperturn/cluster/relay_client.hpp
+++ b/include/pepperturn/cluster/relay_client.hpp
@@ -46,7 +46,13 @@
     {
         m_on_state = std::move(handler);
     }
-    /// Subscribes to or unsubscribes from state updates of the peers.
+    /// Provides the revision up to which this VM has all runners; a peer that
+    /// is subscribed to sends what has changed since.
+    void on_hello(std::function<std::uint64_t()> known_runners)
+    {
+        m_known_runners = std::move(known_runners);
+    }
+    /// Subscribes to or unsubscribes from state updates of a few peers.
     void set_subscribed(bool subscribed);
 
     /// True if some peer is currently eligible to relay to \p member.
@@ -85,6 +91,8 @@
     {
         relay_peer m_peer;
         std::shared_ptr<frame_link> m_link;
+        /// This VM has subscribed to its state updates.
+        bool m_subscribed = false;
         bool m_connecting = false;
         bool m_removed = false;
         instant m_last_received{};
@@ -125,6 +133,9 @@
     };
 
     void record_probe(member_status& row, bool answered) const;
+    void send_hello(peer_state& row, bool subscribes);
+    /// Subscribes to connected peers until there are enough.
+    void choose_update_peers();
     [[nodiscard]] std::vector<relay_peer_facts>
     facts_for(const std::string& member,
               const std::set<std::string>& tried) const;
@@ -154,6 +165,7 @@
     std::map<std::string, member_status> m_members;
     std::uint64_t m_next_request = 1;
     std::function<void(const cluster_state&)> m_on_state;
+    std::function<std::uint64_t()> m_known_runners;
     bool m_subscribed = false;
     bool m_monitoring = false;
     bool m_stopped = false;
--- a/include/pepperturn/cluster/relay_server.hpp
+++ b/include/pepperturn/cluster/relay_server.hpp
@@ -12,6 +12,7 @@
 #pragma once
 
 #include "pepperturn/cluster/frame_link.hpp"
+#include "pepperturn/cluster/list_sender.hpp"
 #include "pepperturn/cluster/relay_limits.hpp"
 
 #include <functional>
@@ -47,8 +48,10 @@
             std::string member, std::uint64_t epoch, frame_body body,
             instant deadline)>
             m_request;
-        /// The complete cluster state, for requesters that reach no storage VM.
-        std::function<cluster_state()> m_state;
+        /// The cluster state, for requesters that reach no storage VM, and the
+        /// number of its changes so far.
+        std::function<const cluster_state&()> m_state;
+        std::function<std::uint64_t()> m_changes;
     };
 
     relay_server(asio::io_context& io, const clock& time, hooks what,
@@ -94,6 +97,7 @@
     std::set<std::shared_ptr<frame_link>> m_links;
     /// Links that subscribed to state updates.
     std::set<std::shared_ptr<frame_link>> m_subscribers;
+    list_sender m_lists;
     std::size_t m_in_flight = 0;
     relay_counts m_counts;
     instant m_next_log{};
--- a/include/pepperturn/fleet/edge_connectivity.hpp
+++ b/include/pepperturn/fleet/edge_connectivity.hpp
@@ -18,12 +18,18 @@
     /// \param state the cluster state of this VM, sent to peers that subscribe
     edge_connectivity(asio::io_context& io, const clock& time,
                       const fleet_settings& settings, member_links& links,
-                      std::function<cluster_state()> state);
+                      std::function<const cluster_state&()> state,
+                      std::function<std::uint64_t()> changes);
     /// Called with state received from a peer while no storage VM is reachable.
     void on_state(std::function<void(const cluster_state&)> handler)
     {
         m_relay_client.on_state(std::move(handler));
     }
+    /// Provides the revision up to which this VM has all runners.
+    void on_hello(std::function<std::uint64_t()> known_runners)
+    {
+        m_relay_client.on_hello(std::move(known_runners));
+    }
     /// False: \ref send_updates would reach nobody.
     [[nodiscard]] bool has_subscribers() const
     {
--- a/include/pepperturn/fleet/edge_node.hpp
+++ b/include/pepperturn/fleet/edge_node.hpp
@@ -111,6 +111,8 @@
     std::uint64_t m_entries_received = 0;
     std::uint64_t m_entries_read = 0;
     instant m_started{};
+    /// Updates of the state so far.
+    std::uint64_t m_state_changes = 0;
     /// Since when a storage VM that this VM subscribes to is connected.
     std::optional<instant> m_hears_since;
     /// When this VM started, or last received a part of a list of runners.
--- a/include/pepperturn/turns/turn_server.hpp
+++ b/include/pepperturn/turns/turn_server.hpp
@@ -6,6 +6,7 @@
 
 #include "pepperturn/base/latency_histogram.hpp"
 #include "pepperturn/cluster/frame_link.hpp"
+#include "pepperturn/cluster/list_sender.hpp"
 #include "pepperturn/turns/turn_store.hpp"
 
 #include <boost/asio/thread_pool.hpp>
@@ -126,31 +127,11 @@
         relay_peer m_relay;
         /// Receives every change of the cluster state.
         bool m_subscribed = false;
-        /// Counts subscriptions; the list that is being sent begins anew with
-        /// the next one.
-        std::uint64_t m_subscription = 0;
-        /// A list is being sent: one at a time.
-        bool m_listing = false;
         /// The listing that it is paging through, if it copies.
         std::shared_ptr<const holdings> m_holdings;
         /// Identity of the last listing that it began; 0: none.
         std::uint64_t m_last_listing = 0;
     };
-    /// A part of the list of runners, encoded.
-    struct encoded_part
-    {
-        /// Name after which the next part begins; empty: it was the last.
-        std::string m_until;
-        std::shared_ptr<const std::string> m_bytes;
-    };
-    /// Parts by the name after which they begin, encoded once for all
-    /// subscribers while the state stays the same.
-    struct encoded_parts
-    {
-        std::uint64_t m_changes = 0;
-        std::uint64_t m_epoch = 0;
-        std::map<std::string, encoded_part> m_rows;
-    };
     /// The update for new subscribers, encoded once.
     struct encoded_update
     {
@@ -182,17 +163,6 @@
     /// Sends a subscriber the state that it lacks.
     /// \param known revision up to which it has all runners
     void send_full_update(const peer& to, std::uint64_t known);
-    /// Begins to send a subscriber the list, or lets the one that is being sent
-    /// begin anew.
-    void start_list(const std::shared_ptr<peer>& to);
-    /// Sends a subscriber all runners in parts, each once the one before has
-    /// been taken: what the subscriber has not read yet stays small, and
-    /// replies and heartbeats pass between the parts.
-    /// \param alive expired once this server has ended
-    task<> send_list(std::weak_ptr<const bool> alive, std::shared_ptr<peer> to);
-    /// \param dated the parts carry the revision of the state
-    [[nodiscard]] encoded_part encode_part(const std::string& after,
-                                           bool dated);
     void send_change(const state_change& change);
     /// Sends a notification to every subscriber.
     void send_to_subscribers(const frame& value);
@@ -229,8 +199,6 @@
     asio::io_context& m_io;
     const clock& m_time;
     std::string m_name;
-    /// Coroutines that outlive this server find it expired.
-    std::shared_ptr<const bool> m_alive = std::make_shared<const bool>(true);
     /// Empty while the disk is being loaded.
     std::optional<std::uint64_t> m_disk;
     turn_log& m_log;
@@ -262,9 +230,7 @@
     /// Number of changes of the state so far.
     std::uint64_t m_changes = 0;
     std::optional<encoded_update> m_full_update;
-    encoded_parts m_list_parts;
-    /// Lists that are being sent.
-    std::size_t m_listings = 0;
+    list_sender m_lists;
     /// Revision of the runners that all subscribers have been sent.
     std::uint64_t m_sent_runners_revision = 0;
     std::uint64_t m_update_bytes = 0;
--- a/src/cluster/relay_client.cpp
+++ b/src/cluster/relay_client.cpp
@@ -33,6 +33,9 @@
 /// Between probes of a member: about as often as heartbeats.
 constexpr milliseconds probe_interval{400};
 constexpr milliseconds max_probe_interval{3200};
+/// Peers that send state updates: one may fall silent. Each sends a VM that has
+/// just started the whole list of runners, over a link that may be slow.
+constexpr std::ptrdiff_t update_peers = 2;
 
 } // namespace
 
@@ -72,11 +75,46 @@
 {
     if (std::exchange(m_subscribed, subscribed) == subscribed)
         return;
+    if (subscribed)
+    {
+        choose_update_peers();
+        return;
+    }
     for (const auto& row : m_peers)
     {
-        if (row->m_link)
-            row->m_link->send({0, 0, frame_status::ok,
-                               hello_message{m_self_name, subscribed}});
+        if (row->m_link && row->m_subscribed)
+            send_hello(*row, false);
+    }
+}
+
+void relay_client::send_hello(peer_state& row, bool subscribes)
+{
+    row.m_subscribed = subscribes;
+    hello_message hello;
+    hello.m_name = m_self_name;
+    hello.m_subscribes = subscribes;
+    hello.m_known_runners = m_known_runners ? m_known_runners() : 0;
+    hello.m_accepts_parts = true;
+    row.m_link->send({0, 0, frame_status::ok, std::move(hello)});
+}
+
+void relay_client::choose_update_peers()
+{
+    if (!m_subscribed)
+        return;
+    auto missing =
+        update_peers -
+        std::count_if(m_peers.begin(), m_peers.end(), [](const auto& row) {
+            return row->m_link && row->m_subscribed;
+        });
+    for (const auto& row : m_peers)
+    {
+        if (missing <= 0)
+            return;
+        if (!row->m_link || row->m_subscribed)
+            continue;
+        send_hello(*row, true);
+        --missing;
     }
 }
 
@@ -197,8 +235,8 @@
             if (const auto locked = weak.lock())
                 disconnect(*locked);
         });
-    link->send(
-        {0, 0, frame_status::ok, hello_message{m_self_name, m_subscribed}});
+    send_hello(*row, false);
+    choose_update_peers();
     for (const auto id : std::exchange(row->m_queued, {}))
     {
         const auto request = m_requests.find(id);
@@ -211,6 +249,8 @@
 {
     if (const auto link = std::exchange(row.m_link, nullptr))
         link->close("relay peer disconnected");
+    row.m_subscribed = false;
+    choose_update_peers();
     row.m_queued.clear();
     if (!row.m_removed)
         back_off(row);
--- a/src/cluster/relay_server.cpp
+++ b/src/cluster/relay_server.cpp
@@ -23,7 +23,8 @@
 relay_server::relay_server(asio::io_context& io, const clock& time, hooks what,
                            const relay_limits& limits)
     : m_io(io), m_time(time), m_hooks(std::move(what)), m_limits(limits),
-      m_acceptor(io)
+      m_acceptor(io),
+      m_lists(io, time, {m_hooks.m_state, m_hooks.m_changes, [] { return 0; }})
 {}
 
 bool relay_server::listen(const tcp::endpoint& at, std::string& reason)
@@ -75,6 +76,7 @@
                 record_violation(reason);
             m_links.erase(from);
             m_subscribers.erase(from);
+            m_lists.cancel(from);
         });
 }
 
@@ -148,9 +150,19 @@
                                 const hello_message& hello)
 {
     if (!hello.m_subscribes)
+    {
         m_subscribers.erase(link);
-    else if (m_hooks.m_state && m_subscribers.insert(link).second)
-        link->send({0, 0, frame_status::ok, m_hooks.m_state()});
+        m_lists.cancel(link);
+        return;
+    }
+    if (!m_hooks.m_state || !m_subscribers.insert(link).second)
+        return;
+    const auto& state = m_hooks.m_state();
+    if (hello.m_accepts_parts && needs_full_list(state, hello.m_known_runners))
+        m_lists.start(link, hello.m_name);
+    else
+        link->send({0, 0, frame_status::ok,
+                    updates_since(state, hello.m_known_runners)});
 }
 
 void relay_server::send_updates(const cluster_state& update)
--- a/src/fleet/edge_connectivity.cpp
+++ b/src/fleet/edge_connectivity.cpp
@@ -17,10 +17,10 @@
 
 } // namespace
 
-edge_connectivity::edge_connectivity(asio::io_context& io, const clock& time,
-                                     const fleet_settings& settings,
-                                     member_links& links,
-                                     std::function<cluster_state()> state)
+edge_connectivity::edge_connectivity(
+    asio::io_context& io, const clock& time, const fleet_settings& settings,
+    member_links& links, std::function<const cluster_state&()> state,
+    std::function<std::uint64_t()> changes)
     : m_time(time), m_links(links), m_relay_address(settings.m_relay_address),
       m_availability_zone(settings.m_availability_zone),
       m_relay_client(io, time, settings.m_name, settings.m_availability_zone),
@@ -34,7 +34,7 @@
                                                         epoch, std::move(body),
                                                         deadline);
                       },
-                      std::move(state)})
+                      std::move(state), std::move(changes)})
 {}
 
 bool edge_connectivity::start(std::string& reason)
--- a/src/fleet/edge_node.cpp
+++ b/src/fleet/edge_node.cpp
@@ -49,8 +49,10 @@
     : m_io(io), m_time(time), m_settings(settings),
       m_decoders(std::move(decoders)), m_source(source),
       m_links(io, time, settings.m_name),
-      m_connectivity(io, time, settings, m_links,
-                     [this] { return full_state(m_state); }),
+      m_connectivity(
+          io, time, settings, m_links,
+          [this]() -> const cluster_state& { return m_state; },
+          [this] { return m_state_changes; }),
       m_config_fetcher(io, time, m_links, settings.m_availability_zone,
                        [this](const cluster_state& update) {
                            apply_state(cluster_state(update), "fetched");
@@ -145,7 +147,9 @@
     m_started = m_time.now();
     m_list_progress = m_started;
     m_links.set_max_persistent(m_settings.m_kept_links);
-    m_links.on_hello([this] { return m_state.m_runners_revision; });
+    const auto known_runners = [this] { return m_state.m_runners_revision; };
+    m_links.on_hello(known_runners);
+    m_connectivity.on_hello(known_runners);
     m_links.connect_seeds(m_settings.m_seeds);
     // Before the fleet is bootstrapped the store has no views.
     if (!m_settings.m_bootstrap)
@@ -214,6 +218,7 @@
 void edge_node::apply_state(cluster_state&& update, const std::string& from)
 {
     const auto change = merge_state(m_state, std::move(update));
+    ++m_state_changes;
     m_config_fetcher.note_known(m_state.m_config_revision);
     if (change.m_config)
     {
--- a/src/turns/turn_server.cpp
+++ b/src/turns/turn_server.cpp
@@ -22,7 +22,11 @@
 turn_server::turn_server(asio::io_context& io, const clock& time,
                          std::string name, turn_log& log, turn_store& store)
     : m_io(io), m_time(time), m_name(std::move(name)), m_log(log),
-      m_store(store), m_acceptor(io)
+      m_store(store), m_acceptor(io),
+      m_lists(io, time,
+              {[this]() -> const cluster_state& { return m_state; },
+               [this] { return m_changes; },
+               [this] { return m_own_view.m_epoch; }})
 {}
 
 turn_server::~turn_server()
@@ -92,9 +96,9 @@
                  static_cast<std::uint64_t>(std::count_if(
                      m_peers.begin(), m_peers.end(),
                      [](const auto& row) { return row->m_subscribed; })));
-    write_metric(out, "news_bytes", m_update_bytes);
+    write_metric(out, "news_bytes", m_update_bytes + m_lists.sent_bytes());
     write_metric(out, "unsent_bytes", unsent_bytes());
-    write_metric(out, "lists_under_way", m_listings);
+    write_metric(out, "lists_under_way", m_lists.active());
     write_metric(out, "replica_set", m_own_view.m_set);
     write_metric(out, "view_epoch", m_own_view.m_epoch);
     write_metric(out, "view_members", m_own_view.m_members.size());
--- a/src/turns/turn_server_state.cpp
+++ b/src/turns/turn_server_state.cpp
@@ -16,8 +16,6 @@
 /// sources, so that the links of the seeds are not saturated.
 constexpr std::size_t max_runners_for_seekers = 1000;
 constexpr const char* state_file = "state";
-/// Bytes of one part of a list of runners: a few milliseconds of a slow link.
-constexpr std::size_t list_part_bytes = 32U << 10U;
 
 /// Encodes the state as the frame that sends it, without the length prefix.
 std::string encode_state(const cluster_state& state)
@@ -54,13 +52,13 @@
     }
     const bool was_subscribed =
         std::exchange(from->m_subscribed, hello.m_subscribes);
-    if (from->m_subscribed != was_subscribed)
-        ++from->m_subscription;
+    if (!from->m_subscribed)
+        m_lists.cancel(from->m_link);
     if (!from->m_subscribed || was_subscribed)
         return;
     if (hello.m_accepts_parts &&
         needs_full_list(m_state, hello.m_known_runners))
-        start_list(from);
+        m_lists.start(from->m_link, from->m_name);
     else
         send_full_update(*from, hello.m_known_runners);
     auto suspects = m_suspects.list(m_time.now());
@@ -86,73 +84,6 @@
     to.m_link->send(m_full_update->m_bytes);
 }
 
-void turn_server::start_list(const std::shared_ptr<peer>& to)
-{
-    if (std::exchange(to->m_listing, true))
-        return;
-    ++m_listings;
-    spawn(m_io, "turn_server.send_list", send_list(m_alive, to));
-}
-
-task<> turn_server::send_list(std::weak_ptr<const bool> alive,
-                              std::shared_ptr<peer> to)
-{
-    if (alive.expired())
-        co_return;
-    const auto link = to->m_link;
-    const auto begun = m_time.now();
-    std::size_t parts = 0;
-    std::string after;
-    std::uint64_t subscription = 0;
-    bool dated = false;
-    bool complete = false;
-    while (!complete && link->open() && to->m_subscribed)
-    {
-        if (std::exchange(subscription, to->m_subscription) !=
-            to->m_subscription)
-        {
-            after.clear();
-            dated = m_state.m_runners_revision > 0;
-        }
-        const auto part = encode_part(after, dated);
-        m_update_bytes += part.m_bytes->size();
-        link->send(part.m_bytes);
-        ++parts;
-        after = part.m_until;
-        complete = after.empty();
-        co_await frame_link::wait_for_room(link, list_part_bytes);
-        if (alive.expired())
-            co_return;
-        complete = complete && subscription == to->m_subscription;
-    }
-    to->m_listing = false;
-    if (--m_listings == 0)
-        m_list_parts = {};
-    LOG(INFO) << "event=list_sent vm=" << to->m_name << " parts=" << parts
-              << " complete=" << complete
-              << " ms=" << elapsed(begun, m_time.now()).count();
-}
-
-turn_server::encoded_part turn_server::encode_part(const std::string& after,
-                                                   bool dated)
-{
-    const auto epoch = m_own_view.m_epoch;
-    if (m_list_parts.m_changes != m_changes || m_list_parts.m_epoch != epoch)
-        m_list_parts = {m_changes, epoch, {}};
-    const auto known = m_list_parts.m_rows.find(after);
-    if (dated && known != m_list_parts.m_rows.end())
-        return known->second;
-    auto part = list_part(m_state, after, list_part_bytes);
-    if (!dated)
-        part.m_runners_revision = 0;
-    encoded_part out{part.m_range->m_until, nullptr};
-    out.m_bytes = std::make_shared<const std::string>(
-        encode_frame({0, epoch, frame_status::ok, std::move(part)}));
-    if (dated)
-        m_list_parts.m_rows[after] = out;
-    return out;
-}
-
 relay_peers_message turn_server::relay_peers_for(const peer& requester) const
 {
     std::vector<relay_peer> candidates;
--- a/test/fleet/test_edge_connectivity.cpp
+++ b/test/fleet/test_edge_connectivity.cpp
@@ -342,6 +342,7 @@
                              ++request_count;
                              co_return std::nullopt;
                          },
+                         {},
                          {}});
     const tcp::endpoint at(asio::ip::make_address("127.0.0.1"), free_port(io));
     std::string reason;
@@ -401,6 +402,7 @@
                              co_await never.wait_until(deadline);
                              co_return std::nullopt;
                          },
+                         {},
                          {}},
                         each.m_limits);
     const auto port = free_port(io);
@@ -484,9 +486,141 @@
     fleet_settings settings;
     settings.m_name = "edge";
     settings.m_relay_address = "here";
-    edge_connectivity connectivity(io, time, settings, links,
-                                   [] { return cluster_state{}; });
+    const cluster_state state;
+    edge_connectivity connectivity(
+        io, time, settings, links,
+        [&state]() -> const cluster_state& { return state; }, [] { return 0; });
     std::string reason;
     CHECK_FALSE(connectivity.start(reason));
     CHECK(reason.find("[listen] relay: ") == 0);
 }
+
+namespace {
+
+/// A VM that relays, knows some runners and reaches no member.
+class listing_peer
+{
+public:
+    listing_peer(asio::io_context& io, std::size_t runners)
+        : m_server(io, m_time,
+                   {[](const std::string&) { return false; },
+                    {},
+                    [this]() -> const cluster_state& { return m_state; },
+                    [] { return 0; }}),
+          m_at(asio::ip::make_address("127.0.0.1"), free_port(io))
+    {
+        m_state.m_runners_revision = m_revision;
+        for (std::size_t i = 0; i < runners; ++i)
+            m_state.m_runners.push_back(
+                {std::to_string(1000000 + i), std::string(150, 'x'), 1});
+        std::string reason;
+        REQUIRE(m_server.listen(m_at, reason));
+    }
+    [[nodiscard]] relay_peer who(const std::string& name) const
+    {
+        return {name, to_text(m_at), "z"};
+    }
+
+    static constexpr std::uint64_t m_revision = 10;
+    system_clock m_time;
+    cluster_state m_state;
+    relay_server m_server;
+    tcp::endpoint m_at;
+};
+
+} // namespace
+
+// A list of all runners in one frame holds up the replies behind it, and a VM
+// that lost its storage VMs for a second has it already.
+TEST_CASE(
+    "a relay peer sends the list of runners in parts, or what has changed",
+    "[reach]")
+{
+    constexpr std::size_t runners = 3000;
+    const bool knows_all = GENERATE(false, true);
+    asio::io_context io(1);
+    listing_peer peer(io, runners);
+    std::string reason;
+    const auto link =
+        run_task(io, connect_frame_link(io, peer.who("p").m_address,
+                                        default_timeout, reason));
+    REQUIRE((link && *link));
+    std::size_t largest = 0;
+    cluster_state received;
+    (*link)->start(
+        [&](const frame& value) {
+            const auto& update = std::get<cluster_state>(value.m_body);
+            largest = std::max(largest, update.m_runners.size());
+            merge_state(received, update);
+        },
+        [](const std::string&) {});
+    hello_message hello;
+    hello.m_name = "edge";
+    hello.m_subscribes = true;
+    hello.m_accepts_parts = true;
+    hello.m_known_runners = knows_all ? listing_peer::m_revision : 0;
+    received.m_runners_revision = hello.m_known_runners;
+    (*link)->send({0, 0, frame_status::ok, hello});
+    const auto wanted = knows_all ? 0 : runners;
+    CHECK(run_until(io, [&] { return received.m_runners.size() == wanted; }));
+    const auto settled = peer.m_time.now() + milliseconds(200);
+    run_until(io, [&] { return peer.m_time.now() >= settled; });
+    CHECK(received.m_runners_revision == listing_peer::m_revision);
+    CHECK(received.m_runners.size() == wanted);
+    constexpr std::size_t parts_at_least = 10;
+    CHECK(largest <= runners / parts_at_least);
+    (*link)->close("test ends");
+    peer.m_server.stop();
+    io.restart();
+    io.poll();
+}
+
+// Each peer would send a VM that has just started the whole list.
+TEST_CASE("a VM that reaches no storage VM subscribes to few peers", "[reach]")
+{
+    constexpr std::size_t peer_count = 5;
+    constexpr std::ptrdiff_t subscribed = 2;
+    asio::io_context io(1);
+    const system_clock time;
+    std::vector<std::unique_ptr<listing_peer>> peers;
+    std::vector<relay_peer> names;
+    for (std::size_t i = 0; i < peer_count; ++i)
+    {
+        peers.push_back(std::make_unique<listing_peer>(io, 1));
+        names.push_back(peers.back()->who("p" + std::to_string(i)));
+    }
+    const auto subscribers = [&] {
+        return std::count_if(peers.begin(), peers.end(), [](const auto& row) {
+            return row->m_server.has_subscribers();
+        });
+    };
+    relay_client client(io, time, "edge", "z");
+    client.set_peers(names);
+    client.set_subscribed(true);
+    // Each peer refuses, so that all are connected to.
+    bool refused = false;
+    client.send_request(
+        "vm-0", "test", {0, 0, frame_status::ok, freshness_request_message{}},
+        [&](const std::optional<frame>&) { refused = true; },
+        milliseconds(1000));
+    REQUIRE(run_until(io, [&] { return refused; }));
+    REQUIRE(run_until(io, [&] { return subscribers() == subscribed; }));
+    const auto settled = time.now() + milliseconds(100);
+    run_until(io, [&] { return time.now() >= settled; });
+    CHECK(subscribers() == subscribed);
+    // Another one takes the place of one that stops.
+    const auto first =
+        std::find_if(peers.begin(), peers.end(), [](const auto& row) {
+            return row->m_server.has_subscribers();
+        });
+    REQUIRE(first != peers.end());
+    (*first)->m_server.stop();
+    peers.push_back(std::move(*first));
+    peers.erase(first);
+    CHECK(run_until(io, [&] { return subscribers() == subscribed; }));
+    client.stop();
+    for (const auto& row : peers)
+        row->m_server.stop();
+    io.restart();
+    io.poll();
+}
--- a/test/support/fleet/connectivity_fixture.hpp
+++ b/test/support/fleet/connectivity_fixture.hpp
@@ -50,8 +50,10 @@
                        const std::string& availability_zone, bool relays = true)
         : m_fleet(fleet), m_settings(settings(fleet, name, availability_zone)),
           m_links(fleet.m_io, fleet.m_time, name),
-          m_connectivity(fleet.m_io, fleet.m_time, m_settings, m_links,
-                         [&fleet] { return fleet.m_state; }),
+          m_connectivity(
+              fleet.m_io, fleet.m_time, m_settings, m_links,
+              [&fleet]() -> const cluster_state& { return fleet.m_state; },
+              [&fleet] { return fleet.m_state.m_runners_revision; }),
           m_client(fleet.m_io, fleet.m_time, m_links, "vm-0", 1)
     {
         if (!relays)
