A runner that came and went unseen by a source does not stay listed

A storage VM that reads the store anew takes a list that shows no runner which came and went since its last one. It told its subscribers the difference of its two lists as if that were all that had changed; one that knew such a runner from another source accepted it, and lacked nothing by its revision.

After such a list a VM sends all entries written since, and says that what is not among them has been removed. A subscriber drops its entries of those revisions that are missing, and passes the same on. A new field at the end of the frame; VMs of the version before go on as they did.

Evidence: "a runner that a source never knew does not stay listed" failed before (its check that the runner is removed), and "changes since an earlier list bring any later state up to date" compares random histories.

--- a/include/pepperturn/cluster/state.hpp
+++ b/include/pepperturn/cluster/state.hpp
@@ -74,6 +74,9 @@
     /// 0: a complete list holds all runners. Otherwise it holds all changes
     /// after this revision, tombstones included.
     std::uint64_t m_runners_since = 0;
+    /// Of changes after a revision: runners that are not among them and were
+    /// last written after it have been removed, without a tombstone.
+    bool m_exhaustive = false;
     /// Set: the list holds the runners of this range only. The last part of a
     /// list arrives after all others and after the changes made meanwhile, so
     /// that it completes them.
@@ -139,6 +142,10 @@
 /// The complete state, for a VM that may know nothing yet.
 [[nodiscard]] cluster_state full_state(const cluster_state& state);
 
+/// Puts all runners of \p state that were written after \p since into \p out.
+void add_all_changes(const cluster_state& state, std::uint64_t since,
+                     cluster_state& out);
+
 /// The state for a VM that knows all runners up to \p known: of the runners
 /// only later changes, if tombstones reach back that far; else all.
 [[nodiscard]] cluster_state updates_since(const cluster_state& state,
--- a/src/cluster/state.cpp
+++ b/src/cluster/state.cpp
@@ -59,9 +59,10 @@
 
     /// Marks entries as removed that are missing from a list complete up to
     /// \p revision.
+    /// \param since the list is about entries written after it; 0: all
     /// \param range of names that the list is about
-    void drop_absent(const runner_entries& list, std::uint64_t revision,
-                     const runner_range& range)
+    void drop_absent(const runner_entries& list, std::uint64_t since,
+                     std::uint64_t revision, const runner_range& range)
     {
         std::vector<std::string_view> present;
         present.reserve(list.size());
@@ -77,7 +78,8 @@
         {
             if (!range.is_last() && row->m_name > range.m_until)
                 return;
-            if (row->m_removed || row->m_revision > revision ||
+            const bool is_older = since > 0 && row->m_revision <= since;
+            if (row->m_removed || is_older || row->m_revision > revision ||
                 std::binary_search(present.begin(), present.end(),
                                    std::string_view(row->m_name)))
                 continue;
@@ -161,10 +163,13 @@
     const bool is_list =
         update.m_runners_revision > 0 && update.m_runners_since == 0;
     const auto range = update.m_range.value_or(runner_range{});
+    const bool continued = continues(state, update);
+    const bool exhausts = update.m_exhaustive && continued;
     const bool complete = is_list && range.is_last();
     // Before the entries are moved out of the list.
-    if (is_list)
-        merge.drop_absent(update.m_runners, update.m_runners_revision, range);
+    if (is_list || exhausts)
+        merge.drop_absent(update.m_runners, update.m_runners_since,
+                          update.m_runners_revision, range);
     bool any_removed = false;
     for (auto& row : update.m_runners)
     {
@@ -175,12 +180,11 @@
     auto changed = merge.finish();
     if (is_list || any_removed)
         drop_oldest_tombstones(state);
-    // A complete list does not show runners that were added and removed before
-    // it.
-    if (complete)
+    // Neither shows runners that were added and removed before it.
+    if (complete || exhausts)
         state.m_tombstones_since =
             std::max(state.m_tombstones_since, update.m_runners_revision);
-    if (complete || continues(state, update))
+    if (complete || continued)
         state.m_runners_revision =
             std::max(state.m_runners_revision, update.m_runners_revision);
     return changed;
@@ -383,18 +387,25 @@
     return out;
 }
 
+void add_all_changes(const cluster_state& state, std::uint64_t since,
+                     cluster_state& out)
+{
+    out.m_runners_revision = state.m_runners_revision;
+    out.m_runners_since = since;
+    out.m_runners.clear();
+    std::copy_if(
+        state.m_runners.begin(), state.m_runners.end(),
+        std::back_inserter(out.m_runners),
+        [&](const runner_entry& row) { return row.m_revision > since; });
+}
+
 cluster_state updates_since(const cluster_state& state, std::uint64_t known)
 {
     if (needs_full_list(state, known))
         return full_state(state);
     cluster_state out;
     add_config(state, out);
-    out.m_runners_revision = state.m_runners_revision;
-    out.m_runners_since = known;
-    std::copy_if(
-        state.m_runners.begin(), state.m_runners.end(),
-        std::back_inserter(out.m_runners),
-        [&](const runner_entry& row) { return row.m_revision > known; });
+    add_all_changes(state, known, out);
     out.m_views = state.m_views;
     out.m_retirements = state.m_retirements;
     out.m_evacuations = state.m_evacuations;
--- a/src/turns/turn_server_state.cpp
+++ b/src/turns/turn_server_state.cpp
@@ -123,8 +123,16 @@
 void turn_server::send_change(const state_change& change)
 {
     auto parts = changed_parts(m_state, change);
-    // Every subscriber has been sent everything up to that revision.
-    if (m_sent_runners_revision > 0)
+    // Every subscriber has been sent everything up to that revision. A list
+    // that this VM has taken since shows no runner that came and went
+    // meanwhile; subscribers may know it from others.
+    if (m_sent_runners_revision > 0 &&
+        m_state.m_tombstones_since > m_sent_runners_revision)
+    {
+        add_all_changes(m_state, m_sent_runners_revision, parts);
+        parts.m_exhaustive = true;
+    }
+    else if (m_sent_runners_revision > 0)
     {
         parts.m_runners_since = m_sent_runners_revision;
         parts.m_runners_revision = m_state.m_runners_revision;
--- a/src/turns/wire_rows.cpp
+++ b/src/turns/wire_rows.cpp
@@ -170,6 +170,7 @@
     out.setConfig(state.m_config);
     out.setRunnersRevision(state.m_runners_revision);
     out.setRunnersSince(state.m_runners_since);
+    out.setExhaustive(state.m_exhaustive);
     out.setSettledEpoch(state.m_settled_epoch);
     out.setGoneKnownSince(state.m_tombstones_since);
     if (state.m_range)
@@ -231,6 +232,7 @@
     state.m_config = text_of(in.getConfig());
     state.m_runners_revision = in.getRunnersRevision();
     state.m_runners_since = in.getRunnersSince();
+    state.m_exhaustive = in.getExhaustive();
     state.m_settled_epoch = in.getSettledEpoch();
     state.m_tombstones_since = in.getGoneKnownSince();
     if (in.hasPart())
--- a/test/cluster/test_state.cpp
+++ b/test/cluster/test_state.cpp
@@ -389,3 +389,28 @@
         RC_ASSERT(receiver.m_runners_revision == at);
     }));
 }
+
+// A list shows no runner that was added and removed before it, and neither does
+// what its taker tells others, whatever they know already.
+TEST_CASE("changes since an earlier list bring any later state up to date",
+          "[state][fuzz]")
+{
+    CHECK(rc::check("lists that skip revisions", [] {
+        const auto expected = random_history();
+        const auto last = expected.m_at.size() - 1;
+        const auto before = *rc::gen::inRange<std::uint64_t>(1, last + 1);
+        const auto after = *rc::gen::inRange<std::uint64_t>(before, last + 1);
+        const auto known = *rc::gen::inRange<std::uint64_t>(before, after + 1);
+        cluster_state sender;
+        merge_state(sender, list_at(expected, before));
+        merge_state(sender, list_at(expected, after));
+        cluster_state receiver;
+        merge_state(receiver, list_at(expected, known));
+        cluster_state changes;
+        add_all_changes(sender, before, changes);
+        changes.m_exhaustive = true;
+        merge_state(receiver, changes);
+        RC_ASSERT(alive(receiver) == alive(sender));
+        RC_ASSERT(receiver.m_runners_revision == after);
+    }));
+}
--- a/test/fleet/test_member_links.cpp
+++ b/test/fleet/test_member_links.cpp
@@ -305,6 +305,49 @@
     CHECK(fixture.m_entries == static_cast<std::size_t>(runners));
 }
 
+// A storage VM that reads the store anew misses runners that came and went; its
+// subscribers may have them from others.
+TEST_CASE("a runner that a source never knew does not stay listed",
+          "[member_links]")
+{
+    update_fixture fixture;
+    cluster_state first;
+    first.m_runners_revision = 10;
+    first.m_runners = {{"a", "text", 5}};
+    fixture.m_server.apply_state(first);
+    fixture.m_links.set_members(fixture.m_members);
+    REQUIRE(fixture.wait_for(
+        [&] { return fixture.m_state.m_runners_revision == 10; }));
+    cluster_state news;
+    news.m_runners = {{"b", "text", 15}};
+    news.m_runners_since = 10;
+    news.m_runners_revision = 15;
+    merge_state(fixture.m_state, news);
+    REQUIRE(count_runners(fixture.m_state) == 2);
+    cluster_state later;
+    later.m_runners_revision = 20;
+    later.m_runners = {{"a", "text", 5}, {"c", "text", 18}};
+    fixture.m_server.apply_state(later);
+    REQUIRE(fixture.wait_for(
+        [&] { return fixture.m_state.m_runners_revision == 20; }));
+    const auto* gone = find_runner(fixture.m_state.m_runners, "b");
+    REQUIRE(gone != nullptr);
+    CHECK(gone->m_removed);
+    CHECK(count_runners(fixture.m_state) == 2);
+    // What was written later is not touched.
+    cluster_state newer;
+    newer.m_runners = {{"d", "text", 25}};
+    merge_state(fixture.m_state, newer);
+    cluster_state change;
+    change.m_runners = {{"e", "text", 22}};
+    change.m_runners_since = 20;
+    change.m_runners_revision = 22;
+    fixture.m_server.apply_state(change);
+    REQUIRE(fixture.wait_for(
+        [&] { return fixture.m_state.m_runners_revision == 22; }));
+    CHECK(count_runners(fixture.m_state) == 4);
+}
+
 // A proxy in front of a VM that is down accepts for it.
 TEST_CASE("a member that accepts and closes at once is dialled with pauses",
           "[member_links]")
