Requests: their time is counted by the clock of the VM

Cause: a request's deadline is an instant of the clock that is passed in, and its timers were armed with it on the machine's. The test's clock is advanced in steps that take longer than they say on a busy machine; it ran some 3.8 s behind, so that nearly all of a request's time was over when it began. Where both clocks are the machine's, nothing changes.

The timers are armed with the time that is left, and the request's own is armed again until its clock has passed the deadline.

--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -301,7 +301,8 @@
     if (request.m_first_byte_timeout)
         connection.m_stream.expires_after(*request.m_first_byte_timeout);
     else if (request.m_attempt_deadline)
-        connection.m_stream.expires_at(*request.m_attempt_deadline);
+        connection.m_stream.expires_after(*request.m_attempt_deadline -
+                                          time.now());
     detail::response_parser parser;
     parser.header_limit(max_response_head_bytes);
     // Limited below where it is buffered; a stream has no limit.
@@ -313,7 +314,8 @@
     state->m_response_started = !ec;
     result.m_first_byte_timed_out = ec == boost::beast::error::timeout;
     if (request.m_first_byte_timeout && request.m_attempt_deadline)
-        connection.m_stream.expires_at(*request.m_attempt_deadline);
+        connection.m_stream.expires_after(*request.m_attempt_deadline -
+                                          time.now());
     if (!ec)
     {
         result.m_first_byte = elapsed(sent_at, time.now());
--- a/src/forward/proxy.cpp
+++ b/src/forward/proxy.cpp
@@ -292,11 +292,17 @@
 task<> proxy::watch_deadline(std::shared_ptr<call> work)
 {
     asio::steady_timer timer(m_io);
-    timer.expires_at(work->m_deadline);
+    // The clock outlives this proxy.
+    const auto& time = m_time;
+    const auto deadline = work->m_deadline;
     const std::weak_ptr<abort_signal> aborter = work->m_aborter;
     work.reset();
-    error_code ec;
-    co_await timer.async_wait(into(ec));
+    while (time.now() < deadline && !aborter.expired())
+    {
+        timer.expires_after(deadline - time.now());
+        error_code ec;
+        co_await timer.async_wait(into(ec));
+    }
     if (const auto alive = aborter.lock())
         alive->abort(abort_cause::timeout);
 }
--- a/test/fleet/test_proxy.cpp
+++ b/test/fleet/test_proxy.cpp
@@ -460,3 +460,29 @@
     CHECK(has(edge.ask(fixture::post("/once/", "x"), "\r\n\r\n"),
               "HTTP/1.1 503 "));
 }
+
+// A process that is left little processor runs its clock behind the machine's.
+TEST_CASE("a request's time is counted by the clock of the VM", "[proxy]")
+{
+    fixture edge;
+    edge.m_first.script({{whole_answer(200, "fine")}});
+    edge.m_time.stop_now();
+    const milliseconds deadline{300};
+    const milliseconds behind{600};
+    CHECK_FALSE(edge.wait_for([] { return false; }, behind));
+    const auto got = edge.ask(
+        fixture::get("/get/a", "Pepperturn-Deadline-Ms: " +
+                                   std::to_string(deadline.count()) + "\r\n"),
+        "\r\n\r\n");
+    CHECK(has(got, "HTTP/1.1 200 "));
+    // It ends once that clock has passed it, and not before.
+    edge.m_first.script({{"", true, runner_step::after::keep}});
+    edge.connect();
+    edge.send(fixture::post("/once/", "x",
+                            "Pepperturn-Deadline-Ms: " +
+                                std::to_string(deadline.count()) + "\r\n"));
+    CHECK_FALSE(
+        edge.wait_for([&] { return !edge.m_received.empty(); }, behind));
+    edge.m_time.advance(deadline);
+    CHECK(edge.wait_for([&] { return has(edge.m_received, "504"); }));
+}
