Test of requests before the configuration: its proxy has no storage VM to ask

A VM that has just started asks storage VMs whether runners have ended under a request, and refuses it if none can be asked. This test's proxy has none, and is about another wait: it is set up as one that has been told. Its checks stay; "a VM that has just started and can ask nobody sends no request" checks the refusal.

--- a/test/fleet/test_proxy.cpp
+++ b/test/fleet/test_proxy.cpp
@@ -395,6 +395,8 @@
     // When all VMs start, no other VM would serve them sooner.
     fixture edge;
     proxy starting(edge.m_io, edge.m_time, wire_names{}, "z", edge.m_turns);
+    // There is no storage VM that it could ask.
+    starting.crashes().note_told();
     edge.m_port = free_port(edge.m_io);
     std::string reason;
     REQUIRE(starting.listen(edge.endpoint(), reason));
