--- a/src/fleet/turn_copier.cpp
+++ b/src/fleet/turn_copier.cpp
@@ -1,15 +1,15 @@
 // SPDX-License-Identifier: BSL-1.0
-#include "pepperturn/fleet/turn_copier.hpp"
+#include "turn_copier_run.hpp"
 
 #include <algorithm>
-#include <deque>
 #include <glog/logging.h>
-#include <unordered_set>
 
 namespace pepperturn {
 
 namespace {
 
+using detail::bytes_of;
+
 /// A source that answers nothing for this long is given up.
 constexpr milliseconds reply_timeout{2000};
 /// Pause after a source refused since too much waits to be sent there.
@@ -17,30 +17,13 @@
 /// Waiters look again after this, since nothing tells a change of the view.
 constexpr milliseconds look_again{100};
 constexpr milliseconds progress_interval{1000};
-/// The same end of an exchange is logged again after this.
-constexpr milliseconds log_interval{5000};
 /// The next page of a listing is requested once fewer turns are left.
 constexpr std::size_t list_ahead = 1000;
 /// Turns in one request, whatever their size.
 constexpr std::size_t batch_turns = 512;
-/// Assumed where the source does not tell the size of an entry.
-constexpr std::size_t usual_entry_bytes = 8192;
 /// About what a reservation takes in the log.
 constexpr std::size_t reservation_bytes = 100;
 
-std::size_t bytes_of(const located_turn& row)
-{
-    return row.m_bytes == 0 ? usual_entry_bytes : row.m_bytes;
-}
-
-template <class Rows> std::uint64_t bytes_of(const Rows& rows)
-{
-    std::uint64_t out = 0;
-    for (const auto& row : rows)
-        out += bytes_of(row);
-    return out;
-}
-
 /// \param by_key the source reads turns by their keys
 frame_body read_request(const std::vector<located_turn>& batch, bool by_key)
 {
@@ -91,100 +74,6 @@
 
 } // namespace
 
-/// A member that is copied from.
-struct turn_copier::source
-{
-    source(asio::io_context& io, std::string name, bool gathered, instant begun)
-        : m_name(std::move(name)), m_gathered(gathered), m_begun(begun),
-          m_changed(io)
-    {}
-
-    [[nodiscard]] bool all_inserted() const
-    {
-        return m_listed && m_queue.empty() && m_elsewhere.empty() &&
-               m_batches == 0;
-    }
-    [[nodiscard]] std::uint64_t turns_left() const
-    {
-        return m_unlisted_turns + m_queue.size() + m_elsewhere.size() +
-               m_requested_turns;
-    }
-    [[nodiscard]] std::uint64_t bytes_left() const
-    {
-        return m_unlisted_bytes + bytes_of(m_queue) + bytes_of(m_elsewhere) +
-               m_requested_bytes;
-    }
-    [[nodiscard]] std::uint64_t bytes_per_s(instant now) const
-    {
-        constexpr std::uint64_t ms_per_s = 1000;
-        const auto ms = (now - m_begun) / milliseconds(1);
-        return m_bytes * ms_per_s /
-               static_cast<std::uint64_t>(std::max<decltype(ms)>(ms, 1));
-    }
-    void fail(std::string reason)
-    {
-        if (m_failure.empty())
-            m_failure = std::move(reason);
-    }
-
-    std::string m_name;
-    bool m_gathered;
-    instant m_begun;
-    /// Identity of the listing, and the first row of its next page.
-    std::uint64_t m_listing = 0;
-    std::uint64_t m_from = 0;
-    bool m_listed = false;
-    bool m_listing_under_way = false;
-    /// Listed, lacking here, and not requested yet.
-    std::deque<located_turn> m_queue;
-    /// The same, but requested of another source.
-    std::vector<located_turn> m_elsewhere;
-    std::size_t m_batches = 0;
-    /// In the batches that are under way.
-    std::uint64_t m_requested_turns = 0;
-    std::uint64_t m_requested_bytes = 0;
-    /// In the pages that are not here yet.
-    std::uint64_t m_unlisted_turns = 0;
-    std::uint64_t m_unlisted_bytes = 0;
-    /// No turns are requested before this, since the source refused.
-    instant m_resume_at{};
-    std::optional<instant> m_refused_since;
-    std::size_t m_unreadable = 0;
-    std::uint64_t m_turns = 0;
-    std::uint64_t m_bytes = 0;
-    /// Why the exchange ended; empty: it has not failed.
-    std::string m_failure;
-    bool m_ended = false;
-    async_event m_changed;
-};
-
-/// What the sources of one copy share.
-struct turn_copier::copy_run
-{
-    copy_run(asio::io_context& io, std::uint64_t epoch)
-        : m_epoch(epoch), m_changed(io)
-    {}
-
-    void notify_sources()
-    {
-        for (const auto& row : m_sources)
-            row->m_changed.notify();
-    }
-
-    std::uint64_t m_epoch;
-    std::vector<source_ptr> m_sources;
-    /// Turns that are requested of any source.
-    std::unordered_set<id_key, id_key_hash> m_requested;
-    /// Bytes that are requested or not synced yet.
-    std::size_t m_held = 0;
-    /// Of these, the ones that no sync has begun for.
-    std::size_t m_unsynced = 0;
-    bool m_syncing = false;
-    bool m_disk_failed = false;
-    bool m_ended = false;
-    async_event m_changed;
-};
-
 turn_copier::turn_copier(asio::io_context& io, const clock& time,
                          member_links& links, turn_server& server,
                          const turn_store& store, const copy_limits& limits)
@@ -287,76 +176,6 @@
         from->fail(reason);
 }
 
-void turn_copier::log_end(const copy_run& run, const source& from)
-{
-    const auto now = m_time.now();
-    if (copied(from.m_name, run.m_epoch))
-    {
-        m_logged.erase(from.m_name);
-        LOG(INFO) << "event=copied_all from=" << from.m_name
-                  << " epoch=" << run.m_epoch << " turns=" << from.m_turns
-                  << " bytes=" << from.m_bytes
-                  << " ms=" << (now - from.m_begun) / milliseconds(1);
-        return;
-    }
-    std::string reason = from.m_failure;
-    if (reason.empty())
-        reason = run.m_disk_failed ? "the disk here failed"
-                 : run.m_ended     ? "complete without it"
-                                   : "the view has changed";
-    auto& logged = m_logged[from.m_name];
-    if (logged.m_reason == reason && now - logged.m_at < log_interval)
-        return;
-    logged = {reason, now};
-    LOG(INFO) << "event=copy_ended from=" << from.m_name
-              << " epoch=" << run.m_epoch << " turns=" << from.m_turns
-              << " reason=\"" << reason << '"';
-}
-
-void turn_copier::log_progress(const copy_run& run) const
-{
-    for (const auto& row : run.m_sources)
-        LOG_IF(INFO, !row->m_ended)
-            << "event=copy_progress from=" << row->m_name
-            << " epoch=" << run.m_epoch << " turns=" << row->m_turns
-            << " bytes=" << row->m_bytes << " turns_left=" << row->turns_left()
-            << " bytes_left=" << row->bytes_left()
-            << " bytes_per_s=" << row->bytes_per_s(m_time.now());
-}
-
-copy_progress turn_copier::progress() const
-{
-    copy_progress out;
-    const auto run = m_run.lock();
-    if (!run)
-        return out;
-    for (const auto& row : run->m_sources)
-    {
-        out.m_bytes_per_s += row->bytes_per_s(m_time.now());
-        if (row->m_ended)
-            continue;
-        ++out.m_sources;
-        out.m_turns_left = std::max(out.m_turns_left, row->turns_left());
-        out.m_bytes_left = std::max(out.m_bytes_left, row->bytes_left());
-    }
-    return out;
-}
-
-void turn_copier::write_metrics(std::string& out) const
-{
-    const auto now = progress();
-    write_metric(out, "copy_sources", now.m_sources);
-    write_metric(out, "copy_turns_left", now.m_turns_left);
-    write_metric(out, "copy_bytes_left", now.m_bytes_left);
-    write_metric(out, "copy_bytes_per_s", now.m_bytes_per_s);
-    write_metric(out, "copied_turns", m_counters.m_turns);
-    write_metric(out, "copied_bytes", m_counters.m_bytes);
-    write_metric(out, "copies_skipped", m_counters.m_skipped);
-    write_metric(out, "copy_requests", m_counters.m_requests);
-    write_metric(out, "copy_syncs", m_counters.m_syncs);
-    write_metric(out, "copy_peak_held_bytes", m_counters.m_peak_held_bytes);
-}
-
 void turn_copier::start_requests(const run_ptr& run, const source_ptr& from)
 {
     const bool may_list =
