--- a/include/pepperturn/turns/turn_client.hpp
+++ b/include/pepperturn/turns/turn_client.hpp
@@ -182,6 +182,10 @@
     /// reply can be expected.
     task<> await_quorum(std::shared_ptr<round> work, bool has_parent,
                         instant deadline);
+    /// The same for a request that is over once \p enough holds.
+    task<> await_replies(std::shared_ptr<round> work,
+                         bool (turn_client::*enough)(const round&) const,
+                         instant deadline);
     /// The turns that a request continues from, oldest first; empty if any is
     /// missing.
     /// \param begin_deadline until then the parent is searched for
--- a/src/turns/turn_client.cpp
+++ b/src/turns/turn_client.cpp
@@ -295,6 +295,25 @@
     }
 }
 
+task<> turn_client::await_replies(std::shared_ptr<round> work,
+                                  bool (turn_client::*enough)(const round&)
+                                      const,
+                                  instant deadline)
+{
+    const auto begun_at = m_time.now();
+    work->m_request_all_at = begun_at + quorum_timeout;
+    while (m_time.now() < deadline && !partitioned_since(begun_at))
+    {
+        send_round(work);
+        if ((this->*enough)(*work))
+            break;
+        const auto wake = m_time.now() < work->m_request_all_at
+                              ? work->m_request_all_at
+                              : m_time.now() + retry_interval;
+        co_await work->m_changed.wait_until(std::min(deadline, wake));
+    }
+}
+
 joint_ledger turn_client::join_ledgers(const round& work)
 {
     joint_ledger out;
@@ -378,16 +397,7 @@
     message.m_reservation = {program, {}, 0, true};
     message.m_read_only = true;
     const auto work = std::make_shared<round>(m_io, program, message);
-    const auto begun_at = m_time.now();
-    work->m_request_all_at = begun_at + quorum_timeout;
-    while (m_time.now() < deadline && !partitioned_since(begun_at))
-    {
-        send_round(work);
-        if (read_enough(*work))
-            break;
-        co_await work->m_changed.wait_until(
-            std::min(deadline, m_time.now() + retry_interval));
-    }
+    co_await await_replies(work, &turn_client::read_enough, deadline);
     work->m_closed = true;
     if (!read_enough(*work))
         co_return std::nullopt;
@@ -407,17 +417,7 @@
                                               append_message{std::move(entry)});
     work->m_random_tiebreak = tiebreak;
     const auto begun_at = m_time.now();
-    work->m_request_all_at = begun_at + quorum_timeout;
-    while (m_time.now() < deadline && !partitioned_since(begun_at))
-    {
-        send_round(work);
-        if (wrote_enough(*work))
-            break;
-        const auto wake = m_time.now() < work->m_request_all_at
-                              ? work->m_request_all_at
-                              : m_time.now() + retry_interval;
-        co_await work->m_changed.wait_until(std::min(deadline, wake));
-    }
+    co_await await_replies(work, &turn_client::wrote_enough, deadline);
     const bool stored = wrote_enough(*work);
     work->m_closed = true;
     auto evidence = observe(*work);
