--- /dev/null
+++ b/test/fleet/test_fatal_request_forms.cpp
@@ -0,0 +1,244 @@
+// SPDX-License-Identifier: BSL-1.0
+// Requests that end some of the runners that work on them, while others answer
+// them in some other way, and what befalls the requests beside them.
+#include "pepperturn/base/hash.hpp"
+
+#include "support/fleet/crash_fixture.hpp"
+
+namespace {
+
+using namespace pepperturn;
+using namespace pepperturn::test;
+
+/// What the runs of one request came to, over all runners.
+struct run_history
+{
+    std::size_t m_runs = 0;
+    std::size_t m_ends = 0;
+    /// Runs that began when as many runners had ended as may.
+    std::size_t m_runs_beyond = 0;
+
+    reaction add(reaction made)
+    {
+        m_runs_beyond += m_ends >= crash_fixture::max_ends ? 1 : 0;
+        ++m_runs;
+        if (made == reaction::end || made == reaction::error_and_end)
+            ++m_ends;
+        return made;
+    }
+};
+
+/// How runners take a request that ends some of them.
+struct fatal_form
+{
+    const char* m_name;
+    /// \param runner its number
+    /// \param run runs before this one, over all runners
+    std::function<reaction(std::size_t runner, std::size_t run)> m_react;
+};
+
+fatal_form third_of_runners(const char* name, reaction of_third)
+{
+    return {name, [of_third](std::size_t runner, std::size_t) {
+                return runner % 3 == 0 ? of_third : reaction::end;
+            }};
+}
+
+fatal_form by_chance(const char* name, std::uint64_t seed)
+{
+    return {name, [seed](std::size_t, std::size_t run) {
+                constexpr std::array kinds{reaction::end, reaction::error,
+                                           reaction::unavailable,
+                                           reaction::break_off};
+                return kinds[hash_combine(seed, run) % kinds.size()];
+            }};
+}
+
+const std::vector<fatal_form> fatal_forms{
+    third_of_runners("all end", reaction::end),
+    third_of_runners("a third answers 500", reaction::error),
+    third_of_runners("a third answers 503", reaction::unavailable),
+    third_of_runners("a third breaks off", reaction::break_off),
+    third_of_runners("a third says nothing", reaction::silence),
+    third_of_runners("a third answers 500 and ends", reaction::error_and_end),
+    {"an end and an error in turn",
+     [](std::size_t, std::size_t run) {
+         return run % 2 == 0 ? reaction::end : reaction::error;
+     }},
+    {"two ends and an error in turn",
+     [](std::size_t, std::size_t run) {
+         return run % 3 < 2 ? reaction::end : reaction::error;
+     }},
+    {"an end, an error and a break in turn",
+     [](std::size_t, std::size_t run) {
+         constexpr std::array kinds{reaction::end, reaction::error,
+                                    reaction::break_off};
+         return kinds[run % kinds.size()];
+     }},
+    by_chance("by chance, 1", 1),
+    by_chance("by chance, 2", 2),
+    by_chance("by chance, 3", 3),
+};
+
+const std::vector<caller_try> fatal_requests{
+    {"GET", "/get/deadly", "", "p", "s"},
+    {"POST", "/turn/x", "deadly", "p", "s"},
+};
+
+/// More than any caller makes.
+constexpr std::size_t tries = 24;
+/// A caller that waits for longer than a runner is waited for.
+constexpr milliseconds patience{1500};
+
+} // namespace
+
+// What a runner says of a request it has not served tells nothing of what the
+// request does to the next one.
+TEST_CASE("an error does not clear a request of the runners it has ended",
+          "[crash_forms]")
+{
+    for (const auto& form : fatal_forms)
+    {
+        for (auto request : fatal_requests)
+        {
+            INFO(form.m_name << ", " << request.m_target);
+            crash_fixture fleet;
+            run_history history;
+            for (std::size_t i = 0; i < fleet.m_runners.size(); ++i)
+                fleet.m_runners[i]->react_with([&form, &history, i] {
+                    return history.add(form.m_react(i, history.m_runs));
+                });
+            request.m_patience = patience;
+            unsigned last = 0;
+            for (std::size_t i = 0; i < tries && last != 503; ++i)
+                last = fleet.ask(i % crash_fixture::edge_count, request);
+            // Refused once, it stays refused.
+            for (std::size_t i = 0; i < crash_fixture::edge_count; ++i)
+                (void)fleet.ask(i, request);
+            CHECK(history.m_ends <= crash_fixture::max_ends);
+            CHECK(history.m_runs_beyond == 0);
+            CHECK(fleet.ask(0, {"GET", "/get/harmless"}) == 200);
+        }
+    }
+}
+
+namespace {
+
+/// One call that many callers make, of no program.
+const caller_try common_call{"POST", "/get/common", "list"};
+
+/// Serves callers of the common call until \p rounds have passed.
+/// \returns the share that is served
+double serve_common(crash_fixture& fleet, int rounds)
+{
+    constexpr int callers = 6;
+    std::ptrdiff_t served = 0;
+    for (int i = 0; i < rounds; ++i)
+    {
+        const auto answers =
+            fleet.ask_all(callers, [](int) { return common_call; });
+        served += std::count(answers.begin(), answers.end(), 200U);
+    }
+    return static_cast<double>(served) / (callers * rounds);
+}
+
+} // namespace
+
+// Common calls are at work on many runners, and so on many that end.
+TEST_CASE("a common call is served although runners end under others beside it",
+          "[crash_forms]")
+{
+    crash_fixture fleet;
+    constexpr int callers = 6;
+    constexpr int common = 3;
+    constexpr int rounds = 6;
+    for (int round = 0; round < rounds; ++round)
+    {
+        // Three fatal requests of three programs, side by side with the call.
+        const auto before = fleet.m_runners.size();
+        for (int i = 0; i < crash_fixture::runner_count / 2; ++i)
+            fleet.add_runner();
+        REQUIRE(fleet.ready_for(before + crash_fixture::runner_count / 2));
+        fleet.ask_all(callers, [&](int number) {
+            if (number < common)
+                return common_call;
+            return caller_try{"POST", "/get/x", "deadly",
+                              "p" + std::to_string(round) + "-" +
+                                  std::to_string(number),
+                              "s"};
+        });
+    }
+    constexpr int later_rounds = 30;
+    constexpr double least_served = 0.95;
+    CHECK(serve_common(fleet, later_rounds) >= least_served);
+}
+
+namespace {
+
+/// Calls of programs of their own, which nothing answers until the runners are
+/// told to.
+caller_try waiting_call(int number)
+{
+    return {"POST", "/get/waiting", "x", "p" + std::to_string(number), "s"};
+}
+
+/// The same for callers that look alike.
+caller_try waiting_common_call(int)
+{
+    return {"POST", "/get/waiting", "x"};
+}
+
+struct crashed_callers
+{
+    const char* m_name;
+    std::function<caller_try(int)> m_call;
+};
+
+const std::vector<crashed_callers> crashed_forms{
+    {"unlike", waiting_call},
+    {"alike", waiting_common_call},
+};
+
+} // namespace
+
+// All runners of a service crash again and again, as a bad version does.
+TEST_CASE("three crashes of all runners put no blame on what they worked on",
+          "[crash_forms]")
+{
+    for (const auto& form : crashed_forms)
+    {
+        INFO(form.m_name);
+        crash_fixture fleet;
+        constexpr int callers = 24;
+        constexpr int crashes = 3;
+        const auto end_all = [&] {
+            for (const auto& row : fleet.m_runners)
+                row->end();
+        };
+        for (int crash = 1; crash <= crashes; ++crash)
+        {
+            const auto before = fleet.runs_of("waiting");
+            fleet.ask_all(
+                callers, form.m_call,
+                [&] { return fleet.runs_of("waiting") > before + callers / 2; },
+                end_all);
+            const auto known = fleet.m_runners.size();
+            for (int i = 0; i < crash_fixture::runner_count; ++i)
+                fleet.add_runner();
+            REQUIRE(fleet.ready_for(known + crash_fixture::runner_count));
+        }
+        for (const auto& row : fleet.m_runners)
+            row->answer_waiting();
+        // Runners that have ended are still listed: a try may meet as many of
+        // them as a try may.
+        constexpr int rounds = 4;
+        std::vector<unsigned> answers;
+        for (int round = 0; round < rounds; ++round)
+        {
+            answers = fleet.ask_all(callers, form.m_call);
+            if (std::count(answers.begin(), answers.end(), 200U) == callers)
+                break;
+        }
+        CHECK(std::count(answers.begin(), answers.end(), 200U) == callers);
+    }
+}
--- a/test/support/fleet/ending_runner.hpp
+++ b/test/support/fleet/ending_runner.hpp
@@ -10,14 +10,32 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <functional>
 #include <set>
 
 namespace pepperturn::test {
 
+/// What a runner makes of a request that contains \ref ending_runner::deadly.
+enum class reaction : std::uint8_t
+{
+    end,
+    /// Answers with status 500.
+    error,
+    /// Answers with status 503, without saying that the request has not run.
+    unavailable,
+    /// Closes the connection without an answer.
+    break_off,
+    /// Says nothing.
+    silence,
+    /// Answers with status 500 and ends.
+    error_and_end
+};
+
 class ending_runner
 {
 public:
-    /// Requests that contain this text end the runner that works on them.
+    /// Requests that contain this text end the runner that works on them,
+    /// unless \ref react_with says otherwise.
     static constexpr const char* deadly = "deadly";
     /// Requests that contain this one are not answered.
     static constexpr const char* waiting = "waiting";
@@ -50,6 +68,11 @@
     {
         return m_requests;
     }
+    /// \param react called for each run of a deadly request
+    void react_with(std::function<reaction()> react)
+    {
+        m_react = std::move(react);
+    }
     void answer_waiting()
     {
         m_answers_waiting = true;
@@ -107,8 +130,23 @@
             co_await sleep_for(m_io, work);
             if (what.find(deadly) != std::string::npos)
             {
+                const auto made = m_react();
+                if (made == reaction::silence)
+                    continue;
+                if (made != reaction::end && made != reaction::break_off)
+                    co_await write(socket, request,
+                                   made == reaction::unavailable
+                                       ? m_unavailable
+                                       : m_error);
+                if (made == reaction::error || made == reaction::unavailable)
+                    continue;
+                if (made == reaction::break_off)
+                {
+                    socket->close(ec);
+                    break;
+                }
                 // A stream has begun by then.
-                if (target.starts_with("/resume/"))
+                if (made == reaction::end && target.starts_with("/resume/"))
                     co_await write(socket, request, m_begun_stream);
                 end();
                 break;
@@ -128,6 +166,9 @@
     const std::string m_plain_answer = whole_answer(200, "done");
     const std::string m_stream = event_answer({"a", "b"});
     const std::string m_begun_stream = event_answer({"a"}, false);
+    const std::string m_error = whole_answer(500, "error");
+    const std::string m_unavailable = whole_answer(503, "later");
+    std::function<reaction()> m_react = [] { return reaction::end; };
     bool m_answers_waiting = false;
     asio::io_context& m_io;
     tcp::acceptor m_acceptor;
