Requests that end runners: what is taken as evidence is decided in one place

Callers saw runner after runner end under a request that others answered 500, and harmless common calls refused for five minutes for what ran beside them.

run_evidence.hpp says what an attempt tells of its request: only a run that was served whole speaks for it, and four of them take one end off its ledger. An end has a row of its own in the ledger, so that settling an attempt takes none away. Runners are watched after errors and after attempts that were given up; two of these, or one of a request with ends, are reserved. Ends that cannot be recorded are told and recorded later. Ends count half where the request was served before, and not at all in an outage of the service. A request is refused by what its ledger told a moment ago. Tries of one turn share half their key in the ledger of the program: a fourth beside three is refused.

run_examiner has what proxy_crashes carried; crash_guard decides through functions, so that histories drive it without a socket.

--- a/include/pepperturn/cluster/suspects.hpp
+++ b/include/pepperturn/cluster/suspects.hpp
@@ -45,13 +45,15 @@
 class suspect_table
 {
 public:
-    /// Rows kept, some dozen bytes each; beyond, the one that would be
-    /// forgotten first makes room.
+    /// Rows kept, some dozen bytes each; beyond, the one with the fewest ends
+    /// makes room, of these the one that would be forgotten first.
     static constexpr std::size_t max_rows = 4096;
 
     /// \returns the rows that are new here, or have more ends than were known
     std::vector<suspect> merge(const std::vector<suspect>& rows, instant now);
-    void erase(std::uint64_t fingerprint);
+    /// Replaces what is known of a request by what its crash ledger tells;
+    /// without ends it is forgotten.
+    void set(const suspect& row, instant now);
 
     /// Runners known to have ended under the request.
     [[nodiscard]] std::uint32_t ends(std::uint64_t fingerprint,
--- a/include/pepperturn/forward/crash_guard.hpp
+++ b/include/pepperturn/forward/crash_guard.hpp
@@ -9,9 +9,16 @@
 /// attempt is reserved in the ledger first, and counts as an end
 /// until its runner is known to have outlived it: two VMs that send the request
 /// at the same time cannot both use the last place.
+///
+/// What VMs tell each other of suspects says only that there is something to
+/// ask for. A request is refused by what its ledger has told a moment ago, so
+/// that it is served again everywhere once one VM has cleared it. What clears
+/// it is in run_evidence.hpp.
 #pragma once
 
 #include "pepperturn/cluster/suspects.hpp"
+#include "pepperturn/forward/run_evidence.hpp"
+#include "pepperturn/forward/run_records.hpp"
 #include "pepperturn/turns/crash_ledger.hpp"
 #include "pepperturn/turns/turn_client.hpp"
 
@@ -43,23 +50,26 @@
                            const guarded_attempt&) = default;
 };
 
-/// Permission for an attempt of a request that has known ends.
-struct run_claim
+/// How crash ledgers are reached: by the storage VMs, or in memory.
+struct crash_ledger_access
 {
-    claim_outcome m_outcome = claim_outcome::unconfirmed;
-    /// Other attempts that count as ends.
-    std::vector<id_key> m_counted;
-
-    friend bool operator==(const run_claim&, const run_claim&) = default;
+    std::function<task<begin_result>(begin_request, instant deadline)> m_begin;
+    /// See \ref turn_client::read_unsettled.
+    std::function<task<std::optional<std::vector<reservation>>>(
+        id_key ledger, instant deadline)>
+        m_read;
+    std::function<void(const begin_request&)> m_settle;
 };
 
+[[nodiscard]] crash_ledger_access access_through(turn_client& turns);
+
 class crash_guard
 {
 public:
     /// Tells other VMs of a suspect; returns once one storage VM knows it.
     using reporter = std::function<task<>(suspect)>;
 
-    crash_guard(const clock& time, turn_client& turns);
+    crash_guard(const clock& time, crash_ledger_access ledgers);
 
     void on_report(reporter report);
     /// Takes over what other VMs report.
@@ -76,29 +86,73 @@
     {
         m_told = true;
     }
-    /// Asks the storage VMs whether runners have ended under the request, for a
-    /// VM that has not been told.
-    /// \returns false: too few replied
+    /// Reads the request's crash ledger.
+    /// \returns false: too few storage VMs replied
     [[nodiscard]] task<bool> ask_for_ends(std::uint64_t fingerprint);
 
+    /// Whether the request may be sent, by what this VM knows.
+    [[nodiscard]] run_admission admit(std::uint64_t fingerprint) const;
     /// Runners known here to have ended under the request.
     [[nodiscard]] std::uint32_t known_ends(std::uint64_t fingerprint) const;
+    /// Runs of the request through this VM since its last end that were served
+    /// whole.
+    [[nodiscard]] std::uint32_t clean_runs(std::uint64_t fingerprint) const;
+    /// Whether the crash ledger has told this VM of ends, not of attempts that
+    /// may end a runner yet.
+    [[nodiscard]] bool has_ends(std::uint64_t fingerprint) const;
     /// Until the ends of the request are forgotten.
     [[nodiscard]] milliseconds remaining(std::uint64_t fingerprint) const;
 
     /// Reserves an attempt of a request that has known ends.
-    [[nodiscard]] task<run_claim> claim(guarded_attempt attempt);
+    /// \param trial granted beyond the bound, and under way until \ref
+    /// end_trial
+    [[nodiscard]] task<claim_outcome> claim(guarded_attempt attempt,
+                                            bool trial);
+    void end_trial(std::uint64_t fingerprint);
+    /// Weighs an end of the attempt's runner by what this VM knows of the
+    /// request, and forgets the clean runs before an end that counts.
+    /// \param outage see \ref is_outage
+    [[nodiscard]] std::uint32_t weigh(std::uint64_t fingerprint, bool outage);
     /// Records that the attempt's runner has ended, unless another attempt of
     /// the same request that the runner worked on at that time has been
     /// recorded.
-    /// \param claim of the attempt; empty: it was made without one
+    /// \param claimed the attempt was reserved
+    /// \param weight see \ref weigh
     /// \returns the runners that have ended; empty: too few storage VMs replied
     [[nodiscard]] task<std::optional<std::uint32_t>>
-    record_end(guarded_attempt attempt, std::optional<run_claim> claim);
+    record_end(guarded_attempt attempt, bool claimed, std::uint32_t weight);
+    /// Records the request's ends that could not be recorded, or tells other
+    /// VMs of them once more.
+    /// \returns whether none is left
+    [[nodiscard]] task<bool> record_pending(std::uint64_t fingerprint);
+    /// Takes the recorded end of the attempt's runner back: its service went
+    /// down with it.
+    /// \param clean_runs of the request before the end
+    /// \returns false: too many were taken back
+    [[nodiscard]] bool excuse_end(const guarded_attempt& attempt,
+                                  std::uint32_t clean_runs);
     /// The attempt has not ended its runner.
     void release(const guarded_attempt& attempt);
-    /// A runner has answered the request: earlier ends had other causes.
-    void exonerate(const guarded_attempt& attempt, const run_claim& claim);
+    /// A runner has served the request whole.
+    /// \returns whether it has done so often enough to clear one of its ends
+    [[nodiscard]] bool note_clean_run(std::uint64_t fingerprint);
+    /// Removes one end from the request's crash ledger.
+    /// \returns whether there was one
+    [[nodiscard]] task<bool> clear_end(std::uint64_t fingerprint);
+
+    /// Notes that an attempt was given up whose runner may work on it still.
+    /// \returns whether the request has so many of them that \ref
+    /// reserve_watched is due
+    [[nodiscard]] bool begin_watch(const guarded_attempt& attempt);
+    /// Reserves the request's attempts that are under watch, and tells other
+    /// VMs that there is something to ask for.
+    task<> reserve_watched(std::uint64_t fingerprint);
+    [[nodiscard]] bool is_watched(std::uint64_t fingerprint) const
+    {
+        return m_watched.contains(fingerprint);
+    }
+    /// \returns whether the attempt was reserved
+    [[nodiscard]] bool end_watch(const guarded_attempt& attempt);
 
     /// Notes that the attempt's runner begins to work on it.
     void begin_run(const guarded_attempt& attempt);
@@ -126,7 +180,33 @@
         bool m_recorded = false;
     };
 
+    /// An end that could not be recorded.
+    struct pending_end
+    {
+        id_key m_row;
+        std::uint32_t m_weight = 0;
+    };
+    struct watched_attempt
+    {
+        guarded_attempt m_attempt;
+        bool m_reserved = false;
+    };
+
     void learn_end(std::uint64_t fingerprint, std::uint32_t ends);
+    /// Counts an outage that excuses an end, once for all it ended.
+    /// \returns false: too many were counted
+    bool count_outage(std::uint64_t fingerprint);
+    /// Null: it is not under watch.
+    [[nodiscard]] watched_attempt* find_watched(const guarded_attempt& attempt);
+    void note_report(const suspect& row, instant now);
+    /// Tells other VMs of the request, if not too many were told of.
+    task<> report(std::uint64_t fingerprint, std::uint32_t ends);
+    /// What the ledger tells, and what it may not have been told yet.
+    [[nodiscard]] crash_count
+    add_unrecorded(std::uint64_t fingerprint,
+                   const std::vector<reservation>& unsettled) const;
+    /// Replaces what is known of the request.
+    void apply_count(std::uint64_t fingerprint, const crash_count& count);
     void forget_old_runs();
     /// Null: the run has been forgotten.
     [[nodiscard]] run* find_run(const guarded_attempt& attempt);
@@ -135,11 +215,16 @@
     [[nodiscard]] bool is_recorded(const guarded_attempt& attempt);
 
     const clock& m_time;
-    turn_client& m_turns;
+    crash_ledger_access m_ledgers;
     reporter m_report;
     report_budget m_reports;
     bool m_told = false;
     suspect_table m_suspects;
+    run_record_table m_records;
+    /// By request.
+    std::map<std::uint64_t, std::vector<pending_end>> m_pending;
+    /// By request.
+    std::map<std::uint64_t, std::vector<watched_attempt>> m_watched;
     /// By incarnation of the runner.
     std::map<std::uint64_t, std::vector<run>> m_runs;
 };
--- a/include/pepperturn/forward/proxy.hpp
+++ b/include/pepperturn/forward/proxy.hpp
@@ -11,7 +11,7 @@
 #include "pepperturn/forward/crash_guard.hpp"
 #include "pepperturn/forward/placement_client.hpp"
 #include "pepperturn/forward/quota_client.hpp"
-#include "pepperturn/forward/runner_probe.hpp"
+#include "pepperturn/forward/run_examiner.hpp"
 #include "pepperturn/forward/stream_relay.hpp"
 #include "pepperturn/forward/traffic_metrics.hpp"
 #include "pepperturn/scheduling/early_retry.hpp"
@@ -90,6 +90,11 @@
     {
         return m_crashes;
     }
+    /// Takes over what other VMs report of requests that end runners.
+    void learn_suspects(const std::vector<suspect>& rows)
+    {
+        m_examiner.learn(rows);
+    }
     [[nodiscard]] bool has_config() const
     {
         return m_config != nullptr;
@@ -132,7 +137,11 @@
     {
         /// The current attempt.
         guarded_attempt m_attempt;
-        std::optional<run_claim> m_claim;
+        /// It is reserved in the request's crash ledger.
+        bool m_claimed = false;
+        /// It was sent beyond the bound.
+        bool m_trial = false;
+        instant m_begun_at{};
         /// An end could not be recorded, so that other VMs may not know of it.
         bool m_unrecorded = false;
         /// Why it was not sent again; empty: it may be.
@@ -361,10 +370,8 @@
                                  stream_sink sink);
     /// Refuses a request under which too many runners have ended.
     /// \returns a response if the request is refused
-    [[nodiscard]] std::optional<upstream_response> refuse_suspect(call& work);
-    /// The same while this VM has not been told of the suspects.
     task<std::optional<upstream_response>>
-    refuse_untold_suspect(std::shared_ptr<call> work);
+    refuse_suspect(std::shared_ptr<call> work);
     /// The runner for the next attempt: not one that works on another suspect,
     /// if there are others, so that the two can be told apart.
     [[nodiscard]] const runner_row*
@@ -375,20 +382,6 @@
     /// Settles what the attempt's end means for the bound on ended runners.
     task<> settle_run(std::shared_ptr<call> work, runner_row target,
                       const attempt_result& result);
-    /// Finds out whether a runner that broke off an attempt has ended, and
-    /// records it.
-    task<> examine_runner(std::shared_ptr<call> work, runner_row target);
-    /// The same again, somewhat later: a runner whose connection was lost goes
-    /// on working, and may end of the request after it was found alive.
-    task<> examine_later(std::shared_ptr<call> work, runner_row target,
-                         guarded_attempt attempt);
-    /// Records an end in the crash ledger.
-    task<> record_runner_end(std::shared_ptr<call> work, runner_row target,
-                             guarded_attempt attempt,
-                             std::optional<run_claim> claim,
-                             runner_condition condition);
-    /// Releases the attempt's claim: its runner has not ended.
-    void release_claim(call& work);
     /// Decides what follows from the end of an attempt.
     /// \returns empty to try another runner
     [[nodiscard]] std::optional<call_result>
@@ -430,6 +423,7 @@
     upstream_pool m_pool;
     runner_table m_runners;
     crash_guard m_crashes;
+    run_examiner m_examiner;
     zone_map m_zones;
     admission_queue m_gate;
     workspace_admission m_admission;
--- a/include/pepperturn/forward/runner_probe.hpp
+++ b/include/pepperturn/forward/runner_probe.hpp
@@ -26,4 +26,12 @@
 [[nodiscard]] task<runner_condition> probe_runner(upstream_pool& pool,
                                                   runner_info runner);
 
+/// Watches a runner over an idle connection, its own if there is none: it
+/// learns of the end of its process, other than of the end of its VM. \returns
+/// alive once \p span has passed
+[[nodiscard]] task<runner_condition> watch_runner(upstream_pool& pool,
+                                                  const clock& time,
+                                                  runner_info runner,
+                                                  milliseconds span);
+
 } // namespace pepperturn
--- a/include/pepperturn/forward/runner_table.hpp
+++ b/include/pepperturn/forward/runner_table.hpp
@@ -35,6 +35,10 @@
     instant m_error_rate_time{};
     /// Until then the runner is cold and can serve few requests.
     instant m_cold_until{};
+    /// When it last accepted a connection or answered; empty: never.
+    std::optional<instant> m_last_alive;
+    /// When it last refused a connection or broke one off; empty: never.
+    std::optional<instant> m_last_failed;
 };
 
 /// What a request requires or prefers of its runner.
@@ -129,6 +133,13 @@
     /// Runners of one service, usable or not.
     [[nodiscard]] std::size_t count_of(const std::string& service) const;
 
+    /// Some runners of one service, usable or not, of all its zones alike.
+    /// \param most as many are returned at most
+    /// \param seed decides which
+    [[nodiscard]] std::vector<runner_row> sample(const std::string& service,
+                                                 std::size_t most,
+                                                 std::uint64_t seed) const;
+
     void record_request_start(const std::string& id);
     void record_request_end(const std::string& id);
     /// \param route name; requests of one route take about the same time
@@ -137,6 +148,8 @@
     /// Smoothed time to the first byte on a route; zero: no response yet.
     [[nodiscard]] milliseconds
     average_first_byte(const std::string& route) const;
+    /// The runner has accepted a connection or answered.
+    void record_alive(const std::string& id, instant now);
     /// A connection was refused, was aborted or timed out; starts a back-off.
     void record_failure(const std::string& id, instant now);
     /// Updates the error rate with the result of one request.
--- a/include/pepperturn/forward/upstream_pool.hpp
+++ b/include/pepperturn/forward/upstream_pool.hpp
@@ -62,6 +62,10 @@
     /// false.
     void retain(const std::function<bool(const std::string&)>& keep);
 
+    [[nodiscard]] asio::io_context& io() const
+    {
+        return m_io;
+    }
     [[nodiscard]] std::uint64_t opened() const
     {
         return m_opened;
--- a/include/pepperturn/turns/ledger.hpp
+++ b/include/pepperturn/turns/ledger.hpp
@@ -22,9 +22,9 @@
 [[nodiscard]] std::uint64_t committed_tokens(const joint_ledger& ledger,
                                              const id_key& own);
 
-/// Attempts except \p own whose reservations are not settled.
-[[nodiscard]] std::vector<id_key> unsettled_of(const joint_ledger& ledger,
-                                               const id_key& own);
+/// Reservations of other attempts than \p own that are not settled.
+[[nodiscard]] std::vector<reservation> unsettled_of(const joint_ledger& ledger,
+                                                    const id_key& own);
 
 /// \param budget maximum tokens of the whole program
 [[nodiscard]] bool fits_budget(const joint_ledger& ledger,
--- a/include/pepperturn/turns/turn_client.hpp
+++ b/include/pepperturn/turns/turn_client.hpp
@@ -59,8 +59,8 @@
     std::vector<turn_record> m_history;
     /// Runners that have prompts of the program cached.
     std::vector<prompt_location> m_prompt_locations;
-    /// Other attempts of the program whose reservations are not settled.
-    std::vector<id_key> m_unsettled;
+    /// Reservations of the program's other attempts that are not settled.
+    std::vector<reservation> m_unsettled;
     /// Figures that explain the outcome, for the log.
     std::string m_reason;
     /// Unless it is granted: why not, and what was known.
@@ -87,10 +87,10 @@
                                            instant deadline);
     [[nodiscard]] task<begin_result>
     begin(begin_request request, instant deadline, history_options options);
-    /// Attempts of a program whose reservations are not settled, without
-    /// reserving anything.
+    /// Reservations of a program that are not settled, without reserving
+    /// anything.
     /// \returns empty: too few storage VMs replied
-    [[nodiscard]] task<std::optional<std::vector<id_key>>>
+    [[nodiscard]] task<std::optional<std::vector<reservation>>>
     read_unsettled(id_key program, instant deadline);
     /// Members of nearer zones receive requests first.
     void set_zones(zone_map zones)
--- a/src/cluster/suspects.cpp
+++ b/src/cluster/suspects.cpp
@@ -2,6 +2,7 @@
 #include "pepperturn/cluster/suspects.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace pepperturn {
 
@@ -37,13 +38,15 @@
         return;
     m_rows.erase(std::min_element(
         m_rows.begin(), m_rows.end(), [](const auto& left, const auto& right) {
-            return left.second.m_expiry < right.second.m_expiry;
+            return std::tie(left.second.m_ends, left.second.m_expiry) <
+                   std::tie(right.second.m_ends, right.second.m_expiry);
         }));
 }
 
-void suspect_table::erase(std::uint64_t fingerprint)
+void suspect_table::set(const suspect& row, instant now)
 {
-    m_rows.erase(fingerprint);
+    m_rows.erase(row.m_fingerprint);
+    (void)merge({row}, now);
 }
 
 std::uint32_t suspect_table::ends(std::uint64_t fingerprint, instant now) const
--- a/src/fleet/edge_node.cpp
+++ b/src/fleet/edge_node.cpp
@@ -131,7 +131,7 @@
         m_config_fetcher.note_announced(from, revision);
     });
     m_links.on_suspects([this](const std::vector<suspect>& rows) {
-        m_proxy.crashes().learn(rows);
+        m_proxy.learn_suspects(rows);
     });
     m_proxy.crashes().on_report(
         [this](suspect row) { return report_suspect(row); });
--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -250,6 +250,8 @@
         error_code error;
         state->m_connection = co_await pool.connect(
             runner.m_address, std::min(connect_timeout, left), error);
+        if (state->m_connection)
+            runners.record_alive(runner.m_id, time.now());
         result.m_reason = "connect failed: " + error.message();
     }
     if (!state->m_connection)
@@ -319,6 +321,7 @@
     if (!ec)
     {
         result.m_first_byte = elapsed(sent_at, time.now());
+        runners.record_alive(runner.m_id, time.now());
         runners.record_first_byte(runner.m_id, request.m_route,
                                   *result.m_first_byte);
         fault = find_fault(parser.get().base(), names, request.m_request_id);
--- a/src/forward/proxy.cpp
+++ b/src/forward/proxy.cpp
@@ -38,7 +38,9 @@
     : m_io(io), m_time(time), m_names(std::move(names)),
       m_availability_zone(std::move(availability_zone)), m_turns(turns),
       m_acceptor(io), m_memory(io, time), m_pool(io, time),
-      m_crashes(time, turns), m_gate(io, time), m_started(time.now())
+      m_crashes(time, access_through(turns)),
+      m_examiner(io, time, m_pool, m_runners, m_crashes, m_metrics),
+      m_gate(io, time), m_started(time.now())
 {}
 
 bool proxy::listen(const tcp::endpoint& at, std::string& reason)
@@ -353,9 +355,7 @@
         out.m_response = fail(*work, 400, std::string(work->m_fields.m_error));
         co_return out;
     }
-    out.m_response = refuse_suspect(*work);
-    if (!out.m_response && !m_crashes.told())
-        out.m_response = co_await refuse_untold_suspect(work);
+    out.m_response = co_await refuse_suspect(work);
     if (out.m_response)
         co_return out;
     if (route.m_stateful && work->m_fields.m_last_event_id)
--- a/src/forward/proxy_crashes.cpp
+++ b/src/forward/proxy_crashes.cpp
@@ -15,37 +15,42 @@
 /// An attempt that is aborted after so long without a first byte may have met a
 /// runner that has ended in silence.
 constexpr milliseconds min_silence{300};
-/// A runner that was alive when its connection broke is connected to once more
-/// after this time: it has ended by then if the request ends it at once, and
-/// has hardly started again.
-constexpr milliseconds second_probe_delay{40};
 /// Storage VMs that have just started reply, or tell this VM, by then.
 constexpr milliseconds untold_retry_delay{500};
 
 } // namespace
 
-std::optional<upstream_response> proxy::refuse_suspect(call& work)
-{
-    const auto ends = m_crashes.known_ends(work.m_fingerprint);
-    if (ends < max_runner_ends)
-        return std::nullopt;
-    m_metrics.count("crash_refusals");
-    return refuse(
-        work, std::to_string(ends) + " runners have ended under the request",
-        m_crashes.remaining(work.m_fingerprint));
-}
-
 task<std::optional<upstream_response>>
-proxy::refuse_untold_suspect(std::shared_ptr<call> work)
+proxy::refuse_suspect(std::shared_ptr<call> work)
 {
-    const bool answered = co_await m_crashes.ask_for_ends(work->m_fingerprint);
-    m_metrics.count(answered ? "crash_asks_answered" : "crash_asks_unanswered");
-    if (answered)
-        co_return refuse_suspect(*work);
+    const auto fingerprint = work->m_fingerprint;
+    auto admission = m_crashes.admit(fingerprint);
+    const bool untold =
+        !m_crashes.told() && m_crashes.known_ends(fingerprint) == 0;
+    if (untold || admission == run_admission::ask)
+    {
+        const bool answered = co_await m_crashes.ask_for_ends(fingerprint);
+        m_metrics.count(answered ? "crash_asks_answered"
+                                 : "crash_asks_unanswered");
+        if (untold && !answered)
+            co_return refuse(*work,
+                             "this VM has just started and cannot learn "
+                             "whether runners have ended under the request",
+                             untold_retry_delay);
+        admission = m_crashes.admit(fingerprint);
+    }
+    if (admission != run_admission::refuse && admission != run_admission::ask)
+        co_return std::nullopt;
+    m_metrics.count("crash_refusals");
+    // Without a program, another caller's run may clear it at any time; and
+    // what too few storage VMs told may be known soon.
+    auto retry_after = m_crashes.remaining(fingerprint);
+    if (work->m_fields.m_program.empty() || admission == run_admission::ask)
+        retry_after = std::min(retry_after, retry_after_crashes);
     co_return refuse(*work,
-                     "this VM has just started and cannot learn whether "
-                     "runners have ended under the request",
-                     untold_retry_delay);
+                     std::to_string(m_crashes.known_ends(fingerprint)) +
+                         " runners have ended under the request",
+                     retry_after);
 }
 
 const runner_row* proxy::choose_apart(const call& work,
@@ -70,118 +75,80 @@
 task<bool> proxy::claim_run(std::shared_ptr<call> work, runner_row target)
 {
     auto& crash = work->m_crash;
+    const auto fingerprint = work->m_fingerprint;
     // Callers may use an id twice, and this VM may have been restarted.
     const auto unique =
         hash_combine(m_random_value, m_time.now().time_since_epoch().count());
     crash.m_attempt = {
-        work->m_fingerprint,
+        fingerprint,
         {hash_combine(hash64(work->m_fields.m_id), unique), unique},
         target.m_incarnation_hash};
-    crash.m_claim.reset();
-    const auto ends = m_crashes.known_ends(work->m_fingerprint);
+    crash.m_claimed = false;
     if (crash.m_unrecorded)
     {
         crash.m_refusal = ": the end of a runner could not be recorded";
         co_return false;
     }
-    if (ends > 0)
+    const auto admission = m_crashes.admit(fingerprint);
+    crash.m_trial = admission == run_admission::trial;
+    if (admission == run_admission::refuse)
     {
+        crash.m_refusal = ": runners have ended under it";
+        co_return false;
+    }
+    if (admission != run_admission::send)
+    {
+        const auto ends = m_crashes.known_ends(fingerprint);
         const auto attempt = crash.m_attempt;
-        auto claim = co_await m_crashes.claim(attempt);
-        m_metrics.count(std::string("crash_claims_") +
-                        to_string(claim.m_outcome));
+        const auto outcome = co_await m_crashes.claim(attempt, crash.m_trial);
+        m_metrics.count(std::string("crash_claims_") + to_string(outcome));
         LOG(INFO) << "event=crash_claim id=" << work->m_fields.m_id
-                  << " fingerprint=" << fingerprint_text(work->m_fingerprint)
+                  << " fingerprint=" << fingerprint_text(fingerprint)
                   << " attempt=" << work->m_attempts + 1
                   << " cause=" << work->m_attempt_cause
-                  << " runner=" << target.m_info.m_id << " known_ends=" << ends
-                  << " counted=" << claim.m_counted.size()
-                  << " outcome=" << to_string(claim.m_outcome);
-        if (claim.m_outcome != claim_outcome::granted)
+                  << " runner=" << target.m_info.m_id
+                  << " admission=" << to_string(admission)
+                  << " known_ends=" << ends
+                  << " ledger_ends=" << m_crashes.known_ends(fingerprint)
+                  << " clean_runs=" << m_crashes.clean_runs(fingerprint)
+                  << " outcome=" << to_string(outcome);
+        if (outcome != claim_outcome::granted)
         {
             crash.m_refusal = ": runners have ended under it, another attempt"
                               " is " +
-                              std::string(to_string(claim.m_outcome));
+                              std::string(to_string(outcome));
             co_return false;
         }
-        crash.m_claim = std::move(claim);
+        crash.m_claimed = true;
     }
     m_crashes.begin_run(crash.m_attempt);
+    crash.m_begun_at = m_time.now();
     co_return true;
 }
 
-void proxy::release_claim(call& work)
-{
-    if (work.m_crash.m_claim)
-        m_crashes.release(work.m_crash.m_attempt);
-    work.m_crash.m_claim.reset();
-}
-
 task<> proxy::settle_run(std::shared_ptr<call> work, runner_row target,
                          const attempt_result& result)
 {
-    m_crashes.end_run(work->m_crash.m_attempt, result.m_broken_off);
-    if (result.m_broken_off)
-    {
-        co_await examine_runner(work, target);
-        co_return;
-    }
-    if (result.m_outcome == attempt_outcome::aborted)
-    {
-        const bool silent =
-            !result.m_first_byte && result.m_duration >= min_silence;
-        // The caller has left, or is to be answered at once.
-        if (silent || work->m_crash.m_claim)
-            spawn(m_io, "proxy.examine", examine_runner(work, target));
-        co_return;
-    }
-    const auto claim = work->m_crash.m_claim;
-    if (claim && result.m_outcome == attempt_outcome::answered)
-        m_crashes.exonerate(work->m_crash.m_attempt, *claim);
-    else
-        release_claim(*work);
-}
-
-task<> proxy::examine_runner(std::shared_ptr<call> work, runner_row target)
-{
-    const auto attempt = work->m_crash.m_attempt;
-    const auto claim = std::exchange(work->m_crash.m_claim, std::nullopt);
-    const auto condition = co_await probe_runner(m_pool, target.m_info);
-    m_metrics.count(std::string("broken_off_by_") + to_string(condition));
-    if (condition != runner_condition::alive)
-        co_await record_runner_end(work, target, attempt, claim, condition);
-    // A claim is kept: the request has ended runners before, and what becomes
-    // of this one is not known.
-    else if (!claim)
-        spawn(m_io, "proxy.examine", examine_later(work, target, attempt));
-}
-
-task<> proxy::examine_later(std::shared_ptr<call> work, runner_row target,
-                            guarded_attempt attempt)
-{
-    co_await sleep_for(m_io, second_probe_delay);
-    const auto condition = co_await probe_runner(m_pool, target.m_info);
-    if (condition != runner_condition::alive)
-        co_await record_runner_end(work, target, attempt, std::nullopt,
-                                   condition);
-}
-
-task<> proxy::record_runner_end(std::shared_ptr<call> work, runner_row target,
-                                guarded_attempt attempt,
-                                std::optional<run_claim> claim,
-                                runner_condition condition)
-{
-    const auto ends = co_await m_crashes.record_end(attempt, claim);
-    work->m_crash.m_unrecorded = !ends;
-    m_metrics.count("runner_ends_counted");
-    LOG(WARNING) << "event=runner_ended id=" << work->m_fields.m_id
-                 << " fingerprint=" << fingerprint_text(work->m_fingerprint)
-                 << " program=" << work->m_fields.m_program
-                 << " attempt=" << work->m_attempts
-                 << " cause=" << work->m_attempt_cause
-                 << " runner=" << target.m_info.m_id
-                 << " condition=" << to_string(condition)
-                 << " ends=" << (ends ? std::to_string(*ends) : "unrecorded");
+    const auto& crash = work->m_crash;
+    ended_run run;
+    run.m_attempt = crash.m_attempt;
+    run.m_runner = target.m_info;
+    run.m_facts.m_outcome = result.m_outcome;
+    run.m_facts.m_status = result.m_response.m_status;
+    run.m_facts.m_broken_off = result.m_broken_off;
+    run.m_facts.m_silent =
+        !result.m_first_byte && result.m_duration >= min_silence;
+    run.m_facts.m_claimed = crash.m_claimed;
+    run.m_trial = crash.m_trial;
+    run.m_unanswered = result.m_outcome == attempt_outcome::aborted ||
+                       result.m_first_byte_timed_out;
+    run.m_begun_at = crash.m_begun_at;
+    run.m_id = work->m_fields.m_id;
+    run.m_program = work->m_fields.m_program;
+    run.m_number = work->m_attempts;
+    run.m_cause = work->m_attempt_cause;
+    const bool recorded = co_await m_examiner.settle(run);
+    work->m_crash.m_unrecorded = !recorded;
 }
 
 } // namespace pepperturn
--- a/src/forward/proxy_turns.cpp
+++ b/src/forward/proxy_turns.cpp
@@ -5,6 +5,7 @@
 
 #include "pepperturn/forward/allowed_regions.hpp"
 #include "pepperturn/scheduling/retry_after.hpp"
+#include "pepperturn/turns/crash_ledger.hpp"
 
 #include <algorithm>
 
@@ -55,7 +56,8 @@
     const auto* owner = work->m_workspace;
     begin.m_program = key_of(scoped_id(
         owner, fields.m_program.empty() ? fields.m_id : fields.m_program));
-    begin.m_attempt = key_of(scoped_id(owner, fields.m_id));
+    begin.m_attempt =
+        turn_attempt_key(work->m_fingerprint, scoped_id(owner, fields.m_id));
     begin.m_tokens = fields.m_max_tokens;
     begin.m_budget = fields.m_token_budget.value_or(UINT64_MAX);
     begin.m_retention_ms =
@@ -103,6 +105,17 @@
     work->m_reason = result.m_reason + ' ';
     work->m_continues_program =
         work->m_continues_program || !result.m_prompt_locations.empty();
+    if (result.m_outcome == begin_outcome::granted &&
+        count_other_tries(result.m_unsettled, begin.m_attempt) >=
+            max_runner_ends)
+    {
+        settle(*work, 0);
+        m_metrics.count("turn_tries_refused");
+        co_return refuse(*work,
+                         "as many tries of the turn are under way as may end "
+                         "runners",
+                         retry_after_crashes);
+    }
     if (result.m_outcome == begin_outcome::granted)
     {
         const auto last_runner = result.m_history.empty()
--- a/src/forward/runner_table.cpp
+++ b/src/forward/runner_table.cpp
@@ -126,6 +126,34 @@
     return found == m_by_service.end() ? 0 : found->second.size();
 }
 
+std::vector<runner_row> runner_table::sample(const std::string& service,
+                                             std::size_t most,
+                                             std::uint64_t seed) const
+{
+    std::vector<runner_row> out;
+    const auto found = m_by_service.find(service);
+    if (found == m_by_service.end())
+        return out;
+    const auto& zones = found->second.m_zones;
+    most = std::min(most, found->second.size());
+    // Round by round, so that each zone gives as many as the others.
+    for (std::size_t round = 0; out.size() < most; ++round)
+    {
+        for (const auto& [name, runners] : zones)
+        {
+            if (round >= runners.size() || out.size() == most)
+                continue;
+            const auto first = runners.lower_bound(seed) - runners.begin();
+            const auto index =
+                (static_cast<std::size_t>(first) + round) % runners.size();
+            out.push_back(
+                *(runners.begin() + static_cast<std::ptrdiff_t>(index))
+                     ->second);
+        }
+    }
+    return out;
+}
+
 std::size_t runner_table::usable_count() const
 {
     return static_cast<std::size_t>(
@@ -353,6 +381,12 @@
                             : static_cast<std::int64_t>(found->second));
 }
 
+void runner_table::record_alive(const std::string& id, instant now)
+{
+    if (auto* row = find_row(id))
+        row->m_last_alive = now;
+}
+
 void runner_table::record_failure(const std::string& id, instant now)
 {
     auto* row = find_row(id);
@@ -361,6 +395,7 @@
     const auto doublings = std::min(row->m_consecutive_failures, max_doublings);
     row->m_backoff_until = now + initial_backoff * (1U << doublings);
     ++row->m_consecutive_failures;
+    row->m_last_failed = now;
 }
 
 void runner_table::record_result(const std::string& id, bool good, instant now)
--- a/src/turns/ledger.cpp
+++ b/src/turns/ledger.cpp
@@ -24,13 +24,14 @@
     return sum;
 }
 
-std::vector<id_key> unsettled_of(const joint_ledger& ledger, const id_key& own)
+std::vector<reservation> unsettled_of(const joint_ledger& ledger,
+                                      const id_key& own)
 {
-    std::vector<id_key> out;
+    std::vector<reservation> out;
     for (const auto& [attempt, row] : ledger)
     {
         if (!row.m_settled && attempt != own)
-            out.push_back(attempt);
+            out.push_back(row);
     }
     return out;
 }
--- a/src/turns/turn_client.cpp
+++ b/src/turns/turn_client.cpp
@@ -389,7 +389,7 @@
     co_return result;
 }
 
-task<std::optional<std::vector<id_key>>>
+task<std::optional<std::vector<reservation>>>
 turn_client::read_unsettled(id_key program, instant deadline)
 {
     begin_message message;
--- a/src/turns/turn_store.cpp
+++ b/src/turns/turn_store.cpp
@@ -177,11 +177,13 @@
         const auto fingerprint = fingerprint_of_ledger(ledger);
         if (!fingerprint)
             continue;
-        const auto ends = std::count_if(
-            row.m_attempts.begin(), row.m_attempts.end(),
-            [](const auto& attempt) { return !attempt.second.m_settled; });
-        if (ends > 0)
-            out.push_back({*fingerprint, static_cast<std::uint32_t>(ends),
+        // An attempt under way counts as well: it may have ended its runner
+        // when its VM lost power.
+        std::uint64_t weight = 0;
+        for (const auto& [attempt, reserved] : row.m_attempts)
+            weight += reserved.m_settled ? 0 : reserved.m_tokens;
+        if (weight > 0)
+            out.push_back({*fingerprint, ends_of_weight(weight),
                            remaining_ms(row.m_expiry, now)});
     }
     return out;
