Soak: requests that end runners are answered by some of them

Of ten runs five end the runner at once; the others answer 500 or an unmarked 503, break off, are silent, or answer and end.

--- a/test/soak/soak_runner.cpp
+++ b/test/soak/soak_runner.cpp
@@ -73,6 +73,29 @@
                                         : answer_end::framed;
 }
 
+/// What a runner makes of a request that may end it.
+enum class deadly_reaction : std::uint8_t
+{
+    end,
+    error,
+    unavailable,
+    break_off,
+    silence,
+    error_and_end
+};
+
+/// Every second one ends the runner before anything else.
+deadly_reaction draw_reaction(std::uint64_t drawn)
+{
+    constexpr std::array kinds{
+        deadly_reaction::end, deadly_reaction::error,
+        deadly_reaction::end, deadly_reaction::unavailable,
+        deadly_reaction::end, deadly_reaction::break_off,
+        deadly_reaction::end, deadly_reaction::silence,
+        deadly_reaction::end, deadly_reaction::error_and_end};
+    return kinds[drawn % kinds.size()];
+}
+
 bool is_whole(answer_end end)
 {
     return end == answer_end::framed || end == answer_end::closed;
@@ -174,6 +197,35 @@
         m_on_end();
 }
 
+task<bool> soak_runner::react(std::shared_ptr<tcp::socket> socket,
+                              std::string id, std::string request)
+{
+    const auto what = draw_reaction(m_draw / refuse_one_in);
+    const bool answers = what == deadly_reaction::error ||
+                         what == deadly_reaction::unavailable ||
+                         what == deadly_reaction::error_and_end;
+    error_code ec;
+    if (answers)
+    {
+        const std::string status =
+            what == deadly_reaction::unavailable ? "503 Later" : "500 Error";
+        const std::string answer =
+            "HTTP/1.1 " + status + "\r\nX-Attempt-Id: " + id +
+            "\r\nX-Server-Seal: " + m_id + "\r\nContent-Length: 0\r\n\r\n";
+        co_await asio::async_write(*socket, asio::buffer(answer), into(ec));
+    }
+    if (what == deadly_reaction::end || what == deadly_reaction::error_and_end)
+    {
+        m_rules.ended_runner(id, request);
+        end();
+        co_return false;
+    }
+    m_rules.ran_deadly(id);
+    if (what == deadly_reaction::break_off)
+        end_connection(*socket, true);
+    co_return what != deadly_reaction::break_off && !ec;
+}
+
 task<> soak_runner::serve(std::shared_ptr<tcp::socket> socket)
 {
     boost::beast::flat_buffer buffer;
@@ -204,8 +256,8 @@
         }
         if (request.body().starts_with(deadly))
         {
-            m_rules.ended_runner(id, request.body());
-            end();
+            if (co_await react(socket, id, request.body()))
+                continue;
             break;
         }
         m_rules.ran(id, request.body());
--- a/test/soak/soak_runner.hpp
+++ b/test/soak/soak_runner.hpp
@@ -34,6 +34,10 @@
 
 private:
     task<> serve(std::shared_ptr<tcp::socket> socket);
+    /// Runs a request that may end the runner.
+    /// \returns whether the connection goes on
+    task<bool> react(std::shared_ptr<tcp::socket> socket, std::string id,
+                     std::string request);
     void end();
 
     asio::io_context& m_io;
--- a/test/soak/world.hpp
+++ b/test/soak/world.hpp
@@ -31,6 +31,11 @@
     /// A runner ends while it works on it.
     /// \param body the same for all tries of the request
     void ended_runner(const std::string& id, const std::string& body);
+    /// A request that may end runners ran, and did not end this one.
+    void ran_deadly(const std::string& id)
+    {
+        m_ran.insert(id);
+    }
     /// A runner answers it with this text, or breaks off before all of it.
     void answers(const std::string& id, const std::string& text, bool whole);
     /// A caller took this for all of the answer.
