--- a/src/forward/service_probe.cpp
+++ b/src/forward/service_probe.cpp
@@ -101,6 +101,7 @@
     });
     rows.resize(std::min(rows.size(), max_probed_runners));
     std::vector<other_runner> others;
+    others.reserve(rows.size());
     for (const auto& row : rows)
         others.push_back(facts_of(row));
     // Nothing is connected to where the answer cannot be yes.
--- a/test/fleet/test_fatal_request_forms.cpp
+++ b/test/fleet/test_fatal_request_forms.cpp
@@ -5,6 +5,7 @@
 
 #include "support/fleet/crash_fixture.hpp"
 
+#include <numeric>
 #include <set>
 
 namespace {
@@ -236,9 +237,8 @@
 {
     constexpr milliseconds pause{50};
     const auto end = fleet.m_time.now() + served_within;
-    std::vector<int> waiting;
-    for (int i = 0; i < callers; ++i)
-        waiting.push_back(i);
+    std::vector<int> waiting(static_cast<std::size_t>(callers));
+    std::iota(waiting.begin(), waiting.end(), 0);
     while (!waiting.empty() && fleet.m_time.now() < end)
     {
         std::set<int> served;
--- a/test/forward/test_crash_histories.cpp
+++ b/test/forward/test_crash_histories.cpp
@@ -660,7 +660,9 @@
     {
         auto& guard = *m_vms[run.m_vm];
         const bool due = unanswered && guard.begin_watch(run.m_attempt);
-        const auto watch = std::make_shared<sim_watch>(run, unanswered);
+        const auto watch = std::make_shared<sim_watch>();
+        watch->m_run = run;
+        watch->m_unanswered = unanswered;
         m_watches.push_back(watch);
         after(unanswered ? unanswered_watch : answered_watch,
               [this, watch] { end_watch(*watch, false); });
--- a/test/support/fleet/ending_runner.hpp
+++ b/test/support/fleet/ending_runner.hpp
@@ -135,9 +135,8 @@
                     continue;
                 if (made != reaction::end && made != reaction::break_off)
                     co_await write(socket, request,
-                                   made == reaction::unavailable
-                                       ? m_unavailable
-                                       : m_error);
+                                   made == reaction::unavailable ? m_unavailable
+                                                                 : m_error);
                 if (made == reaction::error || made == reaction::unavailable)
                     continue;
                 if (made == reaction::break_off)
