--- a/include/pepperturn/forward/run_evidence.hpp
+++ b/include/pepperturn/forward/run_evidence.hpp
@@ -8,13 +8,10 @@
 /// it whole. An error, a refusal, a connection that breaks and silence tell
 /// nothing: the next runner may end all the same.
 ///
-/// | how the attempt ended | what follows |
-/// |---|---|
-/// | served whole | a clean run |
-/// | refused before it ran | its reservation is released |
-/// | answered with an error | released, once the runner is seen to live on |
-/// | broken off | its runner is probed before anything else is done, and
-/// watched | | aborted, without an answer | the same, meanwhile |
+/// So an attempt that was served whole is a clean run, and one that was refused
+/// before it ran tells nothing. After an error the runner is watched for a
+/// while. After a broken connection or silence it is looked for at once, and
+/// watched if it lives.
 #pragma once
 
 #include "pepperturn/forward/exchange.hpp"
@@ -30,8 +27,8 @@
 /// Clean runs since the last end from which on a request is sent as one that
 /// has ended no runner.
 constexpr std::uint32_t trusted_clean_runs = 4;
-/// Ends from which on a request is not tried any more, however often it was
-/// served before: it has become one that ends runners.
+/// With more ends a request is not tried any more, however often it was served
+/// before: it has become one that ends runners.
 constexpr std::uint32_t max_trial_ends = 6;
 /// Clean runs that clear a request of one end. A request that ends more than
 /// one in so many of its runners is not cleared faster than it ends them.
@@ -42,10 +39,9 @@
 constexpr std::uint32_t max_excused_outages = 4;
 /// Fewer other runners do not tell an outage from some ends at once.
 constexpr std::size_t min_probed_runners = 4;
-/// So many of them were alive when the attempt began: an outage from before it
-/// has not ended its runner.
+/// At least so many of them were alive when the attempt began, or at most so
+/// long before: an outage from before it has not ended its runner.
 constexpr std::size_t min_runners_alive_before = 2;
-/// How long before the attempt they may have been seen.
 constexpr milliseconds alive_before_span{300};
 /// How long a runner is watched that has answered or closed its connection, and
 /// one that works on a request which it has not answered.
