--- a/test/soak/soak_runner.cpp
+++ b/test/soak/soak_runner.cpp
@@ -257,7 +257,7 @@
         }
         if (request.body().starts_with(deadly))
         {
-            const std::string body = request.body();
+            const auto& body = request.body();
             const bool goes_on = co_await react(socket, id, body);
             if (goes_on)
                 continue;
