--- a/include/pepperturn/config/fleet_settings.hpp
+++ b/include/pepperturn/config/fleet_settings.hpp
@@ -56,6 +56,8 @@
     std::uint32_t m_kept_links = 48;
     /// Of the VM, for this process; 0: not told.
     std::uint32_t m_memory_mb = 0;
+    /// Descriptors that the process may have open; 0: its own limit.
+    std::uint32_t m_descriptors = 0;
     /// From the order to stop until the process is killed.
     std::uint32_t m_grace_s = 8;
 
--- a/include/pepperturn/config/settings.hpp
+++ b/include/pepperturn/config/settings.hpp
@@ -55,6 +55,11 @@
     milliseconds m_default_patience{30000};
     /// Streamed bytes that a slow caller may leave unread.
     std::uint64_t m_max_unread_bytes = 1U << 20U;
+    /// Connections that are open at once; 0: half of the descriptors that the
+    /// process may have.
+    std::uint32_t m_max_connections = 0;
+    /// Bytes of requests that are buffered for all callers together.
+    std::uint64_t m_max_buffered_bytes = 256U << 20U;
 };
 
 struct tls_settings
--- a/src/config/fleet_settings.cpp
+++ b/src/config/fleet_settings.cpp
@@ -20,6 +20,7 @@
 constexpr std::uint32_t most_prompt_tokens = 100000000;
 constexpr std::uint32_t most_kept_links = 100000;
 constexpr std::uint32_t most_memory_mb = 16U << 20U;
+constexpr std::uint32_t most_descriptors = 1U << 30U;
 
 } // namespace
 
@@ -54,6 +55,7 @@
             reader.read("bootstrap", out.m_bootstrap);
             reader.read("grace_s", out.m_grace_s, 1, most_grace_s);
             reader.read("memory_mb", out.m_memory_mb, 0, most_memory_mb);
+            reader.read("descriptors", out.m_descriptors, 0, most_descriptors);
         }
         else if (name == "listen")
         {
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -65,6 +65,8 @@
     reader.read("most_max_tokens", out.m_most_max_tokens, 1U, 1U << 20U);
     reader.read("default_patience_ms", out.m_default_patience, 1U);
     reader.read("max_unread_bytes", out.m_max_unread_bytes, 4096U);
+    reader.read("max_connections", out.m_max_connections, 0U, 1U << 30U);
+    reader.read("max_buffered_bytes", out.m_max_buffered_bytes, 1U << 20U);
 }
 
 void check_file(section_reader& reader, const char* key,
