Ready and metrics addresses: bounded requests, few connections

What callers saw: clients that reach the ready address of a VM ended it, by a trailer section or a chunk extension without end (110 MB of 64) or by an empty chunked body in pieces, or took its descriptors by connections that say nothing.

Cause: requests were read by the library into a buffer without a bound, and nothing counted the connections. Evidence: clients.ready-trailer, -extension, -last-chunk-split and -idle, failing before, alone.

The address reads through http/request_reader, with a head of 8 KB and a body of 4 KB at most, and holds 32 connections; the one that was used longest ago is closed for a new one, so that the platform's question is always taken.

--- a/src/fleet/status_server.cpp
+++ b/src/fleet/status_server.cpp
@@ -1,8 +1,7 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "pepperturn/fleet/status_server.hpp"
 
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
+#include <array>
 #include <boost/beast/http.hpp>
 #include <glog/logging.h>
 
@@ -10,9 +9,13 @@
 
 namespace {
 
-namespace http = boost::beast::http;
-
 constexpr milliseconds idle_timeout{30000};
+constexpr milliseconds accept_retry{100};
+/// The platform and an operator use one or two.
+constexpr std::size_t max_connections = 32;
+constexpr std::size_t read_bytes = 1024;
+/// Questions have short heads and no body.
+constexpr request_limits limits{8192, 4096, 4096};
 constexpr const char* metrics_path = "/metrics";
 
 } // namespace
@@ -54,38 +57,86 @@
         auto socket = co_await m_acceptor.async_accept(into(ec));
         if (ec == asio::error::operation_aborted)
             co_return;
-        if (!ec)
-            spawn(m_io, "status_server.serve", serve(std::move(socket)));
+        if (ec)
+        {
+            co_await sleep_for(m_io, accept_retry);
+            continue;
+        }
+        if (m_connections.size() >= max_connections)
+            m_connections.front()->m_stream.close();
+        const auto caller = std::make_shared<connection>(std::move(socket));
+        m_connections.push_back(caller);
+        spawn(m_io, "status_server.serve", serve(caller));
+    }
+}
+
+task<bool> status_server::read_request(std::shared_ptr<connection> caller)
+{
+    auto& reader = caller->m_reader;
+    reader.begin(limits);
+    auto state = reader.advance();
+    std::array<char, read_bytes> piece;
+    while (state != reader_state::complete && state != reader_state::refused)
+    {
+        if (state != reader_state::head_complete)
+        {
+            error_code ec;
+            const auto count = co_await caller->m_stream.async_read_some(
+                asio::buffer(piece), into(ec));
+            if (ec)
+                co_return false;
+            reader.feed({piece.data(), count});
+        }
+        state = reader.advance();
     }
+    co_return true;
 }
 
-task<> status_server::serve(tcp::socket socket)
+task<> status_server::serve(std::shared_ptr<connection> caller)
 {
-    boost::beast::tcp_stream stream(std::move(socket));
-    boost::beast::flat_buffer buffer;
     bool keep_open = true;
     while (keep_open)
     {
-        error_code ec;
-        http::request<http::string_body> request;
-        stream.expires_after(idle_timeout);
-        co_await http::async_read(stream, buffer, request, into(ec));
-        if (ec)
+        // Also bounds how slowly a request may come, and an answer be read.
+        caller->m_stream.expires_after(idle_timeout);
+        const bool arrived = co_await read_request(caller);
+        if (!arrived)
             break;
-        http::response<http::string_body> response;
-        response.version(request.version());
-        if (request.target() == metrics_path)
-            response.body() = m_metrics();
-        else
-            response.result(m_ready() ? http::status::ok
-                                      : http::status::service_unavailable);
-        keep_open = request.keep_alive();
-        response.keep_alive(keep_open);
-        response.prepare_payload();
-        co_await http::async_write(stream, response, into(ec));
+        auto answer = answer_to(caller->m_reader);
+        keep_open = answer.keep_alive();
+        error_code ec;
+        co_await http::async_write(caller->m_stream, answer, into(ec));
         keep_open = keep_open && !ec;
+        // The connection that was used last is closed last.
+        m_connections.remove(caller);
+        m_connections.push_back(caller);
+    }
+    caller->m_stream.close();
+    m_connections.remove(caller);
+}
+
+http::response<http::string_body>
+status_server::answer_to(request_reader& reader) const
+{
+    http::response<http::string_body> out;
+    if (reader.state() == reader_state::refused)
+    {
+        out.result(reader.refusal().m_status);
+        out.body() = reader.refusal().m_reason;
+        out.keep_alive(false);
+        out.prepare_payload();
+        return out;
     }
-    stream.close();
+    const auto request = reader.release();
+    out.version(request.version());
+    if (request.target() == metrics_path)
+        out.body() = m_metrics();
+    else
+        out.result(m_ready() ? http::status::ok
+                             : http::status::service_unavailable);
+    out.keep_alive(request.keep_alive());
+    out.prepare_payload();
+    return out;
 }
 
 } // namespace pepperturn
