Empty chunked answers whose end comes in pieces end no VM

What callers saw: an edge VM ended when a runner's empty chunked answer came as "0 CR LF" and then one byte: the cause of the same end by callers, on the other side. Found by looking for it there; "an empty answer whose last chunk comes in pieces ends no VM" aborts on the code before.

Before the parser looks at a first chunk of size zero again, the shortest body has to be in the buffer.

--- a/src/forward/response_body.cpp
+++ b/src/forward/response_body.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "pepperturn/forward/response_body.hpp"
 
+#include "pepperturn/http/last_chunk.hpp"
+
 #include <array>
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/beast/http/read.hpp>
@@ -102,8 +104,12 @@
         error_code ec;
         if (gap_timeout)
             connection->m_stream.expires_after(*gap_timeout);
-        co_await http::async_read_some(connection->m_stream,
-                                       connection->m_buffer, parser, into(ec));
+        if (awaits_last_chunk(connection->m_buffer, parser))
+            co_await read_last_chunk(connection->m_stream, connection->m_buffer,
+                                     ec);
+        if (!ec)
+            co_await http::async_read_some(
+                connection->m_stream, connection->m_buffer, parser, into(ec));
         if (ec == http::error::need_buffer)
             ec = {};
         if (ec)
--- a/src/http/request_reader.cpp
+++ b/src/http/request_reader.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "pepperturn/http/request_reader.hpp"
 
+#include "pepperturn/http/last_chunk.hpp"
 #include "pepperturn/http/request_framing.hpp"
 
 #include <algorithm>
@@ -21,9 +22,6 @@
 /// The text of a head is kept once by the parser and once for a runner; what is
 /// decoded from a list of numbers takes up to four times its text.
 constexpr std::size_t head_copies = 6;
-/// Of the shortest chunked body. Given less of a body that ends with its first
-/// chunk, the library's parser fails an assertion, which ends the process.
-constexpr std::size_t least_chunked_bytes = 5;
 constexpr unsigned bad_request = 400;
 constexpr unsigned body_too_large = 413;
 constexpr unsigned head_too_large = 431;
--- a/test/fleet/test_proxy.cpp
+++ b/test/fleet/test_proxy.cpp
@@ -265,6 +265,25 @@
     CHECK(edge.m_first.requests().back().ends_with("\r\n\r\nsmall"));
 }
 
+TEST_CASE("an empty answer whose last chunk comes in pieces ends no VM",
+          "[proxy]")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nPepperturn-Call: ID\r\n"
+                             "Pepperturn-Signature: s\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n";
+    fixture edge;
+    runner_step piecewise{head + "0\r\n"};
+    piecewise.m_delay = milliseconds(50);
+    // The line feed never comes.
+    piecewise.m_surplus = "\r";
+    edge.m_first.script({piecewise});
+    edge.m_second.script({piecewise});
+    CHECK_FALSE(has(edge.ask(fixture::post("/once/", "x"), "\r\n\r\n"), "200"));
+    edge.m_first.script({{whole_answer(200, "next")}});
+    edge.m_second.script({{whole_answer(200, "next")}});
+    CHECK(has(edge.ask(fixture::post("/once/", "x"), "next"), "200"));
+}
+
 TEST_CASE("a caller that disconnects ends its run, unless it is unrepeatable",
           "[proxy]")
 {
