Callers' connections and heads are accounted and give way: held heads, idle connections

What callers saw: an edge VM ended for memory under 4,500 unfinished heads, or 457 whole heads of short fields with their bodies held back; and no ordinary call was answered while 5,000 idle connections took every descriptor.

Cause: the account of buffered bytes knew bodies and answers. Unparsed heads, parsed fields (96 bytes and more each, of three bytes of text), connections and their descriptors were in no account; idle connections were each given 8 KB to read into.

Connections and heads have a bound of their own in the account, reserved before a head is parsed and before bytes are kept. Callers have half of the descriptors beside the VM's own, runners the other half. Who uses a place least gives way (scheduling/connection_pressure decides, forward/caller_table carries it out): refused, silent and resting connections, then the incomplete request that holds most for longest, which is answered 503, true. A complete request keeps its connection. A refusal's rest is read for 0.5 s whatever the status, so that the close does not discard it. Idle connections to runners hold no buffer and are closed once they are usable no more; freed memory is returned to the system.

--- a/include/pepperturn/config/fleet_settings.hpp
+++ b/include/pepperturn/config/fleet_settings.hpp
@@ -58,6 +58,8 @@
     std::uint32_t m_memory_mb = 0;
     /// Descriptors that the process may have open; 0: its own limit.
     std::uint32_t m_descriptors = 0;
+    /// Callers' connections from one address at once; 0: as many as in all.
+    std::uint32_t m_connections_per_address = 0;
     /// From the order to stop until the process is killed.
     std::uint32_t m_grace_s = 8;
 
--- a/include/pepperturn/forward/buffer_budget.hpp
+++ b/include/pepperturn/forward/buffer_budget.hpp
@@ -5,6 +5,8 @@
 ///
 /// Memory is reserved before bytes arrive. Buffered bytes and the reservations
 /// beyond them never exceed the bound together, whatever the order of requests.
+/// Connections, and what is read of requests beside their bodies, have a bound
+/// of their own, so that neither they nor responses take the other's memory.
 #pragma once
 
 #include "pepperturn/scheduling/memory_pressure.hpp"
@@ -32,10 +34,20 @@
     /// Kernel buffers of a response that is not read on for lack of memory.
     receive_buffer,
     /// What a caller has not read, kernel buffers included.
-    undelivered
+    undelivered,
+    /// A connection without a request.
+    connection,
+    /// The head of a request, raw and parsed, and what is decoded from it.
+    head
 };
 
-constexpr std::size_t buffer_kind_count = 6;
+constexpr std::size_t buffer_kind_count = 8;
+
+/// Whether \p kind counts to the bound of connections and heads.
+[[nodiscard]] constexpr bool is_intake(buffer_kind kind)
+{
+    return kind == buffer_kind::connection || kind == buffer_kind::head;
+}
 
 [[nodiscard]] const char* to_string(buffer_kind kind);
 
@@ -48,6 +60,20 @@
     explicit buffer_budget(std::uint64_t bound) : m_bound(bound) {}
 
     void set_bound(std::uint64_t bound);
+    /// Of connections and heads together; without a call, there is none.
+    void set_intake_bound(std::uint64_t bound)
+    {
+        m_intake_bound = bound;
+    }
+    [[nodiscard]] std::uint64_t intake_bound() const
+    {
+        return m_intake_bound;
+    }
+    /// Bytes of connections and heads.
+    [[nodiscard]] std::uint64_t intake() const
+    {
+        return m_intake;
+    }
     [[nodiscard]] std::uint64_t bound() const
     {
         return m_bound;
@@ -66,6 +92,21 @@
     {
         return m_peak;
     }
+    /// Highest number of bytes of all kinds since the last \ref
+    /// begin_recent_peak.
+    [[nodiscard]] std::uint64_t recent_peak() const
+    {
+        return m_recent_peak;
+    }
+    void begin_recent_peak()
+    {
+        m_recent_peak = all();
+    }
+    /// Bytes of all kinds.
+    [[nodiscard]] std::uint64_t all() const
+    {
+        return m_total + m_intake;
+    }
     [[nodiscard]] std::uint64_t workspace_bytes(const std::string& name) const;
     [[nodiscard]] std::uint64_t kind_bytes(buffer_kind kind) const;
     [[nodiscard]] pressure_level level() const
@@ -119,9 +160,12 @@
     void update_level();
 
     std::uint64_t m_bound;
+    std::uint64_t m_intake_bound = UINT64_MAX;
+    std::uint64_t m_intake = 0;
     std::uint64_t m_total = 0;
     std::uint64_t m_committed = 0;
     std::uint64_t m_peak = 0;
+    std::uint64_t m_recent_peak = 0;
     std::array<std::uint64_t, buffer_kind_count> m_by_kind{};
     /// Only workspaces with buffered bytes.
     std::map<std::string, std::uint64_t> m_by_workspace;
@@ -163,7 +207,12 @@
     void end_reservation(buffer_kind kind);
     /// Attributes the bytes to a workspace; empty: to none.
     void set_workspace(const std::string& name);
+    /// Of all kinds but connections and heads.
     [[nodiscard]] std::uint64_t total() const;
+    [[nodiscard]] std::uint64_t buffered(buffer_kind kind) const
+    {
+        return m_buffered.at(static_cast<std::size_t>(kind));
+    }
 
     /// The response is blocked on memory while it is buffered, until \ref
     /// clear_blocked. Requests proceed in order of arrival: otherwise all could
--- a/include/pepperturn/forward/caller_connection.hpp
+++ b/include/pepperturn/forward/caller_connection.hpp
@@ -9,6 +9,7 @@
 
 #include "pepperturn/base/async.hpp"
 #include "pepperturn/forward/answer_end.hpp"
+#include "pepperturn/forward/caller_table.hpp"
 #include "pepperturn/forward/exchange.hpp"
 #include "pepperturn/forward/memory_guard.hpp"
 #include "pepperturn/http/request_reader.hpp"
@@ -47,8 +48,10 @@
     static constexpr int send_buffer_bytes = 16 << 10;
     static constexpr int receive_buffer_bytes = 32 << 10;
 
+    /// \param slot its place among the connections of the VM
     caller_connection(asio::io_context& io, const clock& time,
-                      memory_guard& memory, tcp::socket socket);
+                      memory_guard& memory, caller_table& table,
+                      std::unique_ptr<caller_slot> slot, tcp::socket socket);
 
     [[nodiscard]] task<read_result> read_request(caller_limits limits);
     /// IP of the caller; empty: it has disconnected.
@@ -142,24 +145,34 @@
     /// The bytes that have arrived, or \p ec; they are valid until the next
     /// call for any connection.
     task<std::string_view> read_piece(error_code& ec);
-    /// Accounts for the body that the head announces.
+    /// Goes on with a request whose head has arrived.
     /// \returns false if there is no memory for it
-    [[nodiscard]] bool reserve_announced();
-    /// The same for what \p bytes more of it take.
-    [[nodiscard]] bool reserve_piece(std::size_t bytes);
+    [[nodiscard]] bool begin_body();
+    /// Adds bytes to the request.
+    /// \returns false if there is no memory for them
+    [[nodiscard]] bool take_piece(std::string_view bytes);
+    /// Accounts for \p bytes of \p kind in all, for which incomplete requests
+    /// of others may be given up.
+    [[nodiscard]] bool hold(buffer_kind kind, std::size_t bytes);
+    /// Gives up the request that is arriving, so that others have room.
+    void give_up();
     /// Asks for the body if the caller waits for that.
     /// \returns false if the caller has left
     task<bool> confirm_expectation();
-    [[nodiscard]] read_result read_failed(const error_code& ec) const;
+    [[nodiscard]] read_result read_failed(const error_code& ec);
     [[nodiscard]] read_result closed(const error_code& ec,
                                      bool timed_out) const;
-    [[nodiscard]] read_result no_memory() const;
+    [[nodiscard]] read_result refuse(request_refusal why);
+    /// The request that has arrived, or its refusal.
+    [[nodiscard]] read_result take_request();
 
     /// Cancels a pending read after \p timeout and sets \ref m_read_timed_out.
     void set_read_timeout(milliseconds timeout);
 
     const clock& m_time;
     memory_guard& m_memory;
+    caller_table& m_table;
+    std::unique_ptr<caller_slot> m_slot;
     boost::beast::tcp_stream m_stream;
     asio::steady_timer m_read_timer;
     asio::steady_timer m_write_timer;
@@ -176,6 +189,8 @@
     bool m_read_timed_out = false;
     request_reader m_reader;
     bool m_idle = true;
+    /// A request has arrived completely.
+    bool m_used = false;
     std::uint64_t m_watch_generation = 0;
 };
 
--- a/include/pepperturn/forward/memory_guard.hpp
+++ b/include/pepperturn/forward/memory_guard.hpp
@@ -48,6 +48,9 @@
     /// \returns false if there is none by \p deadline
     [[nodiscard]] task<bool> wait_for_delivery_capacity(std::uint64_t bytes,
                                                         instant deadline);
+    /// Whether much memory has been freed since this last returned true, so
+    /// that it is worth being returned to the system.
+    [[nodiscard]] bool freed_much();
     /// Counts a request that was refused for lack of memory.
     void count_refused_request()
     {
@@ -69,6 +72,7 @@
     asio::io_context& m_io;
     const clock& m_time;
     std::shared_ptr<buffer_budget> m_budget;
+    instant m_last_freed{};
     std::uint64_t m_refused_requests = 0;
     std::array<std::uint64_t, buffer_kind_count> m_refused_reservations{};
     /// When a refusal of each kind was last logged.
--- a/include/pepperturn/forward/proxy.hpp
+++ b/include/pepperturn/forward/proxy.hpp
@@ -81,6 +81,13 @@
     {
         m_memory.set_memory(memory_mb);
     }
+    /// To be called some times a second: closes connections that are of no use.
+    /// \returns whether much memory has been freed since this last did so
+    [[nodiscard]] bool tick();
+    /// Shares the descriptors of the process between callers and runners.
+    /// \param descriptors that the process may have open
+    /// \param per_address callers' connections from one address; 0: any
+    void set_descriptor_limit(std::size_t descriptors, std::size_t per_address);
     [[nodiscard]] const buffer_budget& buffered() const
     {
         return *m_memory.budget();
@@ -243,6 +250,8 @@
     /// \param restarted ids of restarted runners
     void close_unused_connections(const std::vector<std::string>& restarted);
     task<> accept_callers();
+    /// Of the caller; empty unless addresses are counted.
+    [[nodiscard]] std::string address_of(const tcp::socket& socket) const;
     task<> serve_connection(std::shared_ptr<caller_connection> caller);
     task<> refuse_unread_request(std::shared_ptr<caller_connection> caller,
                                  read_result read);
@@ -419,7 +428,10 @@
     std::string m_availability_zone;
     turn_client& m_turns;
     tcp::acceptor m_acceptor;
+    /// Since memory was last returned.
+    std::size_t m_closed_runner_connections = 0;
     memory_guard m_memory;
+    caller_table m_caller_table;
     upstream_pool m_pool;
     runner_table m_runners;
     crash_guard m_crashes;
--- a/include/pepperturn/forward/upstream_pool.hpp
+++ b/include/pepperturn/forward/upstream_pool.hpp
@@ -31,6 +31,8 @@
     instant m_usable_until{};
     bool m_idle = false;
     bool m_reused = false;
+    /// Counts the connection as open until it is closed or destroyed.
+    std::shared_ptr<const void> m_counted;
 };
 
 class upstream_pool
@@ -62,6 +64,18 @@
     /// false.
     void retain(const std::function<bool(const std::string&)>& keep);
 
+    /// Closes the idle connections that are usable no more.
+    /// \returns their number
+    std::size_t close_expired();
+    /// \param connections at most, as long as idle ones can be closed for new
+    /// ones
+    void set_limit(std::size_t connections)
+    {
+        m_limit = connections;
+    }
+    /// Appends metrics, one line each.
+    void write_metrics(std::string& out) const;
+
     [[nodiscard]] asio::io_context& io() const
     {
         return m_io;
@@ -72,14 +86,27 @@
     }
 
 private:
+    [[nodiscard]] std::size_t open_connections() const;
+    using idle_rows =
+        std::map<std::string, std::deque<std::shared_ptr<upstream_connection>>>;
+
+    /// Closes the idle connection that is usable for the shortest time.
+    /// \returns false if there is none
+    bool close_idle();
+    /// Closes the connection of \p row that became idle first.
+    /// \returns the row behind it if that was its last
+    idle_rows::iterator close_first(idle_rows::iterator row);
     void watch(const std::string& runner,
                const std::shared_ptr<upstream_connection>& connection);
 
     asio::io_context& m_io;
     const clock& m_time;
-    std::map<std::string, std::deque<std::shared_ptr<upstream_connection>>>
-        m_idle;
+    idle_rows m_idle;
     std::uint64_t m_opened = 0;
+    std::size_t m_limit = SIZE_MAX;
+    /// Connections that are open or being opened; each holds a reference to it.
+    std::shared_ptr<const int> m_open = std::make_shared<const int>();
+    std::uint64_t m_closed_for_room = 0;
 };
 
 } // namespace pepperturn
--- a/include/pepperturn/http/request_reader.hpp
+++ b/include/pepperturn/http/request_reader.hpp
@@ -51,7 +51,7 @@
 /// Why a request is refused.
 struct request_refusal
 {
-    /// 400, 413 or 431.
+    /// 400, 413 or 431, unless it was dropped.
     unsigned m_status = 400;
     std::string m_reason;
 
@@ -86,6 +86,9 @@
     /// reader_state::head_complete, so that memory can be reserved.
     reader_state advance();
 
+    /// Refuses the request from outside, and frees what is held for it.
+    void drop(request_refusal why);
+
     [[nodiscard]] reader_state state() const
     {
         return m_state;
--- a/src/config/fleet_settings.cpp
+++ b/src/config/fleet_settings.cpp
@@ -69,6 +69,9 @@
                 boost::algorithm::split(out.m_seeds, seeds,
                                         boost::algorithm::is_any_of(","));
         }
+        else if (name == "callers")
+            reader.read("connections_per_address",
+                        out.m_connections_per_address, 0, most_descriptors);
         else if (name == "storage")
         {
             reader.read("folder", out.m_data_folder);
--- a/src/fleet/edge_node.cpp
+++ b/src/fleet/edge_node.cpp
@@ -4,6 +4,7 @@
 #include "pepperturn/base/hash.hpp"
 #include "pepperturn/base/latency_histogram.hpp"
 #include "pepperturn/base/memory_release.hpp"
+#include "pepperturn/base/process_limits.hpp"
 
 #include <algorithm>
 #include <glog/logging.h>
@@ -118,6 +119,8 @@
         return false;
     m_metrics.listen_optional(m_settings.m_metrics_address);
     m_proxy.set_memory_limit(m_settings.m_memory_mb);
+    m_proxy.set_descriptor_limit(descriptor_limit(m_settings.m_descriptors),
+                                 m_settings.m_connections_per_address);
     m_proxy.enable_workspace_admission(
         {[this] { return config_age(); }, m_staleness_limits, &m_quota});
     m_proxy.set_zones(m_settings.m_zones);
@@ -430,7 +433,8 @@
 
 void edge_node::tick()
 {
-    if (std::exchange(m_memory_freed, false))
+    const bool callers_freed = m_proxy.tick();
+    if (std::exchange(m_memory_freed, false) || callers_freed)
         return_freed_memory();
     confirm_config();
     choose_source();
--- a/src/forward/buffer_budget.cpp
+++ b/src/forward/buffer_budget.cpp
@@ -2,7 +2,6 @@
 #include "pepperturn/forward/buffer_budget.hpp"
 
 #include <algorithm>
-#include <numeric>
 #include <utility>
 
 namespace pepperturn {
@@ -32,6 +31,10 @@
         return "incoming";
     case buffer_kind::undelivered:
         return "unread";
+    case buffer_kind::connection:
+        return "connection";
+    case buffer_kind::head:
+        return "head";
     }
     return "unknown";
 }
@@ -55,6 +58,8 @@
 
 bool buffer_budget::fits(buffer_kind kind, std::uint64_t bytes) const
 {
+    if (is_intake(kind))
+        return m_intake + bytes <= m_intake_bound;
     const auto use = kind == buffer_kind::undelivered ? memory_use::delivery
                                                       : memory_use::work;
     return m_committed + bytes <= reservation_limit(use, m_bound);
@@ -69,7 +74,7 @@
             m_on_refused(kind, after - before);
         return false;
     }
-    m_committed += after - before;
+    (is_intake(kind) ? m_intake : m_committed) += after - before;
     return true;
 }
 
@@ -78,8 +83,12 @@
 {
     if (before == after)
         return;
-    m_total += after - before;
     m_by_kind.at(index_of(kind)) += after - before;
+    if (!is_intake(kind))
+        m_total += after - before;
+    m_recent_peak = std::max(m_recent_peak, all());
+    if (is_intake(kind))
+        return;
     count_workspace(workspace, before, after);
     m_peak = std::max(m_peak, m_total);
     update_level();
@@ -190,8 +199,10 @@
 
 std::uint64_t buffer_account::total() const
 {
-    return std::accumulate(m_buffered.begin(), m_buffered.end(),
-                           std::uint64_t{0});
+    std::uint64_t out = 0;
+    for (std::size_t i = 0; i < buffer_kind_count; ++i)
+        out += is_intake(static_cast<buffer_kind>(i)) ? 0 : m_buffered.at(i);
+    return out;
 }
 
 void buffer_account::mark_blocked()
--- a/src/forward/caller_connection.cpp
+++ b/src/forward/caller_connection.cpp
@@ -27,21 +27,14 @@
 constexpr milliseconds discard_timeout{500};
 /// A body of the maximum size arrives in this time over a slow link.
 constexpr milliseconds body_timeout{10000};
+constexpr unsigned unavailable = 503;
+constexpr const char* no_memory_reason = "not enough memory for the request";
 request_limits limits_of(const caller_limits& limits)
 {
     return {limits.m_max_header_bytes, limits.m_max_body_bytes,
             limits.m_max_header_bytes};
 }
 
-read_result refusal(request_refusal why)
-{
-    read_result out;
-    out.m_outcome = read_outcome::refused;
-    out.m_status = why.m_status;
-    out.m_reason = std::move(why.m_reason);
-    return out;
-}
-
 std::string head_text(const upstream_response& response, bool keep_alive)
 {
     const auto reason =
@@ -79,9 +72,11 @@
 }
 
 caller_connection::caller_connection(asio::io_context& io, const clock& time,
-                                     memory_guard& memory, tcp::socket socket)
-    : m_time(time), m_memory(memory), m_stream(std::move(socket)),
-      m_read_timer(io), m_write_timer(io),
+                                     memory_guard& memory, caller_table& table,
+                                     std::unique_ptr<caller_slot> slot,
+                                     tcp::socket socket)
+    : m_time(time), m_memory(memory), m_table(table), m_slot(std::move(slot)),
+      m_stream(std::move(socket)), m_read_timer(io), m_write_timer(io),
       m_buffered(std::make_shared<buffer_account>(memory.budget())),
       m_reader(request_limits{})
 {
@@ -89,6 +84,7 @@
     // Writes are tried at once and wait only if the caller does not read.
     error_code ignored;
     m_stream.socket().non_blocking(true, ignored);
+    m_slot->set_actions({[this] { m_stream.close(); }, [this] { give_up(); }});
 }
 
 std::string caller_connection::address() const
@@ -107,53 +103,83 @@
     m_streaming = false;
     m_side = caller_side::open;
     m_answer_bytes = 0;
+    if (!m_idle)
+        m_slot->enter(caller_phase::receiving, m_buffered);
+    else if (m_used)
+        m_slot->enter(caller_phase::resting, nullptr);
     // Not the stream's own expiry, which closes the socket: a slow caller
     // receives a response with the reason.
     set_read_timeout(m_idle ? limits.m_idle_timeout : limits.m_header_timeout);
     auto state = m_reader.advance();
-    while (state != reader_state::complete)
+    while (state != reader_state::complete && state != reader_state::refused)
     {
-        if (state == reader_state::refused)
-            co_return refusal(m_reader.refusal());
         if (state == reader_state::head_complete)
         {
             set_read_timeout(body_timeout);
-            state = m_reader.advance();
-            // The whole body is accounted for before any of it is read.
-            if (state != reader_state::refused && !reserve_announced())
-                co_return no_memory();
+            const bool room = begin_body();
+            if (!room)
+                co_return refuse({unavailable, no_memory_reason});
             const bool confirmed = co_await confirm_expectation();
             if (!confirmed)
                 co_return closed(asio::error::connection_reset, false);
+            state = m_reader.state();
             continue;
         }
         error_code ec;
         const auto bytes = co_await read_piece(ec);
+        if (m_reader.state() == reader_state::refused)
+            break;
         if (ec)
             co_return read_failed(ec);
         if (std::exchange(m_idle, false))
+        {
             set_read_timeout(limits.m_header_timeout);
-        if (!reserve_piece(bytes.size()))
-            co_return no_memory();
-        m_reader.feed(bytes);
+            m_slot->enter(caller_phase::receiving, m_buffered);
+        }
+        const bool room = take_piece(bytes);
+        if (!room)
+            co_return refuse({unavailable, no_memory_reason});
         state = m_reader.advance();
     }
     m_read_timer.cancel();
+    co_return take_request();
+}
+
+read_result caller_connection::take_request()
+{
+    if (m_reader.state() == reader_state::refused)
+        return refuse(m_reader.refusal());
+    m_used = true;
+    m_slot->enter(caller_phase::serving, nullptr);
     read_result out;
     out.m_outcome = read_outcome::request;
+    // Never refused: they are no more than was accounted above.
+    (void)m_buffered->set(buffer_kind::head, m_reader.head_memory());
+    (void)m_buffered->set(buffer_kind::request, m_reader.body_memory());
     out.m_request = m_reader.release();
-    // Never refused: it is no more than was accounted above.
-    (void)m_buffered->set(buffer_kind::request, out.m_request.body().size());
-    co_return out;
+    return out;
+}
+
+read_result caller_connection::refuse(request_refusal why)
+{
+    m_slot->enter(caller_phase::refused, nullptr);
+    read_result out;
+    out.m_outcome = read_outcome::refused;
+    out.m_status = why.m_status;
+    out.m_reason = std::move(why.m_reason);
+    if (out.m_status == unavailable)
+        out.m_retry_after = retry_after_no_reply;
+    out.m_request.base() = m_reader.request().base();
+    return out;
 }
 
-read_result caller_connection::read_failed(const error_code& ec) const
+read_result caller_connection::read_failed(const error_code& ec)
 {
     constexpr unsigned timed_out = 408;
     if (m_read_timed_out && m_reader.state() == reader_state::body_incomplete)
-        return refusal({timed_out, "request body timed out"});
+        return refuse({timed_out, "request body timed out"});
     if (m_read_timed_out && !m_idle)
-        return refusal({timed_out, "request head timed out"});
+        return refuse({timed_out, "request head timed out"});
     return closed(ec, m_read_timed_out);
 }
 
@@ -166,33 +192,46 @@
     return out;
 }
 
-read_result caller_connection::no_memory() const
+bool caller_connection::hold(buffer_kind kind, std::size_t bytes)
 {
-    constexpr unsigned unavailable = 503;
-    auto out = refusal({unavailable, "not enough memory for the request body"});
-    out.m_retry_after = retry_after_no_reply;
-    out.m_request.base() = m_reader.request().base();
-    return out;
+    const auto held = m_buffered->buffered(kind);
+    const auto more = bytes > held ? bytes - held : 0;
+    return m_table.make_room(*m_slot, kind, more) &&
+           m_buffered->set(kind, bytes);
 }
 
-bool caller_connection::reserve_announced()
+bool caller_connection::begin_body()
 {
+    const bool parsed = hold(buffer_kind::head, m_reader.head_memory_after(0));
+    if (!parsed || m_reader.advance() == reader_state::refused)
+        return parsed;
+    // The whole body is accounted for before any of it is read.
     const auto bytes = m_reader.announced_bytes();
-    return m_memory.may_read_body(bytes) &&
-           m_buffered->set(buffer_kind::request, bytes);
+    return m_memory.may_read_body(bytes) && hold(buffer_kind::request, bytes);
 }
 
-bool caller_connection::reserve_piece(std::size_t bytes)
+bool caller_connection::take_piece(std::string_view bytes)
 {
-    if (m_reader.state() != reader_state::body_incomplete)
-        return true;
-    const auto size = m_reader.request().body().size();
     // Aborting a request that has not run loses the least work.
-    if (m_memory.level() == pressure_level::cutting &&
-        !m_memory.may_read_body(size))
+    if (m_reader.state() == reader_state::body_incomplete &&
+        m_memory.level() == pressure_level::cutting &&
+        !m_memory.may_read_body(m_reader.request().body().size()))
         return false;
-    return m_buffered->set(buffer_kind::request,
-                           m_reader.body_memory_after(bytes));
+    if (!hold(buffer_kind::head, m_reader.head_memory_after(bytes.size())) ||
+        !hold(buffer_kind::request, m_reader.body_memory_after(bytes.size())))
+        return false;
+    m_reader.feed(bytes);
+    return true;
+}
+
+void caller_connection::give_up()
+{
+    m_reader.drop({unavailable, no_memory_reason});
+    // A decrease is never refused.
+    (void)m_buffered->set(buffer_kind::head, 0);
+    (void)m_buffered->set(buffer_kind::request, 0);
+    error_code ignored;
+    m_stream.socket().cancel(ignored);
 }
 
 task<bool> caller_connection::confirm_expectation()
@@ -210,8 +249,7 @@
 {
     // Shared by all connections: one that waits holds no buffer. Nothing else
     // runs before the caller of this has used the bytes.
-    static thread_local std::array<char, request_reader::max_piece_bytes>
-        piece;
+    static thread_local std::array<char, request_reader::max_piece_bytes> piece;
     auto& socket = m_stream.socket();
     ec = asio::error::would_block;
     std::size_t count = 0;
--- a/src/forward/memory_guard.cpp
+++ b/src/forward/memory_guard.cpp
@@ -3,6 +3,7 @@
 
 #include "pepperturn/base/latency_histogram.hpp"
 #include "pepperturn/forward/upstream_pool.hpp"
+#include "pepperturn/scheduling/connection_pressure.hpp"
 
 #include <glog/logging.h>
 
@@ -21,6 +22,11 @@
 /// Shorter than the few seconds after which runners abort a response that is
 /// not read, longer than it takes to detect slow readers.
 constexpr milliseconds capacity_timeout{2500};
+/// Freed memory that is returned to the system: the allocator keeps it
+/// otherwise, since it lies between blocks that are in use.
+constexpr std::uint64_t returned_bytes = 4U << 20U;
+/// Between two returns, each of which walks through the heap.
+constexpr milliseconds return_interval{2000};
 /// Requests that wait for memory retry often; limits their log lines.
 constexpr milliseconds refusal_log_interval{1000};
 
@@ -59,6 +65,7 @@
 void memory_guard::set_memory(std::uint32_t memory_mb)
 {
     m_budget->set_bound(buffer_limit(memory_mb));
+    m_budget->set_intake_bound(intake_limit(memory_mb));
 }
 
 bool memory_guard::may_read_body(std::uint64_t body) const
@@ -146,6 +153,17 @@
               << " waiting=" << m_budget->waiting_accounts().size();
 }
 
+bool memory_guard::freed_much()
+{
+    const auto now = m_time.now();
+    if (m_budget->all() + returned_bytes > m_budget->recent_peak() ||
+        elapsed(m_last_freed, now) < return_interval)
+        return false;
+    m_last_freed = now;
+    m_budget->begin_recent_peak();
+    return true;
+}
+
 task<> memory_guard::disconnect_slow_readers()
 {
     while (level() == pressure_level::cutting)
--- a/src/forward/proxy.cpp
+++ b/src/forward/proxy.cpp
@@ -37,7 +37,8 @@
              std::string availability_zone, turn_client& turns)
     : m_io(io), m_time(time), m_names(std::move(names)),
       m_availability_zone(std::move(availability_zone)), m_turns(turns),
-      m_acceptor(io), m_memory(io, time), m_pool(io, time),
+      m_acceptor(io), m_memory(io, time),
+      m_caller_table(time, m_memory.budget()), m_pool(io, time),
       m_crashes(time, access_through(turns)),
       m_examiner(io, time, m_pool, m_runners, m_crashes, m_metrics),
       m_gate(io, time), m_started(time.now())
@@ -119,6 +120,17 @@
     m_acceptor.close(ignored);
 }
 
+bool proxy::tick()
+{
+    // Each leaves a gap of a page or more in the heap.
+    constexpr std::size_t many_connections = 64;
+    m_closed_runner_connections += m_pool.close_expired();
+    const bool many = m_closed_runner_connections >= many_connections;
+    if (many)
+        m_closed_runner_connections = 0;
+    return m_memory.freed_much() || many;
+}
+
 void proxy::close_idle()
 {
     for (const auto& caller : std::set(m_callers))
@@ -140,13 +152,39 @@
             co_await sleep_for(m_io, accept_retry);
             continue;
         }
+        auto slot = m_caller_table.admit(address_of(socket));
+        // Closed unread: its caller may send the request elsewhere.
+        if (!slot)
+            continue;
         auto caller = std::make_shared<caller_connection>(
-            m_io, m_time, m_memory, std::move(socket));
+            m_io, m_time, m_memory, m_caller_table, std::move(slot),
+            std::move(socket));
         m_callers.insert(caller);
         spawn(m_io, "proxy.serve", serve_connection(caller));
     }
 }
 
+std::string proxy::address_of(const tcp::socket& socket) const
+{
+    if (!m_caller_table.counts_addresses())
+        return {};
+    error_code ec;
+    const auto endpoint = socket.remote_endpoint(ec);
+    return ec ? std::string{} : endpoint.address().to_string();
+}
+
+void proxy::set_descriptor_limit(std::size_t descriptors,
+                                 std::size_t per_address)
+{
+    const auto shares = share_descriptors(descriptors);
+    m_caller_table.set_limits(shares.m_callers, per_address);
+    m_pool.set_limit(shares.m_runners);
+    LOG(INFO) << "event=descriptors_shared all=" << descriptors
+              << " callers=" << shares.m_callers
+              << " runners=" << shares.m_runners << " own=" << shares.m_own
+              << " per_address=" << per_address;
+}
+
 task<> proxy::serve_connection(std::shared_ptr<caller_connection> caller)
 {
     if (m_memory.level() != pressure_level::calm)
@@ -198,7 +236,7 @@
               << read.m_reason << "\" held=" << held;
     if (!sent)
         m_metrics.count("refusals_unsent");
-    if (sent && read.m_retry_after)
+    if (sent)
         co_await caller->discard_rest_of_request();
 }
 
@@ -206,6 +244,8 @@
 {
     auto out = m_metrics.text();
     m_memory.write_metrics(out);
+    m_caller_table.write_metrics(out);
+    m_pool.write_metrics(out);
     write_metric(out, "config_version", m_config ? m_config->m_version : 0);
     write_metric(out, "runners", m_runners.size());
     write_metric(out, "runners_usable", m_runners.usable_count());
--- a/src/forward/upstream_pool.cpp
+++ b/src/forward/upstream_pool.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "pepperturn/forward/upstream_pool.hpp"
 
+#include "pepperturn/base/latency_histogram.hpp"
+
 #include <algorithm>
 #include <sys/socket.h>
 
@@ -61,6 +63,9 @@
     const auto endpoint = parse_endpoint(address, error);
     if (error)
         co_return nullptr;
+    while (open_connections() >= m_limit && close_idle())
+        ++m_closed_for_room;
+    const std::shared_ptr<const void> counted = m_open;
     boost::beast::tcp_stream stream(m_io);
     stream.expires_after(timeout);
     ++m_opened;
@@ -70,7 +75,57 @@
     stream.expires_never();
     tune_socket(stream.socket(), unresponsive_timeout);
     bound_buffers(stream.socket(), send_buffer_bytes, receive_buffer_bytes);
-    co_return std::make_shared<upstream_connection>(std::move(stream));
+    auto out = std::make_shared<upstream_connection>(std::move(stream));
+    out->m_counted = counted;
+    co_return out;
+}
+
+std::size_t upstream_pool::open_connections() const
+{
+    return static_cast<std::size_t>(m_open.use_count()) - 1;
+}
+
+bool upstream_pool::close_idle()
+{
+    auto chosen = m_idle.end();
+    for (auto row = m_idle.begin(); row != m_idle.end(); ++row)
+    {
+        if (chosen == m_idle.end() ||
+            row->second.front()->m_usable_until <
+                chosen->second.front()->m_usable_until)
+            chosen = row;
+    }
+    if (chosen == m_idle.end())
+        return false;
+    close_first(chosen);
+    return true;
+}
+
+upstream_pool::idle_rows::iterator
+upstream_pool::close_first(idle_rows::iterator row)
+{
+    const auto connection = std::move(row->second.front());
+    row->second.pop_front();
+    connection->m_idle = false;
+    connection->m_counted = nullptr;
+    connection->m_stream.close();
+    return row->second.empty() ? m_idle.erase(row) : row;
+}
+
+std::size_t upstream_pool::close_expired()
+{
+    std::size_t closed = 0;
+    for (auto row = m_idle.begin(); row != m_idle.end();)
+    {
+        if (m_time.now() < row->second.front()->m_usable_until)
+        {
+            ++row;
+            continue;
+        }
+        row = close_first(row);
+        ++closed;
+    }
+    return closed;
 }
 
 void upstream_pool::put_back(const std::string& runner,
@@ -80,6 +135,9 @@
     connection->m_usable_until = m_time.now() + usable_for;
     connection->m_idle = true;
     connection->m_stream.expires_never();
+    // An idle connection holds no buffer.
+    if (connection->m_buffer.size() == 0)
+        connection->m_buffer.shrink_to_fit();
     watch(runner, connection);
     m_idle[runner].push_back(std::move(connection));
 }
@@ -103,6 +161,12 @@
         });
 }
 
+void upstream_pool::write_metrics(std::string& out) const
+{
+    write_metric(out, "runner_connections", open_connections());
+    write_metric(out, "runner_connections_closed_for_room", m_closed_for_room);
+}
+
 void upstream_pool::retain(const std::function<bool(const std::string&)>& keep)
 {
     std::erase_if(m_idle, [&](const auto& row) {
--- a/src/http/request_reader.cpp
+++ b/src/http/request_reader.cpp
@@ -48,7 +48,8 @@
 /// Memory of a string: a short one is stored within itself.
 std::size_t memory_of(const std::string& text)
 {
-    return text.capacity() < least_capacity ? 0 : text.capacity();
+    static const auto stored_within = std::string().capacity();
+    return text.capacity() <= stored_within ? 0 : text.capacity();
 }
 
 } // namespace
@@ -250,6 +251,14 @@
                "chunk size line or trailer section exceeds the limit");
 }
 
+void request_reader::drop(request_refusal why)
+{
+    m_state = reader_state::refused;
+    m_refusal = std::move(why);
+    m_parser = nullptr;
+    std::string().swap(m_pending);
+}
+
 void request_reader::refuse(unsigned status, std::string reason)
 {
     m_state = reader_state::refused;
--- a/test/fleet/test_readers.cpp
+++ b/test/fleet/test_readers.cpp
@@ -379,8 +379,9 @@
     auto accepted = acceptor.accept();
     bound_buffers(accepted, caller_connection::send_buffer_bytes,
                   caller_connection::receive_buffer_bytes);
+    caller_table table(time, memory.budget());
     const auto connection = std::make_shared<caller_connection>(
-        io, time, memory, std::move(accepted));
+        io, time, memory, table, table.admit({}), std::move(accepted));
     constexpr milliseconds allowed{100};
     connection->set_write_deadline(time.now() + allowed);
     const auto response = text_response(200, std::string(8 * megabyte, 'b'));
