The own interface reads within limits: heads, bodies and trailers without end, halves, idle connections

What callers saw: pepperturnd ended under 24 clients that sent a head, a chunked body or a trailer section without end (1.9 to 3.9 GB in 2 s); half a body whose client had left was never given back, descriptor and memory; 5,000 connections that said nothing left no ordinary call answered, and none was ever closed.

Cause: cpprestsdk's listener reads without a limit, beneath any handler, and waits for ever for what its client does not send.

--- a/apps/pepperturn_standin.cpp
+++ b/apps/pepperturn_standin.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: BSL-1.0
 // Stand-ins of what the system meets outside, for tests and experiments.
+#include "pepperturn/net/http_client.hpp"
 #include "pepperturn/net/http_server.hpp"
 #include "pepperturn/standin/servers.hpp"
 
--- a/apps/pepperturnd.cpp
+++ b/apps/pepperturnd.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSL-1.0
 // The daemon: every role of one VM.
 #include "pepperturn/daemon/front.hpp"
+#include "pepperturn/net/http_client.hpp"
 
 #include <csignal>
 #include <cxxopts.hpp>
--- a/include/pepperturn/net/http_client.hpp
+++ b/include/pepperturn/net/http_client.hpp
@@ -42,6 +42,9 @@
     std::string m_reason;
 };
 
+/// Threads that run the callbacks; once, before any other use of the client.
+void start_http_threads(unsigned count);
+
 using http_done = std::function<void(const http_result&)>;
 
 /// Fetches the whole reply. A series of events is complete only if its last
--- a/include/pepperturn/net/http_server.hpp
+++ b/include/pepperturn/net/http_server.hpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: BSL-1.0
 /// \file
-/// A small face over cpprestsdk's HTTP listener, so that its headers stay in
-/// one file.
+/// The HTTP listener of the project's own interface. Requests are read within
+/// limits, so that no client decides what this process holds.
 #pragma once
 
 #include <cstdint>
@@ -55,6 +55,13 @@
     std::uint64_t m_max_body_bytes = 4U << 20U;
     std::uint64_t m_max_header_bytes = 16384;
     std::uint64_t m_max_unread_bytes = 1U << 20U;
+    /// Connections at once; 0: half of the descriptors of the process. One that
+    /// serves no request is closed for a new one.
+    std::size_t m_max_connections = 0;
+    /// Bytes of all requests together; as many for heads and connections.
+    std::uint64_t m_max_buffered_bytes = 256U << 20U;
+    /// That run the handler.
+    unsigned m_threads = 8;
     /// PEM files; empty: plain HTTP.
     std::string m_certificate;
     std::string m_key;
@@ -77,8 +84,4 @@
 open_http_server(const http_server_options& options,
                  const http_handler& handler, std::string& reason);
 
-/// Threads that run handlers and client callbacks; once, before any other
-/// use of HTTP in the process.
-void start_http_threads(unsigned count);
-
 } // namespace pepperturn
--- a/src/daemon/front.cpp
+++ b/src/daemon/front.cpp
@@ -78,6 +78,9 @@
     options.m_port = m_settings.m_vm.m_http_port;
     options.m_max_body_bytes = m_settings.m_callers.m_max_body_bytes;
     options.m_max_unread_bytes = m_settings.m_callers.m_max_unread_bytes;
+    options.m_max_connections = m_settings.m_callers.m_max_connections;
+    options.m_max_buffered_bytes = m_settings.m_callers.m_max_buffered_bytes;
+    options.m_threads = m_settings.m_vm.m_http_threads;
     options.m_certificate = m_settings.m_tls.m_http_certificate;
     options.m_key = m_settings.m_tls.m_http_key;
     m_server = open_http_server(
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -8,6 +8,7 @@
 #include <boost/algorithm/string/predicate.hpp>
 #include <cpprest/http_client.h>
 #include <mutex>
+#include <pplx/threadpool.h>
 
 namespace pepperturn {
 
@@ -263,4 +264,9 @@
         });
 }
 
+void start_http_threads(unsigned count)
+{
+    crossplat::threadpool::initialize_with_threads(count);
+}
+
 } // namespace pepperturn
