Listeners for VMs: links that say nothing give way

What was seen: connections that said nothing took every descriptor of a storage VM, and all places of an edge VM's relay listener, so that no VM got through. Cause: a link was kept from its accept on, whether its peer spoke or not.

At most 256 links of a storage VM and 16 of a relay listener may be silent; the one that has been silent for longest is closed for a new one. A VM sends its first frame as soon as it is connected.

--- a/include/pepperturn/cluster/frame_link.hpp
+++ b/include/pepperturn/cluster/frame_link.hpp
@@ -42,6 +42,11 @@
     {
         return m_open;
     }
+    /// Whether the peer has sent a frame.
+    [[nodiscard]] bool heard() const
+    {
+        return m_heard;
+    }
     /// Bytes that the peer has not taken yet, as far as this process holds
     /// them.
     [[nodiscard]] std::size_t queued_bytes() const
@@ -82,6 +87,7 @@
     async_event m_written;
     bool m_writing = false;
     bool m_open = true;
+    bool m_heard = false;
     bool m_protocol_violated = false;
 };
 
--- a/include/pepperturn/cluster/relay_server.hpp
+++ b/include/pepperturn/cluster/relay_server.hpp
@@ -14,6 +14,7 @@
 #include "pepperturn/cluster/frame_link.hpp"
 #include "pepperturn/cluster/list_sender.hpp"
 #include "pepperturn/cluster/relay_limits.hpp"
+#include "pepperturn/cluster/silent_links.hpp"
 
 #include <functional>
 #include <set>
@@ -94,6 +95,7 @@
     relay_limits m_limits;
     relay_budget m_budget;
     tcp::acceptor m_acceptor;
+    silent_links m_silent;
     std::set<std::shared_ptr<frame_link>> m_links;
     /// Links that subscribed to state updates.
     std::set<std::shared_ptr<frame_link>> m_subscribers;
--- a/include/pepperturn/turns/turn_server.hpp
+++ b/include/pepperturn/turns/turn_server.hpp
@@ -7,6 +7,7 @@
 #include "pepperturn/base/latency_histogram.hpp"
 #include "pepperturn/cluster/frame_link.hpp"
 #include "pepperturn/cluster/list_sender.hpp"
+#include "pepperturn/cluster/silent_links.hpp"
 #include "pepperturn/turns/turn_store.hpp"
 
 #include <boost/asio/thread_pool.hpp>
@@ -205,6 +206,7 @@
     turn_store& m_store;
     asio::thread_pool m_writer{1};
     tcp::acceptor m_acceptor;
+    silent_links m_silent;
     cluster_state m_state;
     cluster_view m_own_view;
     std::function<void(const state_change&)> m_on_change;
--- a/src/cluster/frame_link.cpp
+++ b/src/cluster/frame_link.cpp
@@ -163,6 +163,7 @@
             decode_received(std::string_view(buffer).substr(used, length));
         if (!value)
             return;
+        m_heard = true;
         used += length;
         // It is not held beside what the handler makes of it.
         if (is_long)
--- a/src/cluster/relay_server.cpp
+++ b/src/cluster/relay_server.cpp
@@ -12,6 +12,8 @@
 /// Connections beyond this number are closed: several times the requesters that
 /// choose one VM as their peer.
 constexpr std::size_t max_links = 64;
+/// More peers than connect at the same moment; those that speak have the rest.
+constexpr std::size_t max_silent_links = 16;
 /// At most one log line for violations in this time: a faulty peer reconnects
 /// at once.
 constexpr milliseconds log_interval{1000};
@@ -23,7 +25,7 @@
 relay_server::relay_server(asio::io_context& io, const clock& time, hooks what,
                            const relay_limits& limits)
     : m_io(io), m_time(time), m_hooks(std::move(what)), m_limits(limits),
-      m_acceptor(io),
+      m_acceptor(io), m_silent(max_silent_links),
       m_lists(io, time, {m_hooks.m_state, m_hooks.m_changes, [] { return 0; }})
 {}
 
@@ -64,6 +66,7 @@
                                                    max_relayed_request_bytes +
                                                        relay_frame_overhead);
     m_links.insert(link);
+    m_silent.add(link);
     const std::weak_ptr<frame_link> weak = link;
     link->start(
         [this, weak](frame value) {
--- a/src/turns/turn_server.cpp
+++ b/src/turns/turn_server.cpp
@@ -12,13 +12,15 @@
 /// Bytes that wait to be sent, to all VMs together, beyond which this VM reads
 /// no more turns from its disk: a fraction of the smallest memory.
 constexpr std::size_t max_unsent_bytes = 8U << 20U;
+/// More VMs than connect at the same moment.
+constexpr std::size_t max_silent_links = 256;
 
 } // namespace
 
 turn_server::turn_server(asio::io_context& io, const clock& time,
                          std::string name, turn_log& log, turn_store& store)
     : m_io(io), m_time(time), m_name(std::move(name)), m_log(log),
-      m_store(store), m_acceptor(io),
+      m_store(store), m_acceptor(io), m_silent(max_silent_links),
       m_lists(io, time,
               {[this]() -> const cluster_state& { return m_state; },
                [this] { return m_changes; },
@@ -77,6 +79,7 @@
     from->m_number = ++m_last_number;
     from->m_link = std::make_shared<frame_link>(m_io, std::move(socket));
     m_peers.insert(from);
+    m_silent.add(from->m_link);
     from->m_link->start(
         [this, from](frame value) { handle_frame(from, std::move(value)); },
         [this, from](const std::string&) {
@@ -88,6 +91,7 @@
 void turn_server::write_metrics(std::string& out) const
 {
     write_metric(out, "connected_vms", m_peers.size());
+    write_metric(out, "silent_links_closed", m_silent.closed());
     write_metric(out, "news_listeners",
                  static_cast<std::uint64_t>(std::count_if(
                      m_peers.begin(), m_peers.end(),
--- a/test/fleet/test_frame_link.cpp
+++ b/test/fleet/test_frame_link.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "pepperturn/cluster/frame_link.hpp"
+#include "pepperturn/cluster/silent_links.hpp"
 
 #include "support/fleet/loop.hpp"
 
@@ -122,3 +123,38 @@
     CHECK(received[1].m_status == frame_status::ok);
     CHECK(near->open());
 }
+
+TEST_CASE("links whose peers say nothing give way to others", "[frame_link]")
+{
+    constexpr std::size_t most = 3;
+    asio::io_context io(1);
+    silent_links silent(most);
+    std::vector<std::shared_ptr<frame_link>> links;
+    std::vector<std::unique_ptr<connected_pair>> pairs;
+    const auto accept = [&] {
+        pairs.push_back(std::make_unique<connected_pair>(io));
+        links.push_back(
+            std::make_shared<frame_link>(io, std::move(pairs.back()->m_near)));
+        silent.add(links.back());
+        links.back()->start([](const frame&) {}, [](const std::string&) {});
+    };
+    accept();
+    std::string reason;
+    const auto hello = encode_accepted_frame(
+        {1, 2, frame_status::ok, hello_message{"a"}}, reason);
+    asio::write(pairs[0]->m_far, asio::buffer(hello));
+    CHECK(run_until(io, [&] { return links[0]->heard(); }));
+    for (std::size_t i = 0; i < most; ++i)
+        accept();
+    CHECK(silent.closed() == 0);
+    accept();
+    CHECK(silent.closed() == 1);
+    CHECK(links[0]->open());
+    CHECK_FALSE(links[1]->open());
+    CHECK(links[2]->open());
+    CHECK(links.back()->open());
+    for (const auto& link : links)
+        link->close("over");
+    run_until(
+        io, [] { return false; }, milliseconds(50));
+}
