Headers that name connection options are compared once

What a caller could do: a head of 16 KB whose Connection header lists thousands of names beside thousands of short fields had each field compared with each name, millions of comparisons for a request, while the event loop stood still for everyone. Found by reading for what a client causes. The names are sorted once for a head; "headers of one connection are told by a list of any length" covers lists and case. No time was measured.

--- a/include/pepperturn/forward/request_head.hpp
+++ b/include/pepperturn/forward/request_head.hpp
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <optional>
 #include <string_view>
+#include <vector>
 
 namespace pepperturn {
 
@@ -79,9 +80,22 @@
                                         const attempt_head& attempt,
                                         const wire_names& names);
 
-/// True if the header \p name applies to one connection only, or is listed in
-/// \p connection, the value of the Connection header.
-[[nodiscard]] bool is_hop_by_hop(std::string_view name,
-                                 std::string_view connection);
+/// The headers that apply to one connection only. Prepared once for a head:
+/// comparing each header with each name that it lists would take a time that
+/// grows with the square of its length.
+class hop_by_hop_names
+{
+public:
+    /// \param connection value of the Connection header, which names more of
+    /// them; it must outlive this
+    explicit hop_by_hop_names(std::string_view connection);
+
+    /// Whether the header \p name is one of them, in any case.
+    [[nodiscard]] bool contains(std::string_view name) const;
+
+private:
+    /// In order, case ignored.
+    std::vector<std::string_view> m_names;
+};
 
 } // namespace pepperturn
--- a/src/forward/caller_connection.cpp
+++ b/src/forward/caller_connection.cpp
@@ -40,6 +40,7 @@
     const auto reason =
         http::obsolete_reason(http::int_to_status(response.m_status));
     const auto connection = response.m_fields[http::field::connection];
+    const hop_by_hop_names hop_by_hop({connection.data(), connection.size()});
     std::string out = "HTTP/1.1 " + std::to_string(response.m_status) + ' ';
     out.append(reason.data(), reason.size());
     out += "\r\n";
@@ -48,7 +49,7 @@
         const std::string_view name(row.name_string().data(),
                                     row.name_string().size());
         if (row.name() == http::field::content_length ||
-            is_hop_by_hop(name, {connection.data(), connection.size()}))
+            hop_by_hop.contains(name))
             continue;
         out += name;
         out += ": ";
--- a/src/forward/request_head.cpp
+++ b/src/forward/request_head.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/algorithm/string/predicate.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
 namespace pepperturn {
@@ -14,7 +15,7 @@
 
 using boost::algorithm::iequals;
 
-constexpr std::array<std::string_view, 9> hop_by_hop_names{
+constexpr std::array<std::string_view, 9> known_hop_by_hop{
     "connection",
     "keep-alive",
     "proxy-connection",
@@ -30,6 +31,12 @@
     return {text.data(), text.size()};
 }
 
+bool is_less(std::string_view left, std::string_view right)
+{
+    return boost::beast::iless{}({left.data(), left.size()},
+                                 {right.data(), right.size()});
+}
+
 bool is_set_by_system(std::string_view name, const wire_names& names)
 {
     if (iequals(name, names.m_deadline) ||
@@ -158,24 +165,26 @@
     return read_credentials(values, names.m_key_scheme);
 }
 
-bool is_hop_by_hop(std::string_view name, std::string_view connection)
+hop_by_hop_names::hop_by_hop_names(std::string_view connection)
+    : m_names(known_hop_by_hop.begin(), known_hop_by_hop.end())
 {
-    for (const auto known : hop_by_hop_names)
-    {
-        if (iequals(name, known))
-            return true;
-    }
-    const http::token_list named(
+    const http::token_list listed(
         boost::beast::string_view(connection.data(), connection.size()));
-    return std::any_of(named.begin(), named.end(), [&](const auto& token) {
-        return iequals(view_of(token), name);
-    });
+    for (const auto& token : listed)
+        m_names.push_back(view_of(token));
+    std::sort(m_names.begin(), m_names.end(), is_less);
+}
+
+bool hop_by_hop_names::contains(std::string_view name) const
+{
+    return std::binary_search(m_names.begin(), m_names.end(), name, is_less);
 }
 
 std::string upstream_head(const caller_request& request,
                           const attempt_head& attempt, const wire_names& names)
 {
-    const auto connection = view_of(request[http::field::connection]);
+    const hop_by_hop_names hop_by_hop(
+        view_of(request[http::field::connection]));
     std::string out;
     constexpr std::size_t typical_bytes = 1024;
     out.reserve(typical_bytes);
@@ -189,7 +198,7 @@
         if (is_set_by_system(name, names) ||
             (attempt.m_strips_credentials && identifies_caller(name, names)) ||
             (attempt.m_last_event_id && iequals(name, names.m_last_event)) ||
-            (is_hop_by_hop(name, connection) && !is_end_to_end(name, names)))
+            (hop_by_hop.contains(name) && !is_end_to_end(name, names)))
             continue;
         add_line(out, name, view_of(row.value()));
     }
--- a/test/forward/test_request_head.cpp
+++ b/test/forward/test_request_head.cpp
@@ -133,6 +133,47 @@
     CHECK(decode_fields(bad, names) == nothing);
 }
 
+TEST_CASE("headers of one connection are told by a list of any length",
+          "[request_head]")
+{
+    std::string listed = "close";
+    constexpr int many = 5000;
+    for (int i = 0; i < many; ++i)
+        listed += ", n" + std::to_string(i);
+    struct row
+    {
+        std::string m_connection;
+        std::string m_name;
+        bool m_expected;
+    };
+    const std::vector<row> rows{
+        {"", "Connection", true},
+        {"", "TRANSFER-ENCODING", true},
+        {"", "te", true},
+        {"", "Content-Type", false},
+        {"", "", false},
+        {"X-One, x-two", "x-one", true},
+        {"X-One, x-two", "X-TWO", true},
+        {"X-One, x-two", "X-Three", false},
+        {listed, "N4999", true},
+        {listed, "n5000", false},
+        {listed, "Trailer", true},
+        {",,;=\x01", "x", false},
+    };
+    for (const auto& each : rows)
+    {
+        INFO(each.m_connection.substr(0, 20) << ' ' << each.m_name);
+        const hop_by_hop_names names(each.m_connection);
+        CHECK(names.contains(each.m_name) == each.m_expected);
+    }
+    // Each pair compared with each other would be 25 million comparisons.
+    const hop_by_hop_names names(listed);
+    int found = 0;
+    for (int i = 0; i < many; ++i)
+        found += names.contains("n" + std::to_string(i)) ? 1 : 0;
+    CHECK(found == many);
+}
+
 TEST_CASE("the head that is sent to a runner", "[request_head]")
 {
     const auto names = test_names();
