A connection may outlive the table of connections

What was seen: "a stream that ends inside an event never looks complete" ended with SIGSEGV: a connection whose coroutine the event loop still held took itself off a table that was gone, as at the end of a process. The table tells the connections that it knows when it ends; "a connection may outlive the table".

--- a/include/pepperturn/forward/caller_table.hpp
+++ b/include/pepperturn/forward/caller_table.hpp
@@ -87,6 +87,9 @@
 {
 public:
     caller_table(const clock& time, std::shared_ptr<buffer_budget> budget);
+    ~caller_table();
+    caller_table(const caller_table&) = delete;
+    caller_table& operator=(const caller_table&) = delete;
 
     /// \param connections at once
     /// \param per_address from one address; 0: as many as in all
--- a/src/forward/caller_table.cpp
+++ b/src/forward/caller_table.cpp
@@ -34,7 +34,8 @@
 
 caller_slot::~caller_slot()
 {
-    m_table.unlist(*this);
+    if (m_listed)
+        m_table.unlist(*this);
 }
 
 void caller_slot::enter(caller_phase phase,
@@ -59,6 +60,16 @@
     : m_time(time), m_budget(std::move(budget))
 {}
 
+caller_table::~caller_table()
+{
+    // Connections whose coroutines have not ended may outlive the table.
+    for (const auto& rows : m_slots)
+    {
+        for (auto* each : rows)
+            each->m_listed = false;
+    }
+}
+
 void caller_table::set_limits(std::size_t connections, std::size_t per_address)
 {
     m_limit = connections;
@@ -128,8 +139,7 @@
 
 void caller_table::unlist(caller_slot& slot)
 {
-    if (!std::exchange(slot.m_listed, false))
-        return;
+    slot.m_listed = false;
     m_slots.at(index_of(slot.m_phase)).erase(slot.m_position);
     const auto row = m_addresses.find(slot.m_address);
     if (row != m_addresses.end() && --row->second == 0)
--- a/test/forward/test_caller_table.cpp
+++ b/test/forward/test_caller_table.cpp
@@ -144,6 +144,19 @@
     CHECK(all.m_budget->intake() <= 100 * kilobyte);
 }
 
+TEST_CASE("a connection may outlive the table", "[connections]")
+{
+    std::unique_ptr<caller_slot> kept;
+    {
+        table_fixture all;
+        auto* each = all.connect();
+        kept = std::move(each->m_slot);
+    }
+    kept->enter(caller_phase::resting, nullptr);
+    kept.reset();
+    CHECK(kept == nullptr);
+}
+
 TEST_CASE("no order of connections passes the bounds", "[connections]")
 {
     CHECK(rc::check([] {
