--- a/src/net/http_responder.cpp
+++ b/src/net/http_responder.cpp
@@ -26,7 +26,10 @@
     for (const auto& [name, value] : headers)
     {
         typed = typed || boost::algorithm::iequals(name, "content-type");
-        out += name + ": " + value + "\r\n";
+        out += name;
+        out += ": ";
+        out += value;
+        out += "\r\n";
     }
     if (!typed)
         out += "Content-Type: application/json\r\n";
