Both interfaces take requests into accounted memory through one class

forward/request_intake joins the reader, the account and the place in the table of connections; it stood twice, in caller_connection and net/http_connection. What requests may hold, when they give way and what is answered is unchanged, but a 503 for lack of memory keeps the request's id also after its head.

--- a/include/pepperturn/forward/caller_connection.hpp
+++ b/include/pepperturn/forward/caller_connection.hpp
@@ -9,10 +9,9 @@
 
 #include "pepperturn/base/async.hpp"
 #include "pepperturn/forward/answer_end.hpp"
-#include "pepperturn/forward/caller_table.hpp"
 #include "pepperturn/forward/exchange.hpp"
 #include "pepperturn/forward/memory_guard.hpp"
-#include "pepperturn/http/request_reader.hpp"
+#include "pepperturn/forward/request_intake.hpp"
 
 namespace pepperturn {
 
@@ -59,7 +58,7 @@
     /// Accounts for the bytes that are buffered for the last request.
     [[nodiscard]] const std::shared_ptr<buffer_account>& buffered() const
     {
-        return m_buffered;
+        return m_intake.account();
     }
     /// Reads and discards the rest of a request that was refused before it was
     /// read completely. If the connection were closed at once, the reset would
@@ -145,24 +144,15 @@
     /// The bytes that have arrived, or \p ec; they are valid until the next
     /// call for any connection.
     task<std::string_view> read_piece(error_code& ec);
-    /// Goes on with a request whose head has arrived.
-    /// \returns false if there is no memory for it
-    [[nodiscard]] bool begin_body();
-    /// Adds bytes to the request.
-    /// \returns false if there is no memory for them
-    [[nodiscard]] bool take_piece(std::string_view bytes);
-    /// Accounts for \p bytes of \p kind in all, for which incomplete requests
-    /// of others may be given up.
-    [[nodiscard]] bool hold(buffer_kind kind, std::size_t bytes);
-    /// Gives up the request that is arriving, so that others have room.
-    void give_up();
-    /// Asks for the body if the caller waits for that.
+    /// Goes on with a request whose head has arrived, and asks for its body if
+    /// the caller waits for that.
     /// \returns false if the caller has left
-    task<bool> confirm_expectation();
+    task<bool> begin_body();
+    /// Refuses a large body that is arriving while memory is short.
+    void check_pressure();
     [[nodiscard]] read_result read_failed(const error_code& ec);
     [[nodiscard]] read_result closed(const error_code& ec,
                                      bool timed_out) const;
-    [[nodiscard]] read_result refuse(request_refusal why);
     /// The request that has arrived, or its refusal.
     [[nodiscard]] read_result take_request();
 
@@ -171,12 +161,9 @@
 
     const clock& m_time;
     memory_guard& m_memory;
-    caller_table& m_table;
-    std::unique_ptr<caller_slot> m_slot;
     boost::beast::tcp_stream m_stream;
     asio::steady_timer m_read_timer;
     asio::steady_timer m_write_timer;
-    std::shared_ptr<buffer_account> m_buffered;
     std::optional<instant> m_write_deadline;
     bool m_write_aborted = false;
     /// For the last write: there was memory to buffer it.
@@ -187,10 +174,8 @@
     /// The current response is a stream.
     bool m_streaming = false;
     bool m_read_timed_out = false;
-    request_reader m_reader;
+    request_intake m_intake;
     bool m_idle = true;
-    /// A request has arrived completely.
-    bool m_used = false;
     std::uint64_t m_watch_generation = 0;
 };
 
--- a/include/pepperturn/http/request_reader.hpp
+++ b/include/pepperturn/http/request_reader.hpp
@@ -51,7 +51,7 @@
 /// Why a request is refused.
 struct request_refusal
 {
-    /// 400, 413 or 431, unless it was dropped.
+    /// 400, 413 or 431, unless it was refused from outside.
     unsigned m_status = 400;
     std::string m_reason;
 
@@ -86,7 +86,9 @@
     /// reader_state::head_complete, so that memory can be reserved.
     reader_state advance();
 
-    /// Refuses the request from outside, and frees what is held for it.
+    /// Refuses the request from outside; its head is kept.
+    void refuse(request_refusal why);
+    /// The same, but frees what is held for it.
     void drop(request_refusal why);
 
     [[nodiscard]] reader_state state() const
@@ -130,7 +132,6 @@
     /// Whether the body may end with its first chunk, of which too little has
     /// arrived for the parser.
     [[nodiscard]] bool may_end_too_early() const;
-    void refuse(unsigned status, std::string reason);
     void consume(std::size_t bytes);
 
     request_limits m_limits;
--- a/include/pepperturn/net/http_connection.hpp
+++ b/include/pepperturn/net/http_connection.hpp
@@ -8,8 +8,7 @@
 #pragma once
 
 #include "pepperturn/base/async.hpp"
-#include "pepperturn/forward/caller_table.hpp"
-#include "pepperturn/http/request_reader.hpp"
+#include "pepperturn/forward/request_intake.hpp"
 #include "pepperturn/net/http_server.hpp"
 
 #include <atomic>
@@ -72,11 +71,8 @@
 
     task<bool> handshake();
     task<read_end> read_request();
-    /// Acts on a head that has arrived. \returns false if it is refused
-    task<bool> begin_body();
-    /// Adds bytes to the request. \returns false if there is no room for them
-    [[nodiscard]] bool take_piece(std::string_view bytes);
-    [[nodiscard]] bool hold(buffer_kind kind, std::size_t bytes);
+    /// Goes on with a request whose head has arrived.
+    task<> begin_body();
     /// Hands the request on, and sends its answer.
     /// \returns whether the connection goes on
     task<bool> answer_request();
@@ -84,18 +80,14 @@
     task<> write_queued();
     task<bool> write(std::string_view bytes);
     task<std::size_t> read_some(error_code& ec);
-    void give_up();
     void close();
     [[nodiscard]] boost::beast::tcp_stream& lowest();
 
     std::shared_ptr<http_core> m_core;
-    std::unique_ptr<caller_slot> m_slot;
     std::optional<boost::beast::tcp_stream> m_plain;
     std::optional<boost::beast::ssl_stream<boost::beast::tcp_stream>> m_tls;
-    std::shared_ptr<buffer_account> m_buffered;
-    request_reader m_reader;
+    request_intake m_intake;
     std::array<char, 2048> m_piece{};
-    bool m_used = false;
     bool m_serving = false;
     std::uint64_t m_request = 0;
     /// Pieces of the answer that are not written yet, each with the counter of
--- a/src/forward/caller_connection.cpp
+++ b/src/forward/caller_connection.cpp
@@ -27,8 +27,6 @@
 constexpr milliseconds discard_timeout{500};
 /// A body of the maximum size arrives in this time over a slow link.
 constexpr milliseconds body_timeout{10000};
-constexpr unsigned unavailable = 503;
-constexpr const char* no_memory_reason = "not enough memory for the request";
 request_limits limits_of(const caller_limits& limits)
 {
     return {limits.m_max_header_bytes, limits.m_max_body_bytes,
@@ -76,16 +74,19 @@
                                      memory_guard& memory, caller_table& table,
                                      std::unique_ptr<caller_slot> slot,
                                      tcp::socket socket)
-    : m_time(time), m_memory(memory), m_table(table), m_slot(std::move(slot)),
-      m_stream(std::move(socket)), m_read_timer(io), m_write_timer(io),
-      m_buffered(std::make_shared<buffer_account>(memory.budget())),
-      m_reader(request_limits{})
+    : m_time(time), m_memory(memory), m_stream(std::move(socket)),
+      m_read_timer(io), m_write_timer(io),
+      m_intake(table, std::move(slot), memory.budget())
 {
     tune_socket(m_stream.socket(), unresponsive_timeout);
     // Writes are tried at once and wait only if the caller does not read.
     error_code ignored;
     m_stream.socket().non_blocking(true, ignored);
-    m_slot->set_actions({[this] { m_stream.close(); }, [this] { give_up(); }});
+    m_intake.set_actions([this] { m_stream.close(); },
+                         [this] {
+                             error_code nothing;
+                             m_stream.socket().cancel(nothing);
+                         });
 }
 
 std::string caller_connection::address() const
@@ -97,50 +98,38 @@
 
 task<read_result> caller_connection::read_request(caller_limits limits)
 {
-    m_reader.begin(limits_of(limits));
-    m_idle = !m_reader.begun();
-    m_buffered = std::make_shared<buffer_account>(m_memory.budget());
+    m_intake.begin(limits_of(limits));
+    m_idle = !m_intake.reader().begun();
     m_write_deadline.reset();
     m_streaming = false;
     m_side = caller_side::open;
     m_answer_bytes = 0;
-    if (!m_idle)
-        m_slot->enter(caller_phase::receiving, m_buffered);
-    else if (m_used)
-        m_slot->enter(caller_phase::resting, nullptr);
     // Not the stream's own expiry, which closes the socket: a slow caller
     // receives a response with the reason.
     set_read_timeout(m_idle ? limits.m_idle_timeout : limits.m_header_timeout);
-    auto state = m_reader.advance();
+    auto state = m_intake.advance();
     while (state != reader_state::complete && state != reader_state::refused)
     {
         if (state == reader_state::head_complete)
         {
             set_read_timeout(body_timeout);
-            const bool room = begin_body();
-            if (!room)
-                co_return refuse({unavailable, no_memory_reason});
-            const bool confirmed = co_await confirm_expectation();
-            if (!confirmed)
+            const bool connected = co_await begin_body();
+            if (!connected)
                 co_return closed(asio::error::connection_reset, false);
-            state = m_reader.state();
+            state = m_intake.state();
             continue;
         }
         error_code ec;
         const auto bytes = co_await read_piece(ec);
-        if (m_reader.state() == reader_state::refused)
+        if (m_intake.state() == reader_state::refused)
             break;
         if (ec)
             co_return read_failed(ec);
         if (std::exchange(m_idle, false))
-        {
             set_read_timeout(limits.m_header_timeout);
-            m_slot->enter(caller_phase::receiving, m_buffered);
-        }
-        const bool room = take_piece(bytes);
-        if (!room)
-            co_return refuse({unavailable, no_memory_reason});
-        state = m_reader.advance();
+        m_intake.take(bytes);
+        check_pressure();
+        state = m_intake.advance();
     }
     m_read_timer.cancel();
     co_return take_request();
@@ -148,40 +137,33 @@
 
 read_result caller_connection::take_request()
 {
-    if (m_reader.state() == reader_state::refused)
-        return refuse(m_reader.refusal());
-    m_used = true;
-    m_slot->enter(caller_phase::serving, nullptr);
-    read_result out;
-    out.m_outcome = read_outcome::request;
-    // Never refused: they are no more than was accounted above.
-    (void)m_buffered->set(buffer_kind::head, m_reader.head_memory());
-    (void)m_buffered->set(buffer_kind::request, m_reader.body_memory());
-    out.m_request = m_reader.release();
-    return out;
-}
-
-read_result caller_connection::refuse(request_refusal why)
-{
-    m_slot->enter(caller_phase::refused, nullptr);
     read_result out;
+    if (m_intake.state() == reader_state::complete)
+    {
+        out.m_outcome = read_outcome::request;
+        out.m_request = m_intake.serve();
+        return out;
+    }
+    const auto& why = m_intake.reader().refusal();
     out.m_outcome = read_outcome::refused;
     out.m_status = why.m_status;
-    out.m_reason = std::move(why.m_reason);
-    if (out.m_status == unavailable)
+    out.m_reason = why.m_reason;
+    if (out.m_status == no_memory_status)
         out.m_retry_after = retry_after_no_reply;
-    out.m_request.base() = m_reader.request().base();
+    out.m_request.base() = m_intake.reader().request().base();
     return out;
 }
 
 read_result caller_connection::read_failed(const error_code& ec)
 {
     constexpr unsigned timed_out = 408;
-    if (m_read_timed_out && m_reader.state() == reader_state::body_incomplete)
-        return refuse({timed_out, "request body timed out"});
-    if (m_read_timed_out && !m_idle)
-        return refuse({timed_out, "request head timed out"});
-    return closed(ec, m_read_timed_out);
+    if (!m_read_timed_out || m_idle)
+        return closed(ec, m_read_timed_out);
+    m_intake.refuse(
+        {timed_out, m_intake.state() == reader_state::body_incomplete
+                        ? "request body timed out"
+                        : "request head timed out"});
+    return take_request();
 }
 
 read_result caller_connection::closed(const error_code& ec,
@@ -189,56 +171,29 @@
 {
     read_result out;
     out.m_end = read_end_of(ec, timed_out);
-    out.m_partial_bytes = m_reader.received_bytes();
+    out.m_partial_bytes = m_intake.reader().received_bytes();
     return out;
 }
 
-bool caller_connection::hold(buffer_kind kind, std::size_t bytes)
-{
-    const auto held = m_buffered->buffered(kind);
-    const auto more = bytes > held ? bytes - held : 0;
-    return m_table.make_room(*m_slot, kind, more) &&
-           m_buffered->set(kind, bytes);
-}
-
-bool caller_connection::begin_body()
-{
-    const bool parsed = hold(buffer_kind::head, m_reader.head_memory_after(0));
-    if (!parsed || m_reader.advance() == reader_state::refused)
-        return parsed;
-    // The whole body is accounted for before any of it is read.
-    const auto bytes = m_reader.announced_bytes();
-    return m_memory.may_read_body(bytes) && hold(buffer_kind::request, bytes);
-}
-
-bool caller_connection::take_piece(std::string_view bytes)
+void caller_connection::check_pressure()
 {
     // Aborting a request that has not run loses the least work.
-    if (m_reader.state() == reader_state::body_incomplete &&
+    if (m_intake.state() == reader_state::body_incomplete &&
         m_memory.level() == pressure_level::cutting &&
-        !m_memory.may_read_body(m_reader.request().body().size()))
-        return false;
-    if (!hold(buffer_kind::head, m_reader.head_memory_after(bytes.size())) ||
-        !hold(buffer_kind::request, m_reader.body_memory_after(bytes.size())))
-        return false;
-    m_reader.feed(bytes);
-    return true;
-}
-
-void caller_connection::give_up()
-{
-    m_reader.drop({unavailable, no_memory_reason});
-    // A decrease is never refused.
-    (void)m_buffered->set(buffer_kind::head, 0);
-    (void)m_buffered->set(buffer_kind::request, 0);
-    error_code ignored;
-    m_stream.socket().cancel(ignored);
+        !m_memory.may_read_body(m_intake.reader().request().body().size()))
+        m_intake.refuse_for_memory();
 }
 
-task<bool> caller_connection::confirm_expectation()
+task<bool> caller_connection::begin_body()
 {
-    if (m_reader.state() != reader_state::body_incomplete ||
-        m_reader.request()[http::field::expect] != "100-continue")
+    if (m_intake.advance() != reader_state::body_incomplete)
+        co_return true;
+    if (!m_memory.may_read_body(m_intake.reader().announced_bytes()))
+    {
+        m_intake.refuse_for_memory();
+        co_return true;
+    }
+    if (m_intake.reader().request()[http::field::expect] != "100-continue")
         co_return true;
     const bool sent =
         co_await write_all("HTTP/1.1 100 Continue\r\n\r\n", {}, 0);
@@ -309,7 +264,7 @@
             reserved, write_deadline());
     if (!m_memory_available)
     {
-        LOG(INFO) << "event=answer_undelivered held=" << m_buffered->total()
+        LOG(INFO) << "event=answer_undelivered held=" << buffered()->total()
                   << " asked=" << reserved << " cause=no_room held_by_all="
                   << m_memory.budget()->total();
         abort_connection();
@@ -332,7 +287,7 @@
         head.remove_prefix(of_head);
         body.remove_prefix(count - of_head);
         if (waits)
-            m_buffered->record_read(count, m_time.now());
+            buffered()->record_read(count, m_time.now());
     }
     if (waits)
         end_write_wait();
@@ -350,11 +305,11 @@
 {
     // The kernel's buffer is full, possibly with earlier responses; no memory
     // was reserved for those, so they are accounted only as far as it fits.
-    if (!m_buffered->set(buffer_kind::undelivered, charged + send_buffer_bytes))
-        (void)m_buffered->set(buffer_kind::undelivered, reserved);
+    if (!buffered()->set(buffer_kind::undelivered, charged + send_buffer_bytes))
+        (void)buffered()->set(buffer_kind::undelivered, reserved);
     if (m_streaming)
-        m_buffered->use_reservation(buffer_kind::receive_buffer);
-    m_buffered->begin_reader_wait(m_time.now(), [weak = weak_from_this()] {
+        buffered()->use_reservation(buffer_kind::receive_buffer);
+    buffered()->begin_reader_wait(m_time.now(), [weak = weak_from_this()] {
         if (const auto self = weak.lock())
             self->abort_connection();
     });
@@ -366,7 +321,7 @@
                                              microseconds wait)
 {
     m_write_timer.expires_after(wait);
-    m_write_timer.async_wait([weak = weak_from_this(), account = m_buffered,
+    m_write_timer.async_wait([weak = weak_from_this(), account = buffered(),
                               deadline](error_code ec) {
         const auto self = weak.lock();
         if (ec || !self || !account->waits_for_reader())
@@ -388,10 +343,10 @@
 void caller_connection::end_write_wait()
 {
     m_write_timer.cancel();
-    m_buffered->end_reader_wait(m_time.now());
-    m_buffered->release(buffer_kind::undelivered, UINT64_MAX);
+    buffered()->end_reader_wait(m_time.now());
+    buffered()->release(buffer_kind::undelivered, UINT64_MAX);
     if (m_streaming)
-        m_buffered->release(buffer_kind::receive_buffer, UINT64_MAX);
+        buffered()->release(buffer_kind::receive_buffer, UINT64_MAX);
 }
 
 void caller_connection::abort_connection()
--- a/src/http/request_reader.cpp
+++ b/src/http/request_reader.cpp
@@ -185,15 +185,15 @@
                          ? 0
                          : text.size() - head_end.size() + 1;
         if (text.size() > m_limits.m_max_head_bytes)
-            refuse(head_too_large, "request head exceeds the limit");
+            refuse({head_too_large, "request head exceeds the limit"});
         return;
     }
     m_head_bytes = end + head_end.size();
     const auto head = text.substr(0, m_head_bytes);
     if (m_head_bytes > m_limits.m_max_head_bytes)
-        refuse(head_too_large, "request head exceeds the limit");
+        refuse({head_too_large, "request head exceeds the limit"});
     else if (const auto* fault = find_ambiguity(head))
-        refuse(bad_request, fault);
+        refuse({bad_request, fault});
     else
     {
         m_head_lines = static_cast<std::size_t>(
@@ -209,9 +209,9 @@
     const auto used = m_parser->put(
         boost::asio::const_buffer(m_pending.data(), m_head_bytes), ec);
     if (ec == http::error::body_limit)
-        refuse(body_too_large, "request body exceeds the limit");
+        refuse({body_too_large, "request body exceeds the limit"});
     else if (ec)
-        refuse(bad_request, ec.message());
+        refuse({bad_request, ec.message()});
     if (ec)
         return;
     consume(used);
@@ -238,31 +238,30 @@
         boost::asio::const_buffer(m_pending.data(), m_pending.size()), ec);
     consume(used);
     if (ec == http::error::body_limit)
-        refuse(body_too_large, "request body exceeds the limit");
+        refuse({body_too_large, "request body exceeds the limit"});
     else if (m_parser->m_extensions_too_long)
-        refuse(head_too_large, "chunk extensions exceed the limit");
+        refuse({head_too_large, "chunk extensions exceed the limit"});
     else if (ec && ec != http::error::need_more)
-        refuse(bad_request, ec.message());
+        refuse({bad_request, ec.message()});
     else if (m_parser->is_done())
         m_state = reader_state::complete;
     // What is left is the line of a chunk's size, or the trailer section.
     else if (m_pending.size() > m_limits.m_max_framing_bytes)
-        refuse(head_too_large,
-               "chunk size line or trailer section exceeds the limit");
+        refuse({head_too_large,
+                "chunk size line or trailer section exceeds the limit"});
 }
 
-void request_reader::drop(request_refusal why)
+void request_reader::refuse(request_refusal why)
 {
     m_state = reader_state::refused;
     m_refusal = std::move(why);
-    m_parser = nullptr;
-    std::string().swap(m_pending);
 }
 
-void request_reader::refuse(unsigned status, std::string reason)
+void request_reader::drop(request_refusal why)
 {
-    m_state = reader_state::refused;
-    m_refusal = {status, std::move(reason)};
+    refuse(std::move(why));
+    m_parser = nullptr;
+    std::string().swap(m_pending);
 }
 
 void request_reader::consume(std::size_t bytes)
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -20,8 +20,7 @@
 /// would discard the refusal before the client has read it.
 constexpr std::chrono::milliseconds discard_timeout{500};
 constexpr unsigned length_required = 411;
-constexpr unsigned unavailable = 503;
-constexpr const char* no_memory_reason = "not enough memory for the request";
+constexpr unsigned bad_request = 400;
 
 std::string refusal_text(const request_refusal& why)
 {
@@ -34,7 +33,7 @@
     out += "\r\nContent-Type: application/json\r\nPepperturn-Outcome: not_run"
            "\r\nConnection: close\r\nContent-Length: " +
            std::to_string(body.size()) + "\r\n";
-    if (why.m_status == unavailable)
+    if (why.m_status == no_memory_status)
         out += "Retry-After: 1\r\n";
     return out + "\r\n" + body;
 }
@@ -59,16 +58,16 @@
 http_connection::http_connection(std::shared_ptr<http_core> core,
                                  std::unique_ptr<caller_slot> slot,
                                  tcp::socket socket)
-    : m_core(std::move(core)), m_slot(std::move(slot)),
-      m_buffered(std::make_shared<buffer_account>(m_core->m_budget)),
-      m_reader(request_limits{}), m_changed(m_core->m_io)
+    : m_core(std::move(core)),
+      m_intake(m_core->m_table, std::move(slot), m_core->m_budget),
+      m_changed(m_core->m_io)
 {
     if (m_core->m_tls)
         m_tls.emplace(boost::beast::tcp_stream(std::move(socket)),
                       *m_core->m_tls);
     else
         m_plain.emplace(std::move(socket));
-    m_slot->set_actions({[this] { close(); }, [this] { give_up(); }});
+    m_intake.set_actions([this] { close(); }, [this] { lowest().cancel(); });
 }
 
 boost::beast::tcp_stream& http_connection::lowest()
@@ -89,15 +88,6 @@
         close();
 }
 
-void http_connection::give_up()
-{
-    m_reader.drop({unavailable, no_memory_reason});
-    // A decrease is never refused.
-    (void)m_buffered->set(buffer_kind::head, 0);
-    (void)m_buffered->set(buffer_kind::request, 0);
-    lowest().cancel();
-}
-
 task<> http_connection::serve()
 {
     const auto self = shared_from_this();
@@ -113,7 +103,6 @@
         go_on = co_await answer_request();
     }
     close();
-    m_slot = nullptr;
 }
 
 task<bool> http_connection::handshake()
@@ -136,107 +125,65 @@
 
 task<http_connection::read_end> http_connection::read_request()
 {
-    m_reader.begin(limits_of(m_core->m_options));
-    m_buffered = std::make_shared<buffer_account>(m_core->m_budget);
-    bool idle = !m_reader.begun();
-    if (!idle)
-        m_slot->enter(caller_phase::receiving, m_buffered);
-    else if (m_used)
-        m_slot->enter(caller_phase::resting, nullptr);
+    m_intake.begin(limits_of(m_core->m_options));
+    bool idle = !m_intake.reader().begun();
     lowest().expires_after(idle ? idle_timeout : head_timeout);
-    auto state = m_reader.advance();
+    auto state = m_intake.advance();
     while (state != reader_state::complete && state != reader_state::refused)
     {
         if (state == reader_state::head_complete)
         {
-            lowest().expires_after(body_timeout);
-            const bool taken = co_await begin_body();
-            state = m_reader.state();
-            if (!taken)
-                break;
+            co_await begin_body();
+            state = m_intake.state();
             continue;
         }
         error_code ec;
         const auto count = co_await read_some(ec);
-        if (m_reader.state() == reader_state::refused)
+        if (m_intake.state() == reader_state::refused)
             break;
         if (ec)
             co_return read_end::closed;
         if (std::exchange(idle, false))
-        {
             lowest().expires_after(head_timeout);
-            m_slot->enter(caller_phase::receiving, m_buffered);
-        }
-        if (!take_piece({m_piece.data(), count}))
-        {
-            m_reader.drop({unavailable, no_memory_reason});
-            break;
-        }
-        state = m_reader.advance();
+        m_intake.take({m_piece.data(), count});
+        state = m_intake.advance();
     }
-    co_return m_reader.state() == reader_state::complete ? read_end::complete
+    co_return m_intake.state() == reader_state::complete ? read_end::complete
                                                          : read_end::refused;
 }
 
-bool http_connection::hold(buffer_kind kind, std::size_t bytes)
-{
-    const auto held = m_buffered->buffered(kind);
-    const auto more = bytes > held ? bytes - held : 0;
-    return m_core->m_table.make_room(*m_slot, kind, more) &&
-           m_buffered->set(kind, bytes);
-}
-
-bool http_connection::take_piece(std::string_view bytes)
+task<> http_connection::begin_body()
 {
-    if (!hold(buffer_kind::head, m_reader.head_memory_after(bytes.size())) ||
-        !hold(buffer_kind::request, m_reader.body_memory_after(bytes.size())))
-        return false;
-    m_reader.feed(bytes);
-    return true;
-}
-
-task<bool> http_connection::begin_body()
-{
-    if (!hold(buffer_kind::head, m_reader.head_memory_after(0)))
-    {
-        m_reader.drop({unavailable, no_memory_reason});
-        co_return false;
-    }
-    if (m_reader.advance() == reader_state::refused)
-        co_return false;
-    const auto& request = m_reader.request();
+    lowest().expires_after(body_timeout);
+    if (m_intake.advance() == reader_state::refused)
+        co_return;
+    const auto& request = m_intake.reader().request();
     if (request.count(http::field::transfer_encoding) > 0)
-        m_reader.drop({length_required, "Content-Length is required"});
-    else if (!hold(buffer_kind::request, m_reader.announced_bytes()))
-        m_reader.drop({unavailable, no_memory_reason});
-    if (m_reader.state() == reader_state::refused)
-        co_return false;
-    if (m_reader.state() == reader_state::body_incomplete &&
-        request[http::field::expect] == "100-continue")
     {
-        const bool sent = co_await write("HTTP/1.1 100 Continue\r\n\r\n");
-        if (!sent)
-            close();
-        lowest().expires_after(body_timeout);
+        m_intake.refuse({length_required, "Content-Length is required"});
+        co_return;
     }
-    co_return true;
+    if (m_intake.state() != reader_state::body_incomplete ||
+        request[http::field::expect] != "100-continue")
+        co_return;
+    const bool sent = co_await write("HTTP/1.1 100 Continue\r\n\r\n");
+    if (!sent)
+        close();
+    lowest().expires_after(body_timeout);
 }
 
 task<bool> http_connection::answer_request()
 {
-    m_used = true;
     m_serving = true;
-    m_slot->enter(caller_phase::serving, nullptr);
-    // Never refused: it is no more than was accounted for while it was read.
-    (void)m_buffered->set(buffer_kind::head, m_reader.head_memory());
     lowest().expires_never();
-    auto request = m_reader.release();
+    auto request = m_intake.serve();
     const bool keep_alive = request.keep_alive();
     const bool chunked = request.version() > 10;
     auto call = decode_call(std::move(request));
     if (!call)
     {
-        m_reader.drop({400, "the target of the request is not valid"});
+        m_intake.refuse(
+            {bad_request, "the target of the request is not valid"});
         co_await refuse();
         co_return false;
     }
@@ -313,8 +260,7 @@
 
 task<> http_connection::refuse()
 {
-    m_slot->enter(caller_phase::refused, nullptr);
-    const auto text = refusal_text(m_reader.refusal());
+    const auto text = refusal_text(m_intake.reader().refusal());
     const bool sent = co_await write(text);
     if (!sent || m_tls)
         co_return;
