--- a/src/forward/request_intake.cpp
+++ b/src/forward/request_intake.cpp
@@ -55,13 +55,15 @@
 
 reader_state request_intake::advance()
 {
-    if (m_reader.state() != reader_state::head_complete)
+    const bool parses_head = m_reader.state() == reader_state::head_complete;
+    bool room =
+        !parses_head || hold(buffer_kind::head, m_reader.head_memory_after(0));
+    if (room)
         m_reader.advance();
-    else if (!hold(buffer_kind::head, m_reader.head_memory_after(0)))
-        refuse_for_memory();
     // The whole body is accounted for before any of it is read.
-    else if (m_reader.advance() != reader_state::refused &&
-             !hold(buffer_kind::request, m_reader.announced_bytes()))
+    if (room && parses_head && m_reader.state() != reader_state::refused)
+        room = hold(buffer_kind::request, m_reader.announced_bytes());
+    if (!room)
         refuse_for_memory();
     if (m_reader.state() == reader_state::refused)
         m_slot->enter(caller_phase::refused, nullptr);
