An answer that its handler drops ends

What a client would have seen since the own interface's listener was replaced: no end of a stream, and no answer to a request, that its handler had dropped; it waited until it gave up, and its connection's place was held meanwhile. Cause: the connection itself kept the responder, whose destructor is the end.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -189,9 +189,10 @@
     }
     m_finished = false;
     m_broken = false;
-    const auto responder = make_responder(m_core, shared_from_this(),
-                                          ++m_request, keep_alive, chunked);
-    m_core->m_handle(std::move(*call), responder);
+    // Kept by the handler alone: its end is the end of the answer.
+    m_core->m_handle(std::move(*call),
+                     make_responder(m_core, shared_from_this(), ++m_request,
+                                    keep_alive, chunked));
     co_await write_queued();
     m_serving = false;
     co_return !m_broken && keep_alive;
--- a/test/net/test_callers_streams.cpp
+++ b/test/net/test_callers_streams.cpp
@@ -94,6 +94,31 @@
     }
 }
 
+TEST_CASE("an answer that was dropped ends, and its connection with a stream",
+          "[net]")
+{
+    using responder_ptr = std::shared_ptr<http_responder>;
+    const std::string last = "GET /x HTTP/1.1\r\nHost: x\r\n"
+                             "Connection: close\r\n\r\n";
+    for (const bool begun : {false, true})
+    {
+        INFO(begun);
+        std::string reason;
+        const auto server = open_http_server(
+            {},
+            [begun](const http_call&, const responder_ptr& out) {
+                if (begun)
+                    out->begin(200, event_headers);
+            },
+            reason);
+        REQUIRE(server != nullptr);
+        CHECK(is_ended_by_server(server->port(), begun ? request : last));
+        const auto got = ask_raw(server->port(), last, "{}");
+        CHECK(has(got, begun ? "HTTP/1.1 200" : "HTTP/1.1 500"));
+        server->close();
+    }
+}
+
 TEST_CASE("a stream that left out a piece has no last chunk", "[net]")
 {
     http_server_options options;
--- a/test/support/net/raw_server.cpp
+++ b/test/support/net/raw_server.cpp
@@ -163,4 +163,24 @@
     return got;
 }
 
+bool is_ended_by_server(std::uint32_t port, const std::string& request)
+{
+    const int connection = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const auto address = loopback(port);
+    limit_silence(connection);
+    bool ended = false;
+    if (::connect(connection, reinterpret_cast<const sockaddr*>(&address),
+                  sizeof(address)) == 0 &&
+        send_all(connection, request))
+    {
+        std::array<char, 1024> bytes{};
+        ssize_t count = 1;
+        while (count > 0)
+            count = ::recv(connection, bytes.data(), bytes.size(), 0);
+        ended = count == 0;
+    }
+    ::close(connection);
+    return ended;
+}
+
 } // namespace pepperturn::test
--- a/test/support/net/raw_server.hpp
+++ b/test/support/net/raw_server.hpp
@@ -52,4 +52,9 @@
                                   const std::string& request,
                                   const std::string& last);
 
+/// Whether the server closes the connection after \p request, rather than
+/// leaving its client to wait.
+[[nodiscard]] bool is_ended_by_server(std::uint32_t port,
+                                      const std::string& request);
+
 } // namespace pepperturn::test
