Interim responses are dropped, and the answer behind them is read

What callers saw: after a runner's 100 or 103 never the answer, but 502 "answer of another request"; a request that may run again used up its tries so, and one that may not failed although it had run.

Cause: the first head was taken for the answer's, whatever its status.

Change: read_response_head reads on, past at most 16 interim responses. One with a length or a coding is no interim response, since a body would follow that the next head is looked for in: it is refused at once, as 101 is. 100 with nothing behind it is waited behind for as long as the request has, as for any runner that says nothing.

Evidence: the sound heads "100, then the answer", "103 with fields ..." and "two interim responses ..." failed on the code before on /get/, /once/ and /stream/, and pass; "interim responses without end" and the two broken ones behind an interim response are refused.

--- a/include/pepperturn/http/response_head.hpp
+++ b/include/pepperturn/http/response_head.hpp
@@ -32,7 +32,9 @@
     /// A coding other than chunked, or one that contradicts the length.
     transfer_coding,
     /// More bytes than a head may have.
-    too_long
+    too_long,
+    /// Interim responses without end.
+    too_many_interim
 };
 
 [[nodiscard]] const char* to_string(head_fault fault);
@@ -44,6 +46,10 @@
 /// Looks for what a parser lets pass: a status that no answer can have.
 [[nodiscard]] head_fault find_head_fault(const http::response_header<>& head);
 
+/// Whether an interim response has a body, as only an answer can: what follows
+/// it would be taken for the next head.
+[[nodiscard]] bool has_framing(const http::response_header<>& head);
+
 /// A head that was refused.
 struct refused_head
 {
--- a/include/pepperturn/http/response_reader.hpp
+++ b/include/pepperturn/http/response_reader.hpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: BSL-1.0
 /// \file
-/// Reads responses from a connection: the head of the answer, and the
-/// body piece by piece.
+/// Reads responses from a connection: the head of the answer, past interim
+/// responses, and the body piece by piece.
 #pragma once
 
 #include "pepperturn/http/last_chunk.hpp"
@@ -21,7 +21,11 @@
     std::uint64_t m_body_bytes = 0;
 };
 
+/// Interim responses that may come before an answer.
+inline constexpr unsigned max_interim_responses = 16;
+
 /// Reads the head of the answer into \p parser, which is made anew for it.
+/// Interim responses before it are dropped.
 /// \param head_only the request was one whose answer has no body (HEAD)
 /// \returns what is broken in the head; with \p ec set and no fault, no head
 /// was received
@@ -31,16 +35,24 @@
                    std::optional<Parser>& parser, response_limits limits,
                    bool head_only, error_code& ec)
 {
-    parser.emplace();
-    // Until the status line is read; the library's default is a success.
-    parser->get().result(0U);
-    parser->header_limit(limits.m_head_bytes);
-    parser->body_limit(limits.m_body_bytes);
-    parser->skip(head_only);
-    co_await http::async_read_header(stream, buffer, *parser, into(ec));
-    if (ec)
-        co_return fault_of(ec);
-    co_return find_head_fault(parser->get().base());
+    for (unsigned interim = 0; interim <= max_interim_responses; ++interim)
+    {
+        parser.emplace();
+        // Until the status line is read; the library's default is a success.
+        parser->get().result(0U);
+        parser->header_limit(limits.m_head_bytes);
+        parser->body_limit(limits.m_body_bytes);
+        parser->skip(head_only);
+        co_await http::async_read_header(stream, buffer, *parser, into(ec));
+        if (ec)
+            co_return fault_of(ec);
+        const auto& head = parser->get().base();
+        if (!is_interim_status(head.result_int()))
+            co_return find_head_fault(head);
+        if (has_framing(head))
+            co_return head_fault::status;
+    }
+    co_return head_fault::too_many_interim;
 }
 
 /// Reads the next piece of the body into \p piece.
--- a/include/pepperturn/http/response_status.hpp
+++ b/include/pepperturn/http/response_status.hpp
@@ -15,4 +15,15 @@
     return status >= first_final && status <= last_final;
 }
 
+/// Whether \p status announces that the answer is still to come. A switch of
+/// protocols does not: nobody asks for one.
+[[nodiscard]] constexpr bool is_interim_status(std::int64_t status)
+{
+    constexpr std::int64_t first_interim = 100;
+    constexpr std::int64_t switching_protocols = 101;
+    constexpr std::int64_t last_interim = 199;
+    return status >= first_interim && status <= last_interim &&
+           status != switching_protocols;
+}
+
 } // namespace pepperturn
--- a/src/http/response_head.cpp
+++ b/src/http/response_head.cpp
@@ -14,7 +14,7 @@
     head_fault::status_line,    head_fault::status,
     head_fault::field_name,     head_fault::field_value,
     head_fault::content_length, head_fault::transfer_coding,
-    head_fault::too_long};
+    head_fault::too_long,       head_fault::too_many_interim};
 
 /// By fault; that of head_fault::none stays unused.
 using fault_counts =
@@ -48,6 +48,8 @@
         return "transfer_coding";
     case head_fault::too_long:
         return "too_long";
+    case head_fault::too_many_interim:
+        return "too_many_interim";
     }
     return "unknown";
 }
@@ -80,6 +82,12 @@
     return head_fault::none;
 }
 
+bool has_framing(const http::response_header<>& head)
+{
+    return head.count(http::field::content_length) > 0 ||
+           head.count(http::field::transfer_encoding) > 0;
+}
+
 void report(const refused_head& head)
 {
     ++count_of(head.m_fault);
--- a/test/fleet/test_broken_heads.cpp
+++ b/test/fleet/test_broken_heads.cpp
@@ -179,6 +179,27 @@
     CHECK(has(fleet.take_turn("last", "t0"), last_chunk));
 }
 
+TEST_CASE("100 without an answer behind it is waited behind for the time left",
+          "[proxy][broken_heads]")
+{
+    struct sample
+    {
+        const char* m_path;
+        const char* m_status;
+        std::size_t m_runs_elsewhere;
+    };
+    const auto each = GENERATE(values<sample>({
+        {"/get/", "HTTP/1.1 200 OK\r\n", 1},
+        {"/once/", "HTTP/1.1 504 Gateway Timeout\r\n", 0},
+    }));
+    isolated_edge edge;
+    edge.m_first.script({{"HTTP/1.1 100 Continue\r\n\r\n"}});
+    edge.m_second.script({{whole_answer(200, sound_body)}});
+    const auto got = ask(edge, proxy_fixture::post(each.m_path, "x"));
+    CHECK(got.starts_with(each.m_status));
+    CHECK(edge.m_second.requests().size() == each.m_runs_elsewhere);
+}
+
 TEST_CASE("a response with a broken trailer is not whole",
           "[proxy][broken_heads]")
 {
--- a/test/http/test_response_head.cpp
+++ b/test/http/test_response_head.cpp
@@ -11,4 +11,8 @@
         CHECK(is_final_status(status));
     for (const int status : {-200, 0, 1, 99, 100, 101, 199, 600, 999, 2000})
         CHECK_FALSE(is_final_status(status));
+    for (const int status : {100, 102, 103, 199})
+        CHECK(is_interim_status(status));
+    for (const int status : {0, 99, 101, 200, 600})
+        CHECK_FALSE(is_interim_status(status));
 }
--- a/test/support/heads/head_forms.cpp
+++ b/test/support/heads/head_forms.cpp
@@ -8,6 +8,8 @@
 constexpr const char* sound_status = "HTTP/1.1 200 OK";
 const std::string id_lines =
     "Pepperturn-Call: ID\r\nPepperturn-Signature: s\r\n";
+/// As many as no server sends before its answer.
+constexpr int endless_interim = 200;
 
 std::string length_line(const std::string& body)
 {
@@ -43,6 +45,11 @@
             {name, status_line + "\r\n" + m_lines + lines + "\r\n" + body,
              closes});
     }
+    void add_bytes(const std::string& name, const std::string& bytes,
+                   bool closes)
+    {
+        m_forms.push_back({name, bytes, closes});
+    }
     void add_status(const std::string& status)
     {
         const auto line = "HTTP/1.1 " + status + " X";
@@ -56,6 +63,10 @@
     {
         add(name, sound_status, line + "\r\n");
     }
+    [[nodiscard]] const std::string& lines() const
+    {
+        return m_lines;
+    }
     [[nodiscard]] std::vector<broken_head> take()
     {
         return std::move(m_forms);
@@ -119,6 +130,24 @@
     out.add_field("a length and chunks", "Transfer-Encoding: chunked");
 }
 
+void add_interim(form_list& out)
+{
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+    std::string endless;
+    for (int i = 0; i < endless_interim; ++i)
+        endless += interim;
+    const auto rest =
+        "\r\n" + out.lines() + length_line(broken_body) + "\r\n" + broken_body;
+    out.add_bytes("interim responses without end",
+                  endless + sound_status + rest, false);
+    out.add_bytes("an interim response, then status 000",
+                  interim + "HTTP/1.1 000 X" + rest, false);
+    out.add_bytes("an interim response with a broken name",
+                  "HTTP/1.1 103 X\r\nA B: c\r\n\r\n" +
+                      std::string(sound_status) + rest,
+                  false);
+}
+
 sound_head sound(const std::string& name, const std::string& lines)
 {
     return {name,
@@ -144,6 +173,7 @@
     add_names(out);
     add_values(out);
     add_framing(out);
+    add_interim(out);
     return out.take();
 }
 
@@ -171,6 +201,15 @@
         with_status_line("HTTP/1.1 418 I'm a teapot", 418),
         with_status_line("HTTP/1.1 200 \x80\t!", 200),
     };
+    auto answer = sound("", "");
+    out.push_back({"100, then the answer",
+                   "HTTP/1.1 100 Continue\r\n\r\n" + answer.m_bytes});
+    out.push_back(
+        {"103 with fields, then the answer",
+         "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + answer.m_bytes});
+    out.push_back({"two interim responses, then the answer",
+                   "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 X\r\n\r\n" +
+                       answer.m_bytes});
     out.push_back({"one length twice", std::string(sound_status) + "\r\n" +
                                            id_lines + length_line(sound_body) +
                                            length_line(sound_body) + "\r\n" +
