A body in a coding that is not decoded is no answer

What callers saw: for a runner's "Transfer-Encoding: gzip", "identity", "chunked, gzip", "gzip, chunked", "chunked, chunked", two such lines, or chunks in HTTP/1.0, a signed 200 whose body was not the runner's: the framing itself ("7\r\ngarbage\r\n0\r\n\r\n"), or coded bytes, since the line that names the coding is one of the connection and is not passed on.

Cause: the parser knows chunked as the last coding and lets all others pass.

Change: find_head_fault takes exactly one coding, chunked, in HTTP/1.1, as requests are held to already.

Evidence: seven forms of test_broken_heads.cpp, each of which failed on every route and for a turn on the code before, and passes. "Chunked" in another case, with a trailer, passes before and after (sound heads).

--- a/include/pepperturn/http/response_head.hpp
+++ b/include/pepperturn/http/response_head.hpp
@@ -43,7 +43,8 @@
 /// reason, as when the connection ended.
 [[nodiscard]] head_fault fault_of(const boost::system::error_code& ec);
 
-/// Looks for what a parser lets pass: a status that no answer can have.
+/// Looks for what a parser lets pass: a status that no answer can have, and
+/// codings of the body that it does not decode.
 [[nodiscard]] head_fault find_head_fault(const http::response_header<>& head);
 
 /// Whether an interim response has a body, as only an answer can: what follows
--- a/src/http/response_head.cpp
+++ b/src/http/response_head.cpp
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <atomic>
+#include <boost/algorithm/string/predicate.hpp>
 #include <boost/beast/http/error.hpp>
 #include <glog/logging.h>
 
@@ -26,6 +27,19 @@
     return counts.at(static_cast<std::size_t>(fault));
 }
 
+/// Whether the body's codings are none that a parser ignores: it would take
+/// coded bytes, or the framing itself, for the body.
+bool is_coding_decoded(const http::response_header<>& head)
+{
+    constexpr unsigned http_1_1 = 11;
+    const auto [begin, end] = head.equal_range(http::field::transfer_encoding);
+    if (begin == end)
+        return true;
+    const auto value = begin->value();
+    return std::next(begin) == end && head.version() >= http_1_1 &&
+           boost::algorithm::iequals(value, "chunked");
+}
+
 } // namespace
 
 const char* to_string(head_fault fault)
@@ -79,7 +93,8 @@
 {
     if (!is_final_status(head.result_int()))
         return head_fault::status;
-    return head_fault::none;
+    return is_coding_decoded(head) ? head_fault::none
+                                   : head_fault::transfer_coding;
 }
 
 bool has_framing(const http::response_header<>& head)
--- a/test/support/heads/head_forms.cpp
+++ b/test/support/heads/head_forms.cpp
@@ -128,6 +128,17 @@
                     broken_body, false);
     out.add_field("two lengths", "Content-Length: 2");
     out.add_field("a length and chunks", "Transfer-Encoding: chunked");
+    for (const auto* coding : {"gzip", "identity", "chunked, gzip",
+                               "gzip, chunked", "chunked, chunked"})
+        out.add_raw(std::string("coding '") + coding + "'", sound_status,
+                    std::string("Transfer-Encoding: ") + coding + "\r\n",
+                    "7\r\ngarbage\r\n0\r\n\r\n", true);
+    out.add_raw("two codings", sound_status,
+                "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+                "7\r\ngarbage\r\n0\r\n\r\n", true);
+    out.add_raw("chunks in HTTP/1.0", "HTTP/1.0 200 OK",
+                "Transfer-Encoding: chunked\r\n", "7\r\ngarbage\r\n0\r\n\r\n",
+                true);
 }
 
 void add_interim(form_list& out)
