A trailer does not say that a request has not run

What callers saw: a runner that had run a request which may run only once, and answered 500 in chunks with the header "not run" among the trailers, was believed: the request went to a second runner, and the caller got that one's answer. A trailer could also say how long a connection is kept.

Cause: the parser adds trailers to the fields of the head, and run_attempt looked for them in the parser once the body was read.

Change: it looks into the fields that it took when the head was whole.

Evidence: "a trailer says nothing of whether a request has run" got the second runner's 200 on the code before; now the 500 as it was sent, and the second runner is not asked.

--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -408,12 +408,14 @@
         release_reservations(*request.m_buffered);
     aborter->on_abort(nullptr);
     runners.record_request_end(runner.m_id);
+    // Those of the head: the parser adds trailers to its own.
+    const auto& fields = result.m_response.m_fields;
     const bool surplus = connection.m_buffer.size() > 0;
     const bool reusable = body.m_complete && state->m_written && !surplus &&
                           parser.get().keep_alive() && !parser.get().need_eof();
-    if (reusable && keep_alive_time(parser.get().base()) > milliseconds(0))
+    if (reusable && keep_alive_time(fields) > milliseconds(0))
         pool.put_back(runner.m_id, state->m_connection,
-                      keep_alive_time(parser.get().base()));
+                      keep_alive_time(fields));
     else
         connection.m_stream.close();
 
@@ -439,13 +441,13 @@
     // A runner that has begun a stream has run the request, whatever it says.
     const bool refused =
         head_good && !result.m_streamed &&
-        (status == 421 || !field(parser.get().base(), names.m_not_run).empty());
+        (status == 421 || !field(fields, names.m_not_run).empty());
     if (refused)
     {
         result.m_outcome = attempt_outcome::not_run;
         result.m_reason =
             "the runner refused the request: status " + std::to_string(status);
-        result.m_retry_after = retry_after(parser.get().base());
+        result.m_retry_after = retry_after(fields);
         runners.record_full(runner.m_id, time.now());
         co_return result;
     }
--- a/test/fleet/test_broken_heads.cpp
+++ b/test/fleet/test_broken_heads.cpp
@@ -228,6 +228,21 @@
     }
 }
 
+TEST_CASE("a trailer says nothing of whether a request has run",
+          "[proxy][broken_heads]")
+{
+    isolated_edge edge;
+    edge.m_first.script({{"HTTP/1.1 500 X\r\nPepperturn-Call: ID\r\n"
+                          "Transfer-Encoding: chunked\r\n\r\n"
+                          "4\r\nboom\r\n0\r\n" +
+                          std::string(not_run_line) + "\r\n"}});
+    edge.m_second.script({{whole_answer(200, sound_body)}});
+    const auto got = ask(edge, proxy_fixture::post("/once/", "x"));
+    CHECK(got == "HTTP/1.1 500 Internal Server Error\r\n"
+                 "Pepperturn-Call: c1\r\nContent-Length: 4\r\n\r\nboom");
+    CHECK(edge.m_second.requests().empty());
+}
+
 TEST_CASE("a rare and sound head is passed on", "[proxy][broken_heads]")
 {
     const std::string path = GENERATE("/get/", "/once/", "/stream/");
