Times that a head states are bounded

Cause: a floating-point time out of range was converted to a whole number, which the language leaves undefined; "Keep-Alive: timeout=" overflowed in the same way, so that such a connection was not kept.

Change: both are taken for an hour at most.

--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -25,6 +25,8 @@
 /// How long a connection is kept if the runner states no time-out; most
 /// servers keep idle connections for five seconds or more.
 constexpr milliseconds default_keep_alive{4000};
+/// Longer times that a head states are taken for this one.
+constexpr seconds max_stated_time{3600};
 /// The runner's close may already be in flight this long before its time-out.
 constexpr milliseconds keep_alive_margin{500};
 
@@ -70,7 +72,8 @@
         parse_number(digits.substr(0, digits.find_first_not_of("0123456789")));
     if (!seconds_kept)
         return default_keep_alive;
-    return milliseconds(*seconds_kept * 1000) - keep_alive_margin;
+    constexpr std::uint64_t limit = max_stated_time.count();
+    return seconds(std::min(*seconds_kept, limit)) - keep_alive_margin;
 }
 
 std::optional<milliseconds> retry_after(const http::fields& fields)
@@ -78,10 +81,12 @@
     const auto value = fields[http::field::retry_after];
     char* end = nullptr;
     const std::string text(value.data(), value.size());
-    const double seconds_left = std::strtod(text.c_str(), &end);
-    if (text.empty() || end == text.c_str() || !(seconds_left >= 0))
+    const double stated = std::strtod(text.c_str(), &end);
+    if (text.empty() || end == text.c_str() || !(stated >= 0))
         return std::nullopt;
-    return milliseconds(static_cast<std::int64_t>(seconds_left * 1000));
+    constexpr double limit = max_stated_time.count();
+    return milliseconds(
+        static_cast<std::int64_t>(std::min(stated, limit) * 1000));
 }
 
 /// Writes head and body while the response may already be arriving.
--- a/test/fleet/test_broken_heads.cpp
+++ b/test/fleet/test_broken_heads.cpp
@@ -265,3 +265,31 @@
         CHECK(edge.m_second.requests().empty());
     }
 }
+
+TEST_CASE("a time in a head that is out of range is none",
+          "[proxy][broken_heads]")
+{
+    const std::string retry = GENERATE("inf", "nan", "1e300", "-1", "99999999",
+                                       "-inf", "9223372036854775808");
+    isolated_edge edge;
+    const auto refusal = whole_answer(
+        503, "", std::string(not_run_line) + "Retry-After: " + retry + "\r\n");
+    edge.m_first.script({{refusal}});
+    edge.m_second.script({{refusal}});
+    const auto got = ask(edge, proxy_fixture::post("/once/", "x"));
+    INFO(retry);
+    const auto at = got.find("Retry-After: ");
+    REQUIRE(at != std::string::npos);
+    const auto seconds = std::stod(got.substr(at + 13));
+    CHECK(seconds > 0);
+    CHECK(seconds <= 1);
+    // So it is for how long a connection is kept.
+    const std::string kept =
+        GENERATE("18446744073709551615", "9223372036854775", "99999999999");
+    isolated_edge keeping;
+    keeping.m_first.script({{whole_answer(
+        200, sound_body, "Keep-Alive: timeout=" + kept + "\r\n")}});
+    CHECK(has(ask(keeping, proxy_fixture::post("/get/", "x")), sound_body));
+    CHECK(has(ask(keeping, proxy_fixture::post("/get/", "x")), sound_body));
+    CHECK(keeping.m_first.connections() == 1);
+}
