pepperturnd leaves a runner alone for a second after a broken answer

What callers would see: a runner in trouble answers at once, so that it has the least load and is asked first for each call; every broken answer takes a retry from all others, and once they are used up (20, and a fifth of one for each call that ran) calls that another runner would serve are unknown, 502.

Cause: only a connection that fails counted against a runner.

Answers that break off later are counted as before.

--- a/include/pepperturn/core/types.hpp
+++ b/include/pepperturn/core/types.hpp
@@ -190,6 +190,8 @@
     std::optional<token_usage> m_usage;
     /// The caller has received part of the response, so a retry is useless.
     bool m_no_retry = false;
+    /// What the runner sent is no answer, so that it is in trouble.
+    bool m_broken_answer = false;
 
     friend bool operator==(const call_report&, const call_report&) = default;
 };
--- a/include/pepperturn/net/http_client.hpp
+++ b/include/pepperturn/net/http_client.hpp
@@ -43,6 +43,8 @@
     int m_status = 0;
     std::string m_body;
     std::string m_reason;
+    /// What came is no head of a reply.
+    bool m_head_broken = false;
 };
 
 /// Threads that run the callbacks; once, before any other use of the client,
--- a/src/codec/wire.cpp
+++ b/src/codec/wire.cpp
@@ -407,6 +407,7 @@
     out.setOutputTokens(usage.m_output_tokens);
     out.setUsageUnknown(!value.m_usage);
     out.setNoRetry(value.m_no_retry);
+    out.setBrokenAnswer(value.m_broken_answer);
 }
 
 call_report read(wire::Report::Reader in)
@@ -428,6 +429,7 @@
         out.m_usage = {in.getPromptTokens(), in.getCachedTokens(),
                        in.getOutputTokens()};
     out.m_no_retry = in.getNoRetry();
+    out.m_broken_answer = in.getBrokenAnswer();
     return out;
 }
 
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -410,7 +410,9 @@
     }
     if (report == nullptr)
         return;
-    if (report->m_end == attempt_end::not_sent)
+    // A runner in trouble may be the fastest to answer: calls that may run
+    // elsewhere would use up the retries of all.
+    if (report->m_end == attempt_end::not_sent || report->m_broken_answer)
         runner.m_backoff_until = state.m_now + failed_runner_backoff;
     const auto output = report->m_usage ? report->m_usage->m_output_tokens : 0;
     if (report->m_end == attempt_end::complete && output > 0)
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -202,8 +202,8 @@
 }
 
 /// Why there is no head of an answer; one that is broken is reported.
-std::string explain_failure(const transfer& work, head_fault fault,
-                            unsigned status, const error_code& ec)
+std::string explain_failure(transfer& work, head_fault fault, unsigned status,
+                            const error_code& ec)
 {
     if (fault == head_fault::none)
         return "no response head was received: " + ec.message();
@@ -212,6 +212,7 @@
                                request.m_method + ' ' + request.m_path, fault,
                                status};
     report(refused);
+    work.m_result.m_head_broken = true;
     return describe(refused);
 }
 
--- a/src/net/upstream_client.cpp
+++ b/src/net/upstream_client.cpp
@@ -124,6 +124,7 @@
     {
         m_report.m_status = result.m_status;
         m_report.m_reason = result.m_reason;
+        m_report.m_broken_answer = result.m_head_broken;
         const bool error_status =
             result.m_end == transfer_end::complete && result.m_status != 200;
         if (error_status)
@@ -243,6 +244,7 @@
         report.m_status = result.m_status;
         report.m_body = result.m_body;
         report.m_reason = result.m_reason;
+        report.m_broken_answer = result.m_head_broken;
         switch (result.m_end)
         {
         case transfer_end::not_sent:
--- a/test/codec/test_wire.cpp
+++ b/test/codec/test_wire.cpp
@@ -80,6 +80,7 @@
           std::optional(token_usage{7, 2, 3})})
     {
         report.m_usage = usage;
+        report.m_broken_answer = !usage;
         capnp::MallocMessageBuilder message;
         codec::write(report, message.initRoot<wire::Report>());
         CHECK(codec::read(message.getRoot<wire::Report>().asReader()) ==
--- a/test/net/test_broken_heads.cpp
+++ b/test/net/test_broken_heads.cpp
@@ -46,6 +46,10 @@
         CHECK(report.m_end == attempt_end::aborted);
         CHECK(report.m_body.empty());
         CHECK(server.requests() == 1);
+        // The answer is still to come, and its connection ends.
+        const bool interim = form.m_name == "100 alone" ||
+                             form.m_name == "status '199', no body";
+        CHECK(report.m_broken_answer == !interim);
     }
 }
 
