What VMs tell each other of a status is checked where it is read

What callers would see: while VMs of two versions run, or from results stored before, "HTTP/1.1 0 <unknown-status>" with the outcome "ran"; and a chat whose entry VM reports the status 0 or 600 "not_run".

Cause: a report and an answer of another VM carry any number as a status.

Change: a complete report whose status no response can have is read as aborted, with a broken answer; an answer with such a status, whoever gave it and however old it is, reaches its caller as unknown, 502, without its body (answer_status_broken says which).

--- a/include/pepperturn/daemon/caller_sink.hpp
+++ b/include/pepperturn/daemon/caller_sink.hpp
@@ -9,6 +9,9 @@
 
 namespace pepperturn {
 
+/// \p reply itself, or an unknown outcome in place of one whose status no
+/// response can have: other VMs and stored results give what they were given.
+[[nodiscard]] answer without_broken_status(answer reply);
 /// Headers that every answer carries.
 [[nodiscard]] http_headers answer_headers(const answer& reply);
 /// A JSON error body for an answer that is not a result.
--- a/src/codec/wire.cpp
+++ b/src/codec/wire.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "pepperturn/codec/wire.hpp"
 
+#include "pepperturn/http/response_status.hpp"
+
 #include <algorithm>
 #include <capnp/message.h>
 #include <capnp/serialize.h>
@@ -430,6 +432,14 @@
                        in.getOutputTokens()};
     out.m_no_retry = in.getNoRetry();
     out.m_broken_answer = in.getBrokenAnswer();
+    // Earlier versions report whatever a runner sent as a status. It says
+    // nothing, not even that the runner refused the call.
+    if (out.m_end == attempt_end::complete && !is_final_status(out.m_status))
+    {
+        out.m_end = attempt_end::aborted;
+        out.m_broken_answer = true;
+        out.m_reason = "broken status " + std::to_string(out.m_status);
+    }
     return out;
 }
 
--- a/src/daemon/caller_sink.cpp
+++ b/src/daemon/caller_sink.cpp
@@ -2,6 +2,7 @@
 #include "pepperturn/daemon/caller_sink.hpp"
 
 #include "pepperturn/daemon/metrics.hpp"
+#include "pepperturn/http/response_status.hpp"
 
 #include <glog/logging.h>
 #include <mutex>
@@ -14,6 +15,7 @@
 using nlohmann::json;
 
 constexpr int status_ok = 200;
+constexpr int status_bad_gateway = 502;
 
 std::string dump(const json& value)
 {
@@ -69,8 +71,9 @@
         return !m_gone;
     }
 
-    void on_answer(const answer& reply) override
+    void on_answer(const answer& received) override
     {
+        const auto reply = without_broken_status(received);
         const std::lock_guard lock(m_mutex);
         record_timing(timing::whole_call, m_clock.now() - m_arrived);
         if (!m_stream || (!m_begun && !is_result(reply)))
@@ -196,8 +199,9 @@
         return true;
     }
 
-    void on_answer(const answer& reply) override
+    void on_answer(const answer& received) override
     {
+        const auto reply = without_broken_status(received);
         record_timing(timing::whole_call, m_clock.now() - m_arrived);
         // What ran is relayed as the service said it, errors included.
         const auto body = reply.m_outcome == outcome::ran ? reply.m_body
@@ -218,6 +222,20 @@
 
 } // namespace
 
+answer without_broken_status(answer reply)
+{
+    if (is_final_status(reply.m_status))
+        return reply;
+    LOG(WARNING) << "event=answer_status_broken call=" << reply.m_call
+                 << " runner=" << reply.m_runner
+                 << " status=" << reply.m_status;
+    reply.m_reason = "broken status " + std::to_string(reply.m_status);
+    reply.m_outcome = outcome::unknown;
+    reply.m_status = status_bad_gateway;
+    reply.m_body.clear();
+    return reply;
+}
+
 http_headers answer_headers(const answer& reply)
 {
     http_headers out{
--- a/src/daemon/front.cpp
+++ b/src/daemon/front.cpp
@@ -30,8 +30,9 @@
 }
 
 void reply_answer(const std::shared_ptr<http_responder>& out,
-                  const answer& reply)
+                  const answer& received)
 {
+    const auto reply = without_broken_status(received);
     out->reply(reply.m_status, answer_headers(reply),
                reply.m_status == status_ok ? "{}" : answer_error(reply));
 }
--- a/test/codec/test_wire.cpp
+++ b/test/codec/test_wire.cpp
@@ -75,6 +75,7 @@
     call_report report;
     report.m_call = "vm-1";
     report.m_end = attempt_end::complete;
+    report.m_status = 200;
     for (const auto& usage :
          {std::optional<token_usage>{}, std::optional(token_usage{}),
           std::optional(token_usage{7, 2, 3})})
@@ -102,3 +103,40 @@
             RC_ASSERT(!reason.empty());
     }));
 }
+
+// What says nothing of a status says nothing of whether a call has run.
+TEST_CASE("a report whose status no response can have is aborted", "[codec]")
+{
+    struct sample
+    {
+        attempt_end m_end;
+        std::int32_t m_status;
+        attempt_end m_expected;
+    };
+    using end = attempt_end;
+    const std::vector<sample> samples{
+        {end::complete, 200, end::complete},
+        {end::complete, 599, end::complete},
+        {end::complete, 0, end::aborted},
+        {end::complete, -20, end::aborted},
+        {end::complete, 20, end::aborted},
+        {end::complete, 199, end::aborted},
+        {end::complete, 600, end::aborted},
+        {end::complete, 999, end::aborted},
+        {end::not_sent, 0, end::not_sent},
+        {end::aborted, 0, end::aborted},
+    };
+    for (const auto& each : samples)
+    {
+        INFO(each.m_status);
+        call_report report;
+        report.m_end = each.m_end;
+        report.m_status = each.m_status;
+        capnp::MallocMessageBuilder message;
+        codec::write(report, message.initRoot<wire::Report>());
+        const auto read =
+            codec::read(message.getRoot<wire::Report>().asReader());
+        CHECK(read.m_end == each.m_expected);
+        CHECK(read.m_broken_answer == (each.m_expected != each.m_end));
+    }
+}
--- a/test/net/test_broken_heads.cpp
+++ b/test/net/test_broken_heads.cpp
@@ -4,6 +4,7 @@
 #include "support/heads/head_forms.hpp"
 #include "support/net/answers.hpp"
 
+#include "pepperturn/daemon/caller_sink.hpp"
 #include "pepperturn/http/response_head.hpp"
 #include "pepperturn/store/etcd_store.hpp"
 
@@ -14,11 +15,30 @@
 using namespace pepperturn;
 using namespace pepperturn::test;
 
+const std::string request = "GET /x HTTP/1.1\r\nHost: x\r\n"
+                            "Connection: close\r\n\r\n";
+
 bool has(const std::string& in, const std::string& what)
 {
     return in.find(what) != std::string::npos;
 }
 
+/// What a caller gets from a server whose handler is \p answer.
+std::string ask_server(
+    const std::function<void(const std::shared_ptr<http_responder>&)>& answer)
+{
+    std::string reason;
+    const auto server = open_http_server(
+        {},
+        [&answer](const http_call&,
+                  const std::shared_ptr<http_responder>& out) { answer(out); },
+        reason);
+    REQUIRE(server != nullptr);
+    auto got = ask_raw(server->port(), request, "no end but the connection's");
+    server->close();
+    return got;
+}
+
 } // namespace
 
 TEST_CASE("a reply with a broken head is cut", "[net][broken_heads]")
@@ -190,6 +210,31 @@
     }
 }
 
+TEST_CASE("an answer whose status no response can have is unknown",
+          "[net][broken_heads]")
+{
+    for (const int status : {0, 1, 20, 99, 100, 101, 199, 600, 999, 1000, -20})
+    {
+        INFO(status);
+        answer broken;
+        broken.m_call = "vm-1";
+        broken.m_outcome = outcome::ran;
+        broken.m_status = status;
+        broken.m_body = broken_body;
+        for (const bool chat : {false, true})
+        {
+            const auto got = ask_server([&](const auto& out) {
+                const auto sink = chat ? make_chat_sink(out, "model", true)
+                                       : make_service_sink(out);
+                sink->on_answer(broken);
+            });
+            CHECK(got.starts_with("HTTP/1.1 502 Bad Gateway\r\n"
+                                  "Pepperturn-Outcome: unknown\r\n"));
+            CHECK_FALSE(has(got, broken_body));
+        }
+    }
+}
+
 TEST_CASE("a head that was refused is counted by its fault",
           "[net][broken_heads]")
 {
