No broken head is written to a caller, whatever gave it

What callers would see: a status that is none, a name with a blank, or a line's end in a value, from whatever part of a VM made it.

Cause: the three places that write heads wrote what they were given.

Change: all write by append_status_line and append_field of http/response_head: a status that no answer can have becomes 502, an edge VM's answer with one loses its body too, and a line that would break the head is left out.

--- a/src/forward/caller_connection.cpp
+++ b/src/forward/caller_connection.cpp
@@ -1,10 +1,10 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "pepperturn/forward/caller_connection.hpp"
 
+#include "pepperturn/http/response_head.hpp"
 #include "pepperturn/scheduling/retry_after.hpp"
 
 #include <array>
-#include <boost/beast/http/status.hpp>
 #include <glog/logging.h>
 #include <sys/socket.h>
 
@@ -35,13 +35,10 @@
 
 std::string head_text(const upstream_response& response, bool keep_alive)
 {
-    const auto reason =
-        http::obsolete_reason(http::int_to_status(response.m_status));
     const auto connection = response.m_fields[http::field::connection];
     const hop_by_hop_names hop_by_hop({connection.data(), connection.size()});
-    std::string out = "HTTP/1.1 " + std::to_string(response.m_status) + ' ';
-    out.append(reason.data(), reason.size());
-    out += "\r\n";
+    std::string out;
+    append_status_line(out, response.m_status);
     for (const auto& row : response.m_fields)
     {
         const std::string_view name(row.name_string().data(),
@@ -49,10 +46,7 @@
         if (row.name() == http::field::content_length ||
             hop_by_hop.contains(name))
             continue;
-        out += name;
-        out += ": ";
-        out.append(row.value().data(), row.value().size());
-        out += "\r\n";
+        append_field(out, name, {row.value().data(), row.value().size()});
     }
     if (!keep_alive)
         out += "Connection: close\r\n";
@@ -358,9 +352,15 @@
     m_stream.close();
 }
 
-task<bool> caller_connection::write_response(const upstream_response& response,
+task<bool> caller_connection::write_response(const upstream_response& answer,
                                              bool keep_alive)
 {
+    // Whatever gave it, its body is no answer either.
+    const bool valid = is_final_status(answer.m_status);
+    const auto replaced =
+        valid ? upstream_response{}
+              : text_response(bad_gateway_status, "broken response status\n");
+    const auto& response = valid ? answer : replaced;
     std::string text = head_text(response, keep_alive);
     constexpr unsigned no_content = 204;
     constexpr unsigned not_modified = 304;
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "pepperturn/net/http_connection.hpp"
 
+#include "pepperturn/http/response_head.hpp"
+
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/status.hpp>
 
@@ -26,11 +28,9 @@
 {
     const std::string body = R"({"error":{"message":")" + why.m_reason +
                              R"(","type":"invalid_request"}})";
-    const auto reason =
-        http::obsolete_reason(http::int_to_status(why.m_status));
-    std::string out = "HTTP/1.1 " + std::to_string(why.m_status) + ' ';
-    out.append(reason.data(), reason.size());
-    out += "\r\nContent-Type: application/json\r\nPepperturn-Outcome: not_run"
+    std::string out;
+    append_status_line(out, why.m_status);
+    out += "Content-Type: application/json\r\nPepperturn-Outcome: not_run"
            "\r\nConnection: close\r\nContent-Length: " +
            std::to_string(body.size()) + "\r\n";
     if (why.m_status == no_memory_status)
--- a/src/net/http_responder.cpp
+++ b/src/net/http_responder.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "pepperturn/net/http_connection.hpp"
 
+#include "pepperturn/http/response_head.hpp"
+
 #include <algorithm>
 #include <array>
 #include <boost/algorithm/string/case_conv.hpp>
@@ -17,19 +19,13 @@
 
 std::string head_text(int status, const http_headers& headers, bool keep_alive)
 {
-    const auto reason =
-        http::obsolete_reason(http::int_to_status(unsigned(status)));
-    std::string out = "HTTP/1.1 " + std::to_string(status) + ' ';
-    out.append(reason.data(), reason.size());
-    out += "\r\n";
+    std::string out;
+    append_status_line(out, status);
     bool typed = false;
     for (const auto& [name, value] : headers)
     {
         typed = typed || boost::algorithm::iequals(name, "content-type");
-        out += name;
-        out += ": ";
-        out += value;
-        out += "\r\n";
+        append_field(out, name, value);
     }
     if (!typed)
         out += "Content-Type: application/json\r\n";
--- a/test/net/test_broken_heads.cpp
+++ b/test/net/test_broken_heads.cpp
@@ -235,6 +235,23 @@
     }
 }
 
+TEST_CASE("no head that is broken is written to a caller",
+          "[net][broken_heads]")
+{
+    const auto got = ask_server([](const auto& out) {
+        out->reply(0,
+                   {{"X Name", "v"},
+                    {"X-Name\r\nX-Other", "v"},
+                    {"", "v"},
+                    {"X-Broken", "v\r\nX-Other: w"},
+                    {"X-Sound", "v\t\x80"}},
+                   "{}");
+    });
+    CHECK(got == "HTTP/1.1 502 Bad Gateway\r\nX-Sound: v\t\x80\r\n"
+                 "Content-Type: application/json\r\nConnection: close\r\n"
+                 "Content-Length: 2\r\n\r\n{}");
+}
+
 TEST_CASE("a head that was refused is counted by its fault",
           "[net][broken_heads]")
 {
