--- a/src/http/response_head.cpp
+++ b/src/http/response_head.cpp
@@ -165,8 +165,8 @@
 {
     ++count_of(head.m_fault);
     LOG(WARNING) << "event=response_head_refused peer=" << head.m_peer
-                 << " request=" << head.m_request
-                 << " fault=" << to_string(head.m_fault)
+                 << " request=\"" << head.m_request
+                 << "\" fault=" << to_string(head.m_fault)
                  << " status=" << head.m_status;
 }
 
--- a/test/fleet/test_broken_heads.cpp
+++ b/test/fleet/test_broken_heads.cpp
@@ -1,11 +1,15 @@
 // SPDX-License-Identifier: BSL-1.0
 // Runners whose answers are broken in their heads: callers get none of it, and
 // nothing in it is believed.
+#include "pepperturn/http/response_head.hpp"
+
 #include "support/fleet/isolated_edge.hpp"
+#include "support/fleet/log_lines.hpp"
 #include "support/fleet/stored_turns_fixture.hpp"
 #include "support/heads/head_forms.hpp"
 
 #include <algorithm>
+#include <boost/asio/read.hpp>
 
 namespace {
 
@@ -293,3 +297,49 @@
     CHECK(has(ask(keeping, proxy_fixture::post("/get/", "x")), sound_body));
     CHECK(keeping.m_first.connections() == 1);
 }
+
+TEST_CASE("a refused head is told with its sender, its request and its fault",
+          "[proxy][broken_heads]")
+{
+    const log_lines log;
+    const auto before = refused_heads(head_fault::field_name);
+    isolated_edge edge;
+    edge.m_first.script({{whole_answer(429, "", "X Name: v\r\n")}});
+    check_unknown(ask(edge, proxy_fixture::post("/once/", "x")));
+    const auto lines = log.of("response_head_refused");
+    REQUIRE(lines.size() == 1);
+    CHECK(value_of(lines.front(), "peer") == "r1");
+    CHECK(value_of(lines.front(), "request") == "c1");
+    CHECK(value_of(lines.front(), "fault") == "field_name");
+    CHECK(value_of(lines.front(), "status") == "429");
+    CHECK(refused_heads(head_fault::field_name) == before + 1);
+}
+
+TEST_CASE("a caller gets 502 in place of a status that is none",
+          "[proxy][broken_heads]")
+{
+    const unsigned status =
+        GENERATE(0U, 20U, 99U, 100U, 101U, 199U, 600U, 999U);
+    asio::io_context io{1};
+    const system_clock time;
+    memory_guard memory(io, time);
+    caller_table table(time, memory.budget());
+    tcp::acceptor acceptor(
+        io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    tcp::socket caller(io, tcp::v4());
+    caller.connect(acceptor.local_endpoint());
+    const auto connection = std::make_shared<caller_connection>(
+        io, time, memory, table, table.admit({}), acceptor.accept());
+    upstream_response response;
+    response.m_status = status;
+    response.m_fields.insert("X-Name", "v");
+    response.m_body = broken_body;
+    CHECK(run_task(io, connection->write_response(response, false)) == true);
+    connection->close();
+    error_code ec;
+    std::string got;
+    asio::read(caller, asio::dynamic_buffer(got), ec);
+    CHECK(got == "HTTP/1.1 502 Bad Gateway\r\nContent-Type: text/plain\r\n"
+                 "Connection: close\r\nContent-Length: 23\r\n\r\n"
+                 "broken response status\n");
+}
